--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Every target brings its own virtual environment with the pinned versions.
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/plumsaddle-core packages/plumsaddle-hosts packages/plumsaddle-standins
+export PYTHONHASHSEED := 0
+
+.PHONY: setup format lint test demo measure slopes generate
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: requirements.txt $(PACKAGES:%=%/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.txt setuptools wheel
+	$(BIN)/pip install -q --no-deps --no-build-isolation $(PACKAGES:%=-e %)
+	touch $@
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: setup
+	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python -m plumsaddle_standins.demo
+
+measure: setup
+	$(BIN)/python -m plumsaddle_standins.measure
+
+slopes: setup
+	$(BIN)/python -m plumsaddle_standins.slopes
+
+generate:
+	python3 -m venv .venv-generate
+	.venv-generate/bin/pip install -q -r requirements-generate.txt
+	cd packages/plumsaddle-hosts && ../../.venv-generate/bin/python -m grpc_tools.protoc \
+		-I. --python_out=. --plugin=protoc-gen-grpclib_python=../../.venv-generate/bin/protoc-gen-grpclib_python \
+		--grpclib_python_out=. plumsaddle_hosts/peers/exchange.proto
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the fleet: no sockets, no files, no clock of its own."""
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/core/__init__.py
@@ -0,0 +1,1 @@
+"""The data that every other part shares."""
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/core/reasons.py
@@ -0,0 +1,100 @@
+"""
+The reasons for which plumsaddle answers by itself, and for which it tries again.
+
+Each reason has one status and at most one pause after which coming back makes
+sense. The reason's value is the last part of the problem's type, the label of its
+counter and the word in the logs, so that one search finds all three.
+"""
+
+import enum
+from typing import NamedTuple
+
+from .data import Outcome, Refusal
+
+
+class Reason(enum.Enum):
+    """Why a request was answered by plumsaddle itself."""
+
+    NO_CONFIGURATION = "no-configuration"
+    BAD_PATH = "bad-path"
+    NO_ROUTE = "no-route"
+    METHOD_NOT_ALLOWED = "method-not-allowed"
+    BAD_DEADLINE = "bad-deadline"
+    BAD_EXPECTATION = "bad-expectation"
+    KEY_MISSING = "key-missing"
+    KEY_MALFORMED = "key-malformed"
+    KEY_EXPIRED = "key-expired"
+    KEY_REUSED = "key-reused"
+    BODY_TOO_LARGE = "body-too-large"
+    ORDER_RUNNING = "order-running"
+    ORDER_UNKNOWN = "order-unknown"
+    ORDER_RUN = "order-run"
+    ORDERS_INCOMPLETE = "orders-incomplete"
+    LOG_AWAY = "log-away"
+    QUEUE_FULL = "queue-full"
+    NO_TARGET = "no-target"
+    TARGETS_SHED = "targets-shed"
+    DEADLINE = "deadline"
+    TARGET_FAILED = "target-failed"
+    TARGET_STALLED = "target-stalled"
+    UPLOAD_BROKEN = "upload-broken"
+    STOPPING = "stopping"
+
+
+class Retry(enum.Enum):
+    """Why a request was sent to another target."""
+
+    CONNECT = "connect"
+    SHED = "shed"
+    BROKEN = "broken"
+    TIMEOUT = "timeout"
+
+
+class Shape(NamedTuple):
+    """The status of a reason and the usual pause in seconds, if any."""
+
+    status: int
+    retry_after: int | None
+    title: str
+
+
+SHAPES = {
+    Reason.NO_CONFIGURATION: Shape(503, 2, "The host has no configuration yet"),
+    Reason.BAD_PATH: Shape(400, None, "The path has dot segments"),
+    Reason.NO_ROUTE: Shape(404, None, "No route matches the path"),
+    Reason.METHOD_NOT_ALLOWED: Shape(405, None, "The route does not take the method"),
+    Reason.BAD_DEADLINE: Shape(400, None, "The request timeout is not a number"),
+    Reason.BAD_EXPECTATION: Shape(417, None, "The expectation is not supported"),
+    Reason.KEY_MISSING: Shape(400, None, "The order has no Idempotency-Key"),
+    Reason.KEY_MALFORMED: Shape(400, None, "The Idempotency-Key is not a UUIDv7"),
+    Reason.KEY_EXPIRED: Shape(410, None, "The Idempotency-Key is past its window"),
+    Reason.KEY_REUSED: Shape(422, None, "The key was used with another request"),
+    Reason.BODY_TOO_LARGE: Shape(413, None, "The request's body is too large"),
+    Reason.ORDER_RUNNING: Shape(409, 1, "The order is still running"),
+    Reason.ORDER_UNKNOWN: Shape(409, None, "The order's outcome is unknown"),
+    Reason.ORDER_RUN: Shape(409, None, "The order has run; its answer is not kept"),
+    Reason.ORDERS_INCOMPLETE: Shape(503, 5, "The order state is not complete yet"),
+    Reason.LOG_AWAY: Shape(503, 5, "The platform's log does not answer"),
+    Reason.QUEUE_FULL: Shape(503, 2, "The queue of the service is full"),
+    Reason.NO_TARGET: Shape(503, 2, "No target of the service can be used"),
+    Reason.TARGETS_SHED: Shape(503, 1, "The targets of the service are full"),
+    Reason.DEADLINE: Shape(504, 1, "The deadline passed"),
+    Reason.TARGET_FAILED: Shape(502, 1, "The target's answer broke off"),
+    Reason.TARGET_STALLED: Shape(504, 1, "The target made no progress"),
+    Reason.UPLOAD_BROKEN: Shape(502, None, "The upload broke off on the way"),
+    Reason.STOPPING: Shape(503, 1, "The host is stopping"),
+}
+
+
+def refuse(reason, detail="", outcome=Outcome.NOT_RUN):
+    """
+    Return the refusal for a reason.
+
+    Args:
+      reason: The reason, a member of `Reason`.
+      detail: What was seen in this very case, for the caller's log.
+      outcome: What is known of the request's effect.
+    Returns:
+      A `Refusal` with the reason's usual pause.
+    """
+    return Refusal(reason, outcome, detail, SHAPES[reason].retry_after)
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pool.py
@@ -0,0 +1,164 @@
+"""
+The targets of one service as one host sees them, and which of them to use next.
+
+With forty hosts in front of forty slots a host knows little of how busy a target
+is, and reports a second old mislead. What helps is the slot that this host freed
+last, and next to it any target that has not just shed. Targets that only this host
+can't reach are used last; ejected and leaving ones not at all.
+"""
+
+import math
+
+from ..core.data import RequestKind, Standing
+
+SHED_PAUSE = 0.015
+TRIALS_NEEDED = 3
+SLOW_START_FOR = 10.0
+
+
+class Member:
+    """One target in a pool: what it is, how busy, and what it may be given."""
+
+    def __init__(self, target, limit):
+        self.target = target
+        self.limit = limit
+        self.in_flight = 0
+        self.shed_at = -math.inf
+        self.freed_at = -math.inf
+        self.standing = Standing.GOOD
+        self.is_avoided = False
+        self.since = -math.inf
+        self.until = -math.inf
+        self.ejections = 0
+        self.trials = 0
+        self.reason = ""
+
+    def set_standing(self, standing, now, reason):
+        """Change the standing and keep when and why, for `explain`."""
+        self.standing = standing
+        self.since = now
+        self.reason = reason
+
+    def allowance(self, now):
+        """Return how many requests this host may have at the target by now."""
+        if self.standing is Standing.SLOW_START:
+            share = min(1.0, (now - self.since) / SLOW_START_FOR)
+            return max(1, math.floor(self.limit * share))
+        return self.limit
+
+
+class Pool:
+    """
+    The targets of one service.
+
+    Args:
+      service: The `Service` in force.
+      hosts_max: The most hosts there may be at a time, replacements included.
+    """
+
+    def __init__(self, service, hosts_max):
+        self.members = {}
+        self.service = service
+        self.is_shared_fate = False
+        self.update(service, hosts_max)
+
+    def update(self, service, hosts_max):
+        """
+        Take a newer configuration of the service.
+
+        A target keeps its standing while its id and its address stay the same.
+
+        Args:
+          service: The `Service`.
+          hosts_max: The most hosts there may be at a time.
+        """
+        self.service = service
+        limit = host_limit(service, hosts_max)
+        fresh = {}
+        for target in service.targets:
+            member = self.members.get(target.key)
+            if member is None:
+                member = Member(target, limit)
+            member.target = target
+            member.limit = limit
+            fresh[target.key] = member
+        self.members = fresh
+
+    def choose(self, kind, now, rng, tried=()):
+        """
+        Choose a target for a try.
+
+        Args:
+          kind: The request's `RequestKind`.
+          now: The present, in seconds.
+          rng: A `random.Random`.
+          tried: Keys of targets not to be tried again.
+        Returns:
+          A `Member`, or None if no target can take the request now.
+        """
+        usable = [
+            member
+            for member in self.members.values()
+            if member.target.key not in tried and _may_take(member, kind, now)
+        ]
+        usable = _prefer(usable, lambda member: not member.is_avoided)
+        if kind is RequestKind.IDEMPOTENT:
+            trials = [m for m in usable if m.standing is Standing.TRIAL]
+            if trials:
+                return rng.choice(trials)
+        if not usable:
+            return None
+        freed = max(usable, key=lambda member: member.freed_at)
+        if freed.freed_at > now - SHED_PAUSE:
+            return freed
+        return rng.choice(usable)
+
+    def is_worth_waiting(self, tried=()):
+        """Return whether a target may become free that could take a request."""
+        return any(
+            member.standing not in (Standing.EJECTED, Standing.LEAVING)
+            for key, member in self.members.items()
+            if key not in tried
+        )
+
+    def take(self, member):
+        """Count a try that starts."""
+        member.in_flight += 1
+
+    def free(self, member, now, is_shed=False):
+        """Count a try that ended, and whether the target shed it."""
+        member.in_flight -= 1
+        assert member.in_flight >= 0, "a slot was freed twice"
+        if is_shed:
+            member.shed_at = now
+            member.freed_at = -math.inf
+        else:
+            member.freed_at = now
+
+
+def host_limit(service, hosts_max):
+    """
+    Return how many requests one host may have at one target.
+
+    Every request has a connection of its own, so that the hosts together stay
+    below the target's bound on connections whatever they know of each other.
+    """
+    return max(1, min(service.slots, service.connections // hosts_max))
+
+
+def _may_take(member, kind, now):
+    """Return whether a target may be given a request of this kind now."""
+    if member.standing in (Standing.EJECTED, Standing.LEAVING):
+        return False
+    if member.standing is Standing.TRIAL:
+        return kind is RequestKind.IDEMPOTENT and member.in_flight == 0
+    if now - member.shed_at < SHED_PAUSE:
+        return False
+    if kind is RequestKind.ORDER and member.standing is Standing.SLOW_START:
+        return False
+    return member.in_flight < member.allowance(now)
+
+
+def _prefer(members, wish):
+    """Return those members that fulfil a wish, or all if none does."""
+    return [member for member in members if wish(member)] or members
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a decision in them."""
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, files and timers round the core."""
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
@@ -0,0 +1,212 @@
+"""
+One try of one request at one target.
+
+Every try has a connection of its own, which is closed behind it. On a kept
+connection a late second answer is delivered as the next caller's, and HTTP/1.1 has
+nothing by which to tell; a fresh connection takes a millisecond and rules it out.
+The library's own resending is switched off as well: it would run an order by PUT or
+DELETE twice without anybody's knowing.
+
+A try ends in an `Answer`, whole or still streaming, or in a `Trouble` that says
+whether the target can have seen anything of the request.
+"""
+
+import asyncio
+import enum
+from typing import Any, NamedTuple
+
+import aiohttp
+from returns.result import Failure, Success
+from yarl import URL
+
+
+class TroubleKind(enum.Enum):
+    """How a try went wrong."""
+
+    CONNECT = "connect"
+    BROKEN = "broken"
+    STALLED = "stalled"
+    DEADLINE = "deadline"
+    UNFRAMED = "unframed"
+    SHED = "shed"
+    CALLER = "caller"
+
+
+class Trouble(NamedTuple):
+    """A failed try; `is_unsent` only where no byte can have reached the target."""
+
+    kind: TroubleKind
+    detail: str
+    is_unsent: bool = False
+
+
+class Outgoing(NamedTuple):
+    """
+    What is sent: `body` is bytes, or an asynchronous iterator for uploads.
+
+    `deadline` is on the loop's clock, or None for uploads, which are bounded by
+    progress and not by time.
+    """
+
+    method: str
+    path: str
+    headers: Any
+    body: Any
+    deadline: float | None
+    expect_continue: bool = False
+
+
+class Answer(NamedTuple):
+    """
+    A target's answer.
+
+    `body` holds it whole if `rest` is None; else `rest` is the response to read on
+    from, and the reader must close it.
+    """
+
+    status: int
+    headers: Any
+    body: bytes
+    rest: Any = None
+
+
+CONNECT_TIMEOUT = 1.0
+CHUNK = 65536
+BODILESS = {204, 304}
+
+
+def make_session():
+    """Return the client session for targets, with its guards set."""
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    session = aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
+    )
+    # There is no public switch. Without this, aiohttp sends GET, PUT and DELETE
+    # again by itself when a kept connection closes; sender_test.py shows it.
+    session._retry_connection = False
+    return session
+
+
+class Progress:
+    """
+    Bounds a try by its progress: it is stalled if nothing moves for too long.
+
+    While the caller is the one who sends nothing, `is_caller_slow` is set, and the
+    target is not to blame.
+    """
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+        self._scope = None
+        self.is_caller_slow = False
+
+    def attach(self, scope):
+        """Take the `asyncio.timeout` scope of the try."""
+        self._scope = scope
+        self.move()
+
+    def move(self):
+        """Note that something moved."""
+        loop = asyncio.get_running_loop()
+        self._scope.reschedule(loop.time() + self._seconds)
+
+
+async def send(session, address, outgoing, service, progress):
+    """
+    Send a request to a target and read its answer up to the buffer's bound.
+
+    Args:
+      session: What `make_session` returned.
+      address: The target's address.
+      outgoing: The `Outgoing` request.
+      service: The `Service`, for its bounds.
+      progress: A `Progress`; the body's iterator moves it too.
+    Returns:
+      A `Success` of an `Answer`, or a `Failure` of a `Trouble`.
+    """
+    try:
+        async with (
+            asyncio.timeout_at(outgoing.deadline),
+            asyncio.timeout(None) as scope,
+        ):
+            progress.attach(scope)
+            return await _exchange(session, address, outgoing, service, progress)
+    except TimeoutError:
+        return Failure(_timeout_trouble(scope, progress))
+
+
+def _timeout_trouble(scope, progress):
+    """Return whether the deadline passed, the target stalled or the caller did."""
+    if progress.is_caller_slow:
+        return Trouble(TroubleKind.CALLER, "the caller stopped sending")
+    if scope.expired():
+        return Trouble(TroubleKind.STALLED, "no progress")
+    return Trouble(TroubleKind.DEADLINE, "the deadline passed")
+
+
+async def _exchange(session, address, outgoing, service, progress):
+    """Run the try inside its time bounds."""
+    url = URL(f"http://{address}{outgoing.path}", encoded=True)
+    try:
+        resp = await session.request(
+            outgoing.method,
+            url,
+            headers=outgoing.headers,
+            data=outgoing.body,
+            allow_redirects=False,
+            expect100=outgoing.expect_continue,
+        )
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        return Failure(Trouble(TroubleKind.CONNECT, _word(exc), is_unsent=True))
+    except (aiohttp.ClientError, OSError) as exc:
+        kind = TroubleKind.CALLER if progress.is_caller_slow else TroubleKind.BROKEN
+        return Failure(Trouble(kind, _word(exc)))
+    progress.move()
+    try:
+        return await _read(resp, outgoing, service, progress)
+    except BaseException:
+        resp.close()
+        raise
+
+
+async def _read(resp, outgoing, service, progress):
+    """Read an answer whole if it fits the buffer, else hand on its rest."""
+    if _is_unframed(resp, outgoing.method) and not service.close_delimited:
+        resp.close()
+        detail = "the answer has neither a length nor chunks"
+        return Failure(Trouble(TroubleKind.UNFRAMED, detail))
+    body = bytearray()
+    while True:
+        try:
+            chunk = await resp.content.read(CHUNK)
+        except (aiohttp.ClientError, OSError) as exc:
+            resp.close()
+            return Failure(Trouble(TroubleKind.BROKEN, _word(exc)))
+        if not chunk:
+            resp.close()
+            return Success(Answer(resp.status, resp.headers, bytes(body)))
+        progress.move()
+        body += chunk
+        if len(body) > service.buffer_bytes:
+            return Success(Answer(resp.status, resp.headers, bytes(body), resp))
+
+
+def _is_unframed(resp, method):
+    """
+    Return whether only the connection's end would end the answer.
+
+    Such an answer looks whole when the target dies half way, and the library takes
+    it for whole. It is refused unless the service's operators allow it.
+    """
+    if method == "HEAD" or resp.status in BODILESS or resp.status < 200:
+        return False
+    is_chunked = "chunked" in resp.headers.get("Transfer-Encoding", "").lower()
+    return not is_chunked and "Content-Length" not in resp.headers
+
+
+def _word(exc):
+    return type(exc).__name__
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
@@ -0,0 +1,111 @@
+"""
+Run one try with all that belongs to it: slot, bounds, signs, counters.
+
+`run_try` gives the answer or the trouble, and afterwards the slot is free, unless
+the answer still streams: then `Streaming.read` reads on and `close` ends the try.
+"""
+
+import asyncio
+import logging
+from typing import Any, NamedTuple
+
+import aiohttp
+from returns.result import Failure, Success
+
+from ..front.headers import LEAVING_STATES, TARGET_STATE
+from .sender import CHUNK, Progress, Trouble, TroubleKind, send
+
+log = logging.getLogger("tries")
+SERVER_ERRORS = range(500, 600)
+
+
+class Streaming(NamedTuple):
+    """A long answer that is read while it is passed on."""
+
+    resp: Any
+    state: Any
+    running: Any
+    stall: float
+
+    async def read(self):
+        """Return the next bytes; `Failure` of a `Trouble` if it broke off."""
+        try:
+            async with asyncio.timeout(self.stall):
+                return Success(await self.resp.content.read(CHUNK))
+        except TimeoutError:
+            return Failure(Trouble(TroubleKind.STALLED, "no progress"))
+        except (aiohttp.ClientError, OSError) as exc:
+            return Failure(Trouble(TroubleKind.BROKEN, type(exc).__name__))
+
+    def close(self, trouble):
+        """End the try; `trouble` is a `TroubleKind`, or None if it was whole."""
+        self.resp.close()
+        self.state.end_try(self.running, trouble, asyncio.get_running_loop().time())
+
+
+async def run_try(host, state, member, kind, outgoing, progress=None):
+    """
+    Send a request to a target whose slot is taken.
+
+    Args:
+      host: The host's parts, for its session and counters.
+      state: The `ServiceState`.
+      member: The pool `Member`; its slot is freed here.
+      kind: The request's `RequestKind`.
+      outgoing: The `Outgoing` request.
+      progress: A `Progress` if the body's iterator needs it.
+    Returns:
+      A `Success` of an `Answer`, whose `rest` is a `Streaming` for a long one, or a
+      `Failure` of a `Trouble`.
+    """
+    loop = asyncio.get_running_loop()
+    service = state.service
+    running = state.start_try(member, kind, loop.time())
+    progress = progress or Progress(service.stall_timeout)
+    try:
+        result = await send(
+            host.session, member.target.address, outgoing, service, progress
+        )
+    except BaseException:
+        # The caller went away; that says nothing about the target.
+        state.end_try(running, TroubleKind.CALLER, loop.time())
+        raise
+    result = _find_shed(result, service)
+    _end(host, state, running, result, loop.time())
+    if isinstance(result, Success) and result.unwrap().rest is not None:
+        answer = result.unwrap()
+        rest = Streaming(answer.rest, state, running, service.stall_timeout)
+        return Success(answer._replace(rest=rest))
+    return result
+
+
+def _find_shed(result, service):
+    """Turn an answer by which the target says "not run" into a trouble."""
+    if isinstance(result, Success):
+        answer = result.unwrap()
+        if answer.status in service.shed_status and answer.rest is None:
+            detail = f"the target answered {answer.status}"
+            return Failure(Trouble(TroubleKind.SHED, detail, is_unsent=True))
+    return result
+
+
+def _end(host, state, running, result, now):
+    """Count a try and end it, unless its answer still streams."""
+    target = running.member.target
+    if isinstance(result, Failure):
+        trouble = result.failure()
+        host.metrics.tries.inc({"result": trouble.kind.value})
+        state.end_try(running, trouble.kind, now)
+        if trouble.kind is not TroubleKind.SHED:
+            log.debug("tries: %s gave %s, %s.", target.id, trouble.kind, trouble.detail)
+        return
+    answer = result.unwrap()
+    host.metrics.tries.inc({"result": "answer"})
+    if answer.headers.get(TARGET_STATE, "").lower() in LEAVING_STATES:
+        host.note_leaving(target.key)
+    if answer.rest is not None:
+        return
+    if answer.status in SERVER_ERRORS:
+        state.end_failed_answer(running, now)
+    else:
+        state.end_try(running, None, now)
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/waiting.py
@@ -0,0 +1,123 @@
+"""
+Give requests a target: at once, after a short wait in the queue, or not at all.
+
+A request that finds every target busy or just having shed waits without holding a
+slot. It is woken when a slot comes free or a pause is over, in order of deadlines.
+"""
+
+import asyncio
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Success
+
+from plumsaddle_core.core.reasons import Reason, refuse
+from plumsaddle_core.ops.pool import SHED_PAUSE
+from plumsaddle_core.ops.queue import Queue
+
+
+class Ticket(NamedTuple):
+    """A request that waits."""
+
+    kind: Any
+    tried: tuple
+    fut: Any
+
+
+class WaitingRoom:
+    """
+    The queue of one service, with its wake-ups.
+
+    Args:
+      pool: The service's `Pool`.
+      rng: A `random.Random`.
+    """
+
+    def __init__(self, pool, rng):
+        self.pool = pool
+        self._rng = rng
+        self._queue = Queue(pool.service.queue)
+        self._timer = None
+
+    async def acquire(self, kind, deadline, tried=()):
+        """
+        Get a slot at a target.
+
+        Args:
+          kind: The request's `RequestKind`.
+          deadline: On the loop's clock.
+          tried: Keys of targets not to be used.
+        Returns:
+          A `Success` of a pool `Member` that was taken, or a `Failure` of a
+          `Refusal`. Whoever gets a member must `release` it.
+        """
+        loop = asyncio.get_running_loop()
+        member = self._choose(kind, loop.time(), tried) if not self._queue else None
+        if member:
+            return Success(member)
+        if not self.pool.is_worth_waiting(tried):
+            return Failure(refuse(Reason.NO_TARGET))
+        ticket = Ticket(kind, tried, loop.create_future())
+        self._queue.bound = self.pool.service.queue
+        if not self._queue.push(deadline, ticket):
+            return Failure(refuse(Reason.QUEUE_FULL))
+        self.wake()
+        return await self._wait(ticket, deadline)
+
+    async def _wait(self, ticket, deadline):
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await ticket.fut
+        except TimeoutError:
+            self._give_back(ticket)
+            return Failure(refuse(Reason.DEADLINE, "no target came free"))
+        except asyncio.CancelledError:
+            self._give_back(ticket)
+            raise
+
+    def _give_back(self, ticket):
+        """Leave the queue, or free the slot that came in the very same moment."""
+        self._queue.remove(ticket)
+        if ticket.fut.done() and not ticket.fut.cancelled():
+            result = ticket.fut.result()
+            if isinstance(result, Success):
+                self.release(result.unwrap())
+
+    def _choose(self, kind, now, tried):
+        member = self.pool.choose(kind, now, self._rng, tried)
+        if member:
+            self.pool.take(member)
+        return member
+
+    def release(self, member, is_shed=False):
+        """Free a slot, and wake whoever waits for one."""
+        self.pool.free(member, asyncio.get_running_loop().time(), is_shed)
+        self.wake()
+
+    def wake(self):
+        """Serve the queue, and look again when the pauses of sheds are over."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        late = self._queue.serve(now, lambda ticket: self._serve(ticket, now))
+        for ticket in late:
+            if not ticket.fut.done():
+                ticket.fut.set_result(Failure(refuse(Reason.DEADLINE)))
+        if len(self._queue) and self._timer is None:
+            pause = SHED_PAUSE * self._rng.uniform(0.7, 1.3)
+            self._timer = loop.call_later(pause, self._wake_later)
+
+    def _wake_later(self):
+        self._timer = None
+        self.wake()
+
+    def _serve(self, ticket, now):
+        """Return whether a ticket needs the queue no more."""
+        if ticket.fut.done():
+            return True
+        if not self.pool.is_worth_waiting(ticket.tried):
+            ticket.fut.set_result(Failure(refuse(Reason.NO_TARGET)))
+            return True
+        member = self._choose(ticket.kind, now, ticket.tried)
+        if member is None:
+            return False
+        ticket.fut.set_result(Success(member))
+        return True
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -0,0 +1,419 @@
+"""
+One entry host: the parts of it and what they tell each other.
+
+A `Host` holds the state that several parts need: the configuration in force, the
+services, the orders' streams, the members and the marks. Its periodic work
+subscribes to the timer service; nothing in it sleeps by itself.
+"""
+
+import asyncio
+import logging
+import random
+import time
+import uuid
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Success
+
+from plumsaddle_core.core.data import Incarnation
+from plumsaddle_core.ops.anchor import Checkpoint
+from plumsaddle_core.ops.ejection import review, set_leaving, suspects_itself
+from plumsaddle_core.ops.marks import LISTED_FOR, OWN_WORD_FOR, Marks
+from plumsaddle_core.ops.members import Member, Members
+from plumsaddle_core.ops.orders import Horizon, dump_orders
+from plumsaddle_core.ops.routing import build_routes
+from plumsaddle_core.ops.versions import dump_versions, new_version_fold
+from plumsaddle_core.parser.configuration import check_configuration
+from plumsaddle_core.utils.timers import Timers
+
+from ..back.sender import make_session
+from ..back.services import ServiceState
+from ..peers.exchange import Exchange
+from ..peers.messages import News
+from ..platform.batch import Batcher
+from ..platform.tail import Tail
+from .metrics import Metrics
+from .probes import start_probes
+from .shards import SHARDS, Shard, shard_number
+
+log = logging.getLogger("host")
+CONFIG_STREAM = "config"
+REVIEW_EVERY = 0.25
+WATCH_EVERY = 0.1
+PROBE_EVERY = 1.0
+CHECKPOINT_LOOK_EVERY = 5.0
+CHECKPOINT_ITEMS = 500
+MEMBERS_MOST = 16
+ROWS_MOST = 200
+MARKS_MOST = 50
+
+
+class Applied(NamedTuple):
+    """The version in force on this host, ready for use."""
+
+    number: int
+    id: str
+    cfg: Any
+    routes: dict
+
+
+class Host:
+    """
+    The parts of one host.
+
+    Args:
+      settings: The `Settings`.
+      platform: The `PlatformClient`.
+    """
+
+    def __init__(self, settings, platform):
+        loop = asyncio.get_running_loop()
+        self.settings = settings
+        self.platform = platform
+        self.incarnation = Incarnation(
+            f"{settings.id}@{int(time.time() * 1000):012x}-{uuid.uuid4().hex[:8]}"
+        )
+        self.rng = random.Random(uuid.uuid4().int)
+        self.metrics = Metrics(settings.id)
+        self.session = make_session()
+        self.timers = Timers(loop.time, self.rng)
+        self.applied = None
+        self.unusable = None
+        self.services = {}
+        self.in_flight = 0
+        self.is_leaving = False
+        self.is_stopping = False
+        self.is_suspect_itself = False
+        self.marks = Marks()
+        self.listed_leaving = set()
+        self.members = Members(self._own_member(), loop.time())
+        self.exchange = Exchange(self, settings.peers)
+        self.versions = new_version_fold()
+        self.config_tail = Tail(
+            platform,
+            CONFIG_STREAM,
+            self.versions,
+            self._feed_config,
+            self._on_config_page,
+            settings.platform.read_wait,
+        )
+        self.config_batcher = Batcher(self.append, CONFIG_STREAM)
+        self.shards = [
+            Shard(
+                number,
+                platform,
+                self.append,
+                self.incarnation,
+                self._is_gone,
+                settings.platform.read_wait,
+            )
+            for number in range(SHARDS)
+        ]
+        self._checkpoint_at = {}
+        self._tasks = set()
+
+    def _own_member(self):
+        return Member(
+            self.settings.id,
+            self.incarnation,
+            0,
+            self.settings.listen.hosts,
+            self.settings.data_centre,
+            0,
+            False,
+        )
+
+    def spawn(self, work):
+        """Run a coroutine as a task that is kept until it ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget_task)
+        return task
+
+    def _forget_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("host: A task broke.", exc_info=task.exception())
+
+    async def append(self, stream, data):
+        """Append to the platform's log and count it."""
+        result = await self.platform.append(stream, data)
+        word = "taken" if isinstance(result, Success) else result.failure().value
+        self.metrics.appends.inc({"stream": stream, "result": word})
+        return result
+
+    def start(self):
+        """Start the readers and the periodic work."""
+        self.spawn(self.config_tail.run())
+        for shard in self.shards:
+            self.spawn(shard.tail.run())
+        self.timers.subscribe(self.settings.peers.every, self._exchange)
+        self.timers.subscribe(REVIEW_EVERY, self._review)
+        self.timers.subscribe(WATCH_EVERY, self._watch)
+        self.timers.subscribe(PROBE_EVERY, self._probe)
+        self.timers.subscribe(self.settings.platform.hosts_every, self._read_hosts)
+        self.timers.subscribe(CHECKPOINT_LOOK_EVERY, self._checkpoint)
+        self.spawn(self._run_timers())
+
+    async def _run_timers(self):
+        while True:
+            await asyncio.sleep(max(0.005, self.timers.run_due()))
+
+    # The configuration.
+
+    def _feed_config(self, record):
+        self.versions.feed(record)
+
+    def _on_config_page(self, is_hole):
+        if is_hole:
+            log.error("config: Versions were missed. The former one stays in force.")
+        self._apply_current()
+
+    def adopt_version(self, items, as_of):
+        """Take the version in force from another host, if it is newer."""
+        if self.versions.adopt([items], as_of):
+            log.info("config: Version %d came from another host.", items[0])
+            self._apply_current()
+
+    def _apply_current(self):
+        """
+        Put the folded version in force, unless an older or unusable one.
+
+        A fold that starts anew after a hole may know less than what is in force
+        here already, and a version that this release can't read is left alone: in
+        both cases the former one goes on serving, and `status` shows it.
+        """
+        current = self.versions.state.current
+        applied = self.applied.number if self.applied else 0
+        if not self.versions.complete or current.number <= applied:
+            return
+        if self.unusable and self.unusable[0] == current.number:
+            return
+        result = check_configuration(current.text, f"version {current.number}")
+        if isinstance(result, Failure):
+            errors = [str(error) for error in result.failure()]
+            self.unusable = (current.number, errors)
+            log.error(
+                "config: Version %d cannot be applied. %s",
+                current.number,
+                "; ".join(errors),
+            )
+            return
+        self.unusable = None
+        self._apply(current, result.unwrap())
+
+    def _apply(self, current, cfg):
+        fresh = {}
+        for service in cfg.service:
+            state = self.services.get(service.name)
+            if state is None:
+                state = ServiceState(service, cfg.hosts_max, self.incarnation, self.rng)
+            else:
+                state.update(service, cfg.hosts_max)
+            fresh[service.name] = state
+        self.services = fresh
+        self.applied = Applied(current.number, current.id, cfg, build_routes(cfg))
+        self.metrics.version.set({}, current.number)
+        self._set_leaving(asyncio.get_running_loop().time())
+        log.info("config: Version %d is in force.", current.number)
+
+    # The other hosts.
+
+    def _exchange(self, now):
+        self.members.forget(now)
+        self.exchange.start_round(now)
+
+    def tell_news(self):
+        """Return the `News` for another host."""
+        now = asyncio.get_running_loop().time()
+        number = self.applied.number if self.applied else 0
+        self.members.beat(number, self.is_leaving, self.is_suspect_itself)
+        rows = []
+        for state in self.services.values():
+            rows += state.evidence.rows(now, ROWS_MOST - len(rows))
+        return News(
+            self.members.to_tell(now, MEMBERS_MOST),
+            rows,
+            self.marks.to_tell(now, MARKS_MOST),
+        )
+
+    def take_news(self, news):
+        """Take what another host tells."""
+        now = asyncio.get_running_loop().time()
+        self.members.merge(news.members, now)
+        is_urgent = False
+        for state in self.services.values():
+            known = state.pool.members
+            rows = [row for row in news.rows if row.target in known]
+            is_urgent = state.evidence.merge(rows, now) or is_urgent
+        if self.marks.merge(news.marks, now):
+            self._set_leaving(now)
+            is_urgent = True
+        if is_urgent:
+            self.exchange.start_urgent(now)
+
+    def _is_gone(self, incarnation):
+        return self.members.is_gone(incarnation, asyncio.get_running_loop().time())
+
+    def _read_hosts(self, now):
+        self.spawn(self._fetch_hosts())
+
+    async def _fetch_hosts(self):
+        result = await self.platform.hosts()
+        if isinstance(result, Failure):
+            return
+        listed = result.unwrap()
+        self.members.set_listed(
+            {row.id: row.address for row in listed if row.role == "entry"}
+        )
+        self.listed_leaving = {
+            f"{row.id}@{row.address}"
+            for row in listed
+            if row.role == "target" and row.is_leaving
+        }
+        self._set_leaving(asyncio.get_running_loop().time())
+
+    # The targets.
+
+    def note_leaving(self, key):
+        """Take a target's own word that it is leaving."""
+        now = asyncio.get_running_loop().time()
+        self.marks.add(key, OWN_WORD_FOR, now)
+        self._set_leaving(now)
+        self.exchange.start_urgent(now)
+
+    def _set_leaving(self, now):
+        """Bring the leaving targets up to date from all three sources."""
+        for key in self.listed_leaving:
+            self.marks.add(key, LISTED_FOR, now)
+        marked = self.marks.targets(now)
+        for state in self.services.values():
+            named = {t.key for t in state.service.targets if t.leaving}
+            self._note_changes(state, set_leaving(state.pool, marked | named, now))
+
+    def _review(self, now):
+        states = list(self.services.values())
+        self.is_suspect_itself = suspects_itself(
+            (state.pool, state.evidence) for state in states
+        )
+        self._set_leaving(now)
+        failing = {s.service.name for s in states if s.pool.is_shared_fate}
+        for state in states:
+            changes = review(
+                state.pool,
+                state.evidence,
+                now,
+                self.rng,
+                bool(failing & set(state.service.depends_on)),
+                self.is_suspect_itself,
+            )
+            self._note_changes(state, changes)
+        self.metrics.in_flight.set({}, self.in_flight)
+
+    def _note_changes(self, state, changes):
+        for change in changes:
+            self.metrics.standings.inc(
+                {"service": state.service.name, "standing": change.new.value}
+            )
+            log.info(
+                "targets: %s went from %s to %s, %s.",
+                change.target,
+                change.old.value,
+                change.new.value,
+                change.reason,
+            )
+        if changes:
+            state.room.wake()
+
+    def _watch(self, now):
+        for state in self.services.values():
+            before = state.evidence.rates.failed + state.evidence.rates.slow
+            state.watch_tries(now)
+            after = state.evidence.rates.failed + state.evidence.rates.slow
+            if after > before:
+                self.exchange.start_urgent(now)
+
+    def _probe(self, now):
+        start_probes(self, now)
+
+    # The orders.
+
+    def shard_of(self, key):
+        """Return the `Shard` of a hashed key."""
+        return self.shards[shard_number(key)]
+
+    # What must not be lost when the log forgets.
+
+    def _checkpoint(self, now):
+        """
+        Write the state of each stream to the log before its records expire.
+
+        Every host would do; the first to find the last one old does it, and the
+        random wait makes two at a time unlikely. Two do no harm.
+        """
+        self._checkpoint_stream(now, self.versions, self.config_batcher, dump_versions)
+        for shard in self.shards:
+            self._checkpoint_stream(now, shard.fold, shard.batcher, dump_orders)
+
+    def _checkpoint_stream(self, now, fold, batcher, dump):
+        every = self.settings.platform.checkpoint_every
+        seen, due = self._checkpoint_at.get(batcher.stream, (-1, None))
+        if due is None:
+            # A host does not know how old the last checkpoint is. If hosts were
+            # replaced faster than the period and each waited it out, none would
+            # ever be written; so the first wait is only a part of it.
+            due = now + every * self.rng.uniform(0, 1)
+        elif fold.checkpoint_seen > seen:
+            due = now + every * self.rng.uniform(1, 1.5)
+        if fold.complete and now >= due and not batcher.pending():
+            due = now + every * self.rng.uniform(1, 1.5)
+            for events in self._checkpoint_records(fold, dump):
+                batcher.deliver(events)
+        self._checkpoint_at[batcher.stream] = (fold.checkpoint_seen, due)
+
+    def _checkpoint_records(self, fold, dump):
+        """Return the records of a checkpoint, led by the horizon for orders."""
+        items = dump(fold.state)
+        if fold.next_offset == 0:
+            return []
+        parts = [
+            items[start : start + CHECKPOINT_ITEMS]
+            for start in range(0, len(items), CHECKPOINT_ITEMS)
+        ]
+        name = uuid.uuid4().hex
+        as_of = fold.next_offset - 1
+        records = [
+            [Checkpoint(name, as_of, number, len(parts), part)]
+            for number, part in enumerate(parts)
+        ]
+        if dump is dump_orders and self.applied:
+            window = self.applied.cfg.order_window
+            horizon = int((time.time() - window) * 1000)
+            if horizon > fold.state.horizon:
+                records.insert(0, [Horizon(horizon)])
+        return records
+
+    # Start and stop.
+
+    def not_ready_reason(self):
+        """Return why the balancer should send nothing here, or None."""
+        if self.applied is None:
+            return "no configuration"
+        if self.is_leaving:
+            return "leaving"
+        if self.is_suspect_itself:
+            return "this host finds bad what others find good"
+        return None
+
+    async def flush(self, seconds):
+        """Wait until the outcomes of all orders are in the log."""
+        batchers = [shard.batcher for shard in self.shards]
+        done = await asyncio.gather(*(batcher.flush(seconds) for batcher in batchers))
+        return all(done)
+
+    async def close(self):
+        """Stop all that runs."""
+        for task in list(self._tasks):
+            task.cancel()
+        self.exchange.close()
+        await self.session.close()
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
@@ -0,0 +1,141 @@
+"""
+The daemon: `plumsaddled SETTINGS` runs one entry host until it is told to stop.
+
+On SIGTERM a host first says that it is not ready and goes on serving, so that the
+balancer can turn away from it; then it stops listening, answers everything that is
+in flight, however long it takes, writes the last outcomes and leaves.
+"""
+
+import asyncio
+import contextlib
+import logging
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+import fire
+from aiohttp import web
+from grpclib.server import Server
+from returns.result import Failure
+
+from plumsaddle_core.parser.settings import check_settings
+
+from ..front.server import make_app
+from ..peers.exchange import ExchangeServer
+from ..platform.client import PlatformClient
+from .admin import make_admin
+from .host import Host
+from .logs import set_up_logs
+
+log = logging.getLogger("daemon")
+EXIT_MISTAKE = 2
+# The library cuts what is in flight after a minute by default. A host waits itself
+# until nothing is in flight, so the library's own bound must never come first.
+NEVER = 10 * 365 * 86400.0
+FLUSH_FOR = 30.0
+LOOK_EVERY = 0.05
+
+
+def read_settings(path):
+    """
+    Read a settings file, or tell all mistakes and exit.
+
+    Args:
+      path: The file's path.
+    Returns:
+      The `Settings`.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        print(f"{path}: {exc}", file=sys.stderr)
+        sys.exit(EXIT_MISTAKE)
+    result = check_settings(text, str(path))
+    if isinstance(result, Failure):
+        for error in result.failure():
+            print(error, file=sys.stderr)
+        sys.exit(EXIT_MISTAKE)
+    return result.unwrap()
+
+
+async def _listen(app, address, **options):
+    """Start an application's listener and return its runner and site."""
+    ip, _, port = address.rpartition(":")
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=NEVER, **options)
+    await runner.setup()
+    site = web.TCPSite(runner, ip.strip("[]"), int(port), backlog=1024)
+    await site.start()
+    return runner, site
+
+
+async def run_host(settings):
+    """
+    Run a host until SIGTERM or SIGINT.
+
+    Args:
+      settings: The `Settings`.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        host = Host(settings, PlatformClient(session, settings.platform))
+        ip, _, port = settings.listen.hosts.rpartition(":")
+        peers = Server([ExchangeServer(host, settings.peers.secret)])
+        await peers.start(ip.strip("[]"), int(port))
+        admin, _ = await _listen(make_admin(host), settings.listen.operators)
+        callers, site = await _listen(
+            make_app(host),
+            settings.listen.callers,
+            handler_cancellation=True,
+            auto_decompress=False,
+        )
+        host.start()
+        log.info("daemon: %s listens on %s.", settings.id, settings.listen.callers)
+        await stop.wait()
+        await _drain(host, site)
+        peers.close()
+        await peers.wait_closed()
+        await host.close()
+        await callers.cleanup()
+        await admin.cleanup()
+    log.info("daemon: %s has left.", settings.id)
+
+
+async def _drain(host, site):
+    """Stop taking requests and wait for those in flight."""
+    host.is_leaving = True
+    log.info("daemon: Leaving. New requests are still taken for a while.")
+    await asyncio.sleep(host.settings.leave_wait)
+    host.is_stopping = True
+    await site.stop()
+    log.info("daemon: Not listening any more. %d are in flight.", host.in_flight)
+    while host.in_flight or any(s.claims.open_claims() for s in host.shards):
+        await asyncio.sleep(LOOK_EVERY)
+    if not await host.flush(FLUSH_FOR):
+        log.error("daemon: The log is away. Some outcomes could not be written.")
+
+
+def start(settings):
+    """
+    Run one entry host.
+
+    Args:
+      settings: The path of the host's settings file.
+    """
+    checked = read_settings(settings)
+    set_up_logs(checked.logs, checked.id)
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(run_host(checked))
+
+
+def main():
+    """Run the command line of the daemon."""
+    fire.Fire(start, name="plumsaddled")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/probes.py
@@ -0,0 +1,42 @@
+"""
+Probe targets in trial whose service has a probe path.
+
+A service with nothing but orders has no idempotent request to try a target with.
+The probe goes the way of real work and counts as a try like any other.
+"""
+
+from multidict import CIMultiDict
+
+from plumsaddle_core.core.data import RequestKind, Standing
+
+from ..back.sender import Outgoing
+from ..back.tries import run_try
+from ..front.headers import TIMEOUT
+
+
+def start_probes(host, now):
+    """
+    Send a probe to each idle target in trial.
+
+    Args:
+      host: The host's parts.
+      now: The present, on the loop's clock.
+    """
+    for state in host.services.values():
+        if state.service.probe_path is None:
+            continue
+        for member in state.pool.members.values():
+            if member.standing is Standing.TRIAL and member.in_flight == 0:
+                state.pool.take(member)
+                host.spawn(_probe(host, state, member, now))
+
+
+async def _probe(host, state, member, now):
+    """Run one probe; its sign is weighed by the try itself."""
+    timeout = state.service.stall_timeout
+    headers = CIMultiDict({TIMEOUT: str(int(timeout * 1000))})
+    outgoing = Outgoing("GET", state.service.probe_path, headers, None, now + timeout)
+    result = await run_try(host, state, member, RequestKind.IDEMPOTENT, outgoing)
+    answer = result.value_or(None)
+    if answer is not None and answer.rest is not None:
+        answer.rest.close(None)
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/shards.py
@@ -0,0 +1,122 @@
+"""
+One stream of orders on one host: its fold, its reader, its writer, its waiters.
+
+The streams are told apart by the key's hash. Today every host follows all of them.
+"""
+
+import asyncio
+import logging
+
+from returns.result import Failure, Success
+
+from plumsaddle_core.core.reasons import Reason, refuse
+from plumsaddle_core.ops.claims import Claims
+from plumsaddle_core.ops.orders import new_order_fold
+
+from ..platform.batch import Batcher
+from ..platform.client import PlatformError
+from ..platform.tail import Tail
+
+log = logging.getLogger("orders")
+SHARDS = 4
+CLAIM_WAIT = 3.0
+
+
+def stream_name(number):
+    """Return the stream of a shard."""
+    return f"orders-{number}"
+
+
+def shard_number(key):
+    """Return the shard of a hashed key."""
+    return int(key[:8], 16) % SHARDS
+
+
+class Shard:
+    """
+    The orders of one stream.
+
+    Args:
+      number: The shard's number.
+      platform: The `PlatformClient`.
+      append: A coroutine function that appends and counts.
+      host: This host's incarnation.
+      is_gone: Tells whether another incarnation is known to be gone.
+      wait: The most seconds that one read waits.
+    """
+
+    def __init__(self, number, platform, append, host, is_gone, wait):
+        self.stream = stream_name(number)
+        self.fold = new_order_fold()
+        self.claims = Claims(self.fold, host, is_gone)
+        self.batcher = Batcher(append, self.stream)
+        self.tail = Tail(
+            platform, self.stream, self.fold, self._feed, self._on_page, wait
+        )
+        self._waiters = {}
+
+    def _feed(self, record):
+        decisions, releases = self.claims.feed(record)
+        self.batcher.deliver(releases)
+        for decision in decisions:
+            fut = self._waiters.pop(decision.claim, None)
+            if fut is not None and not fut.done():
+                fut.set_result(decision.is_won)
+
+    def _on_page(self, is_hole):
+        if is_hole:
+            log.error("orders: The state of %s is not complete any more.", self.stream)
+
+    def is_away(self):
+        """Return whether the log is known not to answer at the moment."""
+        now = asyncio.get_running_loop().time()
+        return self.tail.is_away or self.batcher.is_away(now)
+
+    async def win(self, claim, deadline):
+        """
+        Append a claim and wait until the log has decided.
+
+        The answer of an append can be lost although it took effect, so what counts
+        is the claim's own place in the stream. When that does not come in time, the
+        claim is given up: the caller is told at once, and should the claim surface
+        later, it is released.
+
+        Args:
+          claim: The `Claim`.
+          deadline: On the loop's clock.
+        Returns:
+          A `Success` of whether it was won, or a `Failure` of a `Refusal`.
+        """
+        loop = asyncio.get_running_loop()
+        decided = loop.create_future()
+        self._waiters[claim.claim] = decided
+        self.claims.begin(claim)
+        appended = self.batcher.submit([claim])
+        appended.add_done_callback(lambda fut: _skip_wait(fut, decided))
+        try:
+            async with asyncio.timeout_at(min(deadline, loop.time() + CLAIM_WAIT)):
+                is_won = await decided
+        except TimeoutError:
+            is_won = None
+        self._waiters.pop(claim.claim, None)
+        if is_won is None:
+            self.give_up(claim.claim)
+            return Failure(refuse(Reason.LOG_AWAY, "the claim is not in the log"))
+        return Success(is_won)
+
+    def give_up(self, claim):
+        """Give up a claim that was not sent."""
+        self.deliver(self.claims.give_up(claim))
+
+    def deliver(self, events):
+        """Append events, however long it takes."""
+        self.batcher.deliver(events)
+
+
+def _skip_wait(appended, decided):
+    """Stop waiting for a claim that the log has certainly not taken."""
+    if appended.cancelled() or decided.done():
+        return
+    result = appended.result()
+    if isinstance(result, Failure) and result.failure() is PlatformError.NOT_TAKEN:
+        decided.set_result(None)
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/__init__.py
@@ -0,0 +1,1 @@
+"""The side towards callers."""
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
@@ -0,0 +1,205 @@
+"""
+The callers' listener: from a request to its route, its kind's runner and back.
+
+Whatever comes of a request leaves through `_respond` as one of three things: the
+target's whole answer, a recorded answer, or a problem. A long answer is passed on
+while it is read; if it breaks off, the caller's connection is aborted, so that it
+can never look complete.
+"""
+
+import asyncio
+import logging
+import math
+
+from aiohttp import web
+from returns.result import Failure, Success
+
+from plumsaddle_core.core.data import Outcome, RequestKind
+from plumsaddle_core.core.reasons import Reason, refuse
+from plumsaddle_core.ops.claims import Replay
+from plumsaddle_core.ops.routing import find_route
+
+from .answers import make_problem
+from .headers import OUTCOME, REPLAYED, TIMEOUT, pass_headers
+from .orders import run_order
+from .plain import run_idempotent, run_upload
+
+log = logging.getLogger("front")
+RUNNERS = {
+    RequestKind.IDEMPOTENT: run_idempotent,
+    RequestKind.ORDER: run_order,
+    RequestKind.UPLOAD: run_upload,
+}
+DOT_SEGMENTS = {".", "..", "%2e", "%2e%2e", ".%2e", "%2e."}
+
+
+def make_app(host):
+    """
+    Return the application of the callers' listener.
+
+    Args:
+      host: The host's parts.
+    Returns:
+      An `aiohttp.web.Application` that takes every method and path.
+    """
+
+    async def handle(incoming):
+        host.in_flight += 1
+        started = asyncio.get_running_loop().time()
+        try:
+            return await _handle(host, incoming)
+        finally:
+            host.in_flight -= 1
+            host.metrics.seconds.observe(
+                {}, asyncio.get_running_loop().time() - started
+            )
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", handle, expect_handler=_wait_to_invite)
+    return app
+
+
+async def _wait_to_invite(incoming):
+    """
+    Take no body yet.
+
+    The library would invite the caller to send at once. An upload waits for its
+    target, so that a refusal costs the caller nothing.
+    """
+
+
+async def _handle(host, incoming):
+    """Find the route, run the request, and respond."""
+    found = _find(host, incoming)
+    if isinstance(found, Failure):
+        return await _respond(host, incoming, found)
+    route, state = found.unwrap()
+    host.metrics.requests.inc({"service": route.service, "kind": route.kind.value})
+    state.budget.note_request()
+    limit = _read_timeout(incoming.headers.get(TIMEOUT), route.deadline)
+    if limit is None:
+        return await _respond(host, incoming, Failure(refuse(Reason.BAD_DEADLINE)))
+    deadline = asyncio.get_running_loop().time() + limit
+    refusal = _check_expectation(incoming)
+    if refusal is not None:
+        return await _respond(host, incoming, Failure(refusal))
+    if route.kind is not RequestKind.UPLOAD:
+        _invite(incoming)
+    result = await RUNNERS[route.kind](host, state, incoming, deadline)
+    return await _respond(host, incoming, result)
+
+
+def _find(host, incoming):
+    """Return a `Success` of the route and its service's state, or a `Failure`."""
+    applied = host.applied
+    if applied is None:
+        return Failure(refuse(Reason.NO_CONFIGURATION))
+    path = incoming.raw_path.partition("?")[0]
+    if DOT_SEGMENTS & set(path.lower().split("/")):
+        # A target may fold them away and run an order as if it were a look-up.
+        return Failure(refuse(Reason.BAD_PATH))
+    found = find_route(applied.routes, incoming.method, path)
+    if isinstance(found, Failure):
+        return found
+    route = found.unwrap()
+    return Success((route, host.services[route.service]))
+
+
+def _read_timeout(text, most):
+    """Return the seconds that a request may take, or None if the text is no number."""
+    if text is None:
+        return most
+    try:
+        seconds = float(text) / 1000
+    except ValueError:
+        return None
+    if not math.isfinite(seconds) or seconds <= 0:
+        return None
+    return min(seconds, most)
+
+
+def _check_expectation(incoming):
+    expected = incoming.headers.get("Expect", "").lower()
+    if expected in ("", "100-continue"):
+        return None
+    return refuse(Reason.BAD_EXPECTATION, expected)
+
+
+def _invite(incoming):
+    if incoming.headers.get("Expect"):
+        incoming.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+async def _respond(host, incoming, result):
+    """Turn a result into the caller's response."""
+    if isinstance(result, Failure):
+        refusal = result.failure()
+        host.metrics.refusals.inc(
+            {"reason": refusal.reason.value, "outcome": refusal.outcome.value}
+        )
+        resp = make_problem(refusal)
+        if not incoming.content.is_eof():
+            # The rest of the body would be taken for the next request.
+            resp.force_close()
+    elif isinstance(result.unwrap(), Replay):
+        resp = _make_replay(result.unwrap())
+    else:
+        answer = result.unwrap()
+        host.metrics.answers.inc({"status": str(answer.status)})
+        if answer.rest is not None:
+            return await _stream(host, incoming, answer)
+        resp = _make_whole(incoming, answer)
+    if host.is_stopping:
+        resp.force_close()
+    return resp
+
+
+def _make_replay(replay):
+    headers = {OUTCOME: Outcome.RUN.value, REPLAYED: "true"}
+    if replay.content_type:
+        headers["Content-Type"] = replay.content_type
+    return web.Response(status=replay.status, body=replay.body, headers=headers)
+
+
+def _make_whole(incoming, answer):
+    """Return a response with a target's whole answer."""
+    without = () if incoming.method == "HEAD" else {"content-length"}
+    headers = pass_headers(answer.headers, without)
+    headers[OUTCOME] = Outcome.RUN.value
+    if incoming.method == "HEAD" or answer.status in (204, 304):
+        return web.Response(status=answer.status, headers=headers)
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
+
+
+async def _stream(host, incoming, answer):
+    """Pass a long answer on, and abort the connection if it breaks off."""
+    resp = web.StreamResponse(
+        status=answer.status, headers=pass_headers(answer.headers)
+    )
+    resp.headers[OUTCOME] = Outcome.RUN.value
+    if "Content-Length" not in resp.headers:
+        resp.enable_chunked_encoding()
+    if host.is_stopping:
+        resp.force_close()
+    trouble = None
+    try:
+        await resp.prepare(incoming)
+        await resp.write(answer.body)
+        while True:
+            part = await answer.rest.read()
+            if isinstance(part, Failure):
+                trouble = part.failure()
+                break
+            if not part.unwrap():
+                break
+            await resp.write(part.unwrap())
+    finally:
+        answer.rest.close(trouble.kind if trouble else None)
+    if trouble is None:
+        await resp.write_eof()
+        return resp
+    host.metrics.aborted.inc({"reason": trouble.kind.value})
+    log.warning("front: An answer broke off, %s. The caller is cut.", trouble.detail)
+    if incoming.transport is not None:
+        incoming.transport.abort()
+    return resp
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The exchange between hosts."""
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's log and host list."""
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/hosts.py
@@ -0,0 +1,36 @@
+"""
+The entry hosts as the command line asks them, over their operators' listeners.
+"""
+
+import asyncio
+
+import aiohttp
+
+ASK_TIMEOUT = 2.0
+
+
+async def ask_host(session, address, path):
+    """
+    Ask one host.
+
+    Args:
+      session: An `aiohttp.ClientSession`.
+      address: The host's operators' listener.
+      path: The path to ask for.
+    Returns:
+      The JSON value, or None if the host gave none.
+    """
+    timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT)
+    try:
+        async with session.get(f"http://{address}{path}", timeout=timeout) as resp:
+            return await resp.json() if resp.status == 200 else None
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        return None
+
+
+async def ask_all(session, addresses, path):
+    """Return the answers of all hosts, by address; None where there was none."""
+    answers = await asyncio.gather(
+        *(ask_host(session, address, path) for address in addresses)
+    )
+    return dict(zip(addresses, answers, strict=True))
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/log.py
@@ -0,0 +1,79 @@
+"""
+The platform's log as the command line reads it: from start to tail, then on.
+"""
+
+import asyncio
+import time
+
+from returns.result import Failure, Success
+
+from plumsaddle_core.ops.anchor import Record
+from plumsaddle_core.ops.versions import new_version_fold
+from plumsaddle_core.utils.codec import decode_events
+
+from ..daemon.host import CONFIG_STREAM
+
+READ_PAUSE = 0.2
+
+
+class History:
+    """
+    The accepted versions of the configuration, as far as the log still has them.
+
+    Args:
+      platform: A `PlatformClient`.
+    """
+
+    def __init__(self, platform):
+        self.fold = new_version_fold()
+        self.versions = {}
+        self._platform = platform
+
+    @property
+    def current(self):
+        """The version in force."""
+        return self.fold.state.current
+
+    async def catch_up(self):
+        """
+        Read to the tail.
+
+        Returns:
+          A `Success` of the fold's completeness, or a `Failure` of `PlatformError`.
+        """
+        while True:
+            result = await self._platform.read(CONFIG_STREAM, self.fold.next_offset, 0)
+            if isinstance(result, Failure):
+                return result
+            page = result.unwrap()
+            self.fold.begin_read(page.first)
+            for raw in page.records:
+                self._feed(raw)
+            if self.fold.next_offset >= page.next:
+                return Success(self.fold.complete)
+
+    def _feed(self, raw):
+        self.fold.feed(Record(raw.offset, decode_events(raw.data)))
+        if self.fold.complete and self.current.number:
+            self.versions[self.current.number] = self.current
+
+    async def find_verdict(self, proposal, seconds):
+        """
+        Read on until a proposal stands in the log.
+
+        The answer to its append may be lost, so only its own place in the log tells
+        what became of it.
+
+        Args:
+          proposal: The `Proposal`.
+          seconds: The most seconds to look for it.
+        Returns:
+          The accepted number, minus the winner's number, or None if it was not found.
+        """
+        until = time.monotonic() + seconds
+        while True:
+            await self.catch_up()
+            verdict = self.fold.state.verdicts.get(proposal.id)
+            if verdict is not None or time.monotonic() >= until:
+                return verdict
+            await asyncio.sleep(READ_PAUSE)
