Try the promises to callers with real processes

Cause: nothing had shown that the guards hold on real sockets. Tests now kill, freeze and stop hosts, take the log away or its answers, and let targets misbehave on the wire.

Found and mended, each by its test: an order with the log out was refused only after 3 s, and every next one again (6.0 s for three in a row; now the append's failure cuts the wait and later ones are refused at once); a target that worked longer than the stall bound before its first byte was taken for stalled (504 instead of 200); serial look-ups all went to one target, so that others gave no evidence; with every append's answer lost a host refused orders although the log was well (now a claim or a ping that comes up in the stream says so).

Ruled out: a fixed time after a failed append in which all orders are refused. It let one caller a second wait for the whole timeout.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/budget.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/budget.py
@@ -28,9 +28,13 @@
         """Count a request that came in."""
         self.tokens = min(MOST, self.tokens + self.ratio)
 
+    def has_any(self):
+        """Return whether a retry could go out now."""
+        return self.tokens >= 1.0
+
     def take(self):
         """Return whether a retry may go out, and count it if so."""
-        if self.tokens < 1.0:
+        if not self.has_any():
             return False
         self.tokens -= 1.0
         return True
--- a/packages/plumsaddle-core/plumsaddle_core/ops/orders.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/orders.py
@@ -81,6 +81,13 @@
     key_time: int
 
 
+class Ping(NamedTuple):
+    """A host's mark on a batch that it tries again; the fold passes it over."""
+
+    host: Incarnation
+    number: int
+
+
 class Entry(NamedTuple):
     """A key, the claim that holds it or held it last, and the dead claims."""
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/pool.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pool.py
@@ -3,7 +3,8 @@
 
 With forty hosts in front of forty slots a host knows little of how busy a target
 is, and reports a second old mislead. What helps is the slot that this host freed
-last, and next to it any target that has not just shed. Targets that only this host
+last, and next to it any target that has not just shed. While nothing sheds, the
+choice is blind, so that work and evidence spread over all. Targets that only this host
 can't reach are used last; ejected and leaving ones not at all.
 """
 
@@ -12,6 +13,7 @@
 from ..core.data import RequestKind, Standing
 
 SHED_PAUSE = 0.015
+CONTENDED_FOR = 1.0
 TRIALS_NEEDED = 3
 SLOW_START_FOR = 10.0
 
@@ -60,6 +62,7 @@
         self.members = {}
         self.service = service
         self.is_shared_fate = False
+        self.shed_at = -math.inf
         self.update(service, hosts_max)
 
     def update(self, service, hosts_max):
@@ -108,9 +111,10 @@
                 return rng.choice(trials)
         if not usable:
             return None
-        freed = max(usable, key=lambda member: member.freed_at)
-        if freed.freed_at > now - SHED_PAUSE:
-            return freed
+        if now - self.shed_at < CONTENDED_FOR:
+            freed = max(usable, key=lambda member: member.freed_at)
+            if now - freed.freed_at < SHED_PAUSE:
+                return freed
         return rng.choice(usable)
 
     def is_worth_waiting(self, tried=()):
@@ -130,7 +134,7 @@
         member.in_flight -= 1
         assert member.in_flight >= 0, "a slot was freed twice"
         if is_shed:
-            member.shed_at = now
+            member.shed_at = self.shed_at = now
             member.freed_at = -math.inf
         else:
             member.freed_at = now
--- a/packages/plumsaddle-core/plumsaddle_core/utils/codec.py
+++ b/packages/plumsaddle-core/plumsaddle_core/utils/codec.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ..ops.anchor import Checkpoint
-from ..ops.orders import Claim, Done, Horizon, Released, Settled, Unknown
+from ..ops.orders import Claim, Done, Horizon, Ping, Released, Settled, Unknown
 from ..ops.versions import Proposal
 
 TAGS = {
@@ -24,6 +24,7 @@
     "released": Released,
     "settled": Settled,
     "horizon": Horizon,
+    "ping": Ping,
 }
 NAMES = {shape: tag for tag, shape in TAGS.items()}
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
@@ -27,6 +27,7 @@
     BROKEN = "broken"
     STALLED = "stalled"
     DEADLINE = "deadline"
+    OVERDUE = "overdue"
     UNFRAMED = "unframed"
     SHED = "shed"
     CALLER = "caller"
@@ -45,7 +46,8 @@
     What is sent: `body` is bytes, or an asynchronous iterator for uploads.
 
     `deadline` is on the loop's clock, or None for uploads, which are bounded by
-    progress and not by time.
+    progress and not by time. `overdue_at` is when a try is given up for another
+    one, if that is earlier.
     """
 
     method: str
@@ -54,6 +56,7 @@
     body: Any
     deadline: float | None
     expect_continue: bool = False
+    overdue_at: float | None = None
 
 
 class Answer(NamedTuple):
@@ -105,9 +108,14 @@
         self.is_caller_slow = False
 
     def attach(self, scope):
-        """Take the `asyncio.timeout` scope of the try."""
+        """
+        Take the `asyncio.timeout` scope of the try.
+
+        A target may work for long before its answer begins, up to the deadline;
+        so the bound holds from the first byte on. Uploads have no deadline, and for
+        them it holds all the time.
+        """
         self._scope = scope
-        self.move()
 
     def move(self):
         """Note that something moved."""
@@ -130,21 +138,25 @@
     """
     try:
         async with (
-            asyncio.timeout_at(outgoing.deadline),
+            asyncio.timeout_at(outgoing.overdue_at or outgoing.deadline),
             asyncio.timeout(None) as scope,
         ):
             progress.attach(scope)
+            if outgoing.deadline is None:
+                progress.move()
             return await _exchange(session, address, outgoing, service, progress)
     except TimeoutError:
-        return Failure(_timeout_trouble(scope, progress))
+        return Failure(_timeout_trouble(outgoing, scope, progress))
 
 
-def _timeout_trouble(scope, progress):
+def _timeout_trouble(outgoing, scope, progress):
     """Return whether the deadline passed, the target stalled or the caller did."""
     if progress.is_caller_slow:
         return Trouble(TroubleKind.CALLER, "the caller stopped sending")
     if scope.expired():
         return Trouble(TroubleKind.STALLED, "no progress")
+    if outgoing.overdue_at is not None:
+        return Trouble(TroubleKind.OVERDUE, "far slower than usual")
     return Trouble(TroubleKind.DEADLINE, "the deadline passed")
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/services.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/services.py
@@ -20,9 +20,11 @@
 BLAMED = {
     TroubleKind.CONNECT,
     TroubleKind.BROKEN,
+    TroubleKind.OVERDUE,
     TroubleKind.STALLED,
     TroubleKind.UNFRAMED,
 }
+OVERDUE_LEAST = 0.25
 
 
 class Try:
@@ -119,6 +121,19 @@
             return Sign.FAILED
         return Sign.SLOW if self._is_slow(kind, seconds) else None
 
+    def overdue_at(self, kind, now, deadline):
+        """
+        Return when a try should be given up for another one, or None.
+
+        A target that hangs would keep its caller until the deadline. Giving up
+        costs a second try, so it is done only while the budget has one.
+        """
+        overdue_after = self.latencies[kind].overdue_after()
+        if overdue_after is None or not self.budget.has_any():
+            return None
+        at = now + max(overdue_after, OVERDUE_LEAST)
+        return at if at < deadline and not self.pool.is_shared_fate else None
+
     def watch_tries(self, now):
         """Let overdue tries give their signs before they end."""
         for running in self.tries:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/admin.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/admin.py
@@ -76,7 +76,10 @@
         "not_ready": host.not_ready_reason(),
         "in_flight": host.in_flight,
         "config_log": _describe_tail(host.config_tail, host.versions),
-        "orders_log": [_describe_tail(s.tail, s.fold) for s in host.shards],
+        "orders_log": [
+            {**_describe_tail(s.tail, s.fold), "appends_away": s.batcher.is_away}
+            for s in host.shards
+        ],
         "appends": sum(shard.batcher.appends for shard in host.shards),
         "append_bytes": sum(shard.batcher.bytes for shard in host.shards),
         "members": [
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -97,7 +97,9 @@
             self._on_config_page,
             settings.platform.read_wait,
         )
-        self.config_batcher = Batcher(self.append, CONFIG_STREAM)
+        self.config_batcher = Batcher(
+            self.append, CONFIG_STREAM, self.incarnation, self.rng
+        )
         self.shards = [
             Shard(
                 number,
@@ -106,6 +108,7 @@
                 self.incarnation,
                 self._is_gone,
                 settings.platform.read_wait,
+                self.rng,
             )
             for number in range(SHARDS)
         ]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/shards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/shards.py
@@ -11,7 +11,7 @@
 
 from plumsaddle_core.core.reasons import Reason, refuse
 from plumsaddle_core.ops.claims import Claims
-from plumsaddle_core.ops.orders import new_order_fold
+from plumsaddle_core.ops.orders import Ping, new_order_fold
 
 from ..platform.batch import Batcher
 from ..platform.client import PlatformError
@@ -20,6 +20,7 @@
 log = logging.getLogger("orders")
 SHARDS = 4
 CLAIM_WAIT = 3.0
+SURFACE_WAIT = 0.5
 
 
 def stream_name(number):
@@ -43,13 +44,14 @@
       host: This host's incarnation.
       is_gone: Tells whether another incarnation is known to be gone.
       wait: The most seconds that one read waits.
+      rng: A `random.Random`.
     """
 
-    def __init__(self, number, platform, append, host, is_gone, wait):
+    def __init__(self, number, platform, append, host, is_gone, wait, rng):
         self.stream = stream_name(number)
         self.fold = new_order_fold()
         self.claims = Claims(self.fold, host, is_gone)
-        self.batcher = Batcher(append, self.stream)
+        self.batcher = Batcher(append, self.stream, host, rng)
         self.tail = Tail(
             platform, self.stream, self.fold, self._feed, self._on_page, wait
         )
@@ -58,6 +60,11 @@
     def _feed(self, record):
         decisions, releases = self.claims.feed(record)
         self.batcher.deliver(releases)
+        if decisions:
+            self.batcher.note_alive()
+        for event in record.events:
+            if isinstance(event, Ping):
+                self.batcher.note_ping(event)
         for decision in decisions:
             fut = self._waiters.pop(decision.claim, None)
             if fut is not None and not fut.done():
@@ -69,8 +76,7 @@
 
     def is_away(self):
         """Return whether the log is known not to answer at the moment."""
-        now = asyncio.get_running_loop().time()
-        return self.tail.is_away or self.batcher.is_away(now)
+        return self.tail.is_away or self.batcher.is_away
 
     async def win(self, claim, deadline):
         """
@@ -92,9 +98,10 @@
         self._waiters[claim.claim] = decided
         self.claims.begin(claim)
         appended = self.batcher.submit([claim])
-        appended.add_done_callback(lambda fut: _skip_wait(fut, decided))
         try:
-            async with asyncio.timeout_at(min(deadline, loop.time() + CLAIM_WAIT)):
+            until = min(deadline, loop.time() + CLAIM_WAIT)
+            async with asyncio.timeout_at(until) as scope:
+                appended.add_done_callback(lambda fut: _cut_wait(fut, decided, scope))
                 is_won = await decided
         except TimeoutError:
             is_won = None
@@ -113,10 +120,22 @@
         self.batcher.deliver(events)
 
 
-def _skip_wait(appended, decided):
-    """Stop waiting for a claim that the log has certainly not taken."""
+def _cut_wait(appended, decided, scope):
+    """
+    Wait no longer than makes sense once the append has failed.
+
+    A record that the log has certainly not taken will never surface. One that it may
+    have taken surfaces at once if the log still answers reads; so a short wait is
+    enough, and the caller is not held up by a log that is away.
+    """
     if appended.cancelled() or decided.done():
         return
     result = appended.result()
-    if isinstance(result, Failure) and result.failure() is PlatformError.NOT_TAKEN:
+    if not isinstance(result, Failure):
+        return
+    if result.failure() is PlatformError.NOT_TAKEN:
         decided.set_result(None)
+        return
+    soon = asyncio.get_running_loop().time() + SURFACE_WAIT
+    if scope.when() is not None and soon < scope.when():
+        scope.reschedule(soon)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/plain.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/plain.py
@@ -25,6 +25,7 @@
     TroubleKind.BROKEN: Retry.BROKEN,
     TroubleKind.UNFRAMED: Retry.BROKEN,
     TroubleKind.STALLED: Retry.TIMEOUT,
+    TroubleKind.OVERDUE: Retry.TIMEOUT,
 }
 REASONS = {
     TroubleKind.CONNECT: Reason.NO_TARGET,
@@ -32,6 +33,7 @@
     TroubleKind.BROKEN: Reason.TARGET_FAILED,
     TroubleKind.UNFRAMED: Reason.TARGET_FAILED,
     TroubleKind.STALLED: Reason.TARGET_STALLED,
+    TroubleKind.OVERDUE: Reason.TARGET_STALLED,
     TroubleKind.DEADLINE: Reason.DEADLINE,
     TroubleKind.CALLER: Reason.UPLOAD_BROKEN,
 }
@@ -78,9 +80,13 @@
         if isinstance(slot, Failure):
             return _refuse_late(slot, is_sent)
         member = slot.unwrap()
-        headers = headers_for_target(incoming, deadline)
         outgoing = Outgoing(
-            incoming.method, incoming.raw_path, headers, body or None, deadline
+            incoming.method,
+            incoming.raw_path,
+            headers_for_target(incoming, deadline),
+            body or None,
+            deadline,
+            overdue_at=_find_overdue(state, deadline, len(tried)),
         )
         result = await run_try(host, state, member, kind, outgoing)
         if isinstance(result, Success):
@@ -96,6 +102,14 @@
         host.metrics.retries.inc({"reason": RETRY_WORDS[trouble.kind].value})
 
 
+def _find_overdue(state, deadline, tried):
+    """Return when this try is to be given up for the next one, if there is one."""
+    if tried + 1 >= min(TRIES_MOST, len(state.pool.members)):
+        return None
+    now = asyncio.get_running_loop().time()
+    return state.overdue_at(RequestKind.IDEMPOTENT, now, deadline)
+
+
 def _refuse_late(slot, is_sent):
     """Return the refusal of the queue; an earlier try may have run."""
     if not is_sent:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/batch.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/batch.py
@@ -10,11 +10,13 @@
 """
 
 import asyncio
+import contextlib
 import logging
 from typing import Any, NamedTuple
 
-from returns.result import Failure, Success
+from returns.result import Failure
 
+from plumsaddle_core.ops.orders import Ping
 from plumsaddle_core.utils.codec import encode_events
 
 from .client import PlatformError
@@ -36,29 +38,28 @@
     Args:
       append: A coroutine function that takes a stream and bytes.
       stream: The stream's name.
+      host: This host's incarnation.
+      rng: A `random.Random`, so that hosts do not all come back at once.
     """
 
     BYTES_MOST = 200_000
-    PAUSE = 0.25
-    AWAY_FOR = 1.0
+    PAUSE_LEAST = 0.25
+    PAUSE_MOST = 2.0
 
-    def __init__(self, append, stream):
+    def __init__(self, append, stream, host, rng):
         self.stream = stream
+        self.host = host
         self.appends = 0
         self.bytes = 0
+        self.is_away = False
         self._append = append
+        self._rng = rng
         self._queue = []
         self._task = None
-        self._failed_at = None
-
-    def is_away(self, now):
-        """
-        Return whether the last append failed a moment ago.
-
-        An order then is refused at once rather than after another timeout. One
-        append a second still goes out and finds the log well again.
-        """
-        return self._failed_at is not None and now - self._failed_at < self.AWAY_FOR
+        self._pause = self.PAUSE_LEAST
+        self._number = 0
+        self._is_taken = False
+        self._wake = asyncio.Event()
 
     def submit(self, events):
         """
@@ -68,7 +69,10 @@
           A future of a `Success` of the offset or a `Failure` of `PlatformError`.
         """
         fut = asyncio.get_running_loop().create_future()
-        self._push(Item(events, fut))
+        if self.is_away:
+            fut.set_result(Failure(PlatformError.NOT_TAKEN))
+        else:
+            self._push(Item(events, fut))
         return fut
 
     def deliver(self, events):
@@ -77,8 +81,8 @@
             self._push(Item(events, None))
 
     def pending(self):
-        """Return how many items are not in the log yet."""
-        return len(self._queue)
+        """Return how many events are not known to be in the log yet."""
+        return sum(len(item.events) for item in self._queue)
 
     async def flush(self, seconds):
         """
@@ -91,7 +95,7 @@
         """
         if self._task is not None:
             await asyncio.wait([self._task], timeout=seconds)
-        return not self._queue
+        return not self.pending()
 
     def _push(self, item):
         self._queue.append(item)
@@ -100,34 +104,72 @@
 
     async def _run(self):
         while self._queue:
+            self._number += 1
+            self._is_taken = False
+            self._wake.clear()
             data, count = self._next_batch()
             result = await self._append(self.stream, data)
             self.appends += 1
             self.bytes += len(data)
             items, self._queue = self._queue[:count], self._queue[count:]
-            if isinstance(result, Success):
-                self._failed_at = None
-            else:
-                self._failed_at = asyncio.get_running_loop().time()
-                self._queue = [item for item in items if item.fut is None] + self._queue
-            for item in items:
-                if item.fut is not None and not item.fut.done():
-                    item.fut.set_result(result)
-            if isinstance(result, Failure) and self._queue:
-                await self._drop_claims_and_pause()
-
-    async def _drop_claims_and_pause(self):
-        """Fail the claims that wait, since the log is away, and pause a moment."""
-        for item in self._queue:
-            if item.fut is not None and not item.fut.done():
-                item.fut.set_result(Failure(PlatformError.NOT_TAKEN))
-        self._queue = [item for item in self._queue if item.fut is None]
-        log.warning("batch: %d outcomes wait for the log.", len(self._queue))
-        await asyncio.sleep(self.PAUSE)
+            _resolve(items, result)
+            if isinstance(result, Failure):
+                await self._wait_out(items)
+            elif self.is_away:
+                log.warning("batch: The log takes appends to %s again.", self.stream)
+                self.is_away = False
+                self._pause = self.PAUSE_LEAST
+
+    async def _wait_out(self, items):
+        """
+        Keep what must not be lost, refuse the claims that wait, and pause.
+
+        While the log is away, orders are refused at once instead of each waiting
+        for a timeout of its own. A ping is tried in their place, so that the host
+        notices when the log is back although it sends no claims.
+        """
+        lasting = [item for item in items if item.fut is None]
+        _resolve(self._queue, Failure(PlatformError.NOT_TAKEN))
+        self._queue = lasting + [item for item in self._queue if item.fut is None]
+        if not self.is_away:
+            log.warning("batch: The log does not take appends to %s.", self.stream)
+        self.is_away = True
+        pause = self._pause * self._rng.uniform(0.7, 1.3)
+        self._pause = min(self.PAUSE_MOST, self._pause * 2)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._wake.wait(), pause)
+        if self._is_taken:
+            del self._queue[: len(lasting)]
+        if self.is_away and not self._queue:
+            self._queue = [Item([], None)]
+
+    def note_alive(self):
+        """
+        Take note that an append of this host's has come up in the stream.
+
+        Its answer may have been lost although the log is well. Then there is no
+        reason to refuse orders.
+        """
+        self.is_away = False
+        self._pause = self.PAUSE_LEAST
+        self._wake.set()
+
+    def note_ping(self, ping):
+        """
+        Take a ping that was read from the stream.
+
+        If it is the last batch's, that batch was taken, whatever its append's
+        answer was, and need not be tried again.
+        """
+        if ping.host != self.host:
+            return
+        if ping.number == self._number:
+            self._is_taken = True
+        self.note_alive()
 
     def _next_batch(self):
         """Return the bytes of the next record and how many items are in it."""
-        events = []
+        events = [Ping(self.host, self._number)] if self.is_away else []
         size = 0
         count = 0
         for item in self._queue:
@@ -138,3 +180,10 @@
             size += encoded
             count += 1
         return encode_events(events), count
+
+
+def _resolve(items, result):
+    """Tell the result to those who wait for one."""
+    for item in items:
+        if item.fut is not None and not item.fut.done():
+            item.fut.set_result(result)
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
@@ -0,0 +1,490 @@
+"""
+The main stories with real processes: kills, freezes, cuts and outages.
+
+One small fleet serves all tests of this module; each test uses keys and targets of
+its own or puts back what it switched. Tests wait for conditions, not for durations.
+"""
+
+import concurrent.futures
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import threading
+import time
+import urllib.error
+import urllib.request
+
+import pytest
+
+from .demo import make_key
+from .fleet import Fleet, call, wait_for
+
+TEXT = """
+deployment = "trial"
+hosts_max = 8
+
+[[service]]
+name = "look"
+floor = 1
+slots = 8
+connections = 80
+stall_timeout = 1.0
+buffer_bytes = 65536
+targets = [
+    { id = "look-1", address = "10.0.0.1:80", data_centre = "x" },
+    { id = "look-2", address = "10.0.0.2:80", data_centre = "x" },
+    { id = "look-3", address = "10.0.0.3:80", data_centre = "x" },
+]
+
+[[service]]
+name = "act"
+floor = 1
+slots = 8
+connections = 80
+probe_path = "/act/ping"
+targets = [
+    { id = "act-1", address = "10.0.0.4:80", data_centre = "x" },
+    { id = "act-2", address = "10.0.0.5:80", data_centre = "x" },
+]
+
+[[service]]
+name = "load"
+floor = 1
+slots = 8
+connections = 80
+stall_timeout = 3.0
+probe_path = "/load/ping"
+targets = [{ id = "load-1", address = "10.0.0.6:80", data_centre = "x" }]
+
+[[route]]
+prefix = "/look"
+service = "look"
+kind = "idempotent"
+methods = ["GET"]
+deadline = 10.0
+
+[[route]]
+prefix = "/act"
+service = "act"
+kind = "order"
+methods = ["POST"]
+deadline = 6.0
+
+[[route]]
+prefix = "/load"
+service = "load"
+kind = "upload"
+methods = ["PUT"]
+"""
+RNG = random.Random(5)
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    fleet = Fleet(tmp_path_factory.mktemp("fleet"), TEXT)
+    try:
+        fleet.start(hosts=3, level="debug")
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+class Reply:
+    """A response with its body, or the error that stood in its place."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def outcome(self):
+        return self.headers.get("Plumsaddle-Outcome")
+
+    @property
+    def reason(self):
+        return self.headers.get("Plumsaddle-Reason")
+
+
+def ask(entry, method, path, body=None, timeout=20.0, **headers):
+    """Send one request to an entry host."""
+    url = entry.callers + path
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    req = urllib.request.Request(url, data=body, method=method, headers=named)
+    try:
+        with urllib.request.urlopen(req, timeout=timeout) as resp:
+            return Reply(resp.status, resp.headers, resp.read())
+    except urllib.error.HTTPError as exc:
+        return Reply(exc.code, exc.headers, exc.read())
+
+
+def order(entry, key, body=b"destroy 7", **headers):
+    return ask(entry, "POST", "/act/x", body, Idempotency_Key=key, **headers)
+
+
+def start(work, *args):
+    """Run a function in a thread and return its future."""
+    fut = concurrent.futures.Future()
+
+    def run():
+        try:
+            fut.set_result(work(*args))
+        except Exception as exc:
+            fut.set_exception(exc)
+
+    threading.Thread(target=run, daemon=True).start()
+    return fut
+
+
+def replace_entry(fleet, entry):
+    """Start a host in the place of one that a test has ended."""
+    fresh = fleet.start_host(level="debug")
+    fleet.wait_ready(fresh)
+    fleet.entries.remove(entry)
+    fleet.write_settings()
+    return fresh
+
+
+def wait_run(fleet, key):
+    """Wait until a target has begun to run an order."""
+    wait_for(lambda: fleet.runs().get(key), "the order to run", 10)
+
+
+def test_lookup_and_replayed_order(fleet):
+    reply = ask(fleet.entries[0], "GET", "/look/a?b=c")
+    assert (reply.status, reply.outcome) == (200, "run")
+    assert json.loads(reply.body)["path"] == "/look/a?b=c"
+    key = make_key(RNG)
+    first = order(fleet.entries[0], key)
+    again = wait_for(
+        lambda: (r := order(fleet.entries[1], key)).status == 200 and r, "the replay"
+    )
+    assert again.headers["Plumsaddle-Replayed"] == "true"
+    assert again.body == first.body
+    assert fleet.runs()[key] == 1
+    assert order(fleet.entries[2], key, b"other").reason == "key-reused"
+
+
+def test_same_key_through_all_hosts_at_once(fleet):
+    """
+    A caller's client sends an order through three hosts at once.
+
+    Each host claims the key; only the first in the log may send.
+    """
+    for _ in range(5):
+        key = make_key(RNG)
+        futs = [start(order, entry, key) for entry in fleet.entries]
+        replies = [fut.result(20) for fut in futs]
+        assert [r.status for r in replies].count(200) >= 1
+        assert {r.reason for r in replies} <= {None, "order-running"}
+        assert fleet.runs()[key] == 1
+
+
+def test_killed_claimant_leaves_an_unknown_order_that_is_settled(fleet):
+    """
+    A caller's connection breaks while its order is under way.
+
+    The host that sent it is killed with SIGKILL. Another host must not run it
+    again, must say "unknown" at once, and an operator settles it.
+    """
+    for target in ("act-1", "act-2"):
+        fleet.control(target, mean=30.0)
+    key = make_key(RNG)
+    entry = fleet.entries[1]
+    fut = start(order, entry, key)
+    wait_run(fleet, key)
+    entry.process.kill()
+    with pytest.raises((http.client.HTTPException, OSError)):
+        fut.result(10)
+    for target in ("act-1", "act-2"):
+        fleet.control(target, mean=0.02)
+    other = fleet.entries[0]
+    began = time.monotonic()
+    reply = order(other, key)
+    assert time.monotonic() - began < 1.0
+    assert (reply.status, reply.outcome) == (409, "unknown")
+    replace_entry(fleet, entry)
+    wait_for(lambda: order(other, key).reason == "order-unknown", "the claimant's end")
+    assert key in fleet.command("orders", "list").stdout
+    refused = fleet.command("orders", "settle", key, "not-run")
+    assert refused.returncode == 2
+    settled = fleet.command("orders", "settle", key, "run")
+    assert settled.returncode == 0, settled.stderr
+    assert order(other, key).outcome == "run"
+    assert fleet.runs()[key] == 1
+
+
+def test_frozen_claimant_sends_nothing_after_its_deadline(fleet):
+    """
+    An order is refused, and runs ten minutes later all the same.
+
+    Its host freezes while its claim is on the way to the log, is given up on by
+    everybody, and thaws. Its deadline has passed by then, so it must not send.
+    """
+    fleet.switch(delay=0.5)
+    entry = fleet.entries[0]
+    key = make_key(RNG)
+    fut = start(lambda: order(entry, key, X_Request_Timeout_Ms="1500"))
+    time.sleep(0.2)  # The claim's append takes half a second.
+    os.kill(entry.process.pid, signal.SIGSTOP)
+    time.sleep(2.0)  # The deadline passes while the host is frozen.
+    os.kill(entry.process.pid, signal.SIGCONT)
+    reply = fut.result(20)
+    fleet.switch(delay=0.0)
+    assert (reply.status >= 500, reply.outcome) == (True, "not-run")
+    assert key not in fleet.runs()
+    other = fleet.entries[1]
+    wait_for(lambda: order(other, key).status == 200, "the key to be free")
+    assert fleet.runs()[key] == 1
+
+
+def test_order_with_the_log_out_is_refused_at_once(fleet):
+    """
+    A caller waits half a minute to hear that its order can't be run.
+
+    The platform's log does not answer. The host must say "not run" as soon as it
+    gives up, with a time to come back, and must not run it later.
+    """
+    fleet.switch(mode="out")
+    key = make_key(RNG)
+    try:
+        began = time.monotonic()
+        replies = [order(fleet.entries[0], key) for _ in range(3)]
+        took = time.monotonic() - began
+        look = ask(fleet.entries[0], "GET", "/look/x")
+    finally:
+        fleet.switch(mode="up")
+    assert {(r.reason, r.outcome) for r in replies} == {("log-away", "not-run")}
+    assert replies[0].headers["Retry-After"]
+    assert took < 5.0
+    assert look.status == 200
+    assert key not in fleet.runs()
+    wait_for(lambda: order(fleet.entries[0], key).status == 200, "the log to be back")
+    assert fleet.runs()[key] == 1
+
+
+def test_orders_run_once_while_answers_of_appends_are_lost(fleet):
+    """
+    An order runs twice because its claim was appended twice.
+
+    Every append takes effect, and every answer to one is lost.
+    """
+    fleet.switch(mode="lossy")
+    keys = [make_key(RNG) for _ in range(8)]
+    try:
+        replies = [order(fleet.entries[0], key) for key in keys]
+    finally:
+        fleet.switch(mode="up")
+    runs = fleet.runs()
+    for key, reply in zip(keys, replies, strict=True):
+        assert runs.get(key, 0) == (1 if reply.status == 200 else 0)
+    assert {reply.outcome for reply in replies} <= {"run", "not-run"}
+    assert any(reply.status == 200 for reply in replies)
+
+
+@pytest.mark.parametrize("mode", ["errors", "half", "late", "unframed", "stall"])
+def test_lookups_are_whole_beside_a_gray_target(fleet, mode):
+    """
+    A clerk gets half a file, or somebody else's.
+
+    One target fails in its own way; its answers must be tried again elsewhere.
+    """
+    fleet.control("look-1", mode=mode)
+    try:
+        entry = fleet.entries[-1]
+        for number in range(25):
+            name = f"{mode}-{number}"
+            reply = ask(entry, "GET", "/look/x", X_Request_Id=name)
+            if reply.status == 200:
+                assert json.loads(reply.body)["echo"] == name
+            else:
+                assert mode == "errors" or reply.reason, reply.body
+    finally:
+        fleet.control("look-1", mode="good")
+
+
+def test_long_answer_that_breaks_off_cuts_the_caller(fleet):
+    """
+    A notary saves half a file and takes it for the whole.
+
+    The answer is longer than the host holds back, so its head is out already when
+    the target breaks off. The connection must be cut, not ended.
+    """
+    for target in ("look-1", "look-2", "look-3"):
+        fleet.control(target, mode="half")
+    try:
+        with pytest.raises((http.client.HTTPException, OSError)):
+            ask(fleet.entries[0], "GET", "/look/x?padding=400000")
+    finally:
+        for target in ("look-1", "look-2", "look-3"):
+            fleet.control(target, mode="good")
+
+
+def send_slowly(entry, size, pieces, pause, on_half):
+    """Upload with a pause between pieces and return the status and body."""
+    ip, port = entry.callers.removeprefix("http://").split(":")
+    conn = http.client.HTTPConnection(ip, int(port), timeout=30)
+    conn.putrequest("PUT", "/load/scan")
+    conn.putheader("Content-Length", str(size))
+    conn.endheaders()
+    for number in range(pieces):
+        conn.send(b"s" * (size // pieces))
+        if number == pieces // 2:
+            on_half()
+        time.sleep(pause)
+    resp = conn.getresponse()
+    return resp.status, json.loads(resp.read())
+
+
+def test_sigterm_in_the_middle_of_an_upload_cuts_nothing(fleet):
+    """
+    A field team's upload breaks off because a host is replaced.
+
+    The host gets SIGTERM while an upload is half way; it must finish and then go.
+    """
+    entry = fleet.start_host()
+    fleet.wait_ready(entry)
+    status, body = send_slowly(entry, 4_000_000, 20, 0.1, entry.process.terminate)
+    fleet.entries.remove(entry)
+    assert (status, body["size"]) == (200, 4_000_000)
+    assert entry.process.wait(20) == 0
+
+
+def test_stop_closes_the_door_but_answers_what_is_in(fleet):
+    """
+    A look-up is cut when its host stops, or the host never stops.
+
+    The library by itself cuts what is in flight after its own time.
+    """
+    entry = fleet.start_host(leave_wait=0.2)
+    fleet.wait_ready(entry)
+    for target in ("look-1", "look-2", "look-3"):
+        fleet.control(target, mean=2.0)
+    futs = [start(ask, entry, "GET", "/look/x") for _ in range(4)]
+    wait_for(lambda: call(f"{entry.operators}/status")["in_flight"] == 4, "4 in flight")
+    entry.process.terminate()
+    replies = [fut.result(30) for fut in futs]
+    for target in ("look-1", "look-2", "look-3"):
+        fleet.control(target, mean=0.02)
+    fleet.entries.remove(entry)
+    assert {reply.status for reply in replies} == {200}
+    assert entry.process.wait(30) == 0
+
+
+def test_upload_that_its_caller_cuts_does_not_look_whole(fleet):
+    """
+    A half upload is filed as a whole one.
+
+    The caller's connection ends half way; the target must see a cut, not an end.
+    """
+    entry = fleet.entries[0]
+    before = fleet.look("load-1")["served"]
+    ip, port = entry.callers.removeprefix("http://").split(":")
+    sock = socket.create_connection((ip, int(port)))
+    sock.sendall(
+        b"PUT /load/scan HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"5\r\nhalf.\r\n"
+    )
+    time.sleep(0.3)  # Time for the half to reach the target.
+    sock.close()
+    reply = ask(entry, "PUT", "/load/x", b"whole")
+    assert json.loads(reply.body)["size"] == 5
+    assert fleet.look("load-1")["served"] == before + 1
+
+
+def test_leaving_target_gets_no_new_work(fleet):
+    """
+    A target that is being drained still gets look-ups.
+
+    It says itself that it is draining, in its answers; every host must know soon.
+    """
+    fleet.control("look-2", state="draining")
+    try:
+        served = fleet.look("look-2")["served"]
+        wait_for(
+            lambda: (
+                ask(fleet.entries[0], "GET", "/look/x")
+                and fleet.look("look-2")["served"] > served
+            ),
+            "the target's own word",
+        )
+
+        def is_left_everywhere():
+            return all(
+                call(f"{e.operators}/explain/look-2")["standing"] == "leaving"
+                for e in fleet.entries
+            )
+
+        wait_for(is_left_everywhere, "every host to know", 3.0)
+        served = fleet.look("look-2")["served"]
+        for entry in fleet.entries:
+            for _ in range(5):
+                assert ask(entry, "GET", "/look/x").status == 200
+        assert fleet.look("look-2")["served"] == served
+    finally:
+        fleet.control("look-2", state="live")
+
+
+def test_publish_race_has_one_winner_and_a_true_refusal(fleet):
+    """
+    Two operators publish at once, and both are told that they won.
+    """
+    base = call(f"{fleet.entries[0].operators}/status")["version"]
+    texts = [fleet.text.replace("deadline = 10.0", f"deadline = {n}.0") for n in (8, 9)]
+    paths = []
+    for number, text in enumerate(texts):
+        paths.append(fleet.folder / f"race-{number}.toml")
+        paths[-1].write_text(text)
+    futs = [
+        start(fleet.command, "publish", path, f"--base={base}", "--note=race")
+        for path in paths
+    ]
+    done = sorted((fut.result(60) for fut in futs), key=lambda p: p.returncode)
+    assert [p.returncode for p in done] == [0, 3]
+    assert f"Version {base + 1} is accepted" in done[0].stdout
+    assert f"version {base + 1}" in done[1].stderr
+    rolled = fleet.command("rollback", base)
+    assert rolled.returncode == 0, rolled.stderr
+
+
+def test_publish_under_load_breaks_no_answer(fleet):
+    """
+    Callers get errors whenever operators publish a new version.
+    """
+    stop = threading.Event()
+
+    def load(entry):
+        statuses = set()
+        while not stop.is_set():
+            statuses.add(ask(entry, "GET", "/look/x").status)
+        return statuses
+
+    futs = [start(load, entry) for entry in fleet.entries]
+    try:
+        for seconds in (11, 12, 10):
+            text = fleet.text.replace("deadline = 10.0", f"deadline = {seconds}.0")
+            published = fleet.publish(text)
+            assert published.returncode == 0, published.stderr + published.stdout
+    finally:
+        stop.set()
+    assert [fut.result(20) for fut in futs] == [{200}] * len(fleet.entries)
+
+
+def test_host_born_in_an_outage_starts_from_its_peers(fleet):
+    """
+    A replaced host stays out for as long as the platform is away.
+    """
+    fleet.switch(mode="out")
+    try:
+        entry = fleet.start_host()
+        fleet.wait_ready(entry)
+        assert ask(entry, "GET", "/look/x").status == 200
+        assert order(entry, make_key(RNG)).outcome == "not-run"
+    finally:
+        fleet.switch(mode="up")
+    entry.process.terminate()
+    fleet.entries.remove(entry)
+    assert entry.process.wait(20) == 0
--- a/packages/plumsaddle-standins/plumsaddle_standins/platform.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/platform.py
@@ -7,8 +7,8 @@
     {"mode": "up" | "out" | "slow" | "lossy", "delay": seconds,
      "keep": records to keep of each stream, "hosts": the list, "hosts_lag": seconds}
 
-`out` answers nothing, `slow` waits for `delay` first, and `lossy` lets an append
-take effect and then cuts the connection.
+`out` answers nothing until the mode changes, `slow` waits for `delay` first, and
+`lossy` lets an append take effect and then cuts the connection.
 """
 
 import asyncio
@@ -18,7 +18,6 @@
 import fire
 from aiohttp import web
 
-HANG = 3600.0
 PAGE = 500
 
 
@@ -51,6 +50,7 @@
     def __init__(self):
         self.streams = {}
         self.control = {"mode": "up", "delay": 0.0, "keep": 0, "hosts_lag": 0.0}
+        self.changed = asyncio.Event()
         self.hosts = []
         self.appends = 0
 
@@ -62,15 +62,16 @@
 def make_app(state):
     """Return the stand-in's application."""
 
-    async def misbehave():
+    async def misbehave(req):
         if state.control["mode"] == "out":
-            await asyncio.sleep(HANG)
+            await state.changed.wait()
+            req.transport.abort()
         if state.control["delay"]:
             await asyncio.sleep(state.control["delay"])
 
     async def append(req):
         data = await req.read()
-        await misbehave()
+        await misbehave(req)
         stream = state.stream(req.match_info["stream"])
         offset = stream.append(data)
         state.appends += 1
@@ -81,16 +82,16 @@
         return web.json_response({"offset": offset}, status=201)
 
     async def read(req):
-        await misbehave()
+        await misbehave(req)
         stream = state.stream(req.match_info["stream"])
         start = int(req.query["from"])
         if start >= stream.first + len(stream.records):
             await _wait(stream, float(req.query["wait"]))
-        await misbehave()
+        await misbehave(req)
         return web.json_response(_page(stream, start))
 
     async def hosts(req):
-        await misbehave()
+        await misbehave(req)
         lag = state.control["hosts_lag"]
         rows = [row for at, row in state.hosts if time.monotonic() - at >= lag]
         latest = {(row["id"], row["address"]): row for row in rows}
@@ -101,6 +102,8 @@
         for row in change.pop("hosts", []):
             state.hosts.append((time.monotonic(), row))
         state.control.update(change)
+        state.changed.set()
+        state.changed = asyncio.Event()
         for stream in state.streams.values():
             if state.control["keep"]:
                 stream.trim(state.control["keep"])
