--- a/packages/plumsaddle-core/plumsaddle_core/core/data.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/data.py
@@ -72,6 +72,20 @@
     FAILED = "failed"
 
 
+class Trouble(enum.Enum):
+    """How a try at a target went wrong."""
+
+    CONNECT = "connect"
+    BROKEN = "broken"
+    STALLED = "stalled"
+    DEADLINE = "deadline"
+    OVERDUE = "overdue"
+    UNFRAMED = "unframed"
+    SHED = "shed"
+    ERROR = "error"
+    CALLER = "caller"
+
+
 class Error(NamedTuple):
     """A mistake in a text: where it stands, what is wrong, and in which entry."""
 
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/signs.py
@@ -0,0 +1,67 @@
+"""
+What a try says about its target, from how it ended or from its age so far.
+
+Health endpoints lie, so real work is the evidence. A shed request says nothing bad
+of a target, and neither does a caller that went away. Uploads are as long as their
+callers make them, so their time is not compared.
+"""
+
+from ..core.data import RequestKind, Sign, Trouble
+
+BLAMED = {
+    Trouble.CONNECT,
+    Trouble.BROKEN,
+    Trouble.OVERDUE,
+    Trouble.STALLED,
+    Trouble.UNFRAMED,
+    Trouble.ERROR,
+}
+BLAMELESS = {Trouble.SHED, Trouble.CALLER}
+
+
+def sign_of_end(kind, trouble, seconds, latency):
+    """
+    Return what the end of a try says.
+
+    Args:
+      kind: The request's `RequestKind`.
+      trouble: A `Trouble`, or None after a whole answer.
+      seconds: How long the try took.
+      latency: The `Latency` of the service for this kind.
+    Returns:
+      A `Sign`, or None if it says nothing.
+    """
+    if trouble in BLAMELESS:
+        return None
+    if trouble in BLAMED:
+        return Sign.FAILED
+    if trouble is Trouble.DEADLINE:
+        return sign_of_age(kind, seconds, latency)
+    return Sign.SLOW if _is_slow(kind, seconds, latency) else Sign.GOOD
+
+
+def sign_of_age(kind, seconds, latency):
+    """
+    Return what the age of an unfinished try says.
+
+    A stalled target would otherwise be noticed only when its callers' time is up.
+
+    Args:
+      kind: The request's `RequestKind`.
+      seconds: How long the try has taken so far.
+      latency: The `Latency` of the service for this kind.
+    Returns:
+      A `Sign`, or None if it says nothing yet.
+    """
+    overdue_after = latency.overdue_after()
+    if kind is RequestKind.UPLOAD or overdue_after is None:
+        return None
+    if seconds > overdue_after:
+        return Sign.FAILED
+    return Sign.SLOW if _is_slow(kind, seconds, latency) else None
+
+
+def _is_slow(kind, seconds, latency):
+    slow_after = latency.slow_after()
+    is_compared = kind is not RequestKind.UPLOAD
+    return is_compared and slow_after is not None and seconds > slow_after
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
@@ -7,36 +7,24 @@
 The library's own resending is switched off as well: it would run an order by PUT or
 DELETE twice without anybody's knowing.
 
-A try ends in an `Answer`, whole or still streaming, or in a `Trouble` that says
+A try ends in an `Answer`, whole or still streaming, or in a `FailedTry` that says
 whether the target can have seen anything of the request.
 """
 
 import asyncio
-import enum
 from typing import Any, NamedTuple
 
 import aiohttp
 from returns.result import Failure, Success
 from yarl import URL
 
+from plumsaddle_core.core.data import Trouble
 
-class TroubleKind(enum.Enum):
-    """How a try went wrong."""
 
-    CONNECT = "connect"
-    BROKEN = "broken"
-    STALLED = "stalled"
-    DEADLINE = "deadline"
-    OVERDUE = "overdue"
-    UNFRAMED = "unframed"
-    SHED = "shed"
-    CALLER = "caller"
-
-
-class Trouble(NamedTuple):
+class FailedTry(NamedTuple):
     """A failed try; `is_unsent` only where no byte can have reached the target."""
 
-    kind: TroubleKind
+    kind: Trouble
     detail: str
     is_unsent: bool = False
 
@@ -134,7 +122,7 @@
       service: The `Service`, for its bounds.
       progress: A `Progress`; the body's iterator moves it too.
     Returns:
-      A `Success` of an `Answer`, or a `Failure` of a `Trouble`.
+      A `Success` of an `Answer`, or a `Failure` of a `FailedTry`.
     """
     try:
         async with (
@@ -152,12 +140,12 @@
 def _timeout_trouble(outgoing, scope, progress):
     """Return whether the deadline passed, the target stalled or the caller did."""
     if progress.is_caller_slow:
-        return Trouble(TroubleKind.CALLER, "the caller stopped sending")
+        return FailedTry(Trouble.CALLER, "the caller stopped sending")
     if scope.expired():
-        return Trouble(TroubleKind.STALLED, "no progress")
+        return FailedTry(Trouble.STALLED, "no progress")
     if outgoing.overdue_at is not None:
-        return Trouble(TroubleKind.OVERDUE, "far slower than usual")
-    return Trouble(TroubleKind.DEADLINE, "the deadline passed")
+        return FailedTry(Trouble.OVERDUE, "far slower than usual")
+    return FailedTry(Trouble.DEADLINE, "the deadline passed")
 
 
 async def _exchange(session, address, outgoing, service, progress):
@@ -173,10 +161,10 @@
             expect100=outgoing.expect_continue,
         )
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
-        return Failure(Trouble(TroubleKind.CONNECT, _word(exc), is_unsent=True))
+        return Failure(FailedTry(Trouble.CONNECT, _word(exc), is_unsent=True))
     except (aiohttp.ClientError, OSError) as exc:
-        kind = TroubleKind.CALLER if progress.is_caller_slow else TroubleKind.BROKEN
-        return Failure(Trouble(kind, _word(exc)))
+        kind = Trouble.CALLER if progress.is_caller_slow else Trouble.BROKEN
+        return Failure(FailedTry(kind, _word(exc)))
     progress.move()
     try:
         return await _read(resp, outgoing, service, progress)
@@ -190,14 +178,14 @@
     if _is_unframed(resp, outgoing.method) and not service.close_delimited:
         resp.close()
         detail = "the answer has neither a length nor chunks"
-        return Failure(Trouble(TroubleKind.UNFRAMED, detail))
+        return Failure(FailedTry(Trouble.UNFRAMED, detail))
     body = bytearray()
     while True:
         try:
             chunk = await resp.content.read(CHUNK)
         except (aiohttp.ClientError, OSError) as exc:
             resp.close()
-            return Failure(Trouble(TroubleKind.BROKEN, _word(exc)))
+            return Failure(FailedTry(Trouble.BROKEN, _word(exc)))
         if not chunk:
             resp.close()
             return Success(Answer(resp.status, resp.headers, bytes(body)))
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/services.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/services.py
@@ -7,23 +7,16 @@
 callers' time is up.
 """
 
-from plumsaddle_core.core.data import RequestKind, Sign
+from plumsaddle_core.core.data import RequestKind, Sign, Trouble
 from plumsaddle_core.ops.budget import Budget
 from plumsaddle_core.ops.ejection import note_trial
 from plumsaddle_core.ops.evidence import Evidence
 from plumsaddle_core.ops.latency import Latency
 from plumsaddle_core.ops.pool import Pool
+from plumsaddle_core.ops.signs import sign_of_age, sign_of_end
 
-from .sender import TroubleKind
 from .waiting import WaitingRoom
 
-BLAMED = {
-    TroubleKind.CONNECT,
-    TroubleKind.BROKEN,
-    TroubleKind.OVERDUE,
-    TroubleKind.STALLED,
-    TroubleKind.UNFRAMED,
-}
 OVERDUE_LEAST = 0.25
 
 
@@ -78,49 +71,19 @@
 
         Args:
           ended: The `Try`.
-          trouble: A `TroubleKind`, or None after a whole answer.
+          trouble: A `Trouble`, or None after a whole answer.
           now: The present, in seconds.
         """
         self.tries.discard(ended)
-        self.room.release(ended.member, trouble is TroubleKind.SHED)
-        if trouble in (TroubleKind.SHED, TroubleKind.CALLER):
-            return
+        self.room.release(ended.member, trouble is Trouble.SHED)
         seconds = now - ended.started
+        latency = self.latencies[ended.kind]
         if trouble is None and ended.kind is not RequestKind.UPLOAD:
-            self.latencies[ended.kind].note(seconds)
-        sign = self._sign_of(ended.kind, trouble, seconds)
+            latency.note(seconds)
+        sign = sign_of_end(ended.kind, trouble, seconds, latency)
         if sign is not None and sign is not ended.sign:
             self._note(ended, sign, now)
 
-    def end_failed_answer(self, ended, now):
-        """Take the end of a try whose answer came whole but says it failed."""
-        self.tries.discard(ended)
-        self.room.release(ended.member)
-        self._note(ended, Sign.FAILED, now)
-
-    def _sign_of(self, kind, trouble, seconds):
-        if trouble in BLAMED:
-            return Sign.FAILED
-        if trouble is TroubleKind.DEADLINE:
-            return self._sign_of_age(kind, seconds)
-        if self._is_slow(kind, seconds):
-            return Sign.SLOW
-        return Sign.GOOD
-
-    def _is_slow(self, kind, seconds):
-        slow_after = self.latencies[kind].slow_after()
-        is_compared = kind is not RequestKind.UPLOAD
-        return is_compared and slow_after is not None and seconds > slow_after
-
-    def _sign_of_age(self, kind, seconds):
-        """Return what an unfinished try of this age says, or None."""
-        overdue_after = self.latencies[kind].overdue_after()
-        if kind is RequestKind.UPLOAD or overdue_after is None:
-            return None
-        if seconds > overdue_after:
-            return Sign.FAILED
-        return Sign.SLOW if self._is_slow(kind, seconds) else None
-
     def overdue_at(self, kind, now, deadline):
         """
         Return when a try should be given up for another one, or None.
@@ -137,7 +100,8 @@
     def watch_tries(self, now):
         """Let overdue tries give their signs before they end."""
         for running in self.tries:
-            sign = self._sign_of_age(running.kind, now - running.started)
+            latency = self.latencies[running.kind]
+            sign = sign_of_age(running.kind, now - running.started, latency)
             if sign is not None and sign is not running.sign:
                 self._note(running, sign, now)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
@@ -12,8 +12,10 @@
 import aiohttp
 from returns.result import Failure, Success
 
+from plumsaddle_core.core.data import Trouble
+
 from ..front.headers import LEAVING_STATES, TARGET_STATE
-from .sender import CHUNK, Progress, Trouble, TroubleKind, send
+from .sender import CHUNK, FailedTry, Progress, send
 
 log = logging.getLogger("tries")
 SERVER_ERRORS = range(500, 600)
@@ -28,17 +30,17 @@
     stall: float
 
     async def read(self):
-        """Return the next bytes; `Failure` of a `Trouble` if it broke off."""
+        """Return the next bytes; `Failure` of a `FailedTry` if it broke off."""
         try:
             async with asyncio.timeout(self.stall):
                 return Success(await self.resp.content.read(CHUNK))
         except TimeoutError:
-            return Failure(Trouble(TroubleKind.STALLED, "no progress"))
+            return Failure(FailedTry(Trouble.STALLED, "no progress"))
         except (aiohttp.ClientError, OSError) as exc:
-            return Failure(Trouble(TroubleKind.BROKEN, type(exc).__name__))
+            return Failure(FailedTry(Trouble.BROKEN, type(exc).__name__))
 
     def close(self, trouble):
-        """End the try; `trouble` is a `TroubleKind`, or None if it was whole."""
+        """End the try; `trouble` is a `Trouble`, or None if it was whole."""
         self.resp.close()
         self.state.end_try(self.running, trouble, asyncio.get_running_loop().time())
 
@@ -56,7 +58,7 @@
       progress: A `Progress` if the body's iterator needs it.
     Returns:
       A `Success` of an `Answer`, whose `rest` is a `Streaming` for a long one, or a
-      `Failure` of a `Trouble`.
+      `Failure` of a `FailedTry`.
     """
     loop = asyncio.get_running_loop()
     service = state.service
@@ -68,7 +70,7 @@
         )
     except BaseException:
         # The caller went away; that says nothing about the target.
-        state.end_try(running, TroubleKind.CALLER, loop.time())
+        state.end_try(running, Trouble.CALLER, loop.time())
         raise
     result = _find_shed(result, service)
     _end(host, state, running, result, loop.time())
@@ -85,7 +87,7 @@
         answer = result.unwrap()
         if answer.status in service.shed_status and answer.rest is None:
             detail = f"the target answered {answer.status}"
-            return Failure(Trouble(TroubleKind.SHED, detail, is_unsent=True))
+            return Failure(FailedTry(Trouble.SHED, detail, is_unsent=True))
     return result
 
 
@@ -96,7 +98,7 @@
         trouble = result.failure()
         host.metrics.tries.inc({"result": trouble.kind.value})
         state.end_try(running, trouble.kind, now)
-        if trouble.kind is not TroubleKind.SHED:
+        if trouble.kind is not Trouble.SHED:
             log.debug("tries: %s gave %s, %s.", target.id, trouble.kind, trouble.detail)
         return
     answer = result.unwrap()
@@ -105,7 +107,5 @@
         host.note_leaving(target.key)
     if answer.rest is not None:
         return
-    if answer.status in SERVER_ERRORS:
-        state.end_failed_answer(running, now)
-    else:
-        state.end_try(running, None, now)
+    is_error = answer.status in SERVER_ERRORS
+    state.end_try(running, Trouble.ERROR if is_error else None, now)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/orders.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/orders.py
@@ -12,13 +12,13 @@
 
 from returns.result import Failure, Success
 
-from plumsaddle_core.core.data import ClaimId, Outcome, RequestKind
+from plumsaddle_core.core.data import ClaimId, Outcome, RequestKind, Trouble
 from plumsaddle_core.core.reasons import Reason, refuse
 from plumsaddle_core.ops.claims import Replay
 from plumsaddle_core.ops.orders import Claim
 from plumsaddle_core.utils.keys import fingerprint, parse_key
 
-from ..back.sender import Answer, Outgoing, TroubleKind
+from ..back.sender import Answer, Outgoing
 from ..back.tries import run_try
 from .headers import KEY
 from .plain import (
@@ -129,7 +129,7 @@
             refusal = refuse_trouble(trouble, Outcome.UNKNOWN)
             return Failure(refusal._replace(retry_after=None))
         unsent += 1
-        if trouble.kind is not TroubleKind.SHED:
+        if trouble.kind is not Trouble.SHED:
             tried += (member.target.key,)
         if not may_retry(state, trouble, len(tried), unsent):
             shard.deliver(shard.claims.finish_unsent(claim.claim))
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/model.py
@@ -0,0 +1,445 @@
+"""
+A small event model of one service before many hosts, in virtual time.
+
+The hosts' decisions are the real ones of the core; targets, the network and callers
+are a few lines each. Beside them stands the naive version: five failures in a row,
+seen by one host alone, put a target out for a while, with no floor and no sharing.
+A run is given a seed and ends the same way every time.
+"""
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from plumsaddle_core.core.data import (
+    RequestKind,
+    Service,
+    Sign,
+    Standing,
+    Target,
+    Trouble,
+    Weighing,
+)
+from plumsaddle_core.ops.budget import Budget
+from plumsaddle_core.ops.ejection import count_in, note_trial, review, suspects_itself
+from plumsaddle_core.ops.evidence import Evidence
+from plumsaddle_core.ops.latency import Latency
+from plumsaddle_core.ops.pool import SHED_PAUSE, Pool
+from plumsaddle_core.ops.signs import sign_of_age, sign_of_end
+
+KIND = RequestKind.IDEMPOTENT
+HOP = 0.001
+CONNECT_TIMEOUT = 1.0
+DEADLINE = 10.0
+TRIES_MOST = 3
+ROWS_MOST = 200
+FANOUT = 3
+EXCHANGE_EVERY = 1.0
+URGENT_PAUSE = 0.2
+REVIEW_EVERY = 0.25
+WATCH_EVERY = 0.1
+OVERDUE_LEAST = 0.25
+
+
+class Shape(NamedTuple):
+    """One service of a deployment, and the load on it as a share of its slots."""
+
+    name: str
+    targets: int
+    slots: int
+    connections: int
+    floor: int
+    mean: float
+    weighing: Weighing
+    hosts: int = 40
+    load: float = 0.5
+
+
+class ModelTarget:
+    """A target: its slots, and how it fails."""
+
+    def __init__(self, key, slots):
+        self.key = key
+        self.slots = slots
+        self.busy = 0
+        self.mode = "good"
+        self.factor = 1.0
+
+    def is_failing(self, now):
+        """Return whether an answer given now is an error."""
+        if self.mode == "flap":
+            return now % 10.0 < 5.0
+        return self.mode == "errors"
+
+
+class Try:
+    """A try that is under way."""
+
+    def __init__(self, request, target, started):
+        self.request = request
+        self.target = target
+        self.started = started
+        self.sign = None
+        self.is_over = False
+        self.is_trial = False
+
+
+class Request:
+    """A caller's request and the tries that it has had."""
+
+    def __init__(self, host, deadline):
+        self.host = host
+        self.deadline = deadline
+        self.tried = ()
+        self.waited = False
+
+
+class OurHost:
+    """A host that decides as the daemon does."""
+
+    def __init__(self, number, service, hosts, seed):
+        self.number = number
+        self.rng = random.Random(seed * 1000 + number)
+        self.pool = Pool(service, hosts)
+        self.evidence = Evidence(f"host-{number}@1", service.weighing)
+        self.latency = Latency()
+        self.budget = Budget(service.retry_ratio)
+        self.tries = set()
+        self.is_urgent = False
+        self.ejections = []
+
+    def choose(self, now, tried):
+        """Take a slot at a target and return the target's key, or None."""
+        member = self.pool.choose(KIND, now, self.rng, tried)
+        if member is None:
+            return None
+        self.pool.take(member)
+        return member.target.key
+
+    def start(self, begun, now):
+        """Note a try, and return when it is to be given up, or None."""
+        begun.is_trial = self.pool.members[begun.target].standing is Standing.TRIAL
+        self.tries.add(begun)
+        overdue_after = self.latency.overdue_after()
+        is_last = len(begun.request.tried) + 1 >= TRIES_MOST
+        if is_last or overdue_after is None or not self.budget.has_any():
+            return None
+        if self.pool.is_shared_fate:
+            return None
+        return now + max(overdue_after, OVERDUE_LEAST)
+
+    def end(self, ended, trouble, now):
+        """Take the end of a try and return whether another may follow."""
+        self.tries.discard(ended)
+        self.pool.free(self.pool.members[ended.target], now, trouble is Trouble.SHED)
+        seconds = now - ended.started
+        if trouble is None:
+            self.latency.note(seconds)
+        sign = sign_of_end(KIND, trouble, seconds, self.latency)
+        if sign is not None and sign is not ended.sign:
+            self._note(ended, sign, now)
+        if trouble is Trouble.SHED:
+            return True
+        is_cheap = trouble is Trouble.CONNECT
+        return not self.pool.is_shared_fate and (is_cheap or self.budget.take())
+
+    def _note(self, noted, sign, now):
+        if noted.sign is Sign.FAILED:
+            return
+        noted.sign = sign
+        self.evidence.note(noted.target, sign, now)
+        self.is_urgent = self.is_urgent or sign is not Sign.GOOD
+        member = self.pool.members[noted.target]
+        self._keep(note_trial(member, sign is Sign.GOOD, now, self.rng), now)
+
+    def watch(self, now):
+        """Let overdue tries give their signs."""
+        for running in self.tries:
+            sign = sign_of_age(KIND, now - running.started, self.latency)
+            if sign is not None and sign is not running.sign:
+                self._note(running, sign, now)
+
+    def review(self, now):
+        """Bring the standings up to date."""
+        is_bad = suspects_itself([(self.pool, self.evidence)])
+        changes = review(self.pool, self.evidence, now, self.rng, False, is_bad)
+        self._keep(changes, now)
+
+    def _keep(self, changes, now):
+        for change in changes:
+            if change.new is Standing.EJECTED and change.old is not Standing.TRIAL:
+                self.ejections.append((now, change.target))
+
+    def rows(self, now):
+        """Return what to tell another host."""
+        return self.evidence.rows(now, ROWS_MOST)
+
+    def merge(self, rows, now):
+        """Take what another host tells."""
+        self.is_urgent = self.evidence.merge(rows, now) or self.is_urgent
+
+    def keys_in(self, now):
+        """Return the targets that get ordinary work."""
+        out = (Standing.EJECTED, Standing.TRIAL, Standing.LEAVING)
+        return {k for k, m in self.pool.members.items() if m.standing not in out}
+
+    def note_request(self):
+        """Count a request."""
+        self.budget.note_request()
+
+
+class NaiveHost:
+    """A host that ejects by itself after five failures in a row."""
+
+    IN_A_ROW = 5
+    OUT_FOR = 30.0
+
+    def __init__(self, number, service, hosts, seed):
+        self.number = number
+        self.rng = random.Random(seed * 1000 + number)
+        self.keys = [target.key for target in service.targets]
+        self.row = dict.fromkeys(self.keys, 0)
+        self.out_until = dict.fromkeys(self.keys, 0.0)
+        self.ejections = []
+        self.is_urgent = False
+
+    def choose(self, now, tried):
+        """Return any target that is not out, or None."""
+        usable = [key for key in sorted(self.keys_in(now)) if key not in tried]
+        return self.rng.choice(usable) if usable else None
+
+    def start(self, begun, now):
+        """Never give a try up before its deadline."""
+
+    def end(self, ended, trouble, now):
+        """Count failures in a row."""
+        if trouble is Trouble.SHED:
+            return True
+        if trouble is None:
+            self.row[ended.target] = 0
+            return True
+        self.row[ended.target] += 1
+        if self.row[ended.target] >= self.IN_A_ROW:
+            self.row[ended.target] = 0
+            self.out_until[ended.target] = now + self.OUT_FOR
+            self.ejections.append((now, ended.target))
+        return True
+
+    def watch(self, now):
+        """Do nothing; the naive version has no eye for what is under way."""
+
+    review = watch
+
+    def rows(self, now):
+        """Tell nothing."""
+        return []
+
+    def merge(self, rows, now):
+        """Take nothing."""
+
+    def keys_in(self, now):
+        """Return the targets that are not out."""
+        return {key for key in self.keys if self.out_until[key] <= now}
+
+    def note_request(self):
+        """Count nothing."""
+
+
+class Model:
+    """
+    One run.
+
+    Args:
+      shape: The `Shape` of the service.
+      make_host: `OurHost` or `NaiveHost`.
+      seed: The seed of everything random in the run.
+    """
+
+    def __init__(self, shape, make_host, seed):
+        targets = tuple(
+            Target(f"t-{n}", f"10.0.0.{n}:80", "x") for n in range(shape.targets)
+        )
+        service = Service(
+            shape.name,
+            shape.floor,
+            shape.slots,
+            shape.connections,
+            targets,
+            weighing=shape.weighing,
+        )
+        self.shape = shape
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.events = []
+        self.order = itertools.count()
+        self.targets = {t.key: ModelTarget(t.key, shape.slots) for t in targets}
+        self.keys = list(self.targets)
+        self.hosts = [
+            make_host(n, service, shape.hosts, seed) for n in range(shape.hosts)
+        ]
+        self.cuts = set()
+        self.urgent_at = [0.0] * shape.hosts
+        self.urgent_due = [False] * shape.hosts
+        self.sent = []
+        self.requests = self.tries = self.sheds = self.whole = self.refused = 0
+        self.latencies = []
+        self.lowest = shape.targets
+        self.bytes = 0
+
+    def at(self, time, run, *args):
+        """Run a function at a time."""
+        heapq.heappush(self.events, (time, next(self.order), run, args))
+
+    def run(self, until, happenings=()):
+        """
+        Run to a time.
+
+        Args:
+          until: The virtual time in seconds.
+          happenings: Pairs of a time and a function that takes the model.
+        """
+        for time, happen in happenings:
+            self.at(time, happen, self)
+        for number in range(len(self.hosts)):
+            self.at(self.rng.random() * EXCHANGE_EVERY, self._round, number)
+            self.at(self.rng.random() * REVIEW_EVERY, self._review, number)
+            self.at(self.rng.random() * WATCH_EVERY, self._watch, number)
+        self.at(0.0, self._arrive)
+        while self.events and self.events[0][0] <= until:
+            self.now, _, run, args = heapq.heappop(self.events)
+            run(*args)
+
+    # Callers.
+
+    def _arrive(self):
+        shape = self.shape
+        rate = shape.load * shape.slots * shape.targets / shape.mean
+        self.at(self.now + self.rng.expovariate(rate), self._arrive)
+        host = self.rng.randrange(len(self.hosts))
+        self.requests += 1
+        self.hosts[host].note_request()
+        self._attempt(Request(host, self.now + DEADLINE))
+
+    def _attempt(self, request):
+        host = self.hosts[request.host]
+        if self.now >= request.deadline:
+            self.refused += 1
+            return
+        key = host.choose(self.now, request.tried)
+        if key is None:
+            pause = SHED_PAUSE * self.rng.uniform(0.7, 1.3)
+            self.at(self.now + pause, self._attempt, request)
+            return
+        self._send(request, key)
+
+    def _send(self, request, key):
+        begun = Try(request, key, self.now)
+        overdue = self.hosts[request.host].start(begun, self.now)
+        self.tries += 1
+        self.sent.append((self.now, request.host, key, begun.is_trial))
+        if (request.host, key) in self.cuts:
+            self.at(self.now + CONNECT_TIMEOUT, self._end, begun, Trouble.CONNECT)
+            return
+        target = self.targets[key]
+        if target.busy >= target.slots:
+            self.sheds += 1
+            self.at(self.now + 2 * HOP, self._end, begun, Trouble.SHED)
+            return
+        target.busy += 1
+        begun.in_slot = True
+        seconds = 2 * HOP + self.rng.expovariate(1 / self.shape.mean) * target.factor
+        if target.mode != "stall":
+            self.at(self.now + seconds, self._answer, begun)
+        until, trouble = request.deadline, Trouble.DEADLINE
+        if overdue is not None and overdue < until:
+            until, trouble = overdue, Trouble.OVERDUE
+        self.at(until, self._end, begun, trouble)
+
+    # Targets.
+
+    def _answer(self, begun):
+        target = self.targets[begun.target]
+        trouble = None
+        if target.is_failing(self.now):
+            trouble = Trouble.ERROR
+        elif target.mode == "half":
+            trouble = Trouble.BROKEN
+        self._end(begun, trouble)
+
+    def _end(self, begun, trouble):
+        if begun.is_over:
+            return
+        begun.is_over = True
+        if getattr(begun, "in_slot", False):
+            self.targets[begun.target].busy -= 1
+        request = begun.request
+        host = self.hosts[request.host]
+        may_follow = host.end(begun, trouble, self.now)
+        self._urge(request.host)
+        if trouble is None:
+            self.whole += 1
+            self.latencies.append(self.now - request.deadline + DEADLINE)
+            return
+        if trouble is not Trouble.SHED:
+            request.tried += (begun.target,)
+        is_over = trouble is Trouble.DEADLINE or len(request.tried) >= TRIES_MOST
+        if is_over or not may_follow:
+            self.refused += 1
+            return
+        self._attempt(request)
+
+    # What hosts do from time to time.
+
+    def _watch(self, number):
+        self.hosts[number].watch(self.now)
+        self._urge(number)
+        self.at(self.now + WATCH_EVERY, self._watch, number)
+
+    def _review(self, number):
+        host = self.hosts[number]
+        host.review(self.now)
+        good = {
+            key
+            for key, target in self.targets.items()
+            if target.mode == "good" and target.factor == 1.0
+        }
+        self.lowest = min(self.lowest, len(host.keys_in(self.now) & good))
+        self.at(self.now + REVIEW_EVERY, self._review, number)
+
+    def _round(self, number):
+        self._exchange(number)
+        pause = EXCHANGE_EVERY * self.rng.uniform(0.9, 1.1)
+        self.at(self.now + pause, self._round, number)
+
+    def _urge(self, number):
+        host = self.hosts[number]
+        if host.is_urgent and not self.urgent_due[number]:
+            self.urgent_due[number] = True
+            at = max(self.now, self.urgent_at[number] + URGENT_PAUSE)
+            self.at(at, self._urgent, number)
+
+    def _urgent(self, number):
+        self.urgent_due[number] = False
+        self.urgent_at[number] = self.now
+        self.hosts[number].is_urgent = False
+        self._exchange(number)
+
+    def _exchange(self, number):
+        others = [n for n in range(len(self.hosts)) if n != number]
+        rows = self.hosts[number].rows(self.now)
+        for other in self.rng.sample(others, min(FANOUT, len(others))):
+            self.at(self.now + HOP, self._deliver, other, rows, number)
+
+    def _deliver(self, number, rows, asker):
+        self.bytes += 12 * len(rows)
+        self.hosts[number].merge(rows, self.now)
+        self._urge(number)
+        if asker is not None:
+            answer = self.hosts[number].rows(self.now)
+            self.at(self.now + HOP, self._deliver, asker, answer, None)
+
+
+def count_ours_in(host):
+    """Return how many targets one of our hosts has in, for tests of the floor."""
+    return count_in(host.pool)
