--- a/packages/plumsaddle-core/plumsaddle_core/ops/ejection.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/ejection.py
@@ -3,10 +3,10 @@
 
 `review` is run a few times a second for each service. It reads the evidence and
 changes the standing of the targets, and it tells what it did. The floor is kept by
-each host for itself: whatever it ejects, at least `floor` targets, or all that are
-not leaving if they are fewer, stay in its own choice. Nothing that other hosts do
-or say enters into that count, so it holds through any partition; and as every host
-gives work to at least that many targets, so does the fleet.
+each host for itself: it ejects only while at least `floor` targets that are neither
+leaving nor cold are left in its own choice. Nothing that other hosts do or say
+enters into that count, so it holds through any partition; and as every host gives
+work to at least that many targets, so does the fleet.
 """
 
 import math
@@ -48,9 +48,9 @@
       A list of `Change`.
     """
     changes = []
-    pool.is_shared_fate = is_dependency_failing or _fails_alike(pool, evidence)
+    pool.is_shared_fate = is_dependency_failing or _fails_alike(pool, evidence, now)
     for key, member in pool.members.items():
-        _mark_avoided(member, evidence.score(key))
+        _mark_avoided(member, evidence.score(key, now))
         changes += _let_back(member, evidence, now, rng)
     if not pool.is_shared_fate and not is_suspect_itself:
         changes += _eject_worst(pool, evidence, now, rng)
@@ -58,7 +58,7 @@
     return changes
 
 
-def _fails_alike(pool, evidence):
+def _fails_alike(pool, evidence, now):
     """Return whether so many targets look bad that the cause is elsewhere."""
     staying = [
         key
@@ -69,7 +69,7 @@
         key
         for key in staying
         if pool.members[key].standing in (Standing.EJECTED, Standing.TRIAL)
-        or evidence.score(key).total >= SUSPECT
+        or evidence.score(key, now).total >= SUSPECT
     ]
     return len(staying) > 1 and len(bad) > SHARED_SHARE * len(staying)
 
@@ -88,16 +88,22 @@
 def _eject_worst(pool, evidence, now, rng):
     """Eject convicted targets, worst first, as far as the floor allows."""
     scored = [
-        (evidence.score(key), key)
+        (evidence.score(key, now), key)
         for key, member in pool.members.items()
         if member.standing in (Standing.GOOD, Standing.SLOW_START, Standing.TRIAL)
     ]
     convicted = sorted(
-        (pair for pair in scored if _is_convicted(pair[0])), reverse=True
+        (
+            (score, key)
+            for score, key in scored
+            if score.total >= 1.0 and evidence.stands_out(key)
+        ),
+        reverse=True,
     )
     changes = []
     for score, key in convicted:
-        if count_in(pool) <= floor_of(pool) and _is_in(pool.members[key]):
+        is_warm = pool.members[key].standing is Standing.GOOD
+        if count_warm(pool) - is_warm < floor_of(pool):
             break
         reason = (
             f"score {score.total:.1f}, own {score.own:.1f}, {score.observers} observers"
@@ -107,16 +113,6 @@
     return changes
 
 
-def _is_convicted(score):
-    """
-    Return whether a target's score is enough to take it out.
-
-    One host's own view is enough only while nobody contradicts it: the good signs
-    of the others are in the sum already and pull it down.
-    """
-    return score.total >= 1.0
-
-
 def _eject(member, now, rng, reason):
     """Take a target out, for longer each time it comes back and fails again."""
     old = member.standing
@@ -215,6 +211,11 @@
     return sum(_is_in(member) for member in pool.members.values())
 
 
+def count_warm(pool):
+    """Return how many targets are in and past their slow start."""
+    return sum(member.standing is Standing.GOOD for member in pool.members.values())
+
+
 def floor_of(pool):
     """Return the floor, or the number of targets that stay if they are fewer."""
     staying = sum(
@@ -247,7 +248,7 @@
     return changes
 
 
-def suspects_itself(pools_and_evidence):
+def suspects_itself(pools_and_evidence, now):
     """
     Tell whether this host finds most targets bad that the others find good.
 
@@ -255,6 +256,7 @@
 
     Args:
       pools_and_evidence: Pairs of a `Pool` and its `Evidence`.
+      now: The present, in seconds.
     Returns:
       True if the fault is more likely here.
     """
@@ -266,7 +268,7 @@
             if view is None or evidence.own not in view.counts:
                 continue
             judged += 1
-            score = evidence.score(key)
+            score = evidence.score(key, now)
             is_contradicted = view.heard_good_at >= view.bad_at - 2.0
             blamed += score.own >= SUSPECT and is_contradicted
     return judged >= SELF_FEWEST and blamed > SELF_SHARE * judged
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/ejection_test.py
@@ -0,0 +1,297 @@
+"""
+Ejection, floor, return and evidence.
+
+The naive version, five failures in a row without a floor, stands beside them in the
+event model of the stand-ins, whose tests compare the two.
+"""
+
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from ..core.data import RequestKind, Service, Sign, Standing, Target, Weighing
+from .ejection import (
+    count_in,
+    count_warm,
+    floor_of,
+    keep_floor,
+    note_trial,
+    review,
+    set_leaving,
+    suspects_itself,
+)
+from .evidence import Evidence, Row
+from .pool import Pool
+
+OWN = "me@1"
+CENTRES = {"me": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+HOSTS = ["b1@1", "b2@1", "c1@1", "c2@1"]
+
+
+def centre_of(incarnation):
+    return CENTRES.get(incarnation.partition("@")[0], "")
+
+
+def make_service(targets=4, floor=2, **changes):
+    named = tuple(Target(f"t{n}", f"10.0.0.{n}:80", "a") for n in range(targets))
+    return Service("s", floor, 4, 100, named, **changes)
+
+
+class Bench:
+    """A pool with its evidence, as one host has them."""
+
+    def __init__(self, weighing=Weighing.DETECTION_TIME, **changes):
+        self.service = make_service(weighing=weighing, **changes)
+        self.pool = Pool(self.service, 4)
+        self.evidence = Evidence(OWN, weighing, centre_of)
+        self.rng = random.Random(1)
+        self.keys = list(self.pool.members)
+        self.counts = {}
+
+    def tell(self, reporter, key, now, good=0, failed=0):
+        old = self.counts.get((reporter, key), (0, 0))
+        new = self.counts[reporter, key] = (old[0] + good, old[1] + failed)
+        return self.evidence.merge([Row(reporter, key, new[0], 0, new[1])], now)
+
+    def fail_everywhere(self, key, now, count=4):
+        for _ in range(count):
+            for reporter in HOSTS:
+                self.tell(reporter, key, now, failed=1)
+
+    def work_well(self, now, count=20):
+        for _ in range(count):
+            for key in self.keys:
+                self.evidence.note(key, Sign.GOOD, now)
+                for reporter in HOSTS:
+                    self.tell(reporter, key, now, good=1)
+
+    def review(self, now, is_dependency_failing=False, is_suspect_itself=False):
+        return review(
+            self.pool,
+            self.evidence,
+            now,
+            self.rng,
+            is_dependency_failing,
+            is_suspect_itself,
+        )
+
+    def standing(self, number):
+        return self.pool.members[self.keys[number]].standing
+
+
+def test_target_that_fails_for_several_hosts_is_ejected():
+    bench = Bench()
+    bench.work_well(1.0)
+    bench.fail_everywhere(bench.keys[0], 2.0)
+    changes = bench.review(2.1)
+    assert [(c.target, c.new) for c in changes] == [(bench.keys[0], Standing.EJECTED)]
+
+
+def test_one_host_cannot_convict_a_target_that_others_use():
+    """
+    A host with a bad network card takes healthy targets from everybody.
+    """
+    bench = Bench()
+    bench.work_well(1.0)
+    for _ in range(50):
+        bench.tell("b1@1", bench.keys[0], 2.0, failed=1)
+    assert bench.review(2.1) == []
+
+
+def test_one_data_centre_cannot_convict_a_target_that_others_use():
+    """
+    A data centre is cut off from a target, and all hosts in it accuse the target.
+    """
+    bench = Bench()
+    bench.work_well(1.0)
+    for _ in range(50):
+        for reporter in ("b1@1", "b2@1"):
+            bench.tell(reporter, bench.keys[0], 2.0, failed=1)
+    assert bench.review(2.1) == []
+
+
+def test_target_that_only_this_host_cannot_reach_is_used_last():
+    """
+    A one-way cut between this host and a target: others reach it, it is healthy.
+    """
+    bench = Bench()
+    bench.work_well(1.0)
+    for _ in range(4):
+        bench.evidence.note(bench.keys[0], Sign.FAILED, 2.0)
+        for reporter in HOSTS:
+            bench.tell(reporter, bench.keys[0], 2.0, good=5)
+    assert bench.review(2.1) == []
+    member = bench.pool.members[bench.keys[0]]
+    assert (member.standing, member.is_avoided) == (Standing.GOOD, True)
+    for _ in range(50):
+        chosen = bench.pool.choose(RequestKind.IDEMPOTENT, 2.2, bench.rng)
+        assert chosen is not member
+    bench.review(60.0)
+    assert not member.is_avoided
+
+
+def test_host_that_finds_most_targets_bad_suspects_itself():
+    bench = Bench()
+    bench.work_well(1.0)
+    for key in bench.keys:
+        for _ in range(4):
+            bench.evidence.note(key, Sign.FAILED, 2.0)
+        for reporter in HOSTS:
+            bench.tell(reporter, key, 2.0, good=5)
+    assert suspects_itself([(bench.pool, bench.evidence)], 2.1)
+    assert bench.review(2.1, is_suspect_itself=True) == []
+
+
+def test_targets_that_fail_alike_are_not_ejected():
+    """
+    What a service depends on fails, and with it all of the service's targets.
+
+    Taking them out would not help, and putting them back would take long.
+    """
+    bench = Bench(floor=1)
+    bench.work_well(1.0)
+    for step in range(30):
+        for key in bench.keys:
+            for reporter in HOSTS:
+                bench.tell(reporter, key, 2.0 + step, failed=1)
+        assert bench.review(2.1 + step) == []
+    assert bench.pool.is_shared_fate
+
+
+def test_late_and_doubled_rows_change_nothing():
+    bench = Bench()
+    bench.work_well(1.0)
+    key = bench.keys[0]
+    rows = [Row("b1@1", key, 20, 0, n) for n in (3, 1, 2, 3, 3)]
+    bench.evidence.merge(rows[:1], 2.0)
+    before = bench.evidence.score(key, 2.0)
+    assert not bench.evidence.merge(rows[1:], 2.0)
+    assert bench.evidence.score(key, 2.0) == before
+
+
+def test_flapping_target_comes_back_ever_later():
+    bench = Bench()
+    now, pauses = 0.0, []
+    for _ in range(4):
+        bench.work_well(now)
+        bench.fail_everywhere(bench.keys[0], now + 1)
+        bench.review(now + 1.1)
+        member = bench.pool.members[bench.keys[0]]
+        assert member.standing is Standing.EJECTED
+        pauses.append(member.until - member.since)
+        now = member.until + 0.1
+        bench.review(now)
+        assert member.standing is Standing.TRIAL
+        for _ in range(3):
+            note_trial(member, True, now, bench.rng)
+        bench.review(now)
+        bench.review(now + 10.1)
+        assert member.standing is Standing.GOOD
+        now += 10.2
+    assert pauses == sorted(pauses)
+    assert pauses[-1] > 4 * pauses[0]
+
+
+def test_trial_takes_one_idempotent_request_at_a_time_and_no_order():
+    bench = Bench()
+    member = bench.pool.members[bench.keys[0]]
+    member.set_standing(Standing.TRIAL, 1.0, "")
+    assert bench.pool.choose(RequestKind.IDEMPOTENT, 2.0, bench.rng) is member
+    bench.pool.take(member)
+    for kind in RequestKind:
+        assert bench.pool.choose(kind, 2.0, bench.rng) is not member
+
+
+def test_orders_go_only_to_targets_in_good_standing():
+    bench = Bench()
+    for key in bench.keys[:3]:
+        bench.pool.members[key].set_standing(Standing.SLOW_START, 1.0, "")
+    for _ in range(20):
+        chosen = bench.pool.choose(RequestKind.ORDER, 2.0, bench.rng)
+        assert chosen.target.key == bench.keys[3]
+
+
+def test_ejections_are_taken_back_when_others_leave():
+    """
+    Targets begin to leave while others are ejected, and too few are left.
+    """
+    bench = Bench(floor=2)
+    bench.work_well(1.0)
+    for number in (0, 1):
+        bench.fail_everywhere(bench.keys[number], 2.0)
+        bench.review(2.1)
+    assert count_in(bench.pool) == 3
+    set_leaving(bench.pool, {bench.keys[2]}, 3.0)
+    set_leaving(bench.pool, {bench.keys[2], bench.keys[3]}, 3.0)
+    keep_floor(bench.pool, bench.evidence, 3.1)
+    assert count_in(bench.pool) == 2
+
+
+def test_reused_address_starts_clean():
+    bench = Bench()
+    bench.fail_everywhere(bench.keys[0], 2.0)
+    fresh = Target("new", "10.0.0.0:80", "a")
+    service = bench.service._replace(targets=(fresh, *bench.service.targets[1:]))
+    bench.pool.update(service, 4, 3.0)
+    assert bench.evidence.score(fresh.key, 3.0).total == 0
+    assert bench.pool.members[fresh.key].standing is Standing.SLOW_START
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["fail", "fail", "good", "leave", "stay", "trial", "wait"]),
+        st.integers(0, 5),
+        st.floats(0.1, 20.0),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True, database=None)
+@given(actions=ACTIONS, floor=st.integers(1, 6))
+def test_floor_holds_whatever_is_seen_and_told(actions, floor):
+    """
+    Removing unhealthy targets leaves too few for the service's callers.
+
+    Evidence, leaving marks and trials come in any order, as they do when hosts are
+    cut in two, pause or start anew: a host's own count must always be enough.
+    """
+    bench = Bench(targets=6, floor=floor)
+    leaving = set()
+    now = 1.0
+    bench.work_well(now, 3)
+    for action, number, seconds in actions:
+        key = bench.keys[number]
+        if action == "fail":
+            bench.fail_everywhere(key, now, 5)
+        elif action == "good":
+            bench.work_well(now, 1)
+        elif action == "leave":
+            leaving.add(key)
+        elif action == "stay":
+            leaving.discard(key)
+        elif action == "trial":
+            note_trial(bench.pool.members[key], number % 2, now, bench.rng)
+        else:
+            now += seconds
+        set_leaving(bench.pool, leaving, now)
+        before = count_warm(bench.pool)
+        changes = bench.review(now)
+        assert count_in(bench.pool) >= floor_of(bench.pool)
+        if any(change.new is Standing.EJECTED for change in changes):
+            assert count_warm(bench.pool) >= min(before, floor)
+
+
+@pytest.mark.parametrize("weighing", list(Weighing))
+def test_healthy_target_is_not_ejected_by_usual_noise(weighing):
+    rng = random.Random(3)
+    bench = Bench(weighing)
+    for step in range(3000):
+        key = rng.choice(bench.keys)
+        roll = rng.random()
+        sign = Sign.SLOW if roll < 0.09 else Sign.GOOD
+        if roll > 0.998:
+            sign = Sign.FAILED
+        bench.evidence.note(key, sign, step * 0.05)
+        assert bench.review(step * 0.05) == []
--- a/packages/plumsaddle-core/plumsaddle_core/ops/evidence.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/evidence.py
@@ -9,8 +9,8 @@
 For each target two cumulative sums (CUSUM) weigh a healthy hypothesis against a
 failing one, one sum for failures and one for slowness. What counts as healthy is
 taken from the service's other targets, so that a service whose targets all fail
-alike convicts none of them. Within a sum the part of each other host is capped:
-whatever is wrong with one host, it takes several of them to convict.
+alike convicts none of them. Within a sum the part of each host and of each data
+centre is capped: whatever is wrong with one, it takes several to convict.
 """
 
 import math
@@ -24,9 +24,16 @@
 SLOW_FAILING = 0.45
 HEALTHY_MOST = 0.5
 FAIL_MARGIN = 1.5
+# In signs of each target.
 RATE_HALF_LIFE = 10.0
 OBSERVERS_NEEDED = 3
 RECENT = 10.0
+WORTH_TELLING = 0.2
+CENTRE_SHARE = 0.6
+PATH_HALF_LIFE = 15.0
+STANDS_OUT_FACTOR = 2.0
+LATEST = 2
+STANDS_OUT_LEAST = 0.2
 
 # The bound of a sum, in natural logarithms of odds. On average exp(bound) healthy
 # signs go by before a sum reaches it by chance; docs/DESIGN.md gives the figures.
@@ -41,6 +48,9 @@
     failed: int = 0
 
 
+NOTHING = Counts()
+
+
 class Row(NamedTuple):
     """The counts of one reporter for one target, as hosts tell each other."""
 
@@ -56,7 +66,6 @@
 
     total: float
     own: float
-    others: float
     observers: int
 
 
@@ -66,50 +75,69 @@
     def __init__(self):
         self.parts = {}
 
-    def add(self, reporter, amount, cap, own):
+    def add(self, reporter, amount, weigh):
         """
         Add one reporter's amount and start anew when the whole falls to zero.
 
         Args:
           reporter: Who saw it.
           amount: The log-likelihood ratio of what was seen.
-          cap: The most that another host may add to the whole.
-          own: This host's incarnation, whose part has no cap.
+          weigh: A function from all parts to their capped whole.
         """
         self.parts[reporter] = self.parts.get(reporter, 0.0) + amount
-        if self.value(cap, own) <= 0:
+        if weigh(self.parts) <= 0:
             self.parts.clear()
 
-    def value(self, cap, own):
-        """Return the whole, with every part but the own one capped."""
-        return sum(
-            part if reporter == own else min(part, cap)
-            for reporter, part in self.parts.items()
-        )
-
     def accusers(self):
         """Return how many reporters speak against the target."""
         return sum(part > 0 for part in self.parts.values())
 
 
-class Rates:
-    """Signs seen lately, fading with a half-life."""
+class PathSum:
+    """
+    What this host alone holds against its path to a target; it fades with time.
+
+    Others' good signs do not clear it: they have another path. It fades, so that a
+    path that is not used any more is tried again after a while.
+    """
 
     def __init__(self):
-        self.good = self.slow = self.failed = 0.0
+        self.amount = 0.0
         self.at = 0.0
 
-    def fade(self, now):
-        """Age the counts to the present."""
-        factor = 0.5 ** ((now - self.at) / RATE_HALF_LIFE)
-        self.good *= factor
-        self.slow *= factor
-        self.failed *= factor
+    def add(self, amount, now):
+        """Add the log-likelihood ratio of what was seen by now."""
+        self.amount = max(0.0, self.value(now) + amount)
         self.at = now
 
-    def add(self, counts, now):
-        """Add counts seen by now."""
-        self.fade(now)
+    def value(self, now):
+        """Return what is left of it by now."""
+        return self.amount * 0.5 ** ((now - self.at) / PATH_HALF_LIFE)
+
+
+class Rates:
+    """
+    Signs seen lately, fading as the service gives new ones.
+
+    Fading by time would ask a quiet service for more signs than it gives, and let
+    the good signs of a busy one's past cover what is going on now.
+    """
+
+    def __init__(self):
+        self.good = self.slow = self.failed = 0.0
+        self.at = 0.0
+
+    def fade(self, clock, half_life):
+        """Age the counts to a reading of the service's sign clock."""
+        if clock > self.at:
+            factor = 0.5 ** ((clock - self.at) / half_life)
+            self.good *= factor
+            self.slow *= factor
+            self.failed *= factor
+            self.at = clock
+
+    def add(self, counts):
+        """Add counts; fade first."""
         self.good += counts.good
         self.slow += counts.slow
         self.failed += counts.failed
@@ -123,6 +151,7 @@
         self.rates = Rates()
         self.failures = Sum()
         self.slowness = Sum()
+        self.path = PathSum()
         self.changed = {}
         self.bad_at = -math.inf
         self.heard_good_at = -math.inf
@@ -135,14 +164,19 @@
     Args:
       own: This host's incarnation.
       weighing: Which error the deployment would rather make.
+      centre_of: A function from an incarnation to the data centre it stands in, as
+        far as that is known.
     """
 
-    def __init__(self, own, weighing):
+    def __init__(self, own, weighing, centre_of):
         self.own = own
+        self.centre_of = centre_of
         self.threshold = THRESHOLDS[weighing]
-        self.cap = self.threshold / OBSERVERS_NEEDED
+        self.host_cap = self.threshold / OBSERVERS_NEEDED
+        self.centre_cap = self.threshold * CENTRE_SHARE
         self.views = {}
         self.rates = Rates()
+        self._clock = 0.0
 
     def note(self, target, sign, now):
         """
@@ -153,7 +187,7 @@
           sign: A `Sign`.
           now: The present, in seconds.
         """
-        counts = self._view(target).counts.get(self.own, Counts())
+        counts = self._view(target).counts.get(self.own, NOTHING)
         grown = counts._replace(**{sign.value: getattr(counts, sign.value) + 1})
         self._take(Row(self.own, target, *grown), now)
 
@@ -174,60 +208,115 @@
         return is_news
 
     def _view(self, target):
-        return self.views.setdefault(target, View())
+        view = self.views.get(target)
+        if view is None:
+            view = self.views[target] = View()
+        return view
 
     def _take(self, row, now):
         """Fold a row into its target's view and tell whether it was bad news."""
         view = self._view(row.target)
-        old = view.counts.get(row.reporter, Counts())
+        old = view.counts.get(row.reporter, NOTHING)
+        # Most rows have been heard before; they must cost next to nothing.
+        if row.good <= old.good and row.slow <= old.slow and row.failed <= old.failed:
+            return False
         new = Counts(
             max(old.good, row.good),
             max(old.slow, row.slow),
             max(old.failed, row.failed),
         )
-        if new == old:
-            return False
         delta = Counts(
-            *(after - before for after, before in zip(new, old, strict=True))
+            new.good - old.good, new.slow - old.slow, new.failed - old.failed
         )
-        self._weigh(row.reporter, row.target, view, delta, now)
         view.counts[row.reporter] = new
         view.changed[row.reporter] = now
-        view.rates.add(delta, now)
-        self.rates.add(delta, now)
-        is_bad = bool(delta.failed or delta.slow)
-        if is_bad:
-            view.bad_at = now
+        self._weigh(row.reporter, row.target, view, delta, now)
+        self._fade(view)
+        view.rates.add(delta)
+        self.rates.add(delta)
+        self._clock += sum(delta)
         if delta.good and row.reporter != self.own:
             view.heard_good_at = now
-        return is_bad
+        if not delta.failed and not delta.slow:
+            return False
+        view.bad_at = now
+        return self.is_suspect(row.target, now)
 
     def _weigh(self, reporter, target, view, delta, now):
-        """Add a reporter's new signs to both sums."""
-        total = sum(delta)
-        fail_healthy, slow_healthy = self._healthy_rates(target, now)
-        ratio = _log_ratio(
-            delta.failed, total, fail_healthy, _failing(fail_healthy, FAIL_FAILING)
+        """Add a reporter's new signs to the sums."""
+        fail_healthy, slow_healthy = self._healthy_rates(target)
+        # A slow try is neither a success nor a failure yet: if it fails in the end,
+        # its failure must weigh as much as one that came at once.
+        failures = _log_ratios(
+            delta.failed, delta.good, fail_healthy, _failing(fail_healthy, FAIL_FAILING)
         )
-        view.failures.add(reporter, ratio, self.cap, self.own)
-        ratio = _log_ratio(
+        slowness = _log_ratios(
             delta.slow + delta.failed,
-            total,
+            delta.good,
             slow_healthy,
             _failing(slow_healthy, SLOW_FAILING),
         )
-        view.slowness.add(reporter, ratio, self.cap, self.own)
 
-    def _healthy_rates(self, target, now):
+        def weigh(parts):
+            return self._cap(view, parts, now)
+
+        for amounts, ratios in ((view.failures, failures), (view.slowness, slowness)):
+            for ratio in ratios:
+                amounts.add(reporter, ratio, weigh)
+        if reporter == self.own:
+            view.path.add(max(sum(failures), sum(slowness)), now)
+
+    def _cap(self, view, parts, now):
+        """
+        Return the whole of some parts, with the words of few capped.
+
+        A host with a bad network card accuses everybody, and a data centre that is
+        cut off accuses whatever it cannot reach. Both show as many failures seen
+        from one place only. So one host's part is capped, and the parts of one data
+        centre together, as long as others have work at the target to speak of. A
+        host that is alone with a target has only its own word to go by.
+        """
+        if len(parts) == 1 and self._is_alone(view, now):
+            return sum(parts.values())
+        by_centre = {}
+        for reporter, part in parts.items():
+            centre = self.centre_of(reporter)
+            by_centre[centre] = by_centre.get(centre, 0.0) + min(part, self.host_cap)
+        if len(self._centres(view, now)) < 2:
+            return sum(by_centre.values())
+        return sum(min(part, self.centre_cap) for part in by_centre.values())
+
+    def _fade(self, view):
+        """Age the rates of a target and of the whole service alike."""
+        half_life = RATE_HALF_LIFE * max(1, len(self.views))
+        view.rates.fade(self._clock, half_life)
+        self.rates.fade(self._clock, half_life)
+
+    def _is_alone(self, view, now):
+        return not any(
+            now - at < RECENT
+            for reporter, at in view.changed.items()
+            if reporter != self.own
+        )
+
+    def _centres(self, view, now):
+        """Return the data centres that have had work at a target lately."""
+        return {
+            self.centre_of(reporter)
+            for reporter, at in view.changed.items()
+            if now - at < RECENT
+        }
+
+    def _healthy_rates(self, target):
         """
         Return how often the service's other targets fail and are slow.
 
         A failing dependency makes every target fail. Measured against the others,
         none of them stands out, and none is convicted for it.
         """
-        self.rates.fade(now)
-        own = self._view(target).rates
-        own.fade(now)
+        view = self._view(target)
+        self._fade(view)
+        own = view.rates
         good = max(0.0, self.rates.good - own.good)
         slow = max(0.0, self.rates.slow - own.slow)
         failed = max(0.0, self.rates.failed - own.failed)
@@ -241,28 +330,49 @@
             min(HEALTHY_MOST, max(SLOW_HEALTHY, slow_rate)),
         )
 
-    def score(self, target):
+    def is_suspect(self, target, now):
+        """
+        Return whether what speaks against a target is worth passing on.
+
+        Healthy targets give a slow sign now and then. If each of them were passed
+        on by everybody, the exchange would cost more than all other control.
+        """
+        return self.score(target, now).total >= WORTH_TELLING
+
+    def score(self, target, now):
         """Return the `Score` of a target from the worse of its two sums."""
         view = self.views.get(target)
         if view is None:
-            return Score(0.0, 0.0, 0.0, 0)
-        return max(self._score(view.failures), self._score(view.slowness))
-
-    def _score(self, amounts):
-        own = amounts.parts.get(self.own, 0.0)
-        total = amounts.value(self.cap, self.own)
-        return Score(
-            total / self.threshold,
-            own / self.threshold,
-            (total - own) / self.threshold,
-            amounts.accusers(),
+            return Score(0.0, 0.0, 0)
+        worse = max(
+            (self._cap(view, amounts.parts, now), amounts.accusers())
+            for amounts in (view.failures, view.slowness)
         )
+        own = view.path.value(now) / self.threshold
+        return Score(worse[0] / self.threshold, own, worse[1])
+
+    def stands_out(self, target):
+        """
+        Return whether a target is clearly worse than the service's others.
+
+        The sums remember; a service that has just grown slow or lost what it
+        depends on can carry single targets over the threshold before the healthy
+        rates have followed. Whatever all targets do is no fault of one of them.
+        """
+        view = self.views.get(target)
+        if view is None:
+            return False
+        self._fade(view)
+        own = _bad_share(view.rates, Rates())
+        others = _bad_share(self.rates, view.rates)
+        return own >= max(STANDS_OUT_FACTOR * others, others + STANDS_OUT_LEAST)
 
     def clear(self, target):
         """Forget the sums of a target that starts anew."""
         view = self._view(target)
         view.failures.parts.clear()
         view.slowness.parts.clear()
+        view.path.amount = 0.0
 
     def forget(self, targets):
         """Drop whatever is known of targets that are not in the given set."""
@@ -274,7 +384,7 @@
         Choose what to tell another host.
 
         This host's own counts that changed lately, and the counts of all reporters
-        for targets that looked bad lately; worst first, newest next.
+        for suspect targets; worst first, newest next.
 
         Args:
           now: The present, in seconds.
@@ -284,24 +394,46 @@
         """
         ranked = []
         for target, view in self.views.items():
-            is_bad = now - view.bad_at < RECENT
-            score = self.score(target).total if is_bad else 0.0
-            for reporter, at in view.changed.items():
-                if now - at < RECENT and (is_bad or reporter == self.own):
+            score = self.score(target, now).total if now - view.bad_at < RECENT else 0.0
+            told = view.changed if score >= WORTH_TELLING else (self.own,)
+            for reporter in told:
+                at = view.changed.get(reporter, -math.inf)
+                if now - at < RECENT:
                     row = Row(reporter, target, *view.counts[reporter])
                     ranked.append((-score, -at, row))
         ranked.sort()
         return [row for _, _, row in ranked[:most]]
 
 
+def _bad_share(rates, without):
+    """Return the share of bad signs in some rates, less others."""
+    bad = rates.slow + rates.failed - without.slow - without.failed
+    total = bad + rates.good - without.good
+    return max(0.0, bad / total) if total > 0.5 else 0.0
+
+
 def _failing(healthy, failing):
     """Return the failing hypothesis' rate, always well above the healthy one's."""
     return max(failing, (1 + healthy) / 2 if healthy > failing / 2 else failing)
 
 
-def _log_ratio(bad, total, healthy, failing):
-    """Return how much more likely the signs are if the target is failing."""
-    good = total - bad
-    return bad * math.log(failing / healthy) + good * math.log(
-        (1 - failing) / (1 - healthy)
-    )
+def _log_ratios(bad, good, healthy, failing):
+    """
+    Return how much more likely some signs are if the target is failing.
+
+    Signs that are told together have lost their order. Added up at once, a host's
+    good signs of the last seconds would hide that the newest ones are bad. So up to
+    `LATEST` of the bad ones are taken to have come last.
+
+    Args:
+      bad: The number of bad signs.
+      good: The number of good signs.
+      healthy: How often a healthy target gives a bad sign.
+      failing: How often a failing one does.
+    Returns:
+      Log-likelihood ratios, to be added one after the other.
+    """
+    per_bad = math.log(failing / healthy)
+    per_good = math.log((1 - failing) / (1 - healthy))
+    last = min(bad, LATEST)
+    return (bad - last) * per_bad + good * per_good, last * per_bad
--- a/packages/plumsaddle-core/plumsaddle_core/ops/latency.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/latency.py
@@ -10,8 +10,8 @@
 import statistics
 from collections import deque
 
-KEPT = 200
-RENEW_EVERY = 20
+KEPT = 64
+RENEW_EVERY = 8
 FEWEST = 20
 SLOW_FACTOR = 3.5
 OVERDUE_FACTOR = 12.0
--- a/packages/plumsaddle-core/plumsaddle_core/ops/pool.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pool.py
@@ -15,6 +15,7 @@
 SHED_PAUSE = 0.015
 CONTENDED_FOR = 1.0
 TRIALS_NEEDED = 3
+TRIAL_PAUSE = 1.0
 SLOW_START_FOR = 10.0
 
 
@@ -63,18 +64,21 @@
         self.service = service
         self.is_shared_fate = False
         self.shed_at = -math.inf
-        self.update(service, hosts_max)
+        self.update(service, hosts_max, -math.inf)
 
-    def update(self, service, hosts_max):
+    def update(self, service, hosts_max, now):
         """
         Take a newer configuration of the service.
 
-        A target keeps its standing while its id and its address stay the same.
+        A target keeps its standing while its id and its address stay the same. One
+        that comes new beside others may be cold and starts slowly.
 
         Args:
           service: The `Service`.
           hosts_max: The most hosts there may be at a time.
+          now: The present, in seconds.
         """
+        is_first = not self.members
         self.service = service
         limit = host_limit(service, hosts_max)
         fresh = {}
@@ -82,6 +86,8 @@
             member = self.members.get(target.key)
             if member is None:
                 member = Member(target, limit)
+                if not is_first:
+                    member.set_standing(Standing.SLOW_START, now, "it is new")
             member.target = target
             member.limit = limit
             fresh[target.key] = member
@@ -104,6 +110,8 @@
             for member in self.members.values()
             if member.target.key not in tried and _may_take(member, kind, now)
         ]
+        if kind is RequestKind.ORDER and self._has_good():
+            usable = [m for m in usable if m.standing is Standing.GOOD]
         usable = _prefer(usable, lambda member: not member.is_avoided)
         if kind is RequestKind.IDEMPOTENT:
             trials = [m for m in usable if m.standing is Standing.TRIAL]
@@ -117,6 +125,10 @@
                 return freed
         return rng.choice(usable)
 
+    def _has_good(self):
+        """Return whether any target is in good standing, busy or not."""
+        return any(m.standing is Standing.GOOD for m in self.members.values())
+
     def is_worth_waiting(self, tried=()):
         """Return whether a target may become free that could take a request."""
         return any(
@@ -155,11 +167,13 @@
     if member.standing in (Standing.EJECTED, Standing.LEAVING):
         return False
     if member.standing is Standing.TRIAL:
-        return kind is RequestKind.IDEMPOTENT and member.in_flight == 0
+        # A stalled target sheds its trials; tried at once again by every request,
+        # it would get more tries than all others together.
+        is_rested = now - member.shed_at >= TRIAL_PAUSE
+        is_idle = member.in_flight == 0
+        return kind is RequestKind.IDEMPOTENT and is_idle and is_rested
     if now - member.shed_at < SHED_PAUSE:
         return False
-    if kind is RequestKind.ORDER and member.standing is Standing.SLOW_START:
-        return False
     return member.in_flight < member.allowance(now)
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/services.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/services.py
@@ -38,23 +38,25 @@
       service: The `Service` in force.
       hosts_max: The most hosts there may be.
       own: This host's incarnation.
+      centre_of: Tells the data centre of an incarnation of a host.
       rng: A `random.Random`.
     """
 
-    def __init__(self, service, hosts_max, own, rng):
+    def __init__(self, service, hosts_max, own, centre_of, rng):
         self.service = service
         self.pool = Pool(service, hosts_max)
         self.room = WaitingRoom(self.pool, rng)
-        self.evidence = Evidence(own, service.weighing)
+        self.evidence = Evidence(own, service.weighing, centre_of)
         self.budget = Budget(service.retry_ratio)
         self.latencies = {kind: Latency() for kind in RequestKind}
         self.tries = set()
+        self._has_bad_news = False
         self._rng = rng
 
-    def update(self, service, hosts_max):
-        """Take a newer configuration of the service."""
+    def update(self, service, hosts_max, now):
+        """Take a newer configuration of the service by now."""
         self.service = service
-        self.pool.update(service, hosts_max)
+        self.pool.update(service, hosts_max, now)
         self.evidence.forget(self.pool.members)
         self.budget.ratio = service.retry_ratio
         self.room.wake()
@@ -97,6 +99,11 @@
         at = now + max(overdue_after, OVERDUE_LEAST)
         return at if at < deadline and not self.pool.is_shared_fate else None
 
+    def take_bad_news(self):
+        """Return whether something bad was seen since the last call."""
+        had, self._has_bad_news = self._has_bad_news, False
+        return had
+
     def watch_tries(self, now):
         """Let overdue tries give their signs before they end."""
         for running in self.tries:
@@ -113,4 +120,6 @@
         key = noted.member.target.key
         if key in self.pool.members:
             self.evidence.note(key, sign, now)
+            if sign is not Sign.GOOD and self.evidence.is_suspect(key, now):
+                self._has_bad_news = True
             note_trial(noted.member, sign is Sign.GOOD, now, self._rng)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/admin.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/admin.py
@@ -116,7 +116,7 @@
                 "standing": member.standing.value,
                 "avoided": member.is_avoided,
                 "in_flight": member.in_flight,
-                "score": round(state.evidence.score(key).total, 2),
+                "score": round(state.evidence.score(key, now).total, 2),
             }
             for key, member in state.pool.members.items()
         },
@@ -135,7 +135,7 @@
 
 def _explain(host, state, key, member, now):
     view = state.evidence.views.get(key)
-    score = state.evidence.score(key)
+    score = state.evidence.score(key, now)
     seen = view.counts.items() if view else ()
     return {
         "host": host.settings.id,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -206,18 +206,25 @@
         self._apply(current, result.unwrap())
 
     def _apply(self, current, cfg):
+        now = asyncio.get_running_loop().time()
         fresh = {}
         for service in cfg.service:
             state = self.services.get(service.name)
             if state is None:
-                state = ServiceState(service, cfg.hosts_max, self.incarnation, self.rng)
+                state = ServiceState(
+                    service,
+                    cfg.hosts_max,
+                    self.incarnation,
+                    self.members.centre_of,
+                    self.rng,
+                )
             else:
-                state.update(service, cfg.hosts_max)
+                state.update(service, cfg.hosts_max, now)
             fresh[service.name] = state
         self.services = fresh
         self.applied = Applied(current.number, current.id, cfg, build_routes(cfg))
         self.metrics.version.set({}, current.number)
-        self._set_leaving(asyncio.get_running_loop().time())
+        self._set_leaving(now)
         log.info("config: Version %d is in force.", current.number)
 
     # The other hosts.
@@ -297,7 +304,7 @@
     def _review(self, now):
         states = list(self.services.values())
         self.is_suspect_itself = suspects_itself(
-            (state.pool, state.evidence) for state in states
+            ((state.pool, state.evidence) for state in states), now
         )
         self._set_leaving(now)
         failing = {s.service.name for s in states if s.pool.is_shared_fate}
@@ -330,10 +337,8 @@
 
     def _watch(self, now):
         for state in self.services.values():
-            before = state.evidence.rates.failed + state.evidence.rates.slow
             state.watch_tries(now)
-            after = state.evidence.rates.failed + state.evidence.rates.slow
-            if after > before:
+            if state.take_bad_news():
                 self.exchange.start_urgent(now)
 
     def _probe(self, now):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
@@ -278,8 +278,8 @@
         f"{answer['standing']}: {answer['why']}"
     )
     yield (
-        f"  score {score['total']:.2f} of 1.00 (own {score['own']:.2f}, others "
-        f"{score['others']:.2f}, {score['observers']} against it)"
+        f"  score {score['total']:.2f} of 1.00 (its own path "
+        f"{score['own']:.2f}, {score['observers']} hosts against it)"
     )
     if answer["service_fails_alike"]:
         yield "  the service's targets fail alike, so none is taken out"
