Let outcomes linger for a batch, keep orders running until their outcome is in

And an order whose outcome was on its way to the log was called unknown to whoever asked the same host again.

Changed: outcomes wait for up to 0.25 s for company, claims never; one stream instead of four; a claim is dropped only when its outcome stands in the log. A new version starts an exchange at once, and either side of an exchange fetches it.

Ruled out: letting claims linger, which would add the wait to every order.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
@@ -16,6 +16,8 @@
 from .anchor import Record
 from .orders import Claim, ClaimState, Done, Released, Unknown
 
+OUTCOMES = (Done, Unknown, Released)
+
 
 class Replay(NamedTuple):
     """The recorded answer of an order that has run."""
@@ -38,6 +40,7 @@
     WAITING = "waiting"
     WON = "won"
     SENDING = "sending"
+    FINISHED = "finished"
 
 
 class Claims:
@@ -126,8 +129,20 @@
         for event in record.events:
             if isinstance(event, Claim) and event.host == self.host:
                 self._decide(event, decisions, releases)
+            elif isinstance(event, OUTCOMES):
+                self._forget_finished(event.claim)
         return decisions, releases
 
+    def _forget_finished(self, claim):
+        """
+        Drop a claim of this host's whose outcome stands in the log.
+
+        Until then a repeated key must hear that its order is running: an outcome
+        on its way to the log is not an outcome that nobody knows.
+        """
+        if self._local.get(claim) is LocalState.FINISHED:
+            self._forget(claim)
+
     def _decide(self, event, decisions, releases):
         """Compare one claim of this host's with the state of its key."""
         entry = self.fold.state.entries.get(event.key)
@@ -183,26 +198,34 @@
 
     def finish(self, claim, status, content_type, body):
         """Return the events for an answer of the target's."""
-        owned = self._forget(claim)
+        owned = self._finish(claim)
         return [Done(owned.key, claim, status, content_type, body)]
 
     def finish_unsent(self, claim):
         """Return the events for an order of which no byte reached a target."""
-        owned = self._forget(claim)
+        owned = self._finish(claim)
         return [Released(owned.key, owned.key_time, claim)]
 
     def finish_unknown(self, claim, detail):
         """Return the events for an order whose answer was lost."""
-        owned = self._forget(claim)
+        owned = self._finish(claim)
         return [Unknown(owned.key, claim, detail)]
 
+    def _finish(self, claim):
+        self._local[claim] = LocalState.FINISHED
+        return self._owned[claim]
+
     def _forget(self, claim):
         self._local.pop(claim, None)
         return self._owned.pop(claim, None)
 
     def open_claims(self):
-        """Return the claims of this host's that have no outcome yet."""
-        return list(self._owned)
+        """Return the claims of this host's whose outcome is still open."""
+        return [
+            claim
+            for claim, state in self._local.items()
+            if state is not LocalState.FINISHED
+        ]
 
 
 def make_record(offset, events):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims_test.py
@@ -497,3 +497,21 @@
     assert claims.answer_known("k1", 100, "a").reason is Reason.ORDERS_INCOMPLETE
     claims.feed(Record(5, (Checkpoint("y", 3, 0, 1, [0]),)))
     assert claims.answer_known("k1", 100, "a") is None
+
+
+def test_outcome_on_its_way_to_the_log_is_not_unknown():
+    """
+    A caller whose order has just run asks again, and hears "unknown" for good.
+
+    The outcome is being written, and the host has let go of its claim already.
+    """
+    claims = new_claims()
+    claim = make_claim("c1")
+    claims.begin(claim)
+    claims.feed(Record(0, (claim,)))
+    claims.start_sending("c1")
+    outcome = claims.finish("c1", 200, "", b"done")
+    assert claims.answer_known("k1", 100, "a").reason is Reason.ORDER_RUNNING
+    assert claims.open_claims() == []
+    claims.feed(Record(1, tuple(outcome)))
+    assert claims.answer_known("k1", 100, "a").body == b"done"
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -226,6 +226,8 @@
         self.metrics.version.set({}, current.number)
         self._set_leaving(now)
         log.info("config: Version %d is in force.", current.number)
+        # Hosts that cannot reach the log must not wait for the next regular round.
+        self.exchange.start_urgent(now)
 
     # The other hosts.
 
@@ -251,6 +253,8 @@
         """Take what another host tells."""
         now = asyncio.get_running_loop().time()
         self.members.merge(news.members, now)
+        if news.members:
+            self.exchange.fetch_if_newer(news.members[0])
         is_urgent = False
         for state in self.services.values():
             known = state.pool.members
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/shards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/shards.py
@@ -1,7 +1,9 @@
 """
 One stream of orders on one host: its fold, its reader, its writer, its waiters.
 
-The streams are told apart by the key's hash. Today every host follows all of them.
+The streams are told apart by the key's hash. Today there is one, since every host
+follows all of them and one stream makes fuller batches; docs/CAPACITY.md says from
+which size on there are more.
 """
 
 import asyncio
@@ -18,7 +20,7 @@
 from ..platform.tail import Tail
 
 log = logging.getLogger("orders")
-SHARDS = 4
+SHARDS = 1
 CLAIM_WAIT = 3.0
 SURFACE_WAIT = 0.5
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/peers/exchange.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/peers/exchange.py
@@ -87,6 +87,7 @@
         self._channels = {}
         self._urgent_at = 0.0
         self._urgent_timer = None
+        self._is_fetching = False
 
     def start_round(self, now):
         """Swap digests with a few peers."""
@@ -118,16 +119,24 @@
             return
         self._host.metrics.exchanges.inc({"result": "swapped"})
         self._host.take_news(from_digest(result.unwrap()))
-        await self._fetch_if_newer(address, from_digest(result.unwrap()))
 
-    async def _fetch_if_newer(self, address, news):
-        """Take a newer version from a peer that already has it."""
-        newest = max(
-            (m.version for m in news.members if m.address == address), default=0
-        )
-        if newest <= self._host.versions.state.current.number:
-            return
+    def fetch_if_newer(self, member):
+        """
+        Take a newer version from the host that a digest came from, if it has one.
+
+        Either side of an exchange may be the one that is behind.
+
+        Args:
+          member: The first row of the digest, which is its sender's own.
+        """
+        in_force = self._host.versions.state.current.number
+        if member.version > in_force and not self._is_fetching:
+            self._is_fetching = True
+            self._host.spawn(self._fetch(member.address))
+
+    async def _fetch(self, address):
         result = await self._call(address, "FetchVersion", pb.VersionRequest())
+        self._is_fetching = False
         if isinstance(result, Success) and result.unwrap().is_known:
             answer = result.unwrap()
             self._host.adopt_version(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/batch.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/batch.py
@@ -6,7 +6,8 @@
 are bounded by the log's own latency, however many orders there are.
 
 Claims are tried once: their orders have deadlines, and the caller is told at once.
-Outcomes are tried until they are in; a second copy changes nothing in the fold.
+Outcomes are tried until they are in; a second copy changes nothing in the fold. Nobody
+waits for an outcome, so it lingers for a moment to go out with others or with a claim.
 """
 
 import asyncio
@@ -43,6 +44,7 @@
     """
 
     BYTES_MOST = 200_000
+    LINGER = 0.25
     PAUSE_LEAST = 0.25
     PAUSE_MOST = 2.0
 
@@ -56,6 +58,7 @@
         self._rng = rng
         self._queue = []
         self._task = None
+        self._timer = None
         self._pause = self.PAUSE_LEAST
         self._number = 0
         self._is_taken = False
@@ -72,13 +75,17 @@
         if self.is_away:
             fut.set_result(Failure(PlatformError.NOT_TAKEN))
         else:
-            self._push(Item(events, fut))
+            self._queue.append(Item(events, fut))
+            self._start()
         return fut
 
     def deliver(self, events):
         """Append events, and try again until they are in."""
         if events:
-            self._push(Item(events, None))
+            self._queue.append(Item(events, None))
+            if self._timer is None:
+                loop = asyncio.get_running_loop()
+                self._timer = loop.call_later(self.LINGER, self._start)
 
     def pending(self):
         """Return how many events are not known to be in the log yet."""
@@ -93,12 +100,15 @@
         Returns:
           Whether everything is in.
         """
-        if self._task is not None:
-            await asyncio.wait([self._task], timeout=seconds)
+        self._start()
+        await asyncio.wait([self._task], timeout=seconds)
         return not self.pending()
 
-    def _push(self, item):
-        self._queue.append(item)
+    def _start(self):
+        """Append what is queued, unless that is under way already."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._run())
 
