Open the stream to a keeper, and keep the one to oneself

The asking end waited for a message before it had sent its request, so every stream broke at once; and the regular exchange closed connections to hosts it does not know as others, so a keeper cut itself off. The test had passed since going direct works too.

Grants are counted now, and the test asks for one.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/metrics.py
@@ -40,6 +40,7 @@
         self.standings = make(Counter, "standings_total", "Changes of standing.")
         self.appends = make(Counter, "appends_total", "Appends by stream.")
         self.exchanges = make(Counter, "exchanges_total", "Exchanges by result.")
+        self.grants = make(Counter, "grants_total", "Slots asked of keepers.")
         self.aborted = make(Counter, "aborted_total", "Answers broken off by reason.")
         self.version = make(Gauge, "version", "The version in force.")
         self.in_flight = make(Gauge, "in_flight", "Requests in flight.")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/peers/exchange.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/peers/exchange.py
@@ -179,6 +179,8 @@
         """Close the connections to hosts that are not heard of any more."""
         kept = {row.address for row in self._host.members.alive(now)}
         kept |= set(self._cfg.seeds) | set(self._host.members.listed.values())
+        # The keeper of a service may be this host itself.
+        kept.add(self._host.members.own.address)
         for address in set(self._channels) - kept:
             self._channels.pop(address).close()
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/peers/keeping.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/peers/keeping.py
@@ -190,6 +190,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with self._exchange.open_keep(self._address) as stream:
+                await stream.send_request()
                 sender = loop.create_task(self._send_news(stream))
                 try:
                     await self._receive(stream)
@@ -244,6 +245,13 @@
         self._links = {}
 
     async def ask(self, service, deadline):
+        """Ask a service's keeper as `_ask` does, and count what came of it."""
+        slot = await self._ask(service, deadline)
+        result = "direct" if slot is None else "granted"
+        self._host.metrics.grants.inc({"service": service, "result": result})
+        return slot
+
+    async def _ask(self, service, deadline):
         """
         Ask a service's keeper for a slot.
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
@@ -622,6 +622,12 @@
         fleet.stop()
 
 
+def read_metrics(entry):
+    """Return the text of a host's metrics."""
+    with urllib.request.urlopen(f"{entry.operators}/metrics", timeout=5) as resp:
+        return resp.read().decode()
+
+
 def load_hard(entries, count):
     """Send many look-ups at once and return the replies."""
     futs = [
@@ -646,6 +652,7 @@
     try:
         replies = load_hard(others, 50)
         assert {reply.status for reply in replies} == {200}
+        assert any('result="granted"' in read_metrics(entry) for entry in others)
         os.kill(keeper.process.pid, signal.SIGSTOP)
         replies = load_hard(others, 50)
     finally:
