--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -16,13 +16,11 @@
 from returns.result import Failure, Success
 
 from plumsaddle_core.core.data import Incarnation
-from plumsaddle_core.ops.anchor import Checkpoint
 from plumsaddle_core.ops.ejection import review, set_leaving, suspects_itself
 from plumsaddle_core.ops.marks import LISTED_FOR, OWN_WORD_FOR, Marks
 from plumsaddle_core.ops.members import Member, Members
-from plumsaddle_core.ops.orders import Horizon, dump_orders
 from plumsaddle_core.ops.routing import build_routes
-from plumsaddle_core.ops.versions import dump_versions, new_version_fold
+from plumsaddle_core.ops.versions import new_version_fold
 from plumsaddle_core.parser.configuration import check_configuration
 from plumsaddle_core.utils.timers import Timers
 
@@ -33,6 +31,7 @@
 from ..peers.messages import News
 from ..platform.batch import Batcher
 from ..platform.tail import Tail
+from .checkpoints import Checkpoints
 from .metrics import Metrics
 from .probes import start_probes
 from .shards import SHARDS, Shard, shard_number
@@ -44,7 +43,6 @@
 KEEP_EVERY = 0.02
 PROBE_EVERY = 1.0
 CHECKPOINT_LOOK_EVERY = 5.0
-CHECKPOINT_ITEMS = 500
 MEMBERS_MOST = 16
 ROWS_MOST = 200
 MARKS_MOST = 50
@@ -116,7 +114,7 @@
             )
             for number in range(SHARDS)
         ]
-        self._checkpoint_at = {}
+        self.checkpoints = Checkpoints(self)
         self._tasks = set()
 
     def _own_member(self):
@@ -160,7 +158,7 @@
         self.timers.subscribe(KEEP_EVERY, self.keeping.serve_all)
         self.timers.subscribe(PROBE_EVERY, self._probe)
         self.timers.subscribe(self.settings.platform.hosts_every, self._read_hosts)
-        self.timers.subscribe(CHECKPOINT_LOOK_EVERY, self._checkpoint)
+        self.timers.subscribe(CHECKPOINT_LOOK_EVERY, self.checkpoints.look)
         self.spawn(self._run_timers())
 
     async def _run_timers(self):
@@ -360,57 +358,6 @@
         """Return the `Shard` of a hashed key."""
         return self.shards[shard_number(key)]
 
-    # What must not be lost when the log forgets.
-
-    def _checkpoint(self, now):
-        """
-        Write the state of each stream to the log before its records expire.
-
-        Every host would do; the first to find the last one old does it, and the
-        random wait makes two at a time unlikely. Two do no harm.
-        """
-        self._checkpoint_stream(now, self.versions, self.config_batcher, dump_versions)
-        for shard in self.shards:
-            self._checkpoint_stream(now, shard.fold, shard.batcher, dump_orders)
-
-    def _checkpoint_stream(self, now, fold, batcher, dump):
-        every = self.settings.platform.checkpoint_every
-        seen, due = self._checkpoint_at.get(batcher.stream, (-1, None))
-        if due is None:
-            # A host does not know how old the last checkpoint is. If hosts were
-            # replaced faster than the period and each waited it out, none would
-            # ever be written; so the first wait is only a part of it.
-            due = now + every * self.rng.uniform(0, 1)
-        elif fold.checkpoint_seen > seen:
-            due = now + every * self.rng.uniform(1, 1.5)
-        if fold.complete and now >= due and not batcher.pending():
-            due = now + every * self.rng.uniform(1, 1.5)
-            for events in self._checkpoint_records(fold, dump):
-                batcher.deliver(events)
-        self._checkpoint_at[batcher.stream] = (fold.checkpoint_seen, due)
-
-    def _checkpoint_records(self, fold, dump):
-        """Return the records of a checkpoint, led by the horizon for orders."""
-        items = dump(fold.state)
-        if fold.next_offset == 0:
-            return []
-        parts = [
-            items[start : start + CHECKPOINT_ITEMS]
-            for start in range(0, len(items), CHECKPOINT_ITEMS)
-        ]
-        name = uuid.uuid4().hex
-        as_of = fold.next_offset - 1
-        records = [
-            [Checkpoint(name, as_of, number, len(parts), part)]
-            for number, part in enumerate(parts)
-        ]
-        if dump is dump_orders and self.applied:
-            window = self.applied.cfg.order_window
-            horizon = int((time.time() - window) * 1000)
-            if horizon > fold.state.horizon:
-                records.insert(0, [Horizon(horizon)])
-        return records
-
     # Start and stop.
 
     def not_ready_reason(self):
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
@@ -50,6 +50,66 @@
 """
 
 
+# A small configuration for trials: one service of each kind of request.
+TRIAL = """
+deployment = "trial"
+hosts_max = 8
+
+[[service]]
+name = "look"
+floor = 1
+slots = 8
+connections = 80
+stall_timeout = 1.0
+buffer_bytes = 65536
+targets = [
+    { id = "look-1", address = "10.0.0.1:80", data_centre = "x" },
+    { id = "look-2", address = "10.0.0.2:80", data_centre = "x" },
+    { id = "look-3", address = "10.0.0.3:80", data_centre = "x" },
+]
+
+[[service]]
+name = "act"
+floor = 1
+slots = 8
+connections = 80
+probe_path = "/act/ping"
+targets = [
+    { id = "act-1", address = "10.0.0.4:80", data_centre = "x" },
+    { id = "act-2", address = "10.0.0.5:80", data_centre = "x" },
+]
+
+[[service]]
+name = "load"
+floor = 1
+slots = 8
+connections = 80
+stall_timeout = 3.0
+probe_path = "/load/ping"
+targets = [{ id = "load-1", address = "10.0.0.6:80", data_centre = "x" }]
+
+[[route]]
+prefix = "/look"
+service = "look"
+kind = "idempotent"
+methods = ["GET"]
+deadline = 10.0
+
+[[route]]
+prefix = "/act"
+service = "act"
+kind = "order"
+methods = ["POST"]
+deadline = 6.0
+
+[[route]]
+prefix = "/load"
+service = "load"
+kind = "upload"
+methods = ["PUT"]
+"""
+
+
 class Entry(NamedTuple):
     """One entry host: its process and its listeners."""
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
@@ -22,71 +22,14 @@
 from plumsaddle_core.ops.keeper import choose_keeper
 
 from .demo import make_key
-from .fleet import Fleet, call, wait_for
-
-TEXT = """
-deployment = "trial"
-hosts_max = 8
-
-[[service]]
-name = "look"
-floor = 1
-slots = 8
-connections = 80
-stall_timeout = 1.0
-buffer_bytes = 65536
-targets = [
-    { id = "look-1", address = "10.0.0.1:80", data_centre = "x" },
-    { id = "look-2", address = "10.0.0.2:80", data_centre = "x" },
-    { id = "look-3", address = "10.0.0.3:80", data_centre = "x" },
-]
-
-[[service]]
-name = "act"
-floor = 1
-slots = 8
-connections = 80
-probe_path = "/act/ping"
-targets = [
-    { id = "act-1", address = "10.0.0.4:80", data_centre = "x" },
-    { id = "act-2", address = "10.0.0.5:80", data_centre = "x" },
-]
-
-[[service]]
-name = "load"
-floor = 1
-slots = 8
-connections = 80
-stall_timeout = 3.0
-probe_path = "/load/ping"
-targets = [{ id = "load-1", address = "10.0.0.6:80", data_centre = "x" }]
-
-[[route]]
-prefix = "/look"
-service = "look"
-kind = "idempotent"
-methods = ["GET"]
-deadline = 10.0
-
-[[route]]
-prefix = "/act"
-service = "act"
-kind = "order"
-methods = ["POST"]
-deadline = 6.0
-
-[[route]]
-prefix = "/load"
-service = "load"
-kind = "upload"
-methods = ["PUT"]
-"""
+from .fleet import TRIAL, Fleet, call, wait_for
+
 RNG = random.Random(5)
 
 
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory):
-    fleet = Fleet(tmp_path_factory.mktemp("fleet"), TEXT)
+    fleet = Fleet(tmp_path_factory.mktemp("fleet"), TRIAL)
     try:
         fleet.start(hosts=3, level="debug")
         for target in fleet.targets:
@@ -597,7 +540,7 @@
     A host that starts when the order's own records are gone must still know it, and
     the configuration as well.
     """
-    fleet = Fleet(tmp_path, TEXT)
+    fleet = Fleet(tmp_path, TRIAL)
     try:
         fleet.start(hosts=2, checkpoint_every=2.0)
         key = make_key(RNG)
@@ -660,3 +603,6 @@
         for target in names:
             fleet.control(target, mean=0.02)
     assert {reply.status for reply in replies} == {200}
+    keeper.process.terminate()
+    assert keeper.process.wait(20) == 0
+    replace_entry(fleet, keeper)
--- a/packages/plumsaddle-standins/plumsaddle_standins/model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/model.py
@@ -22,7 +22,7 @@
     Weighing,
 )
 from plumsaddle_core.ops.budget import Budget
-from plumsaddle_core.ops.ejection import count_in, note_trial, review, suspects_itself
+from plumsaddle_core.ops.ejection import note_trial, review, suspects_itself
 from plumsaddle_core.ops.evidence import Evidence
 from plumsaddle_core.ops.keeper import Keeper
 from plumsaddle_core.ops.latency import Latency
@@ -519,8 +519,3 @@
         if asker is not None:
             answer = self.hosts[number].rows(self.now)
             self.at(self.now + HOP, self._deliver, asker, answer, None)
-
-
-def count_ours_in(host):
-    """Return how many targets one of our hosts has in, for tests of the floor."""
-    return count_in(host.pool)
--- a/packages/plumsaddle-standins/plumsaddle_standins/slopes.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/slopes.py
@@ -31,8 +31,7 @@
 from plumsaddle_hosts.platform.batch import Batcher
 
 from .demo import make_key
-from .fleet import Fleet, call, wait_for
-from .fleet_test import TEXT
+from .fleet import TRIAL, Fleet, call, wait_for
 
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -351,7 +350,7 @@
     show_wire()
     show_appends()
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(folder, TEXT, {"look": 0.0, "act": 0.0, "load": 0.0})
+        fleet = Fleet(folder, TRIAL, {"look": 0.0, "act": 0.0, "load": 0.0})
         try:
             fleet.start(hosts=3)
             for target in fleet.targets:
