Judge probes by the service's own work, and let few hosts convict

Cause, seen in the demo's last status: a target of a service with only orders, slowed by ten, was back in its slow start, since its probes were compared with its own former probes; and a target that answered every look-up with an error was in good standing on the last of three hosts, since each host's part of the evidence was capped at a third and the other two were gone.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/ejection_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/ejection_test.py
@@ -100,6 +100,22 @@
     assert bench.review(2.1) == []
 
 
+def test_last_host_of_a_fleet_ejects_on_its_own_word():
+    """
+    A target that fails for everybody stays in, since two of three hosts were killed.
+
+    What they told is still there, but they can't confirm anything any more.
+    """
+    bench = Bench()
+    bench.work_well(1.0)
+    bench.tell("b1@1", bench.keys[0], 2.0, failed=1)
+    for step in range(4):
+        bench.evidence.note(bench.keys[0], Sign.FAILED, 20.0 + step)
+    bench.review(24.0)
+    bench.review(25.1)
+    assert bench.standing(0) is Standing.EJECTED
+
+
 def test_one_data_centre_cannot_convict_a_target_that_others_use():
     """
     A data centre is cut off from a target, and all hosts in it accuse the target.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/evidence.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/evidence.py
@@ -176,7 +176,6 @@
         self.own = own
         self.centre_of = centre_of
         self.threshold = THRESHOLDS[weighing]
-        self.host_cap = self.threshold / OBSERVERS_NEEDED
         self.centre_cap = self.threshold * CENTRE_SHARE
         self.views = {}
         self.rates = Rates()
@@ -277,16 +276,18 @@
         A host with a bad network card accuses everybody, and a data centre that is
         cut off accuses whatever it cannot reach. Both show as many failures seen
         from one place only. So one host's part is capped, and the parts of one data
-        centre together, as long as others have work at the target to speak of. A
-        host that is alone with a target has only its own word to go by.
+        centre together, as long as others have work at the target to speak of. Where
+        fewer than `OBSERVERS_NEEDED` hosts have any, all of them are enough: a small
+        fleet, or what is left of one, must be able to eject too.
         """
-        if len(parts) == 1 and self._is_alone(view, now):
-            return sum(parts.values())
+        observers = [r for r, at in view.changed.items() if now - at < RECENT]
+        needed = max(1, min(OBSERVERS_NEEDED, len(observers)))
         by_centre = {}
         for reporter, part in parts.items():
             centre = self.centre_of(reporter)
-            by_centre[centre] = by_centre.get(centre, 0.0) + min(part, self.host_cap)
-        if len(self._centres(view, now)) < 2:
+            capped = min(part, self.threshold / needed)
+            by_centre[centre] = by_centre.get(centre, 0.0) + capped
+        if len({self.centre_of(reporter) for reporter in observers}) < 2:
             return sum(by_centre.values())
         return sum(min(part, self.centre_cap) for part in by_centre.values())
 
@@ -296,21 +297,6 @@
         view.rates.fade(self._clock, half_life)
         self.rates.fade(self._clock, half_life)
 
-    def _is_alone(self, view, now):
-        return not any(
-            now - at < RECENT
-            for reporter, at in view.changed.items()
-            if reporter != self.own
-        )
-
-    def _centres(self, view, now):
-        """Return the data centres that have had work at a target lately."""
-        return {
-            self.centre_of(reporter)
-            for reporter, at in view.changed.items()
-            if now - at < RECENT
-        }
-
     def _healthy_rates(self, target):
         """
         Return how often the service's other targets fail and are slow.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/probes.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/probes.py
@@ -36,7 +36,25 @@
     timeout = state.service.stall_timeout
     headers = CIMultiDict({TIMEOUT: str(int(timeout * 1000))})
     outgoing = Outgoing("GET", state.service.probe_path, headers, None, now + timeout)
-    result = await run_try(host, state, member, RequestKind.IDEMPOTENT, outgoing)
+    result = await run_try(host, state, member, reference_kind(state), outgoing)
     answer = result.value_or(None)
     if answer is not None and answer.rest is not None:
         answer.rest.close(None)
+
+
+def reference_kind(state):
+    """
+    Return the kind of request whose latencies a probe is compared with.
+
+    Among probes alone a slow target would be compared with itself, since only
+    targets that were taken out are probed, and would always pass.
+
+    Args:
+      state: The `ServiceState`.
+    Returns:
+      The kind of the service's own work if its usual latency is known.
+    """
+    for kind in (RequestKind.ORDER, RequestKind.IDEMPOTENT):
+        if state.latencies[kind].slow_after() is not None:
+            return kind
+    return RequestKind.IDEMPOTENT
