--- a/packages/plumsaddle-hosts/plumsaddle_hosts/peers/keeping.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/peers/keeping.py
@@ -230,6 +230,12 @@
         fut.set_result(Slot(grant.target, grant.number, grant.service, self))
 
 
+def _give_back_unused(fut):
+    """Give back a slot that was granted in the very moment its waiter gave up."""
+    if fut.done() and not fut.cancelled() and fut.result() is not None:
+        fut.result().give_back(False)
+
+
 class KeeperClient:
     """
     The asking end: which host keeps a service, and the streams to keepers.
@@ -271,7 +277,11 @@
             async with asyncio.timeout_at(deadline):
                 return await fut
         except TimeoutError:
+            _give_back_unused(fut)
             return None
+        except asyncio.CancelledError:
+            _give_back_unused(fut)
+            raise
         finally:
             link.drop(ticket)
 
