--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 $(VENV)/ready: requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	python3 -m venv $(VENV)
-	$(BIN)/pip install -q -r requirements.txt setuptools wheel
+	$(BIN)/pip install -q -r requirements.txt
 	$(BIN)/pip install -q --no-deps --no-build-isolation $(PACKAGES:%=-e %)
 	touch $@
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
@@ -176,7 +176,9 @@
     entry = fleet.entries[0]
     key = make_key(RNG)
     fut = start(lambda: order(entry, key, X_Request_Timeout_Ms="1500"))
-    time.sleep(0.2)  # The claim's append takes half a second.
+    status = f"{entry.operators}/status"
+    # From here on the claim's append takes half a second.
+    wait_for(lambda: call(status)["in_flight"], "the order to be in")
     os.kill(entry.process.pid, signal.SIGSTOP)
     time.sleep(2.0)  # The deadline passes while the host is frozen.
     os.kill(entry.process.pid, signal.SIGCONT)
@@ -339,7 +341,7 @@
         b"PUT /load/scan HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
         b"5\r\nhalf.\r\n"
     )
-    time.sleep(0.3)  # Time for the half to reach the target.
+    wait_for(lambda: fleet.look("load-1")["busy"], "the half to reach the target")
     sock.close()
     reply = ask(entry, "PUT", "/load/x", b"whole")
     assert json.loads(reply.body)["size"] == 5
