--- a/packages/plumsaddle-core/plumsaddle_core/ops/ejection_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/ejection_test.py
@@ -176,6 +176,20 @@
     assert bench.pool.is_shared_fate
 
 
+def test_nothing_is_ejected_while_a_dependency_fails():
+    """
+    A service's targets fail one after the other, since what they need has failed.
+    """
+    bench = Bench(floor=1)
+    bench.work_well(1.0)
+    bench.fail_everywhere(bench.keys[0], 2.0)
+    for now in (2.1, 3.2):
+        assert bench.review(now, is_dependency_failing=True) == []
+    assert bench.pool.is_shared_fate
+    assert [c.new for c in bench.review(4.3)] == []
+    assert [c.new for c in bench.review(5.4)] == [Standing.EJECTED]
+
+
 def test_late_and_doubled_rows_change_nothing():
     bench = Bench()
     bench.work_well(1.0)
