Count the hosts of the whole service before few may convict

The cap had been made to depend on the hosts that told of the one target within 10 s, and a quiet target has one or two of those.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/evidence.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/evidence.py
@@ -180,6 +180,7 @@
         self.views = {}
         self.rates = Rates()
         self._clock = 0.0
+        self._heard = {}
 
     def note(self, target, sign, now):
         """
@@ -233,6 +234,7 @@
         )
         view.counts[row.reporter] = new
         view.changed[row.reporter] = now
+        self._heard[row.reporter] = now
         self._weigh(row.reporter, row.target, view, delta, now)
         self._fade(view)
         view.rates.add(delta)
@@ -277,11 +279,12 @@
         cut off accuses whatever it cannot reach. Both show as many failures seen
         from one place only. So one host's part is capped, and the parts of one data
         centre together, as long as others have work at the target to speak of. Where
-        fewer than `OBSERVERS_NEEDED` hosts have any, all of them are enough: a small
-        fleet, or what is left of one, must be able to eject too.
+        fewer than `OBSERVERS_NEEDED` hosts tell of the service at all, they are enough:
+        a small fleet, or what is left of one, must be able to eject too.
         """
         observers = [r for r, at in view.changed.items() if now - at < RECENT]
-        needed = max(1, min(OBSERVERS_NEEDED, len(observers)))
+        heard = sum(now - at < RECENT for at in self._heard.values())
+        needed = max(1, min(OBSERVERS_NEEDED, heard))
         by_centre = {}
         for reporter, part in parts.items():
             centre = self.centre_of(reporter)
