Drop a link's time of hearing, which nothing reads

The silence of a keeper is found by the time-out of the read itself. Formatter, linter and the tests of the hosts package, the keeper and ejection pass; the rest was not run again.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/peers/keeping.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/peers/keeping.py
@@ -155,7 +155,6 @@
     def __init__(self, exchange, address):
         self.is_open = True
         self.closed_at = 0.0
-        self.heard_at = asyncio.get_running_loop().time()
         self._exchange = exchange
         self._address = address
         self._tickets = itertools.count(1)
