Run on the users' platform: the whole path, thin

A host as a process of the platform: settings through a template, configuration and targets by long reads of the store, a framed connection to targets, one record per request of what it has been through, beliefs about targets shared within a data centre by datagrams.

--- a/packages/plumsaddle-core/plumsaddle_core/core/data.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/data.py
@@ -8,21 +8,13 @@
 """
 
 import enum
-from typing import Annotated, NamedTuple, NewType
+from typing import Annotated, NamedTuple
 
 from pydantic import Field
 
-HostId = NewType("HostId", str)
-Incarnation = NewType("Incarnation", str)
-DataCentre = NewType("DataCentre", str)
-ServiceName = NewType("ServiceName", str)
-TargetId = NewType("TargetId", str)
-TargetKey = NewType("TargetKey", str)
-Address = NewType("Address", str)
-OrderKey = NewType("OrderKey", str)
-ClaimId = NewType("ClaimId", str)
-Offset = NewType("Offset", int)
-VersionNumber = NewType("VersionNumber", int)
+from .ids import (
+    TargetKey,
+)
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_-]{0,62}$")]
 AddressText = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/core/ids.py
@@ -0,0 +1,17 @@
+"""
+The kinds of names and numbers that identify things, each a type of its own.
+"""
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+Incarnation = NewType("Incarnation", str)
+DataCentre = NewType("DataCentre", str)
+ServiceName = NewType("ServiceName", str)
+TargetId = NewType("TargetId", str)
+TargetKey = NewType("TargetKey", str)
+Address = NewType("Address", str)
+OrderKey = NewType("OrderKey", str)
+ClaimId = NewType("ClaimId", str)
+Offset = NewType("Offset", int)
+VersionNumber = NewType("VersionNumber", int)
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -0,0 +1,157 @@
+"""
+The data of a host that runs on a platform with a registry of targets.
+
+Here the platform lists the targets and the operators' configuration names routes
+and services; `core/data.py` holds the texts of plumsaddle's own interface instead.
+The two stand apart because the checks of those texts need a library that costs each
+host 8 MB and start time, and nothing on this page needs it.
+"""
+
+import enum
+from typing import Any, NamedTuple
+
+from .ids import Address, DataCentre, HostId, ServiceName, TargetId
+
+
+class Kind(enum.Enum):
+    """What may be done with a request that failed half way."""
+
+    IDEMPOTENT = "idempotent"
+    ORDER = "order"
+    UPLOAD = "upload"
+
+    @property
+    def may_repeat(self):
+        """Whether a request of this kind may run more than once."""
+        return self is Kind.IDEMPOTENT
+
+
+class TargetState(enum.Enum):
+    """What the registry says of a target."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class Target(NamedTuple):
+    """
+    One start of a worker process, as the registry lists it.
+
+    `id` is new at each start, so it tells a restarted target from the former one and
+    from a stranger that was given the same address. `cold_for` are the seconds for
+    which the target said it would still be slow, counted from `read_at`.
+    """
+
+    id: TargetId
+    service: ServiceName
+    address: Address
+    centre: DataCentre
+    slots: int
+    state: TargetState
+    cold_for: float
+    read_at: float
+
+
+class Share(NamedTuple):
+    """A service's part of a route's requests; weights need not add up to anything."""
+
+    service: ServiceName
+    weight: float
+
+
+class Route(NamedTuple):
+    """
+    Which requests go to which services, and what may be done with them.
+
+    Times are in seconds. `rank` orders kinds of requests under load, and the lowest
+    number is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    shares: tuple[Share, ...]
+    tries_most: int
+    timeout: float
+    objective: float
+    rank: int
+
+
+class Limits(NamedTuple):
+    """What a caller may send, in bytes, and how slowly, in seconds."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout: float
+    idle_timeout: float
+
+
+class Configuration(NamedTuple):
+    """One version of the operators' configuration, decoded."""
+
+    version: int
+    routes: tuple[Route, ...]
+    connections: dict[ServiceName, int]
+    limits: Limits
+
+
+class Bounds(NamedTuple):
+    """
+    The figures that an installation promises, in seconds and shares.
+
+    The defaults are those of the smaller installations, for a platform that leaves
+    one out.
+    """
+
+    leaving: float = 2.0
+    grace: float = 6.0
+    contact: float = 3.0
+    apply: float = 2.0
+    retry_ratio: float = 0.2
+    retry_window: float = 10.0
+    retry_extra: float = 0.0
+    floor_share: float = 0.7
+
+
+class HostSettings(NamedTuple):
+    """What a host learns from its settings file."""
+
+    id: HostId
+    centre: DataCentre
+    centres: tuple[DataCentre, ...]
+    callers: Address
+    ready: Address
+    peers: Address
+    seeds: tuple[Address, ...]
+    store: Address
+    bounds: Bounds
+
+
+class Fate(enum.Enum):
+    """What became of one send, as far as this host can know."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not-run"
+    WRONG_TARGET = "wrong-target"
+    FAILED = "failed"
+    BROKEN = "broken"
+    UNSIGNED = "unsigned"
+    UNREACHED = "unreached"
+    UNSENT = "unsent"
+    TIMED_OUT = "timed-out"
+    ABANDONED = "abandoned"
+
+
+class Reply(NamedTuple):
+    """
+    A target's answer.
+
+    `headers` are pairs of bytes as they came. `rest` is None for a whole answer,
+    else it is what reads the part of the body that follows `body`.
+    """
+
+    status: int
+    headers: list
+    body: bytes
+    rest: Any = None
--- a/packages/plumsaddle-core/plumsaddle_core/ops/anchor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/anchor.py
@@ -16,7 +16,7 @@
 
 from typing import Any, NamedTuple
 
-from ..core.data import Offset
+from ..core.ids import Offset
 
 
 class Record(NamedTuple):
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -0,0 +1,123 @@
+"""
+Which target gets a request.
+
+Every usable target is given the value that a send to it can be expected to have: the
+probability that it answers whole, times what the answer is worth by the time it can
+be there, less the price of leaving the data centre. Work spreads over equal targets by
+a small term for what they have in flight already, which also gives new targets work
+at once and keeps the floor: no target is excluded by evidence, it only ranks lower.
+
+A target that fails in a millisecond is never busy, so choosing by load alone sends it
+most of the work. Here its failures count before its idle slots do.
+"""
+
+from typing import NamedTuple
+
+from ..core.traffic import Kind, Target
+
+# What filling all slots of a target costs against an empty one, in shares of a
+# request's value. It must outweigh the difference between a target that just proved
+# itself and one that nothing is known of (about 0.08), so that both get work.
+SPREAD = 0.2
+# A failed idempotent request is sent once more, so a failure costs it time mostly.
+REPEAT_RELIEF = 0.6
+# Probability of failing from which a target gets one request at a time as a trial.
+TRIAL_FROM = 0.2
+TRIAL_BUSY = 0.25
+# Cold targets take twice the usual time until they are warm.
+COLD_FACTOR = 2.0
+# Values of an answer after the objective and after the time limit.
+LATE_VALUE = 0.5
+# The share of the objective that expected time may use before value falls off; work
+# times vary, so an answer expected just in time is late about half of the time.
+SAFE_SHARE = 0.6
+# Leaving the data centre for a request without a body, in shares of its value, and
+# for each further kilobyte. Bytes between data centres are the dearest thing here.
+AWAY_COST = 0.08
+AWAY_COST_KB = 0.012
+
+
+class Candidate(NamedTuple):
+    """A usable target and what is known of it now."""
+
+    target: Target
+    fails: float
+    in_flight: int
+    is_cold: bool
+    is_near: bool
+
+
+class Demand(NamedTuple):
+    """
+    What a request needs. Times are in seconds from now.
+
+    `usual` is the median time of such work, `kilobytes` the size of the body.
+    """
+
+    kind: Kind
+    usual: float
+    objective_left: float
+    time_left: float
+    kilobytes: float
+
+
+class Choice(NamedTuple):
+    """The chosen candidate, its value, and the time it is expected to take."""
+
+    candidate: Candidate
+    value: float
+    expected: float
+
+
+def choose_target(candidates, demand, rng):
+    """
+    Choose the target for a send.
+
+    Args:
+      candidates: A list of `Candidate`.
+      demand: The `Demand`.
+      rng: A `random.Random`, which decides between equals.
+    Returns:
+      A `Choice`, or None without candidates.
+    """
+    best = None
+    best_key = None
+    for candidate in candidates:
+        expected = expected_time(candidate, demand)
+        value = send_value(candidate, demand, expected)
+        key = (value, rng.random())
+        if best is None or key > best_key:
+            best, best_key = Choice(candidate, value, expected), key
+    return best
+
+
+def expected_time(candidate, demand):
+    """Return the seconds until a candidate would have answered."""
+    work = demand.usual * (COLD_FACTOR if candidate.is_cold else 1.0)
+    slots = max(1, candidate.target.slots)
+    ahead = max(0, candidate.in_flight + 1 - slots)
+    return work + work * ahead / slots
+
+
+def send_value(candidate, demand, expected):
+    """Return the expected value of a send, 1 being a sure answer in time."""
+    fails = candidate.fails
+    cost = fails * (1.0 - REPEAT_RELIEF) if demand.kind.may_repeat else fails
+    value = (1.0 - cost) * _time_value(expected, demand)
+    value -= SPREAD * candidate.in_flight / max(1, candidate.target.slots)
+    if candidate.fails >= TRIAL_FROM:
+        value -= TRIAL_BUSY * candidate.in_flight
+    if not candidate.is_near:
+        value -= AWAY_COST + AWAY_COST_KB * demand.kilobytes
+    return value
+
+
+def _time_value(expected, demand):
+    """Return what an answer is worth that is expected after some seconds."""
+    if expected >= demand.time_left:
+        return 0.0
+    safe = SAFE_SHARE * demand.objective_left
+    if expected <= safe:
+        return 1.0
+    span = max(0.001, demand.time_left - safe)
+    return 1.0 - LATE_VALUE * (expected - safe) / span
--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
@@ -11,7 +11,8 @@
 import enum
 from typing import NamedTuple
 
-from ..core.data import ClaimId, Incarnation, Outcome
+from ..core.data import Outcome
+from ..core.ids import ClaimId, Incarnation
 from ..core.reasons import Reason, refuse
 from .anchor import Record
 from .orders import Claim, ClaimState, Done, Released, Unknown
--- a/packages/plumsaddle-core/plumsaddle_core/ops/ejection.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/ejection.py
@@ -12,7 +12,8 @@
 import math
 from typing import NamedTuple
 
-from ..core.data import Standing, TargetKey
+from ..core.data import Standing
+from ..core.ids import TargetKey
 from .pool import SLOW_START_FOR, TRIALS_NEEDED
 
 BACK_OFF = 5.0
--- a/packages/plumsaddle-core/plumsaddle_core/ops/evidence.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/evidence.py
@@ -17,7 +17,8 @@
 import statistics
 from typing import NamedTuple
 
-from ..core.data import Incarnation, TargetKey, Weighing
+from ..core.data import Weighing
+from ..core.ids import Incarnation, TargetKey
 
 FAIL_HEALTHY = 0.01
 FAIL_FAILING = 0.5
--- a/packages/plumsaddle-core/plumsaddle_core/ops/marks.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/marks.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from ..core.data import TargetKey
+from ..core.ids import TargetKey
 
 OWN_WORD_FOR = 300.0
 LISTED_FOR = 60.0
--- a/packages/plumsaddle-core/plumsaddle_core/ops/members.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/members.py
@@ -10,7 +10,7 @@
 
 from typing import NamedTuple
 
-from ..core.data import Address, DataCentre, HostId, Incarnation, VersionNumber
+from ..core.ids import Address, DataCentre, HostId, Incarnation, VersionNumber
 
 ALIVE_FOR = 10.0
 FORGET_AFTER = 600.0
--- a/packages/plumsaddle-core/plumsaddle_core/ops/orders.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/orders.py
@@ -16,7 +16,7 @@
 import enum
 from typing import NamedTuple
 
-from ..core.data import ClaimId, Incarnation, OrderKey
+from ..core.ids import ClaimId, Incarnation, OrderKey
 from .anchor import Fold
 
 
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -0,0 +1,115 @@
+"""
+The platform's list of targets as one host knows it.
+
+Changes arrive in the order of their offsets and are applied as they come, but for one
+case. While the store is away, entries of targets that live may lapse, since nobody
+could renew them; they are back within two seconds of its return. To drop them all at
+once would leave a service without targets although all of them work. So an entry of a
+ready target that vanishes around the store's return stays usable for a little less
+than those two seconds, and is dropped then unless it has come back.
+"""
+
+import math
+
+from ..core.traffic import TargetState
+
+# Entries that lapsed with the store away are promised back two seconds after its
+# return; a little less than that keeps a host from using one a moment too long.
+LAPSE_FOR = 1.8
+
+
+class Registry:
+    """All targets that the platform lists, by service and by id."""
+
+    def __init__(self):
+        self.targets = {}
+        self.by_service = {}
+        self.next_offset = 0
+        self._offsets = {}
+        self._lapsing = {}
+        self._away_since = None
+        self._returned_at = -math.inf
+
+    def note_store_away(self, now):
+        """Take note that the store did not answer."""
+        if self._away_since is None:
+            self._away_since = now
+
+    def note_store_back(self, now):
+        """Take note that the store answers again."""
+        if self._away_since is not None:
+            self._away_since = None
+            self._returned_at = now
+
+    def put(self, target, offset, now):
+        """
+        Take a target's entry.
+
+        Args:
+          target: The `Target`.
+          offset: Where the entry stands in the log; an older one is ignored.
+          now: The present, in seconds.
+        """
+        if self._is_old(target.id, offset):
+            return
+        self._lapsing.pop(target.id, None)
+        former = self.targets.get(target.id)
+        if former is not None and former.service != target.service:
+            self._unlist(former)
+        self.targets[target.id] = target
+        self.by_service.setdefault(target.service, {})[target.id] = target
+
+    def drop(self, target_id, offset, now):
+        """Take the removal of a target's entry; arguments as for `put`."""
+        if self._is_old(target_id, offset):
+            return
+        target = self.targets.get(target_id)
+        if target is None:
+            return
+        end = self._returned_at + LAPSE_FOR
+        if target.state is TargetState.READY and now < end:
+            self._lapsing[target_id] = end
+            return
+        self._remove(target)
+
+    def keep_only(self, ids, offset, now):
+        """
+        Drop what a full listing no longer names.
+
+        Args:
+          ids: The ids that the listing names.
+          offset: The end of the log when the listing began.
+          now: The present, in seconds.
+        """
+        for target_id in list(self.targets):
+            if target_id not in ids:
+                self.drop(target_id, offset, now)
+
+    def expire(self, now):
+        """Drop entries that lapsed and did not come back, and return their ids."""
+        late = [key for key, end in self._lapsing.items() if end <= now]
+        for target_id in late:
+            del self._lapsing[target_id]
+            self._remove(self.targets[target_id])
+        return late
+
+    def usable(self, service):
+        """Return the targets of a service that may get new work."""
+        listed = self.by_service.get(service, {})
+        return [t for t in listed.values() if t.state is TargetState.READY]
+
+    def _is_old(self, target_id, offset):
+        if offset < self._offsets.get(target_id, -1):
+            return True
+        self._offsets[target_id] = offset
+        return False
+
+    def _remove(self, target):
+        del self.targets[target.id]
+        self._unlist(target)
+
+    def _unlist(self, target):
+        listed = self.by_service[target.service]
+        del listed[target.id]
+        if not listed:
+            del self.by_service[target.service]
--- a/packages/plumsaddle-core/plumsaddle_core/ops/versions.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/versions.py
@@ -13,7 +13,7 @@
 
 from typing import NamedTuple
 
-from ..core.data import VersionNumber
+from ..core.ids import VersionNumber
 from .anchor import Fold
 
 
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -0,0 +1,196 @@
+"""
+What the hosts of one data centre know together: work in flight and its outcomes.
+
+Each host tells the others of its data centre what it has in flight at each target and
+how its last sends ended. A message states the whole in-flight table of its sender, so
+a lost one is repaired by the next, and repeats the last few outcomes with their
+numbers, so that each outcome counts once although it may arrive several times. A host
+that has been silent for some seconds is forgotten together with its work.
+"""
+
+import enum
+import statistics
+from collections import deque
+from typing import NamedTuple
+
+from ..core.ids import HostId, ServiceName, TargetId
+from .belief import Belief
+
+# Hosts beat once a second; three missed beats and a little is silence.
+SILENT_AFTER = 3.5
+# Outcomes that a message repeats. At most a few sends of one host end between two
+# messages, so eight cover several lost messages in a row.
+REPEATED = 8
+LATENCIES_KEPT = 48
+# The median before any answer was seen, in seconds; an ordinary request's work.
+USUAL_AT_FIRST = 0.3
+FEWEST = 5
+
+
+class Sign(enum.Enum):
+    """What one send says about its target."""
+
+    WHOLE = 0
+    FAILED = 1
+    UNREACHABLE = 2
+
+
+class OutcomeNote(NamedTuple):
+    """One outcome: its number at the host that saw it, and what it saw."""
+
+    number: int
+    target: TargetId
+    service: ServiceName
+    sign: Sign
+    seconds: float
+
+
+class PeerNews(NamedTuple):
+    """A host's message: its table of work in flight and its last outcomes."""
+
+    host: HostId
+    life: int
+    number: int
+    in_flight: dict[TargetId, int]
+    outcomes: tuple[OutcomeNote, ...]
+
+
+class _Peer:
+    """What one other host said last."""
+
+    def __init__(self, life):
+        self.life = life
+        self.number = -1
+        self.outcome_number = -1
+        self.in_flight = {}
+        self.heard_at = 0.0
+
+
+class Zone:
+    """The shared knowledge of a data centre's hosts, as one host holds it."""
+
+    def __init__(self):
+        self.beliefs = {}
+        self._own = {}
+        self._peers = {}
+        self._outcomes = deque(maxlen=REPEATED)
+        self._outcome_count = 0
+        self._latencies = {}
+        self._medians = {}
+
+    # This host's own work.
+
+    def start(self, target_id):
+        """Count a send of this host's that starts."""
+        self._own[target_id] = self._own.get(target_id, 0) + 1
+
+    def end(self, target_id):
+        """Count a send of this host's that ended."""
+        left = self._own[target_id] - 1
+        assert left >= 0, "a send ended twice"
+        if left:
+            self._own[target_id] = left
+        else:
+            del self._own[target_id]
+
+    def note(self, target_id, service, sign, seconds, now):
+        """
+        Take an outcome that this host saw, and keep it for the others.
+
+        Args:
+          target_id: The target's id.
+          service: The target's service.
+          sign: The `Sign`.
+          seconds: How long the send took.
+          now: The present, in seconds.
+        """
+        number = self._outcome_count
+        self._outcome_count += 1
+        outcome = OutcomeNote(number, target_id, service, sign, seconds)
+        self._outcomes.append(outcome)
+        self._weigh(outcome, now)
+
+    def own_in_flight(self):
+        """Return this host's table of work in flight."""
+        return dict(self._own)
+
+    def last_outcomes(self):
+        """Return the outcomes to repeat in the next message."""
+        return tuple(self._outcomes)
+
+    # The other hosts' work.
+
+    def take(self, news, now):
+        """Take another host's `PeerNews`; an older one than known is ignored."""
+        peer = self._peers.get(news.host)
+        if peer is None or peer.life < news.life:
+            peer = self._peers[news.host] = _Peer(news.life)
+        if news.life < peer.life or news.number <= peer.number:
+            return
+        peer.number = news.number
+        peer.heard_at = now
+        peer.in_flight = news.in_flight
+        for outcome in news.outcomes:
+            if outcome.number > peer.outcome_number:
+                peer.outcome_number = outcome.number
+                self._weigh(outcome, now)
+
+    def forget_silent(self, now):
+        """Forget hosts that have been silent, and return their ids."""
+        silent = [
+            host
+            for host, peer in self._peers.items()
+            if now - peer.heard_at > SILENT_AFTER
+        ]
+        for host in silent:
+            del self._peers[host]
+        return silent
+
+    def hosts_heard(self):
+        """Return how many hosts work in the data centre, this one included."""
+        return len(self._peers) + 1
+
+    # What follows from both.
+
+    def in_flight(self, target_id):
+        """Return the requests in flight at a target from all known hosts."""
+        total = self._own.get(target_id, 0)
+        for peer in self._peers.values():
+            total += peer.in_flight.get(target_id, 0)
+        return total
+
+    def fails(self, target_id, now):
+        """Return the probability that a send to a target fails."""
+        belief = self.beliefs.get(target_id)
+        return _UNKNOWN.fails(now) if belief is None else belief.fails(now)
+
+    def usual(self, service):
+        """Return the median seconds of a service's recent whole answers."""
+        return self._medians.get(service, USUAL_AT_FIRST)
+
+    def forget_targets(self, known):
+        """Forget beliefs in targets that are no longer listed."""
+        self.beliefs = {key: b for key, b in self.beliefs.items() if key in known}
+
+    def _weigh(self, outcome, now):
+        belief = self.beliefs.get(outcome.target)
+        if belief is None:
+            belief = self.beliefs[outcome.target] = Belief()
+        if outcome.sign is Sign.WHOLE:
+            belief.note_whole(now)
+            self._note_latency(outcome)
+        elif outcome.sign is Sign.FAILED:
+            belief.note_failed(now)
+        else:
+            belief.note_unreachable(now)
+
+    def _note_latency(self, outcome):
+        recent = self._latencies.get(outcome.service)
+        if recent is None:
+            recent = self._latencies[outcome.service] = deque(maxlen=LATENCIES_KEPT)
+        recent.append(outcome.seconds)
+        if len(recent) >= FEWEST:
+            self._medians[outcome.service] = statistics.median(recent)
+
+
+_UNKNOWN = Belief()
--- a/packages/plumsaddle-core/plumsaddle_core/utils/keys.py
+++ b/packages/plumsaddle-core/plumsaddle_core/utils/keys.py
@@ -12,7 +12,7 @@
 
 from returns.result import Failure, Success
 
-from ..core.data import OrderKey
+from ..core.ids import OrderKey
 from ..core.reasons import Reason, refuse
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -15,7 +15,7 @@
 
 from returns.result import Failure, Success
 
-from plumsaddle_core.core.data import Incarnation
+from plumsaddle_core.core.ids import Incarnation
 from plumsaddle_core.ops.ejection import review, set_leaving, suspects_itself
 from plumsaddle_core.ops.marks import LISTED_FOR, OWN_WORD_FOR, Marks
 from plumsaddle_core.ops.members import Member, Members
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/__main__.py
@@ -0,0 +1,5 @@
+"""Run one host on the platform."""
+
+from .main import main
+
+main()
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -0,0 +1,318 @@
+"""
+The callers' listener: from bytes on a socket to a request, and back.
+
+Short bodies are read whole before a target is chosen, so that a slow caller holds no
+slot and a request that certainly has not run can be sent again. Longer ones are passed
+on while they come.
+"""
+
+import asyncio
+import logging
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+from multidict import CIMultiDict
+
+from plumsaddle_core.core.traffic import Reply
+from plumsaddle_core.ops.table import choose_service, find_route
+
+from ..front.headers import HOP_BY_HOP
+from ..platform import wire
+from .clock import now
+from .refusals import Cause, Refusal, status_of
+from .relay import Ask
+
+log = logging.getLogger("front")
+# Bodies up to this many bytes are read whole first.
+WHOLE_MOST = 524288
+# Bytes of bodies that a host holds at a time; a third of the memory that the smallest
+# hosts have. What comes on top is refused at once.
+HELD_MOST = 64 * 1024 * 1024
+# More than any configuration allows; the limits in force are checked here.
+PARSER_MOST = 131072
+# How long the rest of a refused body is read before its connection is closed: closing
+# with unread bytes resets it, and the caller would lose the refusal.
+LINGER = 2.0
+RETRY_AFTER_LEAST = 0.05
+
+
+class Caller:
+    """A caller's connection, as far as the relay must know of it."""
+
+    def __init__(self, request):
+        self._request = request
+
+    def is_gone(self):
+        """Return whether the caller has closed its connection."""
+        transport = self._request.transport
+        return transport is None or transport.is_closing()
+
+
+class Front:
+    """
+    The state of the callers' listener.
+
+    Args:
+      knowledge: The `Knowledge`.
+      relay: The `Relay`.
+      metrics: The `EdgeMetrics`.
+    """
+
+    def __init__(self, knowledge, relay, metrics):
+        self._knowledge = knowledge
+        self._relay = relay
+        self._metrics = metrics
+        self._held = 0
+        self._orders = set()
+        self.in_flight = 0
+        self.is_leaving = False
+
+    async def handle(self, request):
+        """Answer one request."""
+        started = now()
+        self.in_flight += 1
+        try:
+            answer = await self._answer(request, started)
+            return await self._respond(request, answer)
+        finally:
+            self.in_flight -= 1
+            self._metrics.seconds.observe({}, now() - started)
+
+    async def _answer(self, request, started):
+        """Return a `Reply` or a `Refusal`."""
+        cfg = self._knowledge.cfg
+        if not self._knowledge.is_complete:
+            return self._refuse(request, Cause.NO_CONFIGURATION, 0.5)
+        size = sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
+        if size > cfg.limits.header_bytes:
+            return self._refuse(request, Cause.HEADERS_TOO_LARGE)
+        route = find_route(
+            self._knowledge.table, request.headers.get("Host", ""), request.raw_path
+        )
+        if route is None:
+            return self._refuse(request, Cause.NO_ROUTE)
+        request_id = request.headers.get(wire.REQUEST_ID)
+        if not request_id:
+            return self._refuse(request, Cause.NO_REQUEST_ID)
+        limit = _read_time(request.headers.get(wire.TIME_LEFT), route.timeout)
+        if limit is None:
+            return self._refuse(request, Cause.BAD_TIME)
+        length = request.content_length
+        if length is not None and length > cfg.limits.body_bytes:
+            return self._refuse(request, Cause.BODY_TOO_LARGE)
+        self._metrics.requests.inc({"kind": route.kind.value})
+        return await self._take(request, route, request_id, started, limit)
+
+    async def _take(self, request, route, request_id, started, limit):
+        """Read the body, or its first part, and run the request."""
+        taken = 0
+        deadline = started + limit
+        try:
+            room = HELD_MOST - self._held
+            expected = min(WHOLE_MOST, request.content_length or 0)
+            if expected > room:
+                return self._refuse(request, Cause.MEMORY_FULL, 0.5)
+            taken = expected
+            self._held += taken
+            body, is_whole = b"", True
+            if request.can_read_body:
+                async with asyncio.timeout(limit):
+                    body, is_whole = await _read_first(request.content)
+            self._held += len(body) - taken
+            taken = len(body)
+            if len(body) > self._knowledge.cfg.limits.body_bytes:
+                return self._refuse(request, Cause.BODY_TOO_LARGE)
+            ask = self._make_ask(
+                request, route, request_id, started, deadline, body, is_whole
+            )
+            return await self._run(ask)
+        except TimeoutError:
+            return self._refuse(request, Cause.BODY_TOO_SLOW)
+        except web.RequestPayloadError:
+            return self._refuse(request, Cause.BODY_BROKEN)
+        finally:
+            self._held -= taken
+
+    def _make_ask(self, request, route, request_id, started, deadline, body, is_whole):
+        return Ask(
+            request_id.encode("latin-1"),
+            request.method,
+            request.raw_path,
+            request.raw_headers,
+            body,
+            None if is_whole else _read_rest(body, request.content),
+            len(body) if is_whole else request.content_length,
+            route,
+            choose_service(route, self._knowledge.rng),
+            started,
+            deadline,
+            Caller(request),
+        )
+
+    async def _run(self, ask):
+        """
+        Run a request; one that must not repeat runs on when its caller leaves.
+
+        The library cancels a handler whose caller has gone. For idempotent requests
+        that is right, since nobody waits for the work. An order that is under way is
+        left to end, and what became of it is logged.
+        """
+        if ask.route.kind.may_repeat:
+            return await self._relay.run(ask)
+        task = asyncio.get_running_loop().create_task(self._relay.run(ask))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+        return await asyncio.shield(task)
+
+    def _refuse(self, request, cause, pause=None):
+        log.info(
+            "refused",
+            extra={
+                "request": request.headers.get(wire.REQUEST_ID),
+                "cause": cause.value,
+                "target_host": request.headers.get("Host"),
+                "path": request.raw_path,
+                "version": self._knowledge.cfg.version if self._knowledge.cfg else None,
+            },
+        )
+        self._metrics.refusals.inc({"cause": cause.value})
+        return Refusal(cause, False, pause)
+
+    async def _respond(self, request, answer):
+        """Turn an answer into the caller's response."""
+        if isinstance(answer, Reply):
+            if answer.rest is not None:
+                return await self._stream(request, answer)
+            headers = _pass_headers(answer.headers)
+            resp = web.Response(status=answer.status, body=answer.body, headers=headers)
+        else:
+            resp = _make_refusal(request, answer)
+        if not request.content.is_eof():
+            # The rest of the body would be taken for the next request.
+            resp.force_close()
+        if self.is_leaving:
+            resp.force_close()
+        return resp
+
+    async def _stream(self, request, answer):
+        """Pass a long answer on; if it breaks off, cut the caller's connection."""
+        resp = web.StreamResponse(
+            status=answer.status, headers=_pass_headers(answer.headers)
+        )
+        length = dict((k.lower(), v) for k, v in answer.headers).get(b"content-length")
+        if length is not None:
+            resp.content_length = int(length)
+        else:
+            resp.enable_chunked_encoding()
+        if self.is_leaving:
+            resp.force_close()
+        is_whole = False
+        try:
+            await resp.prepare(request)
+            await resp.write(answer.body)
+            while True:
+                part = await answer.rest.read()
+                if part is None:
+                    break
+                if not part:
+                    is_whole = True
+                    break
+                await resp.write(part)
+        finally:
+            answer.rest.close()
+        if is_whole:
+            await resp.write_eof()
+        else:
+            log.warning(
+                "answer broke off",
+                extra={"request": request.headers.get(wire.REQUEST_ID)},
+            )
+            if request.transport is not None:
+                request.transport.abort()
+        return resp
+
+
+def _read_time(text, most):
+    """Return the seconds that a request may take, or None if the text is no number."""
+    if text is None:
+        return most
+    if not text.isdigit() or len(text) > 9:
+        return None
+    return min(int(text) / 1000, most)
+
+
+async def _read_first(content):
+    """Return the first part of a body, and whether that is all of it."""
+    parts = bytearray()
+    while len(parts) <= WHOLE_MOST:
+        part = await content.readany()
+        if not part:
+            return bytes(parts), True
+        parts += part
+    return bytes(parts), False
+
+
+async def _read_rest(first, content):
+    """Yield a long body from its first part on."""
+    yield first
+    while part := await content.readany():
+        yield part
+
+
+def _pass_headers(pairs):
+    """Return the headers of a target's answer that go to the caller."""
+    named = set()
+    for name, value in pairs:
+        if name.lower() == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    headers = CIMultiDict()
+    for name, value in pairs:
+        lower = name.lower()
+        text = lower.decode("latin-1")
+        if text in HOP_BY_HOP or text == "content-length" or lower in named:
+            continue
+        headers.add(name.decode("latin-1"), value.decode("latin-1"))
+    return headers
+
+
+def _make_refusal(request, refusal):
+    """Return the response for a refusal."""
+    status = status_of(refusal)
+    resp = web.json_response({"error": refusal.cause.value}, status=status)
+    if status in (429, 503):
+        pause = max(RETRY_AFTER_LEAST, refusal.pause or 0.0)
+        resp.headers[wire.RETRY_AFTER] = f"{pause:.2f}"
+    if request.headers.get(wire.REQUEST_ID):
+        resp.headers[wire.REQUEST_ID] = request.headers[wire.REQUEST_ID]
+    return resp
+
+
+class FrontServer(web.Server):
+    """
+    The library's server, with an idle time that follows the configuration.
+
+    Args:
+      front: The `Front`.
+      knowledge: The `Knowledge` with the limits in force.
+    """
+
+    # Before a configuration is known, in seconds.
+    IDLE_FIRST = 15.0
+
+    def __init__(self, front, knowledge):
+        super().__init__(front.handle, handler_cancellation=True)
+        self._knowledge = knowledge
+
+    def __call__(self):
+        cfg = self._knowledge.cfg
+        idle = cfg.limits.idle_timeout if cfg else self.IDLE_FIRST
+        return RequestHandler(
+            self,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=idle,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=PARSER_MOST,
+            max_field_size=PARSER_MOST,
+            lingering_time=LINGER,
+        )
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -0,0 +1,209 @@
+"""
+What a host knows: the configuration, the targets, and the work of its data centre.
+
+The relay asks it for a target and tells it outcomes; the feeds and the peers bring it
+up to date. It has no sockets of its own.
+"""
+
+import logging
+import random
+
+from plumsaddle_core.core.traffic import Fate
+from plumsaddle_core.ops.choice import Candidate, Demand, choose_target
+from plumsaddle_core.ops.registry import Registry
+from plumsaddle_core.ops.share import RetryShare
+from plumsaddle_core.ops.table import build_table
+from plumsaddle_core.ops.zone import Sign, Zone
+
+from ..platform import wire
+from .clock import now
+
+log = logging.getLogger("knowledge")
+BAD = {Fate.FAILED, Fate.BROKEN, Fate.UNSIGNED, Fate.TIMED_OUT}
+
+
+class Knowledge:
+    """
+    The state that decides what becomes of requests on one host.
+
+    Args:
+      settings: The `HostSettings`.
+      rng: A `random.Random`.
+    """
+
+    def __init__(self, settings, rng=random):
+        self.settings = settings
+        self.rng = rng
+        self.cfg = None
+        self.table = {}
+        self.registry = Registry()
+        self.has_targets = False
+        self.zone = Zone()
+        self._shares = {}
+        self._on_work = None
+
+    def subscribe(self, on_work):
+        """Call a function whenever this host's work or its outcomes change."""
+        self._on_work = on_work
+
+    @property
+    def is_complete(self):
+        """Whether a configuration and the list of targets are here."""
+        return self.cfg is not None and self.has_targets
+
+    # What the feeds bring.
+
+    def take_operator_records(self, page):
+        """Take the operators' records of a `Page`."""
+        for record in page.records:
+            if record.key == wire.CONFIGURATION_KEY and record.value is not None:
+                self._take_configuration(record.value)
+
+    def _take_configuration(self, data):
+        cfg = wire.decode_configuration(data)
+        if cfg is None:
+            log.error("unreadable configuration", extra={"bytes": len(data)})
+            return
+        former = self.cfg.version if self.cfg else None
+        if former is not None and cfg.version <= former:
+            log.info("old version", extra={"version": cfg.version, "in_force": former})
+            return
+        self.cfg = cfg
+        self.table = build_table(cfg.routes)
+        log.info("version", extra={"version": cfg.version, "former": former})
+
+    def take_target_listing(self, page):
+        """Take a full listing of the targets."""
+        at = now()
+        self._take_targets(page, at)
+        names = {record.key for record in page.records if record.value is not None}
+        self.registry.keep_only(names, page.next_offset, at)
+        self.has_targets = True
+
+    def take_target_changes(self, page):
+        """Take changes to the list of targets."""
+        self._take_targets(page, now())
+
+    def _take_targets(self, page, at):
+        for record in page.records:
+            if record.value is None:
+                self.registry.drop(record.key, record.offset, at)
+                log.info("unlisted", extra={"target": record.key})
+                continue
+            target = wire.decode_target(record.key, record.value, at)
+            if target is None:
+                log.error("unreadable entry", extra={"target": record.key})
+                continue
+            self.registry.put(target, record.offset, at)
+            log.info(
+                "listed",
+                extra={
+                    "target": target.id,
+                    "service": target.service,
+                    "address": target.address,
+                    "state": target.state.value,
+                },
+            )
+        self.zone.forget_targets(self.registry.targets)
+
+    def expire(self, at):
+        """Drop what has lapsed."""
+        for target_id in self.registry.expire(at):
+            log.info("lapsed", extra={"target": target_id})
+
+    # What the relay asks.
+
+    def choose(self, service, demand, excluded, at):
+        """
+        Choose a target for a send.
+
+        Args:
+          service: The service's name.
+          demand: The `Demand`.
+          excluded: Ids of targets not to be used.
+          at: The present, in seconds.
+        Returns:
+          A `Choice`, or None if there is no target.
+        """
+        candidates = [
+            self._weigh(target, at)
+            for target in self.registry.usable(service)
+            if target.id not in excluded
+        ]
+        return choose_target(candidates, demand, self.rng)
+
+    def _weigh(self, target, at):
+        return Candidate(
+            target,
+            self.zone.fails(target.id, at),
+            self.zone.in_flight(target.id),
+            at < target.read_at + target.cold_for,
+            target.centre == self.settings.centre,
+        )
+
+    def demand(self, route, service, started, deadline, kilobytes, at):
+        """Return the `Demand` of a request by now."""
+        return Demand(
+            route.kind,
+            self.zone.usual(service),
+            started + route.objective - at,
+            deadline - at,
+            kilobytes,
+        )
+
+    def is_usable(self, target):
+        """Return whether a target may still get new work."""
+        return self.registry.targets.get(target.id) is not None and any(
+            t.id == target.id for t in self.registry.usable(target.service)
+        )
+
+    def retries(self, service):
+        """Return the `RetryShare` of a service."""
+        share = self._shares.get(service)
+        if share is None:
+            bounds = self.settings.bounds
+            share = RetryShare(bounds.retry_ratio, bounds.retry_window)
+            self._shares[service] = share
+        return share
+
+    def retry_extra(self):
+        """
+        Return this host's equal part of the fixed extra of retries.
+
+        A host counts the hosts of its own data centre and takes the others to be as
+        many. Alone it may know too few, so it takes nothing until it has heard others.
+        """
+        heard = self.zone.hosts_heard()
+        if heard < 2:
+            return 0.0
+        centres = max(1, len(self.settings.centres))
+        return self.settings.bounds.retry_extra / (heard * centres)
+
+    # What the relay tells.
+
+    def start(self, target):
+        """Count a send that starts."""
+        self.zone.start(target.id)
+        self._tell()
+
+    def end(self, target):
+        """Count a send that ended."""
+        self.zone.end(target.id)
+        self._tell()
+
+    def note(self, target, fate, seconds):
+        """Take the fate of a send, or of one that is unanswered for too long."""
+        if fate is Fate.WHOLE:
+            sign = Sign.WHOLE
+        elif fate is Fate.UNREACHED:
+            sign = Sign.UNREACHABLE
+        elif fate in BAD:
+            sign = Sign.FAILED
+        else:
+            return
+        self.zone.note(target.id, target.service, sign, seconds, now())
+        self._tell()
+
+    def _tell(self):
+        if self._on_work is not None:
+            self._on_work()
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/links.py
@@ -0,0 +1,96 @@
+"""
+The kept connections of a host, by target.
+
+The connection used last is taken first, so that the others grow old and are closed
+here before the target closes them: a request sent at the moment of such a close is
+lost, and an order among them cannot be sent again.
+"""
+
+from .clock import now
+from .link import connect
+
+# Idle connections kept for one target. A host has few requests at one target at a
+# time; more than this would only fill the target's own bound.
+KEPT_MOST = 8
+# Inside a data centre a connection takes a millisecond or two. A target that needs
+# longer is dead, cut off or overwhelmed; another one is a better choice than waiting.
+CONNECT_TIMEOUT = 0.3
+
+
+class Links:
+    """The idle connections of one host, by target id."""
+
+    def __init__(self):
+        self._idle = {}
+        self.opened = 0
+
+    def take(self, target_id, idle_most):
+        """
+        Take an idle connection to a target.
+
+        Args:
+          target_id: The target's id.
+          idle_most: The most seconds for which it may have been idle.
+        Returns:
+          A `Link`, or None if there is none that may be used.
+        """
+        at = now()
+        kept = self._idle.get(target_id, [])
+        while kept:
+            link = kept.pop()
+            if link.is_reusable(at) and at - link.used_at < idle_most:
+                return link
+            link.close()
+        return None
+
+    async def open(self, target, timeout=CONNECT_TIMEOUT):
+        """Open a connection to a target; return a `Link`, or None."""
+        self.opened += 1
+
+        def on_closed(link):
+            self._drop(target.id, link)
+
+        return await connect(target.address, timeout, on_closed)
+
+    def put_back(self, target_id, link):
+        """Keep a connection whose exchange has ended, if it may be used again."""
+        link.end()
+        self.put_unused(target_id, link)
+
+    def put_unused(self, target_id, link):
+        """Keep a connection on which nothing is under way, if it may be used."""
+        if not link.is_reusable(now()):
+            link.close()
+            return
+        kept = self._idle.setdefault(target_id, [])
+        kept.append(link)
+        if len(kept) > KEPT_MOST:
+            kept.pop(0).close()
+
+    def close_old(self, known):
+        """
+        Close connections that are too old or whose target is gone.
+
+        Args:
+          known: The ids of all listed targets.
+        """
+        at = now()
+        for target_id, kept in list(self._idle.items()):
+            for link in list(kept):
+                if target_id not in known or not link.is_reusable(at):
+                    kept.remove(link)
+                    link.close()
+            if not kept:
+                self._idle.pop(target_id, None)
+
+    def close(self):
+        """Close all idle connections."""
+        for kept in self._idle.values():
+            for link in kept:
+                link.close()
+        self._idle.clear()
+
+    def _drop(self, target_id, link):
+        kept = self._idle.get(target_id, [])
+        if link in kept:
+            kept.remove(link)
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -0,0 +1,243 @@
+"""
+The process: one host on the platform, from its settings file to its end.
+
+    python3 -m plumsaddle_hosts.edge
+
+The settings file is named by `PLUMSADDLE_CONFIG`, or by the only argument.
+
+On SIGTERM the host says that it is not ready and serves on, since callers keep coming
+until the balancer has turned away. Then it closes its listener and idle connections,
+and it ends when the last request has its answer or the grace is over.
+"""
+
+import asyncio
+import gc
+import logging
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+
+from aiohttp import web
+from returns.result import Failure
+
+from ..platform import wire
+from ..platform.nodefile import check_host_settings
+from ..platform.store import Store
+from .clock import now
+from .events import set_up_events
+from .feed import Feed, Gate
+from .front import Front, FrontServer
+from .knowledge import Knowledge
+from .links import Links
+from .metrics import EdgeMetrics
+from .peers import Peers
+from .relay import Relay
+
+log = logging.getLogger("host")
+SETTINGS_VARIABLE = "PLUMSADDLE_CONFIG"
+EXIT_MISTAKE = 2
+BEAT_EVERY = 1.0
+BACKLOG = 512
+# The balancer asks each second and turns away after two misses; with the time of a
+# slow answer, new connections come for up to three seconds more.
+LISTEN_ON = 3.2
+# Kept back from the grace for closing down.
+GRACE_MARGIN = 0.3
+LOOK_EVERY = 0.05
+
+
+def read_settings(path):
+    """
+    Read a settings file.
+
+    Args:
+      path: The file's path.
+    Returns:
+      A `Success` of `HostSettings`, or a `Failure` of a list of mistakes.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        return Failure([f"{path}: {exc}"])
+    return check_host_settings(text)
+
+
+class Host:
+    """
+    One host with all its parts.
+
+    Args:
+      settings: The `HostSettings`.
+      path: Where the settings were read from.
+    """
+
+    def __init__(self, settings, path):
+        self.settings = settings
+        self._path = path
+        self._mtime = _mtime_of(path)
+        rng = random.Random(os.urandom(16))
+        self.metrics = EdgeMetrics(settings.id)
+        self.knowledge = Knowledge(settings, rng)
+        self.links = Links()
+        self.front = Front(
+            self.knowledge,
+            Relay(self.knowledge, self.links, self.metrics),
+            self.metrics,
+        )
+        self.peers = Peers(settings, self.knowledge.zone, rng)
+        self.knowledge.subscribe(self.peers.tell_soon)
+        self.store = Store(settings.store)
+        gate = Gate(
+            self.knowledge.registry.note_store_away,
+            self.knowledge.registry.note_store_back,
+        )
+        self._feeds = [
+            Feed(
+                self.store,
+                wire.OPERATOR_TOPIC,
+                gate,
+                self.knowledge.take_operator_records,
+                self.knowledge.take_operator_records,
+                rng,
+            ),
+            Feed(
+                self.store,
+                wire.TARGETS_TOPIC,
+                gate,
+                self.knowledge.take_target_listing,
+                self.knowledge.take_target_changes,
+                rng,
+            ),
+        ]
+        self._servers = []
+        self._tasks = []
+        self._callers = None
+        self.stop = asyncio.Event()
+
+    async def run(self):
+        """Serve until SIGTERM or SIGINT, and leave cleanly."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, "SIGHUP")
+        await self.peers.open()
+        self._callers = FrontServer(self.front, self.knowledge)
+        listener = await _listen(self._callers, self.settings.callers)
+        ready = web.Server(self._answer_operator, access_log=None)
+        self._servers = [listener, await _listen(ready, self.settings.ready)]
+        for work in (*(feed.run() for feed in self._feeds), self._beat()):
+            task = loop.create_task(work)
+            task.add_done_callback(_report)
+            self._tasks.append(task)
+        log.info(
+            "start",
+            extra={"callers": self.settings.callers, "store": self.settings.store},
+        )
+        # What was made while starting lives as long as the process.
+        gc.freeze()
+        await self.stop.wait()
+        await self._leave(listener)
+
+    def _on_stop(self):
+        log.info("stop", extra={"in_flight": self.front.in_flight})
+        self.stop.set()
+
+    async def _leave(self, listener):
+        """Serve on until the callers have turned away, then end what runs."""
+        self.front.is_leaving = True
+        deadline = now() + self.settings.bounds.grace - GRACE_MARGIN
+        await asyncio.sleep(min(LISTEN_ON, max(0.0, deadline - now())))
+        listener.close()
+        self._callers.pre_shutdown()
+        while self.front.in_flight and now() < deadline:
+            await asyncio.sleep(LOOK_EVERY)
+        for task in self._tasks:
+            task.cancel()
+        self.peers.close()
+        self.links.close()
+        await self.store.close()
+        log.info("end", extra={"in_flight": self.front.in_flight})
+
+    async def _beat(self):
+        """Do the work of each second."""
+        while True:
+            at = now()
+            self.knowledge.expire(at)
+            self.links.close_old(self.knowledge.registry.targets)
+            self.peers.beat(at)
+            self._look_at_settings()
+            cfg = self.knowledge.cfg
+            if cfg is not None:
+                self.metrics.version.set({}, cfg.version)
+            self.metrics.in_flight.set({}, self.front.in_flight)
+            await asyncio.sleep(BEAT_EVERY)
+
+    def _look_at_settings(self):
+        """Reload the settings if their file has changed without a signal."""
+        mtime = _mtime_of(self._path)
+        if mtime != self._mtime:
+            self._reload("changed file")
+
+    def _reload(self, cause):
+        """Take the settings anew; listeners keep the addresses that they have."""
+        self._mtime = _mtime_of(self._path)
+        result = read_settings(self._path)
+        if isinstance(result, Failure):
+            log.error("reload", extra={"cause": cause, "mistakes": result.failure()})
+            return
+        self.settings = result.unwrap()
+        self.knowledge.settings = self.settings
+        self.peers.take_settings(self.settings)
+        log.info("reload", extra={"cause": cause})
+
+    async def _answer_operator(self, request):
+        """Answer the balancer's question and the request for metrics."""
+        if request.path == "/metrics":
+            text, headers = self.metrics.render()
+            return web.Response(body=text, headers=headers)
+        if request.path != "/readyz":
+            return web.Response(status=404)
+        is_ready = self.knowledge.is_complete and not self.front.is_leaving
+        return web.Response(status=200 if is_ready else 503)
+
+
+async def _listen(server, address):
+    ip, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(server, ip, int(port), backlog=BACKLOG)
+
+
+def _mtime_of(path):
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return None
+
+
+def _report(task):
+    """Log a task that broke; nothing else would say so."""
+    if not task.cancelled() and task.exception() is not None:
+        log.error("task broke", exc_info=task.exception())
+
+
+async def _run_host(settings, path):
+    await Host(settings, path).run()
+
+
+def main():
+    """Run one host; the settings' path is the argument or in the environment."""
+    path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
+    result = read_settings(path)
+    if isinstance(result, Failure):
+        for mistake in result.failure():
+            print(mistake, file=sys.stderr)
+        sys.exit(EXIT_MISTAKE)
+    settings = result.unwrap()
+    set_up_events(settings.id)
+    asyncio.run(_run_host(settings, path))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/orders.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/orders.py
@@ -12,7 +12,8 @@
 
 from returns.result import Failure, Success
 
-from plumsaddle_core.core.data import ClaimId, Outcome, RequestKind, Trouble
+from plumsaddle_core.core.data import Outcome, RequestKind, Trouble
+from plumsaddle_core.core.ids import ClaimId
 from plumsaddle_core.core.reasons import Reason, refuse
 from plumsaddle_core.ops.claims import Replay
 from plumsaddle_core.ops.orders import Claim
