--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -19,8 +19,9 @@
 # request's value. It must outweigh the difference between a target that just proved
 # itself and one that nothing is known of (about 0.08), so that both get work.
 SPREAD = 0.2
-# A failed idempotent request is sent once more, so a failure costs it time mostly.
-REPEAT_RELIEF = 0.6
+# A failed idempotent request may be sent once more, so a failure costs it a little
+# less. The relief is small, since the second send comes out of a bounded share.
+REPEAT_RELIEF = 0.15
 # Probability of failing from which a target gets one request at a time as a trial.
 TRIAL_FROM = 0.2
 TRIAL_BUSY = 0.25
--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -4,9 +4,11 @@
 Changes arrive in the order of their offsets and are applied as they come, but for one
 case. While the store is away, entries of targets that live may lapse, since nobody
 could renew them; they are back within two seconds of its return. To drop them all at
-once would leave a service without targets although all of them work. So an entry of a
-ready target that vanishes around the store's return stays usable for a little less
-than those two seconds, and is dropped then unless it has come back.
+once would leave a service without targets although all of them work. So when a large
+part of the ready targets vanishes around the store's return, they stay usable for most
+of those two seconds, and are dropped then unless they have come back. When only a few
+vanish, the store was not away but this host was cut off from it, and those few have
+left: they are dropped at once.
 """
 
 import math
@@ -14,8 +16,12 @@
 from ..core.traffic import TargetState
 
 # Entries that lapsed with the store away are promised back two seconds after its
-# return; a little less than that keeps a host from using one a moment too long.
-LAPSE_FOR = 1.8
+# return. A host notices the return up to a second late, and whoever is still missing
+# three seconds after it must not be used any more.
+LAPSE_FOR = 1.5
+# The part of the ready targets that must vanish to be taken for a lapse. Releases and
+# scaling take away less than this while a host is cut off for some seconds.
+LAPSE_SHARE = 0.4
 
 
 class Registry:
@@ -59,31 +65,39 @@
         self.targets[target.id] = target
         self.by_service.setdefault(target.service, {})[target.id] = target
 
-    def drop(self, target_id, offset, now):
-        """Take the removal of a target's entry; arguments as for `put`."""
-        if self._is_old(target_id, offset):
-            return
-        target = self.targets.get(target_id)
-        if target is None:
-            return
-        end = self._returned_at + LAPSE_FOR
-        if target.state is TargetState.READY and now < end:
-            self._lapsing[target_id] = end
-            return
-        self._remove(target)
+    def drop(self, gone, now):
+        """
+        Take the removal of entries that are told together.
 
-    def keep_only(self, ids, offset, now):
+        Args:
+          gone: A dictionary of target id to the offset of its removal.
+          now: The present, in seconds.
         """
-        Drop what a full listing no longer names.
+        ids = [
+            target_id
+            for target_id, offset in gone.items()
+            if not self._is_old(target_id, offset) and target_id in self.targets
+        ]
+        ready = [t for t in self.targets.values() if t.state is TargetState.READY]
+        end = self._returned_at + LAPSE_FOR
+        is_lapse = now < end and len(ids) > LAPSE_SHARE * len(ready)
+        for target_id in ids:
+            target = self.targets[target_id]
+            if is_lapse and target.state is TargetState.READY:
+                self._lapsing[target_id] = end
+            else:
+                self._lapsing.pop(target_id, None)
+                self._remove(target)
+
+    def missing(self, ids, offset):
+        """
+        Return what a full listing no longer names, as `drop` takes it.
 
         Args:
           ids: The ids that the listing names.
           offset: The end of the log when the listing began.
-          now: The present, in seconds.
         """
-        for target_id in list(self.targets):
-            if target_id not in ids:
-                self.drop(target_id, offset, now)
+        return {key: offset for key in self.targets if key not in ids}
 
     def expire(self, now):
         """Drop entries that lapsed and did not come back, and return their ids."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -21,10 +21,14 @@
 # Rest after a page with changes. What a host knows may be 2 s old; the rest, a call on
 # a slow store and a retry must fit.
 REST = 0.8
-# Pauses between calls while the store is away, in seconds; each is varied by half, so
+# Pauses between calls while the store is away, in seconds; each is varied by a part, so
 # that hosts do not ask in step.
-PAUSE_FIRST = 0.3
-PAUSE_MOST = 1.2
+PAUSE_FIRST = 0.2
+PAUSE_MOST = 0.8
+PAUSE_SPREAD = 0.25
+# Peers that have read further for this long show that a read hangs (seconds): longer
+# than the rest after a page and a call to a slow store.
+BEHIND_FOR = 1.4
 
 
 class Feed:
@@ -48,22 +52,70 @@
         self._on_changes = on_changes
         self._rng = rng
         self._next = None
+        self._reading = None
+        self._behind_since = None
+
+    @property
+    def topic(self):
+        """The topic's name."""
+        return self._topic
+
+    @property
+    def next_offset(self):
+        """The offset up to which this host has read, or 0 before the first page."""
+        return self._next or 0
+
+    def note_peer(self, offset, at):
+        """
+        Take how far another host has read; a read that hangs is begun anew.
+
+        A connection that went silent for good looks like a topic without news. The
+        offsets of the other hosts tell the two apart sooner than keep-alive probes.
+
+        Args:
+          offset: The other host's `next_offset`.
+          at: The present, in seconds.
+        """
+        if self._next is None or offset <= self._next:
+            return
+        if self._behind_since is None:
+            self._behind_since = at
+        elif at - self._behind_since > BEHIND_FOR and self._reading is not None:
+            log.warning(
+                "behind", extra={"topic": self._topic, "at": self._next, "peer": offset}
+            )
+            self._behind_since = None
+            self._reading.cancel()
 
     async def run(self):
         """List, then follow, until cancelled."""
         while True:
-            result = await self._call(WAIT)
+            result = await self._follow()
             if isinstance(result, Failure):
                 result = await self._retry(result.failure())
             page = result.unwrap()
             is_listing = self._next is None
             self._next = page.next_offset
+            self._behind_since = None
             if is_listing:
                 self._on_listing(page)
             elif page.records:
                 self._on_changes(page)
                 await asyncio.sleep(REST)
 
+    async def _follow(self):
+        """Make the waiting call, which `note_peer` may cut short."""
+        self._reading = asyncio.get_running_loop().create_task(self._call(WAIT))
+        try:
+            return await asyncio.shield(self._reading)
+        except asyncio.CancelledError:
+            if not self._reading.cancelled():
+                self._reading.cancel()
+                raise
+            return Failure(StoreError.AWAY)
+        finally:
+            self._reading = None
+
     async def _call(self, wait):
         if self._next is None:
             return await self._store.list_newest(self._topic)
@@ -73,6 +125,9 @@
         """Call again and again until an answer comes, and return it."""
         pause = PAUSE_FIRST
         async with self._gate.hold(self._topic, error):
+            if self._gate.has_answered:
+                # Another feed has just found the store back; no need to wait again.
+                pause = 0.0
             while True:
                 if error in (StoreError.TRIMMED, StoreError.UNREADABLE):
                     log.warning(
@@ -80,10 +135,12 @@
                     )
                     self._next = None
                 else:
-                    await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
-                    pause = min(PAUSE_MOST, pause * 2)
+                    spread = self._rng.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
+                    await asyncio.sleep(pause * spread)
+                    pause = min(PAUSE_MOST, max(PAUSE_FIRST, pause * 2))
                 result = await self._call(0.0)
                 if not isinstance(result, Failure):
+                    self._gate.has_answered = True
                     return result
                 error = result.failure()
 
@@ -102,6 +159,7 @@
         self._on_away = on_away
         self._on_back = on_back
         self._lost = 0
+        self.has_answered = False
 
     def hold(self, topic, error):
         """Return an asynchronous context in which to ask until an answer comes."""
@@ -113,6 +171,7 @@
         if is_away:
             self._lost += 1
             if self._lost == 1:
+                self.has_answered = False
                 log.warning("lost", extra={"topic": topic, "cause": error.value})
                 self._on_away(now())
         await self._lock.acquire()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -75,21 +75,21 @@
     def take_target_listing(self, page):
         """Take a full listing of the targets."""
         at = now()
-        self._take_targets(page, at)
         names = {record.key for record in page.records if record.value is not None}
-        self.registry.keep_only(names, page.next_offset, at)
+        self._take_targets(page, at, self.registry.missing(names, page.next_offset))
         self.has_targets = True
 
     def take_target_changes(self, page):
         """Take changes to the list of targets."""
-        self._take_targets(page, now())
+        self._take_targets(page, now(), {})
 
-    def _take_targets(self, page, at):
+    def _take_targets(self, page, at, gone):
+        """Take a page of entries, and the offsets of those that are gone besides."""
         for record in page.records:
             if record.value is None:
-                self.registry.drop(record.key, record.offset, at)
-                log.info("unlisted", extra={"target": record.key})
+                gone[record.key] = record.offset
                 continue
+            gone.pop(record.key, None)
             target = wire.decode_target(record.key, record.value, at)
             if target is None:
                 log.error("unreadable entry", extra={"target": record.key})
@@ -104,6 +104,9 @@
                     "state": target.state.value,
                 },
             )
+        self.registry.drop(gone, at)
+        for target_id in gone:
+            log.info("unlisted", extra={"target": target_id})
         self.zone.forget_targets(self.registry.targets)
 
     def expire(self, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -86,8 +86,6 @@
             Relay(self.knowledge, self.links, self.metrics),
             self.metrics,
         )
-        self.peers = Peers(settings, self.knowledge.zone, rng)
-        self.knowledge.subscribe(self.peers.tell_soon)
         self.store = Store(settings.store)
         gate = Gate(
             self.knowledge.registry.note_store_away,
@@ -111,6 +109,8 @@
                 rng,
             ),
         ]
+        self.peers = Peers(settings, self.knowledge.zone, self._feeds)
+        self.knowledge.subscribe(self.peers.tell_soon)
         self._servers = []
         self._tasks = []
         self._callers = None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import logging
-import random
 import time
 
 import msgspec
@@ -47,7 +46,11 @@
 
 
 class Work(msgspec.Struct, array_like=True, tag="w"):
-    """A host's work in flight and its last outcomes; a beat names members too."""
+    """
+    A host's work in flight and its last outcomes.
+
+    A beat also names members, and how far the host has read each topic of the store.
+    """
 
     host: str
     life: int
@@ -55,6 +58,7 @@
     in_flight: dict[str, int]
     outcomes: list[tuple[int, str, str, int, float]]
     members: list[str] = []
+    read: dict[str, int] = {}
 
 
 _decode = msgspec.msgpack.Decoder(Hello | Members | Work).decode
@@ -68,13 +72,13 @@
     Args:
       settings: The `HostSettings`.
       zone: The `Zone` that this host's knowledge is kept in.
-      rng: A `random.Random`.
+      feeds: Each `Feed` of the host.
     """
 
-    def __init__(self, settings, zone, rng=random):
+    def __init__(self, settings, zone, feeds):
         self._settings = settings
         self._zone = zone
-        self._rng = rng
+        self._feeds = {feed.topic: feed for feed in feeds}
         self._life = time.time_ns() // 1_000_000
         self._number = 0
         self._members = {}
@@ -115,7 +119,8 @@
         # Only hosts heard lately are named, else two hosts would keep naming a dead one
         # to each other for ever.
         fresh = [a for a, heard in self._members.items() if at - heard < SILENT_AFTER]
-        self._send_work(fresh[:NAMED_MOST])
+        read = {topic: feed.next_offset for topic, feed in self._feeds.items()}
+        self._send_work(fresh[:NAMED_MOST], read)
         if not self._members:
             self._ask_seeds()
 
@@ -128,9 +133,9 @@
 
     def _tell(self):
         self._is_due = False
-        self._send_work([])
+        self._send_work([], {})
 
-    def _send_work(self, members):
+    def _send_work(self, members, read):
         self._number += 1
         outcomes = [
             (o.number, o.target, o.service, o.sign.value, round(o.seconds, 4))
@@ -143,6 +148,7 @@
             self._zone.own_in_flight(),
             outcomes,
             members,
+            read,
         )
         data = _encode(work)
         for address in self._members:
@@ -176,6 +182,9 @@
             self._members[address] = now()
             self._learn(message.members)
             self._zone.take(_news_of(message), now())
+            for topic, offset in message.read.items():
+                if topic in self._feeds:
+                    self._feeds[topic].note_peer(offset, now())
 
     def _take_hello(self, hello, address):
         """Answer a host that looks for others of its data centre."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -17,7 +17,8 @@
 import msgspec
 from returns.result import Failure, Success
 
-CONNECT_TIMEOUT = 1.0
+# In seconds; the store is a millisecond away, so a second packet has time to come.
+CONNECT_TIMEOUT = 0.8
 # Answers take a few milliseconds, and some tens of times as long when the store is
 # slow; after this a call counts as lost.
 CALL_TIMEOUT = 1.5
