Take a route's own median for what is slow, not its service's

The median of a service was that of requests that take a millisecond, so ordinary work looked stuck, every target looked failing, and work went to those that failed fastest. The penalty for work in flight stops at a target's slots.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -105,7 +105,8 @@
     fails = candidate.fails
     cost = fails * (1.0 - REPEAT_RELIEF) if demand.kind.may_repeat else fails
     value = (1.0 - cost) * _time_value(expected, demand)
-    value -= SPREAD * candidate.in_flight / max(1, candidate.target.slots)
+    # Beyond its slots a target's work waits, and the expected time says so.
+    value -= SPREAD * min(1.0, candidate.in_flight / max(1, candidate.target.slots))
     if candidate.fails >= TRIAL_FROM:
         value -= TRIAL_BUSY * candidate.in_flight
     if not candidate.is_near:
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -41,6 +41,7 @@
     number: int
     target: TargetId
     service: ServiceName
+    route: str
     sign: Sign
     seconds: float
 
@@ -93,20 +94,21 @@
         else:
             del self._own[target_id]
 
-    def note(self, target_id, service, sign, seconds, now):
+    def note(self, target_id, service, route, sign, seconds, now):
         """
         Take an outcome that this host saw, and keep it for the others.
 
         Args:
           target_id: The target's id.
           service: The target's service.
+          route: The name of the request's route.
           sign: The `Sign`.
           seconds: How long the send took.
           now: The present, in seconds.
         """
         number = self._outcome_count
         self._outcome_count += 1
-        outcome = OutcomeNote(number, target_id, service, sign, seconds)
+        outcome = OutcomeNote(number, target_id, service, route, sign, seconds)
         self._outcomes.append(outcome)
         self._weigh(outcome, now)
 
@@ -164,14 +166,31 @@
         belief = self.beliefs.get(target_id)
         return _UNKNOWN.fails(now) if belief is None else belief.fails(now)
 
-    def usual(self, service):
-        """Return the median seconds of a service's recent whole answers."""
-        return self._medians.get(service, USUAL_AT_FIRST)
+    def usual(self, service, route):
+        """
+        Return the median seconds of a route's recent whole answers.
+
+        Routes of one service can differ a hundredfold, and a median over all of them
+        would make the longer ones look stuck. A route that is new is taken to be like
+        the slowest known one of its service.
+        """
+        medians = self._medians.get(service, {})
+        known = medians.get(route)
+        if known is not None:
+            return known
+        return max(medians.values(), default=USUAL_AT_FIRST)
 
     def forget_targets(self, known):
         """Forget beliefs in targets that are no longer listed."""
         self.beliefs = {key: b for key, b in self.beliefs.items() if key in known}
 
+    def forget_routes(self, known):
+        """Forget the latencies of routes whose names are not known any more."""
+        self._latencies = {k: v for k, v in self._latencies.items() if k[1] in known}
+        for service, medians in self._medians.items():
+            kept = {route: m for route, m in medians.items() if route in known}
+            self._medians[service] = kept
+
     def _weigh(self, outcome, now):
         belief = self.beliefs.get(outcome.target)
         if belief is None:
@@ -185,12 +204,14 @@
             belief.note_unreachable(now)
 
     def _note_latency(self, outcome):
-        recent = self._latencies.get(outcome.service)
+        key = (outcome.service, outcome.route)
+        recent = self._latencies.get(key)
         if recent is None:
-            recent = self._latencies[outcome.service] = deque(maxlen=LATENCIES_KEPT)
+            recent = self._latencies[key] = deque(maxlen=LATENCIES_KEPT)
         recent.append(outcome.seconds)
         if len(recent) >= FEWEST:
-            self._medians[outcome.service] = statistics.median(recent)
+            medians = self._medians.setdefault(outcome.service, {})
+            medians[outcome.route] = statistics.median(recent)
 
 
 _UNKNOWN = Belief()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -70,6 +70,7 @@
             return
         self.cfg = cfg
         self.table = build_table(cfg.routes)
+        self.zone.forget_routes({route.name for route in cfg.routes})
         log.info("version", extra={"version": cfg.version, "former": former})
 
     def take_target_listing(self, page):
@@ -148,7 +149,7 @@
         """Return the `Demand` of a request by now."""
         return Demand(
             route.kind,
-            self.zone.usual(service),
+            self.zone.usual(service, route.name),
             started + route.objective - at,
             deadline - at,
             kilobytes,
@@ -194,7 +195,7 @@
         self.zone.end(target.id)
         self._tell()
 
-    def note(self, target, fate, seconds):
+    def note(self, target, route, fate, seconds):
         """Take the fate of a send, or of one that is unanswered for too long."""
         if fate is Fate.WHOLE:
             sign = Sign.WHOLE
@@ -204,7 +205,7 @@
             sign = Sign.FAILED
         else:
             return
-        self.zone.note(target.id, target.service, sign, seconds, now())
+        self.zone.note(target.id, target.service, route.name, sign, seconds, now())
         self._tell()
 
     def _tell(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -56,7 +56,7 @@
     life: int
     number: int
     in_flight: dict[str, int]
-    outcomes: list[tuple[int, str, str, int, float]]
+    outcomes: list[tuple[int, str, str, str, int, float]]
     members: list[str] = []
     read: dict[str, int] = {}
 
@@ -138,7 +138,7 @@
     def _send_work(self, members, read):
         self._number += 1
         outcomes = [
-            (o.number, o.target, o.service, o.sign.value, round(o.seconds, 4))
+            (o.number, o.target, o.service, o.route, o.sign.value, round(o.seconds, 4))
             for o in self._zone.last_outcomes()
         ]
         work = Work(
@@ -213,8 +213,8 @@
 
 def _news_of(work):
     outcomes = tuple(
-        OutcomeNote(number, target, service, Sign(sign), seconds)
-        for number, target, service, sign, seconds in work.outcomes
+        OutcomeNote(number, target, service, route, Sign(sign), seconds)
+        for number, target, service, route, sign, seconds in work.outcomes
     )
     return PeerNews(work.host, work.life, work.number, work.in_flight, outcomes)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -153,11 +153,15 @@
     def _time_left(self):
         return self._ask.deadline - now()
 
+    def _usual(self):
+        """Return the usual seconds of such a request."""
+        return self._knowledge.zone.usual(self._ask.service, self._ask.route.name)
+
     async def _wait(self):
         """Wait for a send to end, for the moment of a second send, or the deadline."""
         timeout = max(0.0, self._time_left())
         if self._may_hedge():
-            usual = self._knowledge.zone.usual(self._ask.service)
+            usual = self._usual()
             hedge_at = self._ask.started + HEDGE_FACTOR * usual
             timeout = min(timeout, max(0.0, hedge_at - now()))
         done, _ = await asyncio.wait(
@@ -250,7 +254,7 @@
 
     def _pause(self):
         """Return the seconds after which there is likely room again."""
-        usual = self._knowledge.zone.usual(self._ask.service)
+        usual = self._usual()
         return usual * self._knowledge.rng.uniform(0.5, 1.5)
 
     def _log_answer(self, result):
@@ -320,7 +324,7 @@
         started = now()
         fate = Fate.ABANDONED
         stuck = asyncio.get_running_loop().call_later(
-            STUCK_FACTOR * self._knowledge.zone.usual(target.service),
+            STUCK_FACTOR * self._usual(),
             self._note_stuck,
             target,
         )
@@ -337,19 +341,19 @@
                 self._attempt.note_fate(fate)
             # A stuck send has been counted; its late answer does not undo that.
             if not is_stuck:
-                self._knowledge.note(target, fate, seconds)
+                self._knowledge.note(target, self._ask.route, fate, seconds)
         if fate is not Fate.WHOLE:
             self._log_failure(target, fate, reply, seconds)
         return Result(target, fate, reply, seconds)
 
     def _note_stuck(self, target):
-        self._knowledge.note(target, Fate.TIMED_OUT, 0.0)
+        self._knowledge.note(target, self._ask.route, Fate.TIMED_OUT, 0.0)
         log.info(
             "stuck",
             extra={
                 "request": self._ask.id.decode("latin-1"),
                 "target": target.id,
-                "usual": round(self._knowledge.zone.usual(target.service), 3),
+                "usual": round(self._usual(), 3),
             },
         )
 
