Weigh a stuck send by how often its route's sends are stuck

Cause: some requests take longer than their route's time whatever their target does. Each one counted as a failure, so with spells taken for longer most look-up targets looked failing (330 of 450 sends to targets given 0.4 or more to fail were answered). A stuck send now weighs by the share of its route's sends that are stuck. Spells last some eight seconds (read off the answers of each target).

--- a/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
@@ -19,10 +19,12 @@
 FAILS_FAILING = 0.7
 # Mean seconds of a sound and of a failing spell, from the seconds for which trouble
 # lasted on recorded days.
-SOUND_FOR = 25.0
-FAILING_FOR = 3.5
+SOUND_FOR = 22.0
+FAILING_FOR = 8.0
 USUAL = FAILING_FOR / (SOUND_FOR + FAILING_FOR)
 SETTLE = 1.0 / (1.0 / SOUND_FOR + 1.0 / FAILING_FOR)
+# Share of the sends to a failing target that hang; most failing targets answer at once.
+STUCK_FAILING = 0.5
 # An unreachable target has failed more surely than one that answered 500.
 UNREACHABLE_RATIO = 200.0
 MOST = 0.995
@@ -52,9 +54,20 @@
         self._weigh((1.0 - FAILS_FAILING) / (1.0 - FAILS_SOUND), now)
 
     def note_failed(self, now):
-        """Take a failure, or a send that is unanswered for far too long."""
+        """Take a failure."""
         self._weigh(FAILS_FAILING / FAILS_SOUND, now)
 
+    def note_stuck(self, share, now):
+        """
+        Take a send that is unanswered for far too long.
+
+        Args:
+          share: The share of the route's sends to which that happens at all; on a
+            route whose work often takes longer than its time it says little.
+          now: The present, in seconds.
+        """
+        self._weigh(max(1.0, STUCK_FAILING / share), now)
+
     def note_unreachable(self, now):
         """Take a connection that was refused or not answered."""
         self._weigh(UNREACHABLE_RATIO, now)
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -25,6 +25,10 @@
 # The median before any answer was seen, in seconds; an ordinary request's work.
 USUAL_AT_FIRST = 0.3
 FEWEST = 5
+# What the share of stuck sends of a route starts from: one in ten, as if ten had been
+# seen. Ordinary routes fall below one in fifty within a minute.
+STUCK_AT_FIRST = 1.0
+SEEN_AT_FIRST = 10.0
 
 
 class Sign(enum.Enum):
@@ -33,6 +37,7 @@
     WHOLE = 0
     FAILED = 1
     UNREACHABLE = 2
+    STUCK = 3
 
 
 class OutcomeNote(NamedTuple):
@@ -78,6 +83,7 @@
         self._outcome_count = 0
         self._latencies = {}
         self._medians = {}
+        self._stuck = {}
 
     # This host's own work.
 
@@ -187,6 +193,7 @@
     def forget_routes(self, known):
         """Forget the latencies of routes whose names are not known any more."""
         self._latencies = {k: v for k, v in self._latencies.items() if k[1] in known}
+        self._stuck = {k: v for k, v in self._stuck.items() if k[1] in known}
         for service, medians in self._medians.items():
             kept = {route: m for route, m in medians.items() if route in known}
             self._medians[service] = kept
@@ -198,11 +205,24 @@
         if outcome.sign is Sign.WHOLE:
             belief.note_whole(now)
             self._note_latency(outcome)
+            self._note_stuck(outcome, False)
+        elif outcome.sign is Sign.STUCK:
+            belief.note_stuck(self._note_stuck(outcome, True), now)
         elif outcome.sign is Sign.FAILED:
             belief.note_failed(now)
         else:
             belief.note_unreachable(now)
 
+    def _note_stuck(self, outcome, is_stuck):
+        """Return the share of a route's sends that were stuck before this one."""
+        key = (outcome.service, outcome.route)
+        recent = self._stuck.get(key)
+        if recent is None:
+            recent = self._stuck[key] = deque(maxlen=LATENCIES_KEPT)
+        share = (sum(recent) + STUCK_AT_FIRST) / (len(recent) + SEEN_AT_FIRST)
+        recent.append(is_stuck)
+        return share
+
     def _note_latency(self, outcome):
         key = (outcome.service, outcome.route)
         recent = self._latencies.get(key)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -19,7 +19,14 @@
 from .clock import now
 
 log = logging.getLogger("knowledge")
-BAD = {Fate.FAILED, Fate.BROKEN, Fate.UNSIGNED, Fate.TIMED_OUT}
+SIGNS = {
+    Fate.WHOLE: Sign.WHOLE,
+    Fate.UNREACHED: Sign.UNREACHABLE,
+    Fate.TIMED_OUT: Sign.STUCK,
+    Fate.FAILED: Sign.FAILED,
+    Fate.BROKEN: Sign.FAILED,
+    Fate.UNSIGNED: Sign.FAILED,
+}
 
 
 class Knowledge:
@@ -197,13 +204,8 @@
 
     def note(self, target, route, fate, seconds):
         """Take the fate of a send, or of one that is unanswered for too long."""
-        if fate is Fate.WHOLE:
-            sign = Sign.WHOLE
-        elif fate is Fate.UNREACHED:
-            sign = Sign.UNREACHABLE
-        elif fate in BAD:
-            sign = Sign.FAILED
-        else:
+        sign = SIGNS.get(fate)
+        if sign is None:
             return
         self.zone.note(target.id, target.service, route.name, sign, seconds, now())
         self._tell()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -225,7 +225,7 @@
         A status that promises that the request has not run goes out only when this
         host knows so.
         """
-        if result.fate is not Fate.FAILED:
+        if result.fate not in (Fate.FAILED, Fate.TIMED_OUT):
             return False
         return result.reply.status not in (408, 421, 429, 503)
 
@@ -509,6 +509,8 @@
         is_signed = wire.SIGNATURE.lower().encode() in headers
         is_plain = b"content-encoding" not in headers
         return (Fate.WHOLE if is_signed and is_plain else Fate.UNSIGNED), reply
+    if exchange.status == 504:
+        return Fate.TIMED_OUT, reply
     if exchange.status >= 500 or exchange.status in (408, 429):
         return Fate.FAILED, reply
     return Fate.WHOLE, reply
