--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -33,9 +33,12 @@
 # times vary, so an answer expected just in time is late about half of the time.
 SAFE_SHARE = 0.6
 # Leaving the data centre for a request without a body, in shares of its value, and
-# for each further kilobyte. Bytes between data centres are the dearest thing here.
-AWAY_COST = 0.08
-AWAY_COST_KB = 0.012
+# for each further kilobyte. Bytes between data centres are the dearest thing here: a
+# scan of 60 kB that leaves costs about half of what losing it would cost, so it leaves
+# only when the targets near by probably fail.
+AWAY_COST = 0.03
+AWAY_COST_KB = 0.006
+AWAY_FULLNESS = 0.5
 
 
 class Candidate(NamedTuple):
@@ -105,8 +108,7 @@
     fails = candidate.fails
     cost = fails * (1.0 - REPEAT_RELIEF) if demand.kind.may_repeat else fails
     value = (1.0 - cost) * _time_value(expected, demand)
-    # Beyond its slots a target's work waits, and the expected time says so.
-    value -= SPREAD * min(1.0, candidate.in_flight / max(1, candidate.target.slots))
+    value -= SPREAD * _fullness(candidate)
     if candidate.fails >= TRIAL_FROM:
         value -= TRIAL_BUSY * candidate.in_flight
     if not candidate.is_near:
@@ -114,6 +116,19 @@
     return value
 
 
+def _fullness(candidate):
+    """
+    Return the share of a target's slots that are taken.
+
+    Beyond its slots a target's work waits, and the expected time says so. What other
+    data centres have in flight is not known here; their targets are taken to be half
+    busy, so that work leaves only when the targets near by are busier than that.
+    """
+    if not candidate.is_near:
+        return AWAY_FULLNESS
+    return min(1.0, candidate.in_flight / max(1, candidate.target.slots))
+
+
 def _time_value(expected, demand):
     """Return what an answer is worth that is expected after some seconds."""
     if expected >= demand.time_left:
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -15,6 +15,7 @@
 
 from ..core.ids import HostId, ServiceName, TargetId
 from .belief import Belief
+from .share import RetryShare
 
 # Hosts beat once a second; three missed beats and a little is silence.
 SILENT_AFTER = 3.5
@@ -52,13 +53,18 @@
 
 
 class PeerNews(NamedTuple):
-    """A host's message: its table of work in flight and its last outcomes."""
+    """
+    A host's message: its table of work in flight and its last outcomes.
+
+    `counts` are its requests and retries for each service since it started.
+    """
 
     host: HostId
     life: int
     number: int
     in_flight: dict[TargetId, int]
     outcomes: tuple[OutcomeNote, ...]
+    counts: dict[ServiceName, tuple[int, int]]
 
 
 class _Peer:
@@ -69,14 +75,26 @@
         self.number = -1
         self.outcome_number = -1
         self.in_flight = {}
+        self.counts = None
         self.heard_at = 0.0
 
 
 class Zone:
-    """The shared knowledge of a data centre's hosts, as one host holds it."""
+    """
+    The shared knowledge of a data centre's hosts, as one host holds it.
+
+    Args:
+      ratio: Retries that one request allows for.
+      window: The seconds over which retries are bounded.
+    """
 
-    def __init__(self):
+    def __init__(self, ratio, window):
         self.beliefs = {}
+        self._ratio = ratio
+        self._window = window
+        self._shares = {}
+        self._own_counts = {}
+        self._most_heard = 1
         self._own = {}
         self._peers = {}
         self._outcomes = deque(maxlen=REPEATED)
@@ -118,6 +136,41 @@
         self._outcomes.append(outcome)
         self._weigh(outcome, now)
 
+    def note_request(self, service, now):
+        """Count a request of this host's for a service."""
+        self._count(service, 1, 0, now)
+
+    def note_retry(self, service, now):
+        """Count a further send of this host's for a service."""
+        self._count(service, 0, 1, now)
+
+    def _count(self, service, requests, retries, now):
+        former = self._own_counts.get(service, (0, 0))
+        self._own_counts[service] = (former[0] + requests, former[1] + retries)
+        self._add_counts(service, requests, retries, now)
+
+    def own_counts(self):
+        """Return this host's requests and retries by service since it started."""
+        return dict(self._own_counts)
+
+    def may_retry(self, service, extra, now):
+        """
+        Return whether a further send for a service fits the data centre's share.
+
+        Args:
+          service: The service's name.
+          extra: The data centre's part of the fixed extra.
+          now: The present, in seconds.
+        """
+        part = self.hosts_heard() / self._most_heard
+        return self._share(service).may_retry(extra * part, now)
+
+    def _share(self, service):
+        share = self._shares.get(service)
+        if share is None:
+            share = self._shares[service] = RetryShare(self._ratio, self._window)
+        return share
+
     def own_in_flight(self):
         """Return this host's table of work in flight."""
         return dict(self._own)
@@ -138,11 +191,31 @@
         peer.number = news.number
         peer.heard_at = now
         peer.in_flight = news.in_flight
+        self._most_heard = max(self._most_heard, self.hosts_heard())
+        self._take_counts(peer, news.counts, now)
         for outcome in news.outcomes:
             if outcome.number > peer.outcome_number:
                 peer.outcome_number = outcome.number
                 self._weigh(outcome, now)
 
+    def _take_counts(self, peer, counts, now):
+        """Add what a host has done since its last message; the first one is a base."""
+        former, peer.counts = peer.counts, counts
+        if former is None:
+            return
+        for service, (requests, retries) in counts.items():
+            old_requests, old_retries = former.get(service, (0, 0))
+            self._add_counts(
+                service, requests - old_requests, retries - old_retries, now
+            )
+
+    def _add_counts(self, service, requests, retries, now):
+        share = self._share(service)
+        if requests:
+            share.note_requests(requests, now)
+        if retries:
+            share.note_retries(retries, now)
+
     def forget_silent(self, now):
         """Forget hosts that have been silent, and return their ids."""
         silent = [
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -64,18 +64,28 @@
         self._metrics = metrics
         self._held = 0
         self._orders = set()
-        self.in_flight = 0
+        self._busy = set()
         self.is_leaving = False
 
+    @property
+    def in_flight(self):
+        """How many requests are under way."""
+        return len(self._busy)
+
+    def is_busy(self, transport):
+        """Return whether a request is under way on a connection."""
+        return transport in self._busy
+
     async def handle(self, request):
         """Answer one request."""
         started = now()
-        self.in_flight += 1
+        transport = request.transport
+        self._busy.add(transport)
         try:
             answer = await self._answer(request, started)
             return await self._respond(request, answer)
         finally:
-            self.in_flight -= 1
+            self._busy.discard(transport)
             self._metrics.seconds.observe({}, now() - started)
 
     async def _answer(self, request, started):
@@ -301,8 +311,23 @@
 
     def __init__(self, front, knowledge):
         super().__init__(front.handle, handler_cancellation=True)
+        self._front = front
         self._knowledge = knowledge
 
+    def close_idle(self):
+        """
+        Close the connections on which no request is under way.
+
+        The library's own way to shut down stops reading requests from idle
+        connections but leaves them open, so a request that came next would be taken
+        and never answered.
+        """
+        for conn in self.connections:
+            if self._front.is_busy(conn.transport):
+                conn.close()
+            else:
+                conn.force_close()
+
     def __call__(self):
         cfg = self._knowledge.cfg
         idle = cfg.limits.idle_timeout if cfg else self.IDLE_FIRST
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -11,7 +11,6 @@
 from plumsaddle_core.core.traffic import Fate
 from plumsaddle_core.ops.choice import Candidate, Demand, choose_target
 from plumsaddle_core.ops.registry import Registry
-from plumsaddle_core.ops.share import RetryShare
 from plumsaddle_core.ops.table import build_table
 from plumsaddle_core.ops.zone import Sign, Zone
 
@@ -19,6 +18,10 @@
 from .clock import now
 
 log = logging.getLogger("knowledge")
+# The size of an answer before one was seen, in bytes, and the part by which each one
+# moves the mean: about the last ten count.
+ANSWER_AT_FIRST = 2000.0
+ANSWER_PART = 0.1
 SIGNS = {
     Fate.WHOLE: Sign.WHOLE,
     Fate.UNREACHED: Sign.UNREACHABLE,
@@ -45,8 +48,9 @@
         self.table = {}
         self.registry = Registry()
         self.has_targets = False
-        self.zone = Zone()
-        self._shares = {}
+        bounds = settings.bounds
+        self.zone = Zone(bounds.retry_ratio, bounds.retry_window)
+        self._answer_bytes = {}
         self._on_work = None
 
     def subscribe(self, on_work):
@@ -77,7 +81,12 @@
             return
         self.cfg = cfg
         self.table = build_table(cfg.routes)
-        self.zone.forget_routes({route.name for route in cfg.routes})
+        names = {route.name for route in cfg.routes}
+        self.zone.forget_routes(names)
+        kept = {
+            name: size for name, size in self._answer_bytes.items() if name in names
+        }
+        self._answer_bytes = kept
         log.info("version", extra={"version": cfg.version, "former": former})
 
     def take_target_listing(self, page):
@@ -162,33 +171,26 @@
             kilobytes,
         )
 
+    def answer_bytes(self, route):
+        """Return the usual size of a route's answers, in bytes."""
+        return self._answer_bytes.get(route.name, ANSWER_AT_FIRST)
+
+    def note_answer(self, route, size):
+        """Take the size of a whole answer, in bytes."""
+        former = self.answer_bytes(route)
+        self._answer_bytes[route.name] = former + ANSWER_PART * (size - former)
+
     def is_usable(self, target):
         """Return whether a target may still get new work."""
         return self.registry.targets.get(target.id) is not None and any(
             t.id == target.id for t in self.registry.usable(target.service)
         )
 
-    def retries(self, service):
-        """Return the `RetryShare` of a service."""
-        share = self._shares.get(service)
-        if share is None:
-            bounds = self.settings.bounds
-            share = RetryShare(bounds.retry_ratio, bounds.retry_window)
-            self._shares[service] = share
-        return share
-
-    def retry_extra(self):
-        """
-        Return this host's equal part of the fixed extra of retries.
-
-        A host counts the hosts of its own data centre and takes the others to be as
-        many. Alone it may know too few, so it takes nothing until it has heard others.
-        """
-        heard = self.zone.hosts_heard()
-        if heard < 2:
-            return 0.0
+    def may_retry(self, service):
+        """Return whether one more send for a service fits the bound on retries."""
         centres = max(1, len(self.settings.centres))
-        return self.settings.bounds.retry_extra / (heard * centres)
+        extra = self.settings.bounds.retry_extra / centres
+        return self.zone.may_retry(service, extra, now())
 
     # What the relay tells.
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -150,9 +150,10 @@
         deadline = now() + self.settings.bounds.grace - GRACE_MARGIN
         await asyncio.sleep(min(LISTEN_ON, max(0.0, deadline - now())))
         listener.close()
-        self._callers.pre_shutdown()
+        self._callers.close_idle()
         while self.front.in_flight and now() < deadline:
             await asyncio.sleep(LOOK_EVERY)
+            self._callers.close_idle()
         for task in self._tasks:
             task.cancel()
         self.peers.close()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -57,6 +57,7 @@
     number: int
     in_flight: dict[str, int]
     outcomes: list[tuple[int, str, str, str, int, float]]
+    counts: dict[str, tuple[int, int]]
     members: list[str] = []
     read: dict[str, int] = {}
 
@@ -147,6 +148,7 @@
             self._number,
             self._zone.own_in_flight(),
             outcomes,
+            self._zone.own_counts(),
             members,
             read,
         )
@@ -216,7 +218,9 @@
         OutcomeNote(number, target, service, route, Sign(sign), seconds)
         for number, target, service, route, sign, seconds in work.outcomes
     )
-    return PeerNews(work.host, work.life, work.number, work.in_flight, outcomes)
+    return PeerNews(
+        work.host, work.life, work.number, work.in_flight, outcomes, work.counts
+    )
 
 
 def _split(address):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -29,6 +29,9 @@
 STUCK_FACTOR = 3.0
 # An idempotent request gets its second send after this many times the usual.
 HEDGE_FACTOR = 2.2
+SLOW = "slow"
+# A second send goes only to a target that likely answers.
+HEDGE_FAILS_MOST = 0.15
 # Connections that fail to open before a request is given up; nothing was sent.
 UNREACHED_MOST = 3
 # An order waits on a kept connection only if that was used just now, in seconds: the
@@ -101,7 +104,7 @@
         Returns:
           A `Reply` of a target, or a `Refusal`.
         """
-        self._knowledge.retries(ask.service).note_request(now())
+        self._knowledge.zone.note_request(ask.service, now())
         run = _Run(ask, self._knowledge, self._links, self._metrics)
         try:
             return await run.serve()
@@ -145,6 +148,7 @@
                 self._sends.discard(task)
                 result = task.result()
                 if result.fate is Fate.WHOLE:
+                    self._knowledge.note_answer(self._ask.route, len(result.reply.body))
                     return self._log_answer(result)
                 answer = await self._recover(result)
                 if answer is not None:
@@ -179,9 +183,8 @@
     async def _hedge(self):
         """Send a slow idempotent request to a second target, if one is better."""
         self._is_hedged = True
-        share = self._knowledge.retries(self._ask.service)
-        if share.may_retry(self._knowledge.retry_extra(), now()):
-            await self._send_next("slow")
+        if self._knowledge.may_retry(self._ask.service):
+            await self._send_next(SLOW)
 
     async def _recover(self, result):
         """
@@ -203,8 +206,7 @@
         if not self._attempt.may_send() or self._ask.rest is not None:
             return self._final(result)
         is_retry = self._attempt.sends > 0
-        share = self._knowledge.retries(self._ask.service)
-        if is_retry and not share.may_retry(self._knowledge.retry_extra(), now()):
+        if is_retry and not self._knowledge.may_retry(self._ask.service):
             self._metrics.retries_denied.inc({"service": self._ask.service})
             return self._final(result)
         refusal = await self._send_next(result.fate.value)
@@ -285,19 +287,22 @@
         """
         ask = self._ask
         at = now()
-        kilobytes = (ask.length or 0) / 1024
+        answer_bytes = self._knowledge.answer_bytes(ask.route)
+        kilobytes = ((ask.length or 0) + answer_bytes) / 1024
         demand = self._knowledge.demand(
             ask.route, ask.service, ask.started, ask.deadline, kilobytes, at
         )
         excluded = self._excluded | set(self._attempt.targets)
         choice = self._knowledge.choose(ask.service, demand, excluded, at)
+        if retry_cause == SLOW and not _is_worth_hedging(choice):
+            return None
         if choice is None:
             return self._refuse(Cause.NO_TARGET)
         if choice.expected >= demand.time_left and self._attempt.may_promise():
             return self._refuse(Cause.NO_ROOM)
         target = choice.candidate.target
         if retry_cause is not None and self._attempt.sends:
-            self._knowledge.retries(ask.service).note_retry(at)
+            self._knowledge.zone.note_retry(ask.service, at)
             self._metrics.retries.inc({"cause": retry_cause})
         log.info(
             "sent",
@@ -436,6 +441,20 @@
         self._link.close()
 
 
+def _is_worth_hedging(choice):
+    """
+    Return whether a second send beside a slow first one is worth its load.
+
+    When all slots are taken, requests are slow because they wait, and second sends
+    would make all of them wait longer.
+    """
+    if choice is None:
+        return False
+    candidate = choice.candidate
+    has_room = candidate.in_flight < candidate.target.slots
+    return has_room and candidate.fails < HEDGE_FAILS_MOST
+
+
 def make_head(ask, target, time_left):
     """
     Return the bytes of a request to a target, with its body if that is whole.
