--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -16,8 +16,12 @@
 from .clock import now
 
 log = logging.getLogger("store")
-# The longest wait that the store grants, less a margin for slow answers.
-WAIT = 28.0
+# Seconds that a read waits for news, drawn anew for each read. The store grants up to
+# 30. A read whose answer was lost hangs for its whole time; as the hosts of a data
+# centre wait for different times, one of them soon reads again and the others learn
+# from it that they are behind.
+WAIT_LEAST = 8.0
+WAIT_MOST = 28.0
 # Rest after a page with changes. What a host knows may be 2 s old; the rest, a call on
 # a slow store and a retry must fit.
 REST = 0.8
@@ -105,7 +109,9 @@
 
     async def _follow(self):
         """Make the waiting call, which `note_peer` may cut short."""
-        self._reading = asyncio.get_running_loop().create_task(self._call(WAIT))
+        self._reading = asyncio.get_running_loop().create_task(
+            self._call(self._rng.uniform(WAIT_LEAST, WAIT_MOST))
+        )
         try:
             return await asyncio.shield(self._reading)
         except asyncio.CancelledError:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -150,7 +150,7 @@
             request.raw_path,
             request.raw_headers,
             body,
-            None if is_whole else _read_rest(body, request.content),
+            None if is_whole else _read_rest(request.content),
             len(body) if is_whole else request.content_length,
             route,
             choose_service(route, self._knowledge.rng),
@@ -262,9 +262,8 @@
     return bytes(parts), False
 
 
-async def _read_rest(first, content):
-    """Yield a long body from its first part on."""
-    yield first
+async def _read_rest(content):
+    """Yield the parts of a long body that follow the first one."""
     while part := await content.readany():
         yield part
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -122,11 +122,22 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "SIGHUP")
+        await self.start()
+        # What was made while starting lives as long as the process.
+        gc.freeze()
+        await self.stop.wait()
+        await self.leave()
+
+    async def start(self):
+        """Open the listeners and begin to follow the store."""
         await self.peers.open()
         self._callers = FrontServer(self.front, self.knowledge)
-        listener = await _listen(self._callers, self.settings.callers)
         ready = web.Server(self._answer_operator, access_log=None)
-        self._servers = [listener, await _listen(ready, self.settings.ready)]
+        self._servers = [
+            await _listen(self._callers, self.settings.callers),
+            await _listen(ready, self.settings.ready),
+        ]
+        loop = asyncio.get_running_loop()
         for work in (*(feed.run() for feed in self._feeds), self._beat()):
             task = loop.create_task(work)
             task.add_done_callback(_report)
@@ -135,31 +146,34 @@
             "start",
             extra={"callers": self.settings.callers, "store": self.settings.store},
         )
-        # What was made while starting lives as long as the process.
-        gc.freeze()
-        await self.stop.wait()
-        await self._leave(listener)
 
     def _on_stop(self):
         log.info("stop", extra={"in_flight": self.front.in_flight})
         self.stop.set()
 
-    async def _leave(self, listener):
+    async def leave(self):
         """Serve on until the callers have turned away, then end what runs."""
         self.front.is_leaving = True
         deadline = now() + self.settings.bounds.grace - GRACE_MARGIN
         await asyncio.sleep(min(LISTEN_ON, max(0.0, deadline - now())))
-        listener.close()
+        self._servers[0].close()
         self._callers.close_idle()
         while self.front.in_flight and now() < deadline:
             await asyncio.sleep(LOOK_EVERY)
             self._callers.close_idle()
+        await self.shut()
+        log.info("end", extra={"in_flight": self.front.in_flight})
+
+    async def shut(self):
+        """Close all that is open, at once."""
         for task in self._tasks:
             task.cancel()
+        for server in self._servers:
+            server.close()
+        self._callers.close_idle()
         self.peers.close()
         self.links.close()
         await self.store.close()
-        log.info("end", extra={"in_flight": self.front.in_flight})
 
     async def _beat(self):
         """Do the work of each second."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -30,8 +30,9 @@
 # An idempotent request gets its second send after this many times the usual.
 HEDGE_FACTOR = 2.2
 SLOW = "slow"
-# A second send goes only to a target that likely answers.
-HEDGE_FAILS_MOST = 0.15
+# A second send goes only to a target that likely answers; one that nothing is known of
+# fails a fifth of its requests.
+HEDGE_FAILS_MOST = 0.25
 # Connections that fail to open before a request is given up; nothing was sent.
 UNREACHED_MOST = 3
 # An order waits on a kept connection only if that was used just now, in seconds: the
@@ -298,7 +299,7 @@
             return None
         if choice is None:
             return self._refuse(Cause.NO_TARGET)
-        if choice.expected >= demand.time_left and self._attempt.may_promise():
+        if _has_no_room(choice, demand) and self._attempt.may_promise():
             return self._refuse(Cause.NO_ROOM)
         target = choice.candidate.target
         if retry_cause is not None and self._attempt.sends:
@@ -344,6 +345,8 @@
                 self._attempt.take_back(target.id)
             else:
                 self._attempt.note_fate(fate)
+            if fate is Fate.ABANDONED and seconds > HEDGE_FACTOR * self._usual():
+                fate = Fate.TIMED_OUT
             # A stuck send has been counted; its late answer does not undo that.
             if not is_stuck:
                 self._knowledge.note(target, self._ask.route, fate, seconds)
@@ -441,6 +444,13 @@
         self._link.close()
 
 
+def _has_no_room(choice, demand):
+    """Return whether even the best target would answer only after the time is over."""
+    candidate = choice.candidate
+    is_full = candidate.in_flight >= candidate.target.slots
+    return is_full and choice.expected >= demand.time_left
+
+
 def _is_worth_hedging(choice):
     """
     Return whether a second send beside a slow first one is worth its load.
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -0,0 +1,372 @@
+"""
+Failures of targets, callers and the store, as callers and targets see them.
+"""
+
+import asyncio
+
+import pytest
+
+from plumsaddle_hosts.edge import feed
+
+from .store import Fault
+from .trial import OPERATOR, Trial, configuration, in_loop, until
+from .worker import BODY, Mode
+
+
+@in_loop
+async def test_each_kind_is_served_unchanged():
+    async with Trial() as trial:
+        for path, method in (("/look/a?b=%20c", "GET"), ("/act/a", "POST")):
+            status, headers, body = await trial.ask(path, "id-1", method)
+            assert (status, body) == (200, BODY)
+            assert headers["Response-Signature"].endswith(".id-1")
+        scan = bytes(range(256)) * 8000
+        status, _, _ = await trial.ask("/up/scan", "id-2", "POST", scan)
+        seen = [seen for worker in trial.of("up") for seen in worker.seen]
+        assert status == 200
+        assert seen[0].body == scan
+        looked = [seen for worker in trial.of("look") for seen in worker.seen]
+        assert looked[0].path == "/look/a?b=%20c"
+        assert 0 < int(looked[0].headers["deadline-ms"]) <= 2000
+        assert looked[0].headers["target-instance"].startswith("look-")
+
+
+@in_loop
+async def test_an_upload_without_a_length_arrives_whole():
+    async def parts():
+        for _ in range(40):
+            yield b"x" * 20000
+
+    async with Trial() as trial:
+        status, _, _ = await trial.ask("/up/scan", "id-1", "POST", parts())
+        seen = [seen for worker in trial.of("up") for seen in worker.seen]
+        assert status == 200
+        assert seen[0].body == b"x" * 800000
+
+
+@pytest.mark.parametrize("mode", [Mode.TWICE, Mode.LATE_SECOND])
+@in_loop
+async def test_a_second_answer_reaches_nobody(mode):
+    """
+    A caller gets the answer of somebody else's request.
+
+    A target answers a request twice, the second time at once or 100 ms later; the
+    next request goes out on the same connection and is handed the second answer.
+    """
+    async with Trial(services=("look",), targets=1) as trial:
+        trial.set_mode("look", mode)
+        for number in range(6):
+            request_id = f"id-{number}"
+            status, headers, body = await trial.ask("/look/a", request_id)
+            assert (status, body) == (200, BODY)
+            assert headers["Request-Id"] == request_id
+            await asyncio.sleep(0.03 * number)
+
+
+@pytest.mark.parametrize(
+    "mode", [Mode.CUT, Mode.GARBAGE, Mode.UNFRAMED_RESET, Mode.UNSIGNED]
+)
+@in_loop
+async def test_a_broken_answer_never_looks_whole(mode):
+    """
+    A caller takes half a certificate for a whole one.
+
+    The target's answer breaks off, is no answer, ends with a reset where only the
+    end of the connection would end it, or lacks the proof that it is the target's.
+    """
+    async with Trial(services=("act",)) as trial:
+        trial.set_mode("act", mode)
+        status, headers, _ = await trial.ask("/act/a", "id-1", "POST")
+        assert status == 502
+        assert "Response-Signature" not in headers
+
+
+@in_loop
+async def test_an_answer_that_ends_with_its_connection_is_whole():
+    async with Trial(services=("look",)) as trial:
+        trial.set_mode("look", Mode.UNFRAMED)
+        status, _, body = await trial.ask("/look/a", "id-1")
+        assert (status, body) == (200, BODY)
+
+
+@pytest.mark.parametrize("mode", [Mode.RESET, Mode.CUT, Mode.ERRORS, Mode.FALSE_BUSY])
+@in_loop
+async def test_an_order_that_may_have_run_is_not_sent_again(mode):
+    """
+    A file is destroyed twice, or an archivist is told that an order has not run.
+
+    The target runs an order and its answer is lost, broken or a failure, at times
+    one with the status of a refusal. The host sends it to a second target, or says
+    503.
+    """
+    async with Trial(services=("act",), targets=3) as trial:
+        trial.set_mode("act", mode)
+        status, _, _ = await trial.ask("/act/a", "id-1", "POST")
+        runs = sum(worker.runs["id-1"] for worker in trial.of("act"))
+        assert runs == 1
+        assert status in (500, 502, 504)
+
+
+@in_loop
+async def test_an_order_that_did_not_run_is_sent_elsewhere():
+    """
+    An order is refused although a target had room.
+
+    One target refuses and says that it has not run the order, another one is down.
+    """
+    async with Trial(services=("act",), targets=3) as trial:
+        trial.workers["act-0"].mode = Mode.SHED
+        trial.workers["act-1"].stop()
+        for number in range(10):
+            status, _, _ = await trial.ask("/act/a", f"id-{number}", "POST")
+            assert status == 200
+        assert all(count == 1 for count in trial.workers["act-2"].runs.values())
+
+
+@in_loop
+async def test_a_full_service_is_refused_truly():
+    async with Trial(services=("act",)) as trial:
+        trial.set_mode("act", Mode.SHED)
+        status, headers, _ = await trial.ask("/act/a", "id-1", "POST")
+        assert status == 503
+        assert 0 < float(headers["Retry-After"]) < 3
+        await asyncio.sleep(0.1)
+        assert not any(worker.runs for worker in trial.of("act"))
+
+
+@in_loop
+async def test_a_look_up_survives_a_failing_target():
+    """
+    A clerk sees an error although nine of ten targets are well.
+
+    One target answers 500 in no time, so it is never busy and draws the work.
+    """
+    async with Trial(services=("look",), targets=3) as trial:
+        trial.workers["look-0"].mode = Mode.ERRORS
+        statuses = [
+            (await trial.ask("/look/a", f"id-{number}"))[0] for number in range(40)
+        ]
+        assert statuses == [200] * 40
+        assert sum(trial.workers["look-0"].runs.values()) <= 3
+
+
+@in_loop
+async def test_a_hanging_target_costs_a_look_up_a_second_send_only():
+    async with Trial(services=("look",), targets=3) as trial:
+        for number in range(12):
+            await trial.ask("/look/a", f"warm-{number}")
+        trial.workers["look-1"].mode = Mode.HANG
+        for number in range(20):
+            status, _, _ = await trial.ask("/look/a", f"id-{number}")
+            assert status == 200
+
+
+@in_loop
+async def test_an_answer_before_the_request_is_out_ends_the_connection():
+    """
+    A target runs a request that nobody sent.
+
+    It answers a long upload before it has read it, keeps the connection and reads
+    on; the next request on that connection lands in the middle of the upload.
+    """
+    async with Trial(services=("up",), targets=1) as trial:
+        trial.set_mode("up", Mode.EARLY)
+        await trial.ask("/up/a", "id-1", "POST", b"GET /x HTTP/1.1\r\n\r\n" * 90000)
+        trial.set_mode("up", Mode.GOOD)
+        status, _, _ = await trial.ask("/up/b", "id-2", "POST", b"short")
+        worker = trial.workers["up-0"]
+        assert status == 200
+        assert [(seen.id, seen.body) for seen in worker.seen] == [("id-2", b"short")]
+
+
+@in_loop
+async def test_a_caller_that_leaves_stops_idempotent_work_only():
+    """
+    Targets work for nobody, or an order is broken off half way.
+
+    Two callers leave while their requests run at a target.
+    """
+    async with Trial(services=("look", "act"), targets=1) as trial:
+        for worker in trial.workers.values():
+            worker.work = 0.4
+        for path, method in (("/look/a", "GET"), ("/act/a", "POST")):
+            task = asyncio.ensure_future(trial.ask(path, "id-1", method))
+            await asyncio.sleep(0.15)
+            task.cancel()
+        await asyncio.sleep(0.7)
+        assert trial.workers["look-0"].cancelled["id-1"] == 1
+        assert trial.workers["act-0"].done["id-1"] == 1
+
+
+@in_loop
+async def test_the_routes_time_ends_a_request():
+    async with Trial(services=("act",)) as trial:
+        trial.store.put(OPERATOR, "config", configuration(2, timeout=0.3))
+        await until(lambda: trial.hosts[0].knowledge.cfg.version == 2)
+        trial.set_mode("act", Mode.HANG)
+        started = asyncio.get_running_loop().time()
+        status, _, _ = await trial.ask("/act/a", "id-1", "POST")
+        assert status == 504
+        assert asyncio.get_running_loop().time() - started < 0.45
+
+
+@in_loop
+async def test_a_target_that_leaves_gets_no_work():
+    async with Trial(services=("look",)) as trial:
+        leaving = trial.workers["look-0"]
+        trial.register(leaving, "draining")
+        registry = trial.hosts[0].knowledge.registry
+        await until(lambda: len(registry.usable("look")) == 1)
+        for number in range(10):
+            await trial.ask("/look/a", f"id-{number}")
+        assert not leaving.seen
+
+
+@in_loop
+async def test_a_reused_address_runs_nothing():
+    """
+    A request is run by a service that it never was meant for.
+
+    A target ends without a word and its address goes to a target of another
+    service. The host's entry is old, but it names the instance that it means.
+    """
+    async with Trial(services=("look",), targets=2) as trial:
+        trial.workers["look-0"].id = "stranger"
+        for number in range(10):
+            status, _, _ = await trial.ask("/look/a", f"id-{number}")
+            assert status == 200
+        assert not trial.workers["look-0"].runs
+
+
+@in_loop
+async def test_versions_only_grow():
+    async with Trial(services=("look",)) as trial:
+        knowledge = trial.hosts[0].knowledge
+        trial.store.put(OPERATOR, "config", configuration(5, routes={}))
+        await until(lambda: knowledge.cfg.version == 5)
+        trial.store.put(OPERATOR, "config", configuration(4))
+        trial.store.put(OPERATOR, "config", b"not json")
+        await asyncio.sleep(1.2)
+        assert knowledge.cfg.version == 5
+        status, _, _ = await trial.ask("/look/a", "id-1")
+        assert status == 404
+
+
+@pytest.mark.parametrize(
+    "fault", [Fault.BUSY, Fault.MANY, Fault.RESET, Fault.SILENT, Fault.LOST]
+)
+@in_loop
+async def test_requests_are_served_while_the_store_is_away(fault, monkeypatch):
+    """
+    Nobody is served, because the store does not answer.
+
+    The store fails in one of several ways for some seconds; meanwhile the operators
+    publish a version, which must be in force soon after the store is back. A silent
+    store holds on to reads that wait already, so their time must be over first.
+    """
+    monkeypatch.setattr(feed, "WAIT_LEAST", 1.0)
+    monkeypatch.setattr(feed, "WAIT_MOST", 2.0)
+    async with Trial(services=("look",)) as trial:
+        trial.store.fault = fault
+        trial.store.put(OPERATOR, "config", configuration(2))
+        for number in range(5):
+            status, _, _ = await trial.ask("/look/a", f"id-{number}")
+            assert status == 200
+            await asyncio.sleep(0.2)
+        trial.store.fault = Fault.NONE
+        await until(lambda: trial.hosts[0].knowledge.cfg.version == 2)
+
+
+@in_loop
+async def test_deleted_records_are_listed_anew():
+    async with Trial(services=("look",)) as trial:
+        trial.store.fault = Fault.BUSY
+        trial.store.put(OPERATOR, "config", configuration(2))
+        trial.store.put(OPERATOR, "config", configuration(3))
+        trial.store.compact(OPERATOR)
+        trial.store.fault = Fault.NONE
+        await until(lambda: trial.hosts[0].knowledge.cfg.version == 3)
+
+
+@in_loop
+async def test_hosts_hear_of_each_others_failures():
+    """
+    Each host learns of a failing target by its own callers' errors.
+
+    One of two hosts sees a target fail. The other one must know before it has sent
+    the target anything.
+    """
+    async with Trial(services=("act",), targets=2, hosts=2) as trial:
+        await until(lambda: trial.hosts[0].knowledge.zone.hosts_heard() == 2)
+        await until(lambda: trial.hosts[1].knowledge.zone.hosts_heard() == 2)
+        trial.workers["act-0"].mode = Mode.ERRORS
+        for number in range(6):
+            await trial.ask("/act/a", f"id-{number}", "POST", host=0)
+        failed = sum(trial.workers["act-0"].runs.values())
+        for number in range(6):
+            status, _, _ = await trial.ask("/act/a", f"b-{number}", "POST", host=1)
+            assert status == 200
+        assert failed <= 2
+
+
+@in_loop
+async def test_kept_connections_are_used():
+    async with Trial(services=("look",), targets=1) as trial:
+        for number in range(10):
+            await trial.ask("/look/a", f"id-{number}")
+        assert trial.workers["look-0"].connections == 1
+
+
+@in_loop
+async def test_limits_and_unknown_routes():
+    limits = {"max_header_bytes": 2000, "max_body_bytes": 1000}
+    async with Trial(services=("look", "up")) as trial:
+        trial.store.put(OPERATOR, "config", configuration(2, limits=limits))
+        await until(lambda: trial.hosts[0].knowledge.cfg.version == 2)
+        assert (await trial.ask("/none/a", "id-1"))[0] == 404
+        assert (await trial.ask("/up/a", "id-2", "POST", b"x" * 1001))[0] == 413
+        trial.session.headers["X-Long"] = "x" * 2000
+        assert (await trial.ask("/look/a", "id-3"))[0] == 431
+
+
+@in_loop
+async def test_leaving_answers_what_is_under_way_and_drops_nothing_after():
+    """
+    A scan is lost because a host is restarted.
+
+    SIGTERM comes while a request runs and another connection is idle. The request
+    must be answered; a request on the idle connection after the host has closed
+    must not be taken and forgotten.
+    """
+    async with Trial(services=("up",), targets=1) as trial:
+        host = trial.hosts[0]
+        ip, port = host.settings.callers.split(":")
+        idle_reader, idle_writer = await asyncio.open_connection(ip, int(port))
+        trial.workers["up-0"].work = 1.0
+        asked = asyncio.ensure_future(trial.ask("/up/a", "id-1", "POST", b"scan"))
+        await asyncio.sleep(0.1)
+        leaving = asyncio.ensure_future(host.leave())
+        await asyncio.sleep(0.1)
+        ready = f"http://{host.settings.ready}/readyz"
+        async with trial.session.get(ready) as resp:
+            assert resp.status == 503
+        status, headers, _ = await asked
+        assert status == 200
+        assert headers.get("Connection") == "close"
+        await leaving
+        assert await asyncio.wait_for(idle_reader.read(), 1.0) == b""
+        idle_writer.close()
+
+
+@in_loop
+async def test_a_host_without_a_configuration_says_so():
+    async with Trial(services=("look",)) as trial:
+        trial.store.fault = Fault.BUSY
+        host = await trial.add_host(1)
+        status, headers, _ = await trial.ask("/look/a", "id-1", host=1)
+        assert status == 503
+        assert "Retry-After" in headers
+        async with trial.session.get(f"http://{host.settings.ready}/readyz") as resp:
+            assert resp.status == 503
+        trial.store.fault = Fault.NONE
+        await until(lambda: host.knowledge.is_complete)
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/store.py
@@ -0,0 +1,242 @@
+"""
+A stand-in for the platform's store, which speaks its published protocol.
+
+It keeps topics in memory and serves appends, reads that wait, listings of keyed topics
+and trims. `fault` switches what goes wrong: see `Fault`. A silent fault also holds on
+to calls that are waiting already, as a dead connection does.
+"""
+
+import asyncio
+import base64
+import enum
+import struct
+from typing import NamedTuple
+
+from aiohttp import web
+
+FOREVER = 3600.0
+
+
+class Fault(enum.Enum):
+    """What the store does to each call."""
+
+    NONE = "none"
+    BUSY = "busy"
+    MANY = "many"
+    RESET = "reset"
+    SILENT = "silent"
+    LOST = "lost"
+
+
+class Stored(NamedTuple):
+    """A record of a topic."""
+
+    offset: int
+    data: bytes
+
+
+class Topic:
+    """One topic with a single partition."""
+
+    def __init__(self):
+        self.records = []
+        self.end = 0
+        self.newest = {}
+        self.producers = {}
+        self.grown = asyncio.Event()
+
+    @property
+    def first(self):
+        """The first retained offset."""
+        return self.records[0].offset if self.records else self.end
+
+    def append(self, data, is_keyed):
+        """Add a record and return its offset."""
+        offset = self.end
+        self.records.append(Stored(offset, data))
+        self.end += 1
+        if is_keyed:
+            key, value = split_record(data)
+            if value:
+                self.newest[key] = Stored(offset, value)
+            else:
+                self.newest.pop(key, None)
+        self.grown.set()
+        self.grown = asyncio.Event()
+        return offset
+
+
+class StoreStandin:
+    """
+    The store's state.
+
+    Args:
+      calls_most: Calls that a second may have before 429, or None for any number.
+    """
+
+    def __init__(self, calls_most=None):
+        self.topics = {}
+        self.fault = Fault.NONE
+        self.slow = 0.0
+        self.calls = []
+        self.calls_most = calls_most
+
+    def topic(self, name):
+        """Return a topic, which is created on first use."""
+        if name not in self.topics:
+            self.topics[name] = Topic()
+        return self.topics[name]
+
+    def put(self, topic, key, value):
+        """Write a key of a keyed topic, as the operator and the targets do."""
+        return self.topic(topic).append(join_record(key, value), True)
+
+    def compact(self, topic):
+        """Delete all records of a topic; the newest of each key stay listed."""
+        self.topic(topic).records.clear()
+
+    def app(self):
+        """Return the store's application."""
+        app = web.Application()
+        app.router.add_post("/log-append", self._guard(self._append))
+        app.router.add_get("/log-read", self._guard(self._read))
+        app.router.add_get("/log-newest", self._guard(self._list))
+        app.router.add_post("/log-trim", self._guard(self._trim))
+        return app
+
+    def _guard(self, serve):
+        async def guarded(request):
+            loop = asyncio.get_running_loop()
+            self.calls.append((loop.time(), request.path, dict(request.query)))
+            if self._is_over(loop.time()):
+                return web.Response(status=429)
+            if self.slow:
+                await asyncio.sleep(self.slow)
+            refusal = await self._fail(request)
+            if refusal is not None:
+                return refusal
+            resp = await serve(request)
+            if self.fault is Fault.SILENT:
+                await asyncio.sleep(FOREVER)
+            if self.fault is Fault.LOST and request.method == "POST":
+                request.transport.abort()
+            return resp
+
+        return guarded
+
+    def _is_over(self, at):
+        if self.calls_most is None:
+            return False
+        return sum(1 for when, _, _ in self.calls if when > at - 1) > self.calls_most
+
+    async def _fail(self, request):
+        """Return what a fault makes of a call before it is served, or None."""
+        if self.fault is Fault.BUSY:
+            return web.Response(status=503)
+        if self.fault is Fault.MANY:
+            return web.Response(status=429)
+        if self.fault is Fault.RESET:
+            request.transport.abort()
+            return web.Response()
+        if self.fault is Fault.SILENT:
+            await asyncio.sleep(FOREVER)
+        return None
+
+    async def _append(self, request):
+        name = request.query["topic"]
+        topic = self.topic(name)
+        at = request.query.get("at")
+        if at is not None and int(at) != topic.end:
+            return web.json_response({"end": topic.end}, status=412)
+        refusal = _fence(topic, request.query)
+        if refusal is not None:
+            return refusal
+        offset = topic.end
+        for data in split_records(await request.read()):
+            topic.append(data, name.startswith("keyed."))
+        return web.json_response({"offset": offset, "end": topic.end})
+
+    async def _read(self, request):
+        topic = self.topic(request.query["topic"])
+        start = int(request.query["from"])
+        if start < topic.first:
+            return web.json_response({"first": topic.first}, status=410)
+        wait = int(request.query.get("wait_ms", "0")) / 1000
+        end_at = asyncio.get_running_loop().time() + wait
+        while topic.end <= start:
+            left = end_at - asyncio.get_running_loop().time()
+            if left <= 0:
+                break
+            try:
+                await asyncio.wait_for(topic.grown.wait(), left)
+            except TimeoutError:
+                break
+        if start < topic.first:
+            return web.json_response({"first": topic.first}, status=410)
+        body = struct.pack(">QQ", topic.end, topic.first)
+        for record in topic.records:
+            if record.offset >= start:
+                body += struct.pack(">I", len(record.data)) + record.data
+        return web.Response(body=body)
+
+    async def _list(self, request):
+        topic = self.topic(request.query["topic"])
+        after = request.query.get("after", "")
+        keys = sorted(key for key in topic.newest if key > after)
+        most = 500
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(topic.newest[key].data).decode(),
+                "offset": topic.newest[key].offset,
+            }
+            for key in keys[:most]
+        ]
+        return web.json_response(
+            {"items": items, "has_more": len(keys) > most, "end": topic.end}
+        )
+
+    async def _trim(self, request):
+        topic = self.topic(request.query["topic"])
+        before = int(request.query["before"])
+        topic.records = [r for r in topic.records if r.offset >= before]
+        return web.json_response({})
+
+
+def _fence(topic, query):
+    """Return a refusal for an old epoch or a wrong sequence, or None."""
+    if "producer" not in query:
+        return None
+    producer = query["producer"]
+    epoch, sequence = int(query["epoch"]), int(query["sequence"])
+    known_epoch, known_sequence = topic.producers.get(producer, (-1, -1))
+    if epoch < known_epoch:
+        return web.json_response({"why": "fenced"}, status=409)
+    if epoch == known_epoch and sequence != known_sequence + 1:
+        body = {"why": "seq", "sequence": known_sequence + 1}
+        return web.json_response(body, status=409)
+    topic.producers[producer] = (epoch, sequence)
+    return None
+
+
+def join_record(key, value):
+    """Return the bytes of a keyed record; an empty value drops the key."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
+def split_record(data):
+    """Return the key and the value of a keyed record."""
+    size = data[0]
+    return data[1 : 1 + size].decode(), data[1 + size :]
+
+
+def split_records(data):
+    """Return the records of an append's body."""
+    records = []
+    at = 0
+    while at < len(data):
+        (length,) = struct.unpack_from(">I", data, at)
+        records.append(data[at + 4 : at + 4 + length])
+        at += 4 + length
+    return records
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -0,0 +1,180 @@
+"""
+One data centre for tests: the stand-in store, targets and hosts in one event loop.
+"""
+
+import asyncio
+import functools
+import json
+import socket
+
+import aiohttp
+from aiohttp import web
+
+from plumsaddle_core.core.traffic import Bounds, HostSettings
+from plumsaddle_hosts.edge.main import Host
+
+from .store import StoreStandin
+from .worker import WorkerStandin
+
+OPERATOR = "keyed.op"
+TARGETS = "keyed.servers"
+HOST_NAME = "records.example"
+KINDS = {
+    "/look/": ("safe", "look"),
+    "/act/": ("unsafe", "act"),
+    "/up/": ("upload", "up"),
+}
+
+
+def free_port():
+    """Return a port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def configuration(version, timeout=2.0, routes=KINDS, tries=2, limits=None):
+    """Return the bytes of a configuration with one route for each kind."""
+    resources = [
+        {
+            "entry_kind": "routes",
+            "metadata": {"name": prefix},
+            "spec": {
+                "host": HOST_NAME,
+                "path_prefix": prefix,
+                "route_type": kind,
+                "timeout_ms": int(timeout * 1000),
+                "target_latency_ms": 1200,
+                "priority": 1,
+                "service": service,
+                "max_attempts": tries,
+            },
+        }
+        for prefix, (kind, service) in routes.items()
+    ]
+    resources.append(
+        {
+            "entry_kind": "limits",
+            "metadata": {},
+            "spec": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 4_000_000,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": 5000,
+                **(limits or {}),
+            },
+        }
+    )
+    return json.dumps({"version": version, "resources": resources}).encode()
+
+
+class Trial:
+    """A data centre that is started with `async with`."""
+
+    def __init__(self, services=("look", "act", "up"), targets=2, hosts=1, **bounds):
+        self.store = StoreStandin()
+        self.workers = {
+            f"{service}-{number}": WorkerStandin(f"{service}-{number}", service)
+            for service in services
+            for number in range(targets)
+        }
+        self.hosts = []
+        self._count = hosts
+        self._bounds = Bounds(**{"grace": 3.0, "retry_extra": 100.0, **bounds})
+        self._tasks = []
+        self._runner = None
+        self.session = None
+
+    async def __aenter__(self):
+        self._runner = web.AppRunner(self.store.app(), shutdown_timeout=0.1)
+        await self._runner.setup()
+        port = free_port()
+        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+        self.store_address = f"127.0.0.1:{port}"
+        self.store.put(OPERATOR, "config", configuration(1))
+        for worker in self.workers.values():
+            await worker.start()
+            self.register(worker)
+        for number in range(self._count):
+            await self.add_host(number)
+        self.session = aiohttp.ClientSession()
+        for host in self.hosts:
+            await until(lambda host=host: host.knowledge.is_complete)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.session.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for host in self.hosts:
+            await host.shut()
+        for worker in self.workers.values():
+            worker.stop()
+        await self._runner.cleanup()
+
+    async def add_host(self, number):
+        """Start one more host."""
+        seeds = [host.settings.peers for host in self.hosts[:1]]
+        settings = HostSettings(
+            f"host-{number}",
+            "x",
+            ("x",),
+            f"127.0.0.1:{free_port()}",
+            f"127.0.0.1:{free_port()}",
+            f"127.0.0.1:{free_port()}",
+            tuple(seeds),
+            self.store_address,
+            self._bounds,
+        )
+        host = Host(settings, "/nonexistent")
+        await host.start()
+        self.hosts.append(host)
+        return host
+
+    def register(self, worker, state="ready"):
+        """Write a target's entry."""
+        self.store.put(TARGETS, worker.id, worker.entry(state))
+
+    def unregister(self, worker):
+        """Remove a target's entry."""
+        self.store.put(TARGETS, worker.id, b"")
+
+    def of(self, service):
+        """Return the stand-ins of a service."""
+        return [w for w in self.workers.values() if w.service == service]
+
+    def set_mode(self, service, mode):
+        """Switch what all targets of a service do."""
+        for worker in self.of(service):
+            worker.mode = mode
+
+    async def ask(self, path, request_id, method="GET", body=None, host=0, left=3000):
+        """Send a request and return its status, headers and body."""
+        url = f"http://{self.hosts[host].settings.callers}{path}"
+        headers = {
+            "Host": HOST_NAME,
+            "Request-Id": request_id,
+            "Deadline-Ms": str(left),
+        }
+        async with self.session.request(
+            method, url, headers=headers, data=body
+        ) as resp:
+            return resp.status, resp.headers, await resp.read()
+
+
+async def until(holds, seconds=5.0):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(seconds):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+def in_loop(test):
+    """Let a coroutine function be a test: it runs in a loop of its own."""
+
+    @functools.wraps(test)
+    def run(*args, **options):
+        return asyncio.run(test(*args, **options))
+
+    return run
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -0,0 +1,224 @@
+"""
+A stand-in for a target that speaks the platform's published protocol, with its faults.
+
+It is written on bare sockets, so that each byte of a fault is as it should be: answers
+that break off, that come twice, that have no length, or that come before a long request
+has been read. `mode` switches what it does to the next requests; `runs` counts what it
+ran, by request id, and `seen` what reached it.
+"""
+
+import asyncio
+import enum
+import json
+import socket
+import struct
+from collections import Counter
+from typing import NamedTuple
+
+BODY = b"the target's own bytes"
+
+
+class Mode(enum.Enum):
+    """What a stand-in does to the next requests."""
+
+    GOOD = "good"
+    ERRORS = "errors"
+    HANG = "hang"
+    RESET = "reset"
+    SHED = "shed"
+    UNSIGNED = "unsigned"
+    CUT = "cut"
+    GARBAGE = "garbage"
+    TWICE = "twice"
+    LATE_SECOND = "late-second"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed-reset"
+    EARLY = "early"
+    CLOSE_IDLE = "close-idle"
+    FALSE_BUSY = "false-busy"
+
+
+class Seen(NamedTuple):
+    """A request that reached the stand-in."""
+
+    id: str
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+
+
+class WorkerStandin:
+    """
+    One stand-in target.
+
+    Args:
+      target_id: Its id in the registry.
+      service: Its service.
+      centre: Its data centre.
+      work: Seconds that a request takes.
+    """
+
+    def __init__(self, target_id, service, centre="x", work=0.01):
+        self.id = target_id
+        self.service = service
+        self.centre = centre
+        self.work = work
+        self.mode = Mode.GOOD
+        self.idle_limit = 5
+        self.runs = Counter()
+        self.done = Counter()
+        self.cancelled = Counter()
+        self.seen = []
+        self.connections = 0
+        self.address = None
+        self._server = None
+        self._writers = set()
+
+    async def start(self, port=0):
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        bound_port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{bound_port}"
+
+    def stop(self):
+        """Stop listening and cut all connections, as a crash does."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def entry(self, state="ready", warm_up=0):
+        """Return the bytes of the registry's entry."""
+        return json.dumps(
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.centre,
+                "version": "v1",
+                "slots": 4,
+                "state": state,
+                "warmup_left_ms": warm_up,
+                "sequence": 1,
+            }
+        ).encode()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(self, reader, writer):
+        """Serve one request and return whether the connection goes on."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.rstrip().split("\r\n")
+        method, path, _ = first.split(" ")
+        headers = {k.lower(): v.strip() for k, v in (x.split(":", 1) for x in lines)}
+        request_id = headers.get("request-id", "")
+        if self.mode is Mode.EARLY:
+            writer.write(self._answer(request_id, 200, BODY))
+            await reader.read(10)
+            return True
+        body = await _read_body(reader, headers)
+        self.seen.append(Seen(request_id, method, path, headers, body))
+        if headers.get("target-instance", self.id) != self.id:
+            writer.write(self._answer(request_id, 421, b"", "Instance-Id: other\r\n"))
+            return True
+        return await self._work(request_id, reader, writer)
+
+    async def _work(self, request_id, reader, writer):
+        mode = self.mode
+        if mode is Mode.SHED:
+            writer.write(self._answer(request_id, 503, b"", "Not-Executed: 1\r\n"))
+            return True
+        self.runs[request_id] += 1
+        if mode is Mode.ERRORS:
+            writer.write(self._answer(request_id, 500, b"failed"))
+            return True
+        if mode is Mode.FALSE_BUSY:
+            writer.write(self._answer(request_id, 503, b"busy, after it ran"))
+            return True
+        if mode is Mode.RESET:
+            _reset(writer)
+            return False
+        seconds = 3600.0 if mode is Mode.HANG else self.work
+        if not await self._take_time(request_id, reader, seconds):
+            return False
+        self.done[request_id] += 1
+        return await self._reply(request_id, writer, mode)
+
+    async def _take_time(self, request_id, reader, seconds):
+        """Work, and return whether the caller was still there at the end."""
+        gone = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait({gone}, timeout=seconds)
+        if done:
+            self.cancelled[request_id] += 1
+            return False
+        gone.cancel()
+        await asyncio.gather(gone, return_exceptions=True)
+        return True
+
+    async def _reply(self, request_id, writer, mode):
+        """Write the answer in the way of a mode."""
+        whole = self._answer(request_id, 200, BODY)
+        if mode is Mode.UNSIGNED:
+            whole = self._answer(request_id, 200, BODY, is_signed=False)
+        if mode is Mode.CUT:
+            writer.write(whole[:-5])
+            return False
+        if mode is Mode.GARBAGE:
+            writer.write(b"\x00\x01 this is no answer\r\n\r\n")
+            return False
+        if mode in (Mode.UNFRAMED, Mode.UNFRAMED_RESET):
+            writer.write(self._answer(request_id, 200, BODY, is_framed=False)[:-5])
+            await writer.drain()
+            if mode is Mode.UNFRAMED_RESET:
+                await asyncio.sleep(0.05)
+                _reset(writer)
+            else:
+                writer.write(BODY[-5:])
+            return False
+        writer.write(whole)
+        if mode is Mode.TWICE:
+            writer.write(self._answer(request_id, 200, b"a second answer"))
+        if mode is Mode.LATE_SECOND:
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            writer.write(self._answer(request_id, 200, b"a late second answer"))
+        return mode is not Mode.CLOSE_IDLE
+
+    def _answer(
+        self, request_id, status, body, more="", is_signed=True, is_framed=True
+    ):
+        lines = [f"HTTP/1.1 {status} Status", f"Request-Id: {request_id}"]
+        if is_signed:
+            lines.append(f"Response-Signature: {self.id}.{request_id}")
+        if is_framed:
+            lines.append(f"Content-Length: {len(body)}")
+            lines.append(f"Keep-Alive: timeout={self.idle_limit}")
+        return ("\r\n".join(lines) + "\r\n" + more + "\r\n").encode() + body
+
+
+def _reset(writer):
+    """Reset a connection; closing it would look like an ordinary end."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def _read_body(reader, headers):
+    """Return a request's whole body."""
+    if "chunked" in headers.get("transfer-encoding", ""):
+        body = b""
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readline()
+        await reader.readline()
+        return body
+    return await reader.readexactly(int(headers.get("content-length", 0)))
