--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/attempt_test.py
@@ -0,0 +1,102 @@
+"""
+Property tests of what may be done with a request, against a naive history.
+"""
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from ..core.traffic import Fate, Kind
+from .attempt import Attempt, Stage
+
+ENDS = [
+    Fate.WHOLE,
+    Fate.NOT_RUN,
+    Fate.WRONG_TARGET,
+    Fate.FAILED,
+    Fate.BROKEN,
+    Fate.UNSIGNED,
+    Fate.TIMED_OUT,
+    Fate.ABANDONED,
+]
+
+
+class AttemptMachine(RuleBasedStateMachine):
+    """
+    A caller's order runs twice, or is said not to have run although it has.
+
+    Sends start, end in every way and in any order, two of one request overlap. The
+    naive version keeps the whole history: a target may have run whatever was sent to
+    it and was not refused by it.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.kind = Kind.ORDER
+        self.attempt = Attempt(self.kind, 3)
+        self.open = []
+        self.history = []
+        self.sent = 0
+
+    @rule(kind=st.sampled_from(Kind), tries=st.integers(1, 4))
+    @precondition(lambda self: self.sent == 0)
+    def choose_kind(self, kind, tries):
+        self.kind = kind
+        self.attempt = Attempt(kind, tries)
+
+    @precondition(lambda self: self.attempt.may_send())
+    @rule()
+    def send(self):
+        self.sent += 1
+        self.attempt.note_send(f"t{self.sent}")
+        self.open.append(f"t{self.sent}")
+
+    @precondition(lambda self: self.open)
+    @rule(fate=st.sampled_from(ENDS), data=st.data())
+    def end(self, fate, data):
+        target = data.draw(st.sampled_from(self.open))
+        self.open.remove(target)
+        self.history.append(fate)
+        self.attempt.note_fate(fate)
+
+    @precondition(lambda self: self.open)
+    @rule()
+    def take_back(self):
+        self.attempt.take_back(self.open.pop())
+
+    @rule()
+    def wait(self):
+        """Let nothing happen, so that a finished request may stay finished."""
+
+    def _may_have_run(self):
+        refused = {Fate.NOT_RUN, Fate.WRONG_TARGET}
+        return bool(self.open) or any(fate not in refused for fate in self.history)
+
+    @invariant()
+    def promises_are_true(self):
+        assert self.attempt.may_promise() == (not self._may_have_run())
+
+    @invariant()
+    def what_must_not_repeat_is_sent_once_more_only_if_it_did_not_run(self):
+        if self.kind is not Kind.IDEMPOTENT and self._may_have_run():
+            assert not self.attempt.may_send()
+
+    @invariant()
+    def an_answered_request_goes_nowhere(self):
+        if Fate.WHOLE in self.history:
+            assert self.attempt.stage is Stage.ANSWERED
+            assert not self.attempt.may_send()
+
+    @invariant()
+    def sends_are_bounded(self):
+        assert self.attempt.sends <= self.attempt.tries_most
+
+
+AttemptMachine.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=12, deadline=None, derandomize=True
+)
+TestAttempt = AttemptMachine.TestCase
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry_test.py
@@ -0,0 +1,71 @@
+"""
+Tests of the list of targets around outages of the store.
+"""
+
+from ..core.traffic import Target, TargetState
+from .registry import LAPSE_FOR, Registry
+
+
+def _target(number, state=TargetState.READY):
+    return Target(f"t{number}", "look", "10.0.0.1:80", "x", 4, state, 0.0, 0.0)
+
+
+def _filled(count):
+    registry = Registry()
+    for number in range(count):
+        registry.put(_target(number), number, 0.0)
+    return registry
+
+
+def _ids(registry):
+    return {target.id for target in registry.usable("look")}
+
+
+def test_a_lapse_of_all_entries_keeps_targets_for_a_while():
+    """
+    A service has no targets although all of them work.
+
+    The store is away for longer than entries live; on its return all are missing,
+    and those whose targets live come back within two seconds.
+    """
+    registry = _filled(4)
+    registry.note_store_away(10.0)
+    registry.note_store_back(20.0)
+    registry.drop({f"t{number}": 10 for number in range(4)}, 20.1)
+    assert len(_ids(registry)) == 4
+    registry.put(_target(1), 11, 21.0)
+    registry.expire(20.0 + LAPSE_FOR)
+    assert _ids(registry) == {"t1"}
+
+
+def test_few_missing_entries_are_gone_at_once():
+    """
+    A target that left while a host was cut off still gets work from it.
+
+    The host comes back, finds one entry missing and takes it for a lapsed one.
+    """
+    registry = _filled(6)
+    registry.note_store_away(10.0)
+    registry.note_store_back(20.0)
+    registry.drop(registry.missing({f"t{n}" for n in range(5)}, 10), 20.1)
+    assert _ids(registry) == {f"t{n}" for n in range(5)}
+
+
+def test_entries_are_dropped_at_once_while_the_store_is_well():
+    registry = _filled(2)
+    registry.drop({"t0": 5, "t1": 6}, 50.0)
+    assert not _ids(registry)
+
+
+def test_older_records_change_nothing():
+    """
+    A target that is leaving gets work again.
+
+    A listing that began before the news is read after it.
+    """
+    registry = _filled(1)
+    registry.put(_target(0, TargetState.LEAVING), 9, 1.0)
+    registry.put(_target(0), 4, 1.1)
+    assert not _ids(registry)
+    registry.drop({"t0": 3}, 1.2)
+    assert registry.targets["t0"].state is TargetState.LEAVING
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
@@ -0,0 +1,166 @@
+"""
+Tests of what the hosts of a data centre know together.
+"""
+
+import random
+
+from ..core.traffic import Kind, Target, TargetState
+from .choice import Candidate, Demand, choose_target
+from .share import SPENT_PART, RetryShare
+from .zone import SILENT_AFTER, OutcomeNote, PeerNews, Sign, Zone
+
+
+def _zone():
+    return Zone(0.2, 10.0)
+
+
+def _news(number, outcomes=(), in_flight=None, counts=None, life=1, host="peer"):
+    notes = tuple(OutcomeNote(n, t, "look", "r", sign, 0.3) for n, t, sign in outcomes)
+    return PeerNews(host, life, number, in_flight or {}, notes, counts or {})
+
+
+def test_an_outcome_counts_once():
+    """
+    A sound target looks failing, because one failure was told several times.
+
+    Messages repeat the last outcomes, so that a lost one costs nothing.
+    """
+    zone, once = _zone(), _zone()
+    once.take(_news(1, [(0, "t", Sign.FAILED)]), 1.0)
+    for number in range(1, 6):
+        zone.take(_news(number, [(0, "t", Sign.FAILED)]), 1.0)
+    assert zone.fails("t", 1.0) == once.fails("t", 1.0)
+
+
+def test_a_late_message_changes_nothing():
+    zone = _zone()
+    zone.take(_news(5, in_flight={"t": 3}), 1.0)
+    zone.take(_news(4, in_flight={"t": 1}), 1.1)
+    assert zone.in_flight("t") == 3
+
+
+def test_a_restarted_host_begins_anew():
+    zone = _zone()
+    zone.take(_news(500, in_flight={"t": 3}, life=1), 1.0)
+    zone.take(_news(1, in_flight={"t": 1}, life=2), 2.0)
+    assert zone.in_flight("t") == 1
+
+
+def test_the_work_of_a_silent_host_is_forgotten():
+    zone = _zone()
+    zone.take(_news(1, in_flight={"t": 4}), 1.0)
+    assert zone.forget_silent(1.1 + SILENT_AFTER) == ["peer"]
+    assert zone.in_flight("t") == 0
+
+
+def test_one_failure_convicts_and_time_or_an_answer_acquits():
+    zone = _zone()
+    zone.note("t", "look", "r", Sign.FAILED, 0.001, 10.0)
+    assert zone.fails("t", 10.0) > 0.6
+    assert zone.fails("t", 30.0) < 0.3
+    zone.note("t", "look", "r", Sign.WHOLE, 0.3, 18.0)
+    zone.note("t", "look", "r", Sign.WHOLE, 0.3, 18.5)
+    assert zone.fails("t", 18.5) < 0.15
+
+
+def test_work_that_is_always_long_convicts_nobody():
+    """
+    Sound targets are avoided, because some requests outlast their route's time.
+
+    A route's requests hang whatever their target does; another route's do not.
+    """
+    zone = _zone()
+    for number in range(40):
+        zone.note(f"t{number}", "look", "long", Sign.STUCK, 0.0, 1.0)
+        zone.note(f"u{number}", "look", "short", Sign.WHOLE, 0.3, 1.0)
+    before = zone.fails("sound", 1.0)
+    zone.note("sound", "look", "long", Sign.STUCK, 0.0, 1.0)
+    assert zone.fails("sound", 1.0) < before + 0.05
+    zone.note("hangs", "look", "short", Sign.STUCK, 0.0, 1.0)
+    assert zone.fails("hangs", 1.0) > 0.5
+
+
+def test_a_median_belongs_to_a_route():
+    """
+    Ordinary work looks stuck beside requests that take a millisecond.
+    """
+    zone = _zone()
+    for number in range(100):
+        zone.note("t", "look", "short", Sign.WHOLE, 0.001, number)
+        if number % 10 == 0:
+            zone.note("t", "look", "long", Sign.WHOLE, 0.4, number)
+    assert zone.usual("look", "long") == 0.4
+    assert zone.usual("look", "new") == 0.4
+
+
+def test_hosts_together_keep_the_bound_on_retries():
+    """
+    A service that fails gets twice its load.
+
+    Every request wants a retry; twelve hosts spend the data centre's share, and
+    messages reach the others after the next request only.
+    """
+    rng = random.Random(3)
+    zones = [_zone() for _ in range(12)]
+    requests, retries = 0, 0
+    counts = [(0, 0)] * 12
+    for step in range(1200):
+        at = step / 120
+        index = rng.randrange(12)
+        zone = zones[index]
+        zone.note_request("look", at)
+        requests += 1
+        if zone.may_retry("look", 20.0, at):
+            zone.note_retry("look", at)
+            retries += 1
+        counts[index] = zone.own_counts()["look"]
+        for other, peer in enumerate(zones):
+            if other != index:
+                news = _news(step, counts={"look": counts[index]}, host=str(index))
+                peer.take(news, at)
+    assert retries <= 0.2 * requests + 20
+    assert retries > 0.6 * SPENT_PART * (0.2 * requests + 20)
+
+
+def test_a_host_that_hears_few_takes_little():
+    zone = _zone()
+    for number in range(11):
+        zone.take(_news(1, host=f"h{number}"), 1.0)
+    assert zone.may_retry("look", 12.0, 1.0)
+    zone.forget_silent(1.0 + 2 * SILENT_AFTER)
+    assert not zone.may_retry("look", 12.0, 1.0)
+
+
+def test_a_share_forgets_what_is_older_than_its_window():
+    share = RetryShare(0.5, 10.0)
+    share.note_requests(10, 0.0)
+    assert share.may_retry(0.0, 1.0)
+    assert not share.may_retry(0.0, 10.5)
+
+
+def _candidate(name, fails, in_flight, is_near=True, slots=4):
+    target = Target(name, "look", "a", "x", slots, TargetState.READY, 0.0, 0.0)
+    return Candidate(target, fails, in_flight, False, is_near)
+
+
+def _demand(kind=Kind.ORDER, kilobytes=1.0):
+    return Demand(kind, 0.3, 1.2, 2.0, kilobytes)
+
+
+def _chosen(candidates, demand):
+    return choose_target(candidates, demand, random.Random(1)).candidate.target.id
+
+
+def test_a_target_that_fails_fast_is_no_spare_room():
+    busy = _candidate("busy", 0.02, 4)
+    failing = _candidate("failing", 0.69, 0)
+    assert _chosen([busy, failing], _demand()) == "busy"
+
+
+def test_large_bodies_stay_near_unless_they_would_be_lost():
+    near = _candidate("near", 0.3, 0)
+    away = _candidate("away", 0.02, 0, is_near=False)
+    assert _chosen([near, away], _demand(Kind.UPLOAD, 60.0)) == "near"
+    assert _chosen([near, away], _demand(Kind.ORDER, 1.0)) == "away"
+    lost = _candidate("near", 0.7, 0)
+    assert _chosen([lost, away], _demand(Kind.UPLOAD, 60.0)) == "away"
