Keep targets in use while requests fail; spend no retries twice after a restart

Ruled out: crossing data centres, new targets. A leaving host ends only after a quiet turn, and passes nothing on from closed connections.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -9,12 +9,14 @@
 """
 
 import enum
+import math
 import statistics
 from collections import deque
 from typing import NamedTuple
 
 from ..core.ids import HostId, ServiceName, TargetId
 from .belief import Belief
+from .floor import Results
 from .share import RetryShare
 
 # Hosts beat once a second; three missed beats and a little is silence.
@@ -23,6 +25,8 @@
 # messages, so eight cover several lost messages in a row.
 REPEATED = 8
 LATENCIES_KEPT = 48
+# Sends that end sooner than this (seconds) may never show as work in flight.
+QUICK = 0.1
 # The median before any answer was seen, in seconds; an ordinary request's work.
 USUAL_AT_FIRST = 0.3
 FEWEST = 5
@@ -56,7 +60,7 @@
     """
     A host's message: its table of work in flight and its last outcomes.
 
-    `counts` are its requests and retries for each service since it started.
+    `counts` are what it has done for each service since it started.
     """
 
     host: HostId
@@ -64,7 +68,24 @@
     number: int
     in_flight: dict[TargetId, int]
     outcomes: tuple[OutcomeNote, ...]
-    counts: dict[ServiceName, tuple[int, int]]
+    counts: dict[ServiceName, "Counts"]
+
+
+class Counts(NamedTuple):
+    """What a host has done for a service since it started."""
+
+    requests: int = 0
+    retries: int = 0
+    ended: int = 0
+    unserved: int = 0
+
+    def plus(self, more):
+        """Return the sum with other counts."""
+        return Counts(*(a + b for a, b in zip(self, more, strict=True)))
+
+    def minus(self, less):
+        """Return the difference to other counts."""
+        return Counts(*(a - b for a, b in zip(self, less, strict=True)))
 
 
 class _Peer:
@@ -86,13 +107,17 @@
     Args:
       ratio: Retries that one request allows for.
       window: The seconds over which retries are bounded.
+      started: When the host started, in seconds.
     """
 
-    def __init__(self, ratio, window):
+    def __init__(self, ratio, window, started):
         self.beliefs = {}
         self._ratio = ratio
         self._window = window
+        self._started = started
         self._shares = {}
+        self._results = {}
+        self._used_at = {}
         self._own_counts = {}
         self._most_heard = 1
         self._own = {}
@@ -105,8 +130,9 @@
 
     # This host's own work.
 
-    def start(self, target_id):
+    def start(self, target_id, now):
         """Count a send of this host's that starts."""
+        self._used_at[target_id] = now
         self._own[target_id] = self._own.get(target_id, 0) + 1
 
     def end(self, target_id):
@@ -138,31 +164,41 @@
 
     def note_request(self, service, now):
         """Count a request of this host's for a service."""
-        self._count(service, 1, 0, now)
+        self._count(service, Counts(requests=1), now)
 
     def note_retry(self, service, now):
         """Count a further send of this host's for a service."""
-        self._count(service, 0, 1, now)
+        self._count(service, Counts(retries=1), now)
+
+    def note_end(self, service, is_served, now):
+        """Count a request of this host's that ended, served or not."""
+        self._count(service, Counts(ended=1, unserved=0 if is_served else 1), now)
 
-    def _count(self, service, requests, retries, now):
-        former = self._own_counts.get(service, (0, 0))
-        self._own_counts[service] = (former[0] + requests, former[1] + retries)
-        self._add_counts(service, requests, retries, now)
+    def _count(self, service, counts, now):
+        former = self._own_counts.get(service, Counts())
+        self._own_counts[service] = former.plus(counts)
+        self._add_counts(service, counts, now)
 
     def own_counts(self):
-        """Return this host's requests and retries by service since it started."""
+        """Return this host's `Counts` by service since it started."""
         return dict(self._own_counts)
 
     def may_retry(self, service, extra, now):
         """
         Return whether a further send for a service fits the data centre's share.
 
+        A host that has just started does not know what was spent in the window before
+        it, maybe by itself: when all hosts are killed and come back, each would spend
+        the extra once more. So it begins with nothing of the extra.
+
         Args:
           service: The service's name.
           extra: The data centre's part of the fixed extra.
           now: The present, in seconds.
         """
         part = self.hosts_heard() / self._most_heard
+        if now - self._started < self._window:
+            part = 0.0
         return self._share(service).may_retry(extra * part, now)
 
     def _share(self, service):
@@ -190,12 +226,18 @@
             return
         peer.number = news.number
         peer.heard_at = now
+        for target_id, count in news.in_flight.items():
+            if count > peer.in_flight.get(target_id, 0):
+                self._used_at[target_id] = now
         peer.in_flight = news.in_flight
         self._most_heard = max(self._most_heard, self.hosts_heard())
         self._take_counts(peer, news.counts, now)
         for outcome in news.outcomes:
             if outcome.number > peer.outcome_number:
                 peer.outcome_number = outcome.number
+                if outcome.seconds < QUICK:
+                    # It began and ended between two messages.
+                    self._used_at[outcome.target] = now
                 self._weigh(outcome, now)
 
     def _take_counts(self, peer, counts, now):
@@ -203,18 +245,28 @@
         former, peer.counts = peer.counts, counts
         if former is None:
             return
-        for service, (requests, retries) in counts.items():
-            old_requests, old_retries = former.get(service, (0, 0))
-            self._add_counts(
-                service, requests - old_requests, retries - old_retries, now
-            )
+        for service, now_counts in counts.items():
+            known = former.get(service, Counts())
+            self._add_counts(service, now_counts.minus(known), now)
 
-    def _add_counts(self, service, requests, retries, now):
+    def _add_counts(self, service, counts, now):
         share = self._share(service)
-        if requests:
-            share.note_requests(requests, now)
-        if retries:
-            share.note_retries(retries, now)
+        if counts.requests:
+            share.note_requests(counts.requests, now)
+        if counts.retries:
+            share.note_retries(counts.retries, now)
+        if counts.ended:
+            results = self._results.setdefault(service, Results())
+            results.add(counts.ended, counts.unserved, now)
+
+    def is_troubled(self, service, now):
+        """Return whether a notable share of a service's last requests failed."""
+        results = self._results.get(service)
+        return results is not None and results.is_troubled(now)
+
+    def used_at(self, target_id):
+        """Return when a host of the data centre last sent to a target."""
+        return self._used_at.get(target_id, -math.inf)
 
     def forget_silent(self, now):
         """Forget hosts that have been silent, and return their ids."""
@@ -262,6 +314,7 @@
     def forget_targets(self, known):
         """Forget beliefs in targets that are no longer listed."""
         self.beliefs = {key: b for key, b in self.beliefs.items() if key in known}
+        self._used_at = {key: at for key, at in self._used_at.items() if key in known}
 
     def forget_routes(self, known):
         """Forget the latencies of routes whose names are not known any more."""
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
@@ -7,11 +7,11 @@
 from ..core.traffic import Kind, Target, TargetState
 from .choice import Candidate, Demand, choose_target
 from .share import SPENT_PART, RetryShare
-from .zone import SILENT_AFTER, OutcomeNote, PeerNews, Sign, Zone
+from .zone import SILENT_AFTER, Counts, OutcomeNote, PeerNews, Sign, Zone
 
 
 def _zone():
-    return Zone(0.2, 10.0)
+    return Zone(0.2, 10.0, started=-100.0)
 
 
 def _news(number, outcomes=(), in_flight=None, counts=None, life=1, host="peer"):
@@ -103,7 +103,7 @@
     rng = random.Random(3)
     zones = [_zone() for _ in range(12)]
     requests, retries = 0, 0
-    counts = [(0, 0)] * 12
+    counts = [Counts()] * 12
     for step in range(1200):
         at = step / 120
         index = rng.randrange(12)
@@ -122,6 +122,21 @@
     assert retries > 0.6 * SPENT_PART * (0.2 * requests + 20)
 
 
+def test_a_restarted_host_spends_nothing_twice():
+    """
+    A service that fails gets more retries than all hosts may send.
+
+    All hosts are killed and come back within the window, and each of them knows
+    nothing of what it spent before.
+    """
+    zone = Zone(0.2, 10.0, started=50.0)
+    assert not zone.may_retry("look", 50.0, 51.0)
+    for _ in range(20):
+        zone.note_request("look", 52.0)
+    assert zone.may_retry("look", 50.0, 52.0)
+    assert zone.may_retry("look", 50.0, 70.0)
+
+
 def test_a_host_that_hears_few_takes_little():
     zone = _zone()
     for number in range(11):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -80,6 +80,10 @@
         """Answer one request."""
         started = now()
         transport = request.transport
+        if transport is None or transport.is_closing():
+            # Read in the moment in which the connection was closed: nobody can get
+            # an answer any more, so the request is not passed on.
+            return web.Response(status=503)
         self._busy.add(transport)
         try:
             answer = await self._answer(request, started)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -10,6 +10,7 @@
 
 from plumsaddle_core.core.traffic import Fate
 from plumsaddle_core.ops.choice import Candidate, Demand, choose_target
+from plumsaddle_core.ops.floor import find_unused
 from plumsaddle_core.ops.registry import Registry
 from plumsaddle_core.ops.table import build_table
 from plumsaddle_core.ops.zone import Sign, Zone
@@ -49,7 +50,7 @@
         self.registry = Registry()
         self.has_targets = False
         bounds = settings.bounds
-        self.zone = Zone(bounds.retry_ratio, bounds.retry_window)
+        self.zone = Zone(bounds.retry_ratio, bounds.retry_window, now())
         self._answer_bytes = {}
         self._on_work = None
 
@@ -137,6 +138,8 @@
         """
         Choose a target for a send.
 
+        The first send of a request may be a trial that keeps the service's floor.
+
         Args:
           service: The service's name.
           demand: The `Demand`.
@@ -145,13 +148,23 @@
         Returns:
           A `Choice`, or None if there is no target.
         """
+        usable = self.registry.usable(service)
+        unused = set() if excluded else self._unused(service, usable, at)
         candidates = [
             self._weigh(target, at)
-            for target in self.registry.usable(service)
-            if target.id not in excluded
+            for target in usable
+            if target.id not in excluded and (not unused or target.id in unused)
         ]
         return choose_target(candidates, demand, self.rng)
 
+    def _unused(self, service, usable, at):
+        """Return the targets near by that must get work while requests fail."""
+        if not self.zone.is_troubled(service, at):
+            return set()
+        near = [t.id for t in usable if t.centre == self.settings.centre]
+        floor_share = self.settings.bounds.floor_share
+        return find_unused(near, self.zone.used_at, floor_share, at)
+
     def _weigh(self, target, at):
         return Candidate(
             target,
@@ -196,7 +209,7 @@
 
     def start(self, target):
         """Count a send that starts."""
-        self.zone.start(target.id)
+        self.zone.start(target.id, now())
         self._tell()
 
     def end(self, target):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -157,10 +157,13 @@
         deadline = now() + self.settings.bounds.grace - GRACE_MARGIN
         await asyncio.sleep(min(LISTEN_ON, max(0.0, deadline - now())))
         self._servers[0].close()
-        self._callers.close_idle()
-        while self.front.in_flight and now() < deadline:
-            await asyncio.sleep(LOOK_EVERY)
+        is_quiet = False
+        while not is_quiet and now() < deadline:
+            # A request that was read just before its connection was closed shows as
+            # under way only after the loop's next turn.
             self._callers.close_idle()
+            await asyncio.sleep(LOOK_EVERY)
+            is_quiet = not self.front.in_flight
         await self.shut()
         log.info("end", extra={"in_flight": self.front.in_flight})
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from plumsaddle_core.ops.zone import SILENT_AFTER, OutcomeNote, PeerNews, Sign
+from plumsaddle_core.ops.zone import SILENT_AFTER, Counts, OutcomeNote, PeerNews, Sign
 
 from .clock import now
 
@@ -57,7 +57,7 @@
     number: int
     in_flight: dict[str, int]
     outcomes: list[tuple[int, str, str, str, int, float]]
-    counts: dict[str, tuple[int, int]]
+    counts: dict[str, tuple[int, int, int, int]]
     members: list[str] = []
     read: dict[str, int] = {}
 
@@ -218,9 +218,8 @@
         OutcomeNote(number, target, service, route, Sign(sign), seconds)
         for number, target, service, route, sign, seconds in work.outcomes
     )
-    return PeerNews(
-        work.host, work.life, work.number, work.in_flight, outcomes, work.counts
-    )
+    counts = {service: Counts(*numbers) for service, numbers in work.counts.items()}
+    return PeerNews(work.host, work.life, work.number, work.in_flight, outcomes, counts)
 
 
 def _split(address):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -108,7 +108,10 @@
         self._knowledge.zone.note_request(ask.service, now())
         run = _Run(ask, self._knowledge, self._links, self._metrics)
         try:
-            return await run.serve()
+            answer = await run.serve()
+            is_served = isinstance(answer, Reply) and answer.status < 500
+            self._knowledge.zone.note_end(ask.service, is_served, now())
+            return answer
         finally:
             run.cancel()
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/trial.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -80,7 +80,9 @@
         }
         self.hosts = []
         self._count = hosts
-        self._bounds = Bounds(**{"grace": 3.0, "retry_extra": 100.0, **bounds})
+        self._bounds = Bounds(
+            **{"grace": 3.0, "retry_extra": 100.0, "retry_window": 0.2, **bounds}
+        )
         self._tasks = []
         self._runner = None
         self.session = None
@@ -100,6 +102,8 @@
         self.session = aiohttp.ClientSession()
         for host in self.hosts:
             await until(lambda host=host: host.knowledge.is_complete)
+        # For the first window a host has no part of the extra retries.
+        await asyncio.sleep(self._bounds.retry_window)
         return self
 
     async def __aexit__(self, *exc_info):
