Take a target for gone whose address somebody else has; trace a request from the logs

It now counts like an unreachable target. plumsaddle trace joins the logs of hosts into the story of one request with the evidence behind each choice.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -26,6 +26,8 @@
 SIGNS = {
     Fate.WHOLE: Sign.WHOLE,
     Fate.UNREACHED: Sign.UNREACHABLE,
+    # Somebody else has the address, so the target is gone although it is still listed.
+    Fate.WRONG_TARGET: Sign.UNREACHABLE,
     Fate.TIMED_OUT: Sign.STUCK,
     Fate.FAILED: Sign.FAILED,
     Fate.BROKEN: Sign.FAILED,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
@@ -39,6 +39,7 @@
 from ..platform.store import Store
 from .hosts import ask_all
 from .log import History
+from .trace import read_events, trace_request
 
 DONE = 0
 NO_ANSWER = 1
@@ -455,6 +456,28 @@
     return _fail("It stands in the log, but the hosts do not show it yet.", NOT_KNOWN)
 
 
+def trace(request_id, *files):
+    """
+    Tell the story of one request from the logs of hosts on the platform.
+
+    Args:
+      request_id: The request's id.
+      files: The hosts' logs.
+    """
+    lines = []
+    for path in files:
+        try:
+            lines += Path(path).read_text(encoding="utf-8").splitlines()
+        except (OSError, UnicodeDecodeError) as exc:
+            _fail(f"{path}: {exc}", MISTAKE)
+    story = trace_request(read_events(lines), str(request_id))
+    if not story:
+        _fail(f"No line bears the id {request_id}.", NOT_KNOWN)
+    for line in story:
+        _say(line)
+    sys.exit(DONE)
+
+
 COMMANDS = {
     "check": check,
     "publish": publish,
@@ -464,6 +487,7 @@
     "diff": diff,
     "rollback": rollback,
     "orders": Orders,
+    "trace": trace,
 }
 
 
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
@@ -0,0 +1,96 @@
+"""
+The story of one request, put together from the logs of all hosts.
+
+The lines that bear the request's id tell what was done. What the hosts had seen of its
+targets shortly before tells why: the failed and stuck sends of other requests, and the
+changes of the list of targets.
+"""
+
+import json
+from typing import NamedTuple
+
+# Seconds before a request's first line for which other requests' failures are shown:
+# for longer than that a failure hardly moves the choice of a target.
+BEFORE = 10.0
+# Fields that each line has and that are printed in places of their own.
+HEAD = {"created", "name", "message", "host", "request"}
+EVIDENCE = {"send failed", "stuck", "listed", "unlisted", "lapsed"}
+
+
+class Event(NamedTuple):
+    """One line of a log: when (seconds since the epoch), where, what."""
+
+    at: float
+    host: str
+    part: str
+    message: str
+    fields: dict
+
+
+def read_events(lines):
+    """
+    Decode log lines; what is no log line of a host is passed over.
+
+    Args:
+      lines: Texts, each a JSON object as the hosts write it, after any prefix.
+    Returns:
+      A list of `Event` in the order of their times.
+    """
+    events = []
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(line[start:])
+            event = Event(
+                float(fields["created"]),
+                fields["host"],
+                fields["name"],
+                fields["message"],
+                fields,
+            )
+        except (ValueError, KeyError, TypeError):
+            continue
+        events.append(event)
+    return sorted(events, key=lambda event: event.at)
+
+
+def trace_request(events, request_id):
+    """
+    Return the lines that tell the story of a request.
+
+    Args:
+      events: A list of `Event`.
+      request_id: The request's id.
+    Returns:
+      Texts: the evidence about its targets, then what was done. Times are seconds
+      from the request's first line. The list is empty if no line bears the id.
+    """
+    own = [event for event in events if event.fields.get("request") == request_id]
+    if not own:
+        return []
+    begin, end = own[0].at, own[-1].at
+    targets = {e.fields["target"] for e in own if "target" in e.fields}
+    evidence = [
+        event
+        for event in events
+        if event.message in EVIDENCE
+        and event.fields.get("target") in targets
+        and event.fields.get("request") != request_id
+        and begin - BEFORE <= event.at <= end
+    ]
+    story = sorted({id(e): e for e in own + evidence}.values(), key=lambda e: e.at)
+    return [_tell(event, begin, request_id) for event in story]
+
+
+def _tell(event, begin, request_id):
+    """Return one event as a line; those of other requests are set in."""
+    is_own = event.fields.get("request") == request_id
+    fields = " ".join(
+        f"{name}={json.dumps(value) if isinstance(value, list) else value}"
+        for name, value in event.fields.items()
+        if name not in HEAD and value is not None
+    )
+    mark = "" if is_own else "    | "
+    return f"{event.at - begin:+8.3f} {event.host} {mark}{event.message} {fields}"
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -236,6 +236,8 @@
             status, _, _ = await trial.ask("/look/a", f"id-{number}")
             assert status == 200
         assert not trial.workers["look-0"].runs
+        # One refusal tells that the target is gone.
+        assert len(trial.workers["look-0"].seen) <= 1
 
 
 @in_loop
