--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 setup: $(VENV)/ready
 
-$(VENV)/ready: requirements.txt $(PACKAGES:%=%/pyproject.toml)
+$(VENV)/ready: requirements.txt deploy/requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	python3 -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements.txt
 	$(BIN)/pip install -q --no-deps --no-build-isolation $(PACKAGES:%=-e %)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -19,8 +19,8 @@
 from ..front.headers import HOP_BY_HOP
 from ..platform import wire
 from .clock import now
+from .outgoing import Ask
 from .refusals import Cause, Refusal, status_of
-from .relay import Ask
 
 log = logging.getLogger("front")
 # Bodies up to this many bytes are read whole first.
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -0,0 +1,94 @@
+"""
+A request as it goes to a target: its head, and a long body in its framing.
+"""
+
+from typing import Any, NamedTuple
+
+from plumsaddle_core.core.traffic import Route
+
+from ..front.headers import HOP_BY_HOP
+from ..platform import wire
+
+# Headers that a host sets itself, and those that end at each hop.
+SET_HERE = {
+    wire.TIME_LEFT.lower().encode(),
+    wire.TARGET_ID.lower().encode(),
+    b"content-length",
+    b"expect",
+}
+STOPPED = {name.encode() for name in HOP_BY_HOP} | SET_HERE
+
+
+class Ask(NamedTuple):
+    """
+    A request as the relay needs it.
+
+    `body` is the whole body, or its first part if `rest` is an asynchronous iterator
+    of the others. `length` is the body's length, or None if it is not known. Times
+    are in seconds on the host's clock; `caller_deadline` is when the caller gives up
+    and `deadline` when the route's time is over, if that is earlier.
+    """
+
+    id: bytes
+    method: str
+    path: str
+    headers: list
+    body: bytes
+    rest: Any
+    length: int | None
+    route: Route
+    service: str
+    started: float
+    deadline: float
+    caller: Any
+
+
+def make_head(ask, target, time_left):
+    """
+    Return the bytes of a request to a target, with its body if that is whole.
+
+    Args:
+      ask: The `Ask`.
+      target: The `Target`.
+      time_left: The seconds that the target may take.
+    """
+    named = _named_by_connection(ask.headers)
+    lines = [f"{ask.method} {ask.path} HTTP/1.1".encode("latin-1")]
+    for name, value in ask.headers:
+        lower = name.lower()
+        if lower not in STOPPED and lower not in named:
+            lines.append(name + b": " + value)
+    lines.append(f"{wire.TIME_LEFT}: {max(1, int(time_left * 1000))}".encode())
+    lines.append(f"{wire.TARGET_ID}: {target.id}".encode())
+    if ask.length is None:
+        lines.append(b"Transfer-Encoding: chunked")
+    elif ask.length or ask.method not in ("GET", "HEAD"):
+        lines.append(b"Content-Length: %d" % ask.length)
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return head if ask.length is None else head + ask.body
+
+
+def _named_by_connection(headers):
+    """Return the lower-case names of headers that a Connection header lists."""
+    named = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return named
+
+
+async def frame_body(ask):
+    """Yield the parts of a long body in the framing that the head announced."""
+    if ask.length is not None:
+        async for part in ask.rest:
+            yield part
+        return
+    if ask.body:
+        yield _chunk(ask.body)
+    async for part in ask.rest:
+        yield _chunk(part)
+    yield b"0\r\n\r\n"
+
+
+def _chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -12,13 +12,13 @@
 import logging
 from typing import Any, NamedTuple
 
-from plumsaddle_core.core.traffic import Fate, Reply, Route
+from plumsaddle_core.core.traffic import Fate, Reply
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 
-from ..front.headers import HOP_BY_HOP
-from ..platform import wire
 from .clock import now
+from .outgoing import frame_body, make_head
 from .refusals import Cause, Refusal
+from .verdict import Rest, judge, judge_head
 
 log = logging.getLogger("relay")
 # Answers up to this many bytes are held back until they are whole, so that one that
@@ -39,37 +39,6 @@
 # longer it has been idle, the likelier the target closes it at that very moment.
 ORDER_IDLE_MOST = 6.0
 IDLE_MOST = 60.0
-SET_HERE = {
-    wire.TIME_LEFT.lower().encode(),
-    wire.TARGET_ID.lower().encode(),
-    b"content-length",
-    b"expect",
-}
-STOPPED = {name.encode() for name in HOP_BY_HOP} | SET_HERE
-
-
-class Ask(NamedTuple):
-    """
-    A request as the relay needs it.
-
-    `body` is the whole body, or its first part if `rest` is an asynchronous iterator
-    of the others. `length` is the body's length, or None if it is not known. Times
-    are in seconds on the host's clock; `caller_deadline` is when the caller gives up
-    and `deadline` when the route's time is over, if that is earlier.
-    """
-
-    id: bytes
-    method: str
-    path: str
-    headers: list
-    body: bytes
-    rest: Any
-    length: int | None
-    route: Route
-    service: str
-    started: float
-    deadline: float
-    caller: Any
 
 
 class Result(NamedTuple):
@@ -134,6 +103,8 @@
     def cancel(self):
         """Stop all sends that still run, by closing their connections."""
         for task in self._sends:
+            if task.done() and not task.cancelled():
+                _drop(task.result().reply)
             task.cancel()
 
     async def serve(self):
@@ -410,48 +381,26 @@
         is_done = False
         try:
             if ask.rest is not None:
-                sending = asyncio.ensure_future(link.send_body(_frame(ask)))
+                sending = asyncio.ensure_future(link.send_body(frame_body(ask)))
                 await exchange.collect(HELD_MOST)
                 sending.cancel()
             else:
                 await exchange.collect(HELD_MOST)
             if exchange.fate is None and exchange.has_head:
-                is_done = True
-                return _judge_head(exchange, Rest(exchange, link))
-            return _judge(exchange)
+                fate, reply = judge_head(exchange, Rest(exchange, link))
+                is_done = fate is Fate.WHOLE
+                # Of a long answer that is a failure nobody will read the rest.
+                return fate, reply if is_done else None
+            return judge(exchange)
         finally:
             if not is_done:
                 self._links.put_back(target.id, link)
 
 
-class Rest:
-    """
-    The rest of a long answer, read while it comes.
-
-    Args:
-      exchange: The `Exchange`.
-      link: Its `Link`, which is closed afterwards.
-    """
-
-    def __init__(self, exchange, link):
-        self._exchange = exchange
-        self._link = link
-
-    async def read(self):
-        """Return the next part, b"" at the end, or None if the answer broke off."""
-        exchange = self._exchange
-        self._link.resume()
-        while not exchange.body and exchange.fate is None:
-            await exchange.wait()
-        if exchange.body:
-            part = bytes(exchange.body)
-            exchange.body.clear()
-            return part
-        return b"" if exchange.fate is Fate.WHOLE else None
-
-    def close(self):
-        """Close the connection."""
-        self._link.close()
+def _drop(reply):
+    """Let go of an answer that came beside the one that was passed on."""
+    if reply is not None and reply.rest is not None:
+        reply.rest.close()
 
 
 def _has_no_room(choice, demand):
@@ -473,83 +422,3 @@
     candidate = choice.candidate
     has_room = candidate.in_flight < candidate.target.slots
     return has_room and candidate.fails < HEDGE_FAILS_MOST
-
-
-def make_head(ask, target, time_left):
-    """
-    Return the bytes of a request to a target, with its body if that is whole.
-
-    Args:
-      ask: The `Ask`.
-      target: The `Target`.
-      time_left: The seconds that the target may take.
-    """
-    named = _named_by_connection(ask.headers)
-    lines = [f"{ask.method} {ask.path} HTTP/1.1".encode("latin-1")]
-    for name, value in ask.headers:
-        lower = name.lower()
-        if lower not in STOPPED and lower not in named:
-            lines.append(name + b": " + value)
-    lines.append(f"{wire.TIME_LEFT}: {max(1, int(time_left * 1000))}".encode())
-    lines.append(f"{wire.TARGET_ID}: {target.id}".encode())
-    if ask.length is None:
-        lines.append(b"Transfer-Encoding: chunked")
-    elif ask.length or ask.method not in ("GET", "HEAD"):
-        lines.append(b"Content-Length: %d" % ask.length)
-    head = b"\r\n".join(lines) + b"\r\n\r\n"
-    return head if ask.length is None else head + ask.body
-
-
-def _named_by_connection(headers):
-    """Return the lower-case names of headers that a Connection header lists."""
-    named = set()
-    for name, value in headers:
-        if name.lower() == b"connection":
-            named.update(part.strip().lower() for part in value.split(b","))
-    return named
-
-
-async def _frame(ask):
-    """Yield the parts of a long body in the framing that the head announced."""
-    if ask.length is not None:
-        async for part in ask.rest:
-            yield part
-        return
-    if ask.body:
-        yield _chunk(ask.body)
-    async for part in ask.rest:
-        yield _chunk(part)
-    yield b"0\r\n\r\n"
-
-
-def _chunk(data):
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-def _judge(exchange):
-    """Return the fate and the `Reply` of an exchange that has ended."""
-    if exchange.fate is not Fate.WHOLE:
-        return Fate.BROKEN, None
-    fate, reply = _judge_head(exchange, None)
-    return fate, reply
-
-
-def _judge_head(exchange, rest):
-    """Return the fate that an answer's status and headers tell, and its `Reply`."""
-    headers = {name.lower(): value for name, value in exchange.headers}
-    body = bytes(exchange.body)
-    exchange.body.clear()
-    reply = Reply(exchange.status, exchange.headers, body, rest)
-    if exchange.status == 421:
-        return Fate.WRONG_TARGET, reply
-    if wire.NOT_RUN.lower().encode() in headers:
-        return Fate.NOT_RUN, reply
-    if 200 <= exchange.status < 300:
-        is_signed = wire.SIGNATURE.lower().encode() in headers
-        is_plain = b"content-encoding" not in headers
-        return (Fate.WHOLE if is_signed and is_plain else Fate.UNSIGNED), reply
-    if exchange.status == 504:
-        return Fate.TIMED_OUT, reply
-    if exchange.status >= 500 or exchange.status in (408, 429):
-        return Fate.FAILED, reply
-    return Fate.WHOLE, reply
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -0,0 +1,66 @@
+"""
+What a target's answer says of its request, and the rest of an answer that is long.
+"""
+
+from plumsaddle_core.core.traffic import Fate, Reply
+
+from ..platform import wire
+
+
+def judge(exchange):
+    """Return the fate and the `Reply` of an exchange that has ended."""
+    if exchange.fate is not Fate.WHOLE:
+        return Fate.BROKEN, None
+    fate, reply = judge_head(exchange, None)
+    return fate, reply
+
+
+def judge_head(exchange, rest):
+    """Return the fate that an answer's status and headers tell, and its `Reply`."""
+    headers = {name.lower(): value for name, value in exchange.headers}
+    body = bytes(exchange.body)
+    exchange.body.clear()
+    reply = Reply(exchange.status, exchange.headers, body, rest)
+    if exchange.status == 421:
+        return Fate.WRONG_TARGET, reply
+    if wire.NOT_RUN.lower().encode() in headers:
+        return Fate.NOT_RUN, reply
+    if 200 <= exchange.status < 300:
+        is_signed = wire.SIGNATURE.lower().encode() in headers
+        is_plain = b"content-encoding" not in headers
+        return (Fate.WHOLE if is_signed and is_plain else Fate.UNSIGNED), reply
+    if exchange.status == 504:
+        return Fate.TIMED_OUT, reply
+    if exchange.status >= 500 or exchange.status in (408, 429):
+        return Fate.FAILED, reply
+    return Fate.WHOLE, reply
+
+
+class Rest:
+    """
+    The rest of a long answer, read while it comes.
+
+    Args:
+      exchange: The `Exchange`.
+      link: Its `Link`, which is closed afterwards.
+    """
+
+    def __init__(self, exchange, link):
+        self._exchange = exchange
+        self._link = link
+
+    async def read(self):
+        """Return the next part, b"" at the end, or None if the answer broke off."""
+        exchange = self._exchange
+        self._link.resume()
+        while not exchange.body and exchange.fate is None:
+            await exchange.wait()
+        if exchange.body:
+            part = bytes(exchange.body)
+            exchange.body.clear()
+            return part
+        return b"" if exchange.fate is Fate.WHOLE else None
+
+    def close(self):
+        """Close the connection."""
+        self._link.close()
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -4,13 +4,14 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 
 from plumsaddle_hosts.edge import feed
 
 from .store import Fault
 from .trial import OPERATOR, Trial, configuration, in_loop, until
-from .worker import BODY, Mode
+from .worker import BODY, LONG_BODY, Mode
 
 
 @in_loop
@@ -81,6 +82,27 @@
         assert "Response-Signature" not in headers
 
 
+@in_loop
+async def test_a_long_answer_is_passed_on_whole_or_cut():
+    """
+    A caller takes half a film for a whole one.
+
+    An answer too long to be held back is passed on while it comes. It is whole, has
+    no proof that it is the target's, or breaks off after its head has gone out.
+    """
+    async with Trial(services=("look",)) as trial:
+        trial.set_mode("look", Mode.LONG)
+        status, _, body = await trial.ask("/look/a", "id-1")
+        assert (status, body) == (200, LONG_BODY)
+        trial.set_mode("look", Mode.LONG_UNSIGNED)
+        status, headers, _ = await trial.ask("/look/a", "id-2")
+        assert status == 502
+        assert "Response-Signature" not in headers
+        trial.set_mode("look", Mode.LONG_CUT)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await trial.ask("/look/a", "id-3")
+
+
 @in_loop
 async def test_an_answer_that_ends_with_its_connection_is_whole():
     async with Trial(services=("look",)) as trial:
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 BODY = b"the target's own bytes"
+LONG_BODY = BODY * 40000
 
 
 class Mode(enum.Enum):
@@ -27,6 +28,9 @@
     RESET = "reset"
     SHED = "shed"
     UNSIGNED = "unsigned"
+    LONG = "long"
+    LONG_UNSIGNED = "long-unsigned"
+    LONG_CUT = "long-cut"
     CUT = "cut"
     GARBAGE = "garbage"
     TWICE = "twice"
@@ -38,6 +42,9 @@
     FALSE_BUSY = "false-busy"
 
 
+LONG_MODES = {Mode.LONG, Mode.LONG_UNSIGNED, Mode.LONG_CUT}
+
+
 class Seen(NamedTuple):
     """A request that reached the stand-in."""
 
@@ -169,6 +176,12 @@
         whole = self._answer(request_id, 200, BODY)
         if mode is Mode.UNSIGNED:
             whole = self._answer(request_id, 200, BODY, is_signed=False)
+        if mode in LONG_MODES:
+            is_signed = mode is not Mode.LONG_UNSIGNED
+            whole = self._answer(request_id, 200, LONG_BODY, is_signed=is_signed)
+        if mode is Mode.LONG_CUT:
+            writer.write(whole[:-100000])
+            return False
         if mode is Mode.CUT:
             writer.write(whole[:-5])
             return False
