--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/metrics.py
@@ -5,9 +5,11 @@
 its reason as a label, so that a dashboard shows why and not only how often.
 """
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
+from ..utils.series import new_series
+
 BUCKETS = (0.001, 0.0033, 0.01, 0.033, 0.1, 0.33, 1.0, 3.3, 10.0, 33.0)
 
 
@@ -20,18 +22,7 @@
     """
 
     def __init__(self, host):
-        labels = {"host": host}
-        self._registry = Registry()
-
-        def make(shape, name, text, **options):
-            return shape(
-                f"plumsaddle_{name}",
-                text,
-                const_labels=labels,
-                registry=self._registry,
-                **options,
-            )
-
+        self._registry, make = new_series(host)
         self.requests = make(Counter, "requests_total", "Requests by kind.")
         self.answers = make(Counter, "answers_total", "Targets' answers by status.")
         self.refusals = make(Counter, "refusals_total", "Refusals by reason.")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -2,9 +2,11 @@
 The counters and histograms of a host on the platform.
 """
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
+from ..utils.series import new_series
+
 BUCKETS = (0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 5.0)
 
 
@@ -17,18 +19,7 @@
     """
 
     def __init__(self, host):
-        labels = {"host": host}
-        self._registry = Registry()
-
-        def make(shape, name, text, **options):
-            return shape(
-                f"plumsaddle_{name}",
-                text,
-                const_labels=labels,
-                registry=self._registry,
-                **options,
-            )
-
+        self._registry, make = new_series(host)
         self.requests = make(Counter, "requests_total", "Requests by kind.")
         self.answers = make(Counter, "answers_total", "Targets' answers by status.")
         self.refusals = make(Counter, "refusals_total", "Refusals by cause.")
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that both ways of running use."""
