Bound the log for good; cut an upload at its target when its caller breaks off

Reading the change again found: lines that a full pipe did not take were put aside without a bound, so a host whose log nobody reads would have grown until it was killed; and a long upload that its caller broke off was left open at the target until its time was over.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/events.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/events.py
@@ -55,24 +55,30 @@
         loop.call_soon(self._write)
 
     def _write(self):
+        """Write what waits; further lines are taken only when the former are out."""
         self._is_due = False
-        if self._dropped:
-            note = {"name": "log", "message": "dropped", "lines": self._dropped}
-            self._waiting.appendleft(json.dumps(note))
-            self._dropped = 0
-        lines = "".join(f"{line}\n" for line in self._waiting)
-        self._waiting.clear()
-        data = self._rest + lines.encode()
+        if not self._rest:
+            self._rest = self._take_lines()
         try:
-            self._rest = data[os.write(self._fd, data) :]
+            self._rest = self._rest[os.write(self._fd, self._rest) :]
         except BlockingIOError:
-            self._rest = data
+            pass
         except OSError:
             # Nobody reads any more, and there is nowhere left to say so.
             self._rest = b""
-        if self._rest:
+        if self._rest or self._waiting:
             self._write_later()
 
+    def _take_lines(self):
+        """Return the bytes of all waiting lines, after a note of dropped ones."""
+        if self._dropped:
+            note = {"name": "log", "message": "dropped", "lines": self._dropped}
+            self._waiting.appendleft(json.dumps(note))
+            self._dropped = 0
+        lines = "".join(f"{line}\n" for line in self._waiting)
+        self._waiting.clear()
+        return lines.encode()
+
     def _write_later(self):
         try:
             loop = asyncio.get_running_loop()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -4,14 +4,16 @@
 The relay chooses a target, sends, and looks at what comes back. A failed send of an
 idempotent request is sent once more elsewhere, and one that is slow for its kind gets
 a second send before the first has failed; an order or an upload is sent again only
-when it certainly has not run. Each further send must fit this host's share of the
-retries. A request that can't be served any more is answered at once.
+when it certainly has not run. Each further send must fit the data centre's share of
+the retries. A request that can't be served any more is answered at once.
 """
 
 import asyncio
 import logging
 from typing import Any, NamedTuple
 
+from aiohttp import web
+
 from plumsaddle_core.core.traffic import Fate, Reply
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 
@@ -381,7 +383,7 @@
         is_done = False
         try:
             if ask.rest is not None:
-                sending = asyncio.ensure_future(link.send_body(frame_body(ask)))
+                sending = asyncio.ensure_future(_send_body(link, ask))
                 await exchange.collect(HELD_MOST)
                 sending.cancel()
             else:
@@ -397,6 +399,22 @@
                 self._links.put_back(target.id, link)
 
 
+async def _send_body(link, ask):
+    """
+    Pass a long body on; if its caller breaks off, so does the connection.
+
+    The target would wait for the rest until its time is over otherwise.
+    """
+    try:
+        await link.send_body(frame_body(ask))
+    except (web.RequestPayloadError, OSError) as exc:
+        log.info(
+            "upload broke off",
+            extra={"request": ask.id.decode("latin-1"), "cause": type(exc).__name__},
+        )
+        link.close()
+
+
 def _drop(reply):
     """Let go of an answer that came beside the one that was passed on."""
     if reply is not None and reply.rest is not None:
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -220,6 +220,28 @@
         assert trial.workers["act-0"].done["id-1"] == 1
 
 
+@in_loop
+async def test_a_long_upload_whose_caller_breaks_off_is_cut_at_its_target():
+    """
+    A target waits for the rest of a scan until its time is over.
+
+    The caller leaves after the first part of a long upload has been passed on.
+    """
+
+    async def parts():
+        for _ in range(50):
+            yield b"x" * 20000
+        await asyncio.sleep(30)
+
+    async with Trial(services=("up",), targets=1) as trial:
+        host = trial.hosts[0]
+        task = asyncio.ensure_future(trial.ask("/up/a", "id-1", "POST", parts()))
+        await until(lambda: host.knowledge.zone.own_in_flight())
+        task.cancel()
+        await until(lambda: not host.knowledge.zone.own_in_flight(), 1.0)
+        assert not trial.workers["up-0"].runs
+
+
 @in_loop
 async def test_the_routes_time_ends_a_request():
     async with Trial(services=("act",)) as trial:
