Let one piece of code serve where the path had written it twice

An address was split in three places, the headers that a Connection header names were gathered in two, an idle connection's age was checked in three, and a deleted record's answer was turned into its error in two. A cause, a counter and a sort key that nothing used are gone; whether a target is usable is one look-up and not a walk over its service. The words on an ask's deadline named a field that does not exist.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -19,7 +19,7 @@
 from ..front.headers import HOP_BY_HOP
 from ..platform import wire
 from .clock import now
-from .outgoing import Ask
+from .outgoing import Ask, named_by_connection
 from .refusals import Cause, Refusal, status_of
 
 log = logging.getLogger("front")
@@ -274,10 +274,7 @@
 
 def _pass_headers(pairs):
     """Return the headers of a target's answer that go to the caller."""
-    named = set()
-    for name, value in pairs:
-        if name.lower() == b"connection":
-            named.update(part.strip().lower() for part in value.split(b","))
+    named = named_by_connection(pairs)
     headers = CIMultiDict()
     for name, value in pairs:
         lower = name.lower()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -8,7 +8,7 @@
 import logging
 import random
 
-from plumsaddle_core.core.traffic import Fate
+from plumsaddle_core.core.traffic import Fate, TargetState
 from plumsaddle_core.ops.choice import Candidate, Demand, choose_target
 from plumsaddle_core.ops.floor import find_unused
 from plumsaddle_core.ops.registry import Registry
@@ -199,9 +199,8 @@
 
     def is_usable(self, target):
         """Return whether a target may still get new work."""
-        return self.registry.targets.get(target.id) is not None and any(
-            t.id == target.id for t in self.registry.usable(target.service)
-        )
+        listed = self.registry.targets.get(target.id)
+        return listed is not None and listed.state is TargetState.READY
 
     def may_retry(self, service):
         """Return whether one more send for a service fits the bound on retries."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/link.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/link.py
@@ -12,12 +12,14 @@
 """
 
 import asyncio
+import math
 import socket
 
 import httptools
 
 from plumsaddle_core.core.traffic import Fate
 
+from ..utils.addresses import split_address
 from .clock import now
 
 # Bytes that a target may send ahead of a reader before its connection is paused.
@@ -100,9 +102,15 @@
 
     # What the owner calls.
 
-    def is_reusable(self, at):
-        """Return whether the next request may go out on this connection."""
-        is_fresh = at - self.used_at < self.idle_limit
+    def is_reusable(self, at, idle_most=math.inf):
+        """
+        Return whether the next request may go out on this connection.
+
+        Args:
+          at: The present, in seconds.
+          idle_most: The most seconds for which it may have been idle.
+        """
+        is_fresh = at - self.used_at < min(self.idle_limit, idle_most)
         return not (self.is_closed or self._is_spoiled) and is_fresh
 
     def begin(self, head, request_id):
@@ -264,12 +272,12 @@
     Returns:
       A `Link`, or None if there is no connection in time.
     """
-    ip, _, port = address.rpartition(":")
+    ip, port = split_address(address)
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout):
             _, link = await loop.create_connection(
-                lambda: Link(on_closed), ip, int(port), family=socket.AF_INET
+                lambda: Link(on_closed), ip, port, family=socket.AF_INET
             )
     except (TimeoutError, OSError):
         return None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/links.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/links.py
@@ -22,14 +22,12 @@
 
     def __init__(self):
         self._idle = {}
-        self.opened = 0
 
     def has(self, target_id, idle_most):
         """Return whether `take` would return a connection."""
         at = now()
         return any(
-            link.is_reusable(at) and at - link.used_at < idle_most
-            for link in self._idle.get(target_id, ())
+            link.is_reusable(at, idle_most) for link in self._idle.get(target_id, ())
         )
 
     def take(self, target_id, idle_most):
@@ -46,14 +44,13 @@
         kept = self._idle.get(target_id, [])
         while kept:
             link = kept.pop()
-            if link.is_reusable(at) and at - link.used_at < idle_most:
+            if link.is_reusable(at, idle_most):
                 return link
             link.close()
         return None
 
     async def open(self, target, timeout=CONNECT_TIMEOUT):
         """Open a connection to a target; return a `Link`, or None."""
-        self.opened += 1
 
         def on_closed(link):
             self._drop(target.id, link)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -25,6 +25,7 @@
 from ..platform import wire
 from ..platform.nodefile import check_host_settings
 from ..platform.store import Store, make_session
+from ..utils.addresses import split_address
 from .clock import now
 from .events import set_up_events
 from .feed import Feed, Gate
@@ -223,9 +224,9 @@
 
 
 async def _listen(server, address):
-    ip, _, port = address.rpartition(":")
+    ip, port = split_address(address)
     loop = asyncio.get_running_loop()
-    return await loop.create_server(server, ip, int(port), backlog=BACKLOG)
+    return await loop.create_server(server, ip, port, backlog=BACKLOG)
 
 
 def _mtime_of(path):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -25,8 +25,8 @@
 
     `body` is the whole body, or its first part if `rest` is an asynchronous iterator
     of the others. `length` is the body's length, or None if it is not known. Times
-    are in seconds on the host's clock; `caller_deadline` is when the caller gives up
-    and `deadline` when the route's time is over, if that is earlier.
+    are in seconds on the host's clock; `deadline` is when the caller gives up or the
+    route's time is over, whichever is earlier.
     """
 
     id: bytes
@@ -52,7 +52,7 @@
       target: The `Target`.
       time_left: The seconds that the target may take.
     """
-    named = _named_by_connection(ask.headers)
+    named = named_by_connection(ask.headers)
     lines = [f"{ask.method} {ask.path} HTTP/1.1".encode("latin-1")]
     for name, value in ask.headers:
         lower = name.lower()
@@ -68,7 +68,7 @@
     return head if ask.length is None else head + ask.body
 
 
-def _named_by_connection(headers):
+def named_by_connection(headers):
     """Return the lower-case names of headers that a Connection header lists."""
     named = set()
     for name, value in headers:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -18,6 +18,7 @@
 
 from plumsaddle_core.ops.zone import SILENT_AFTER, Counts, OutcomeNote, PeerNews, Sign
 
+from ..utils.addresses import split_address
 from .clock import now
 
 log = logging.getLogger("peers")
@@ -89,7 +90,7 @@
 
     async def open(self):
         """Open the socket."""
-        address = _split(self._settings.peers)
+        address = split_address(self._settings.peers)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=address)
 
@@ -158,7 +159,7 @@
 
     def _send(self, data, address):
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(data, _split(address))
+            self._transport.sendto(data, split_address(address))
 
     # What the event loop calls.
 
@@ -220,8 +221,3 @@
     )
     counts = {service: Counts(*numbers) for service, numbers in work.counts.items()}
     return PeerNews(work.host, work.life, work.number, work.in_flight, outcomes, counts)
-
-
-def _split(address):
-    ip, _, port = address.rpartition(":")
-    return ip, int(port)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -28,7 +28,6 @@
     TARGET_FAILED = "target-failed"
     TIME_OVER = "time-over"
     CALLER_GONE = "caller-gone"
-    BROKEN_HOST = "broken-host"
 
 
 class Refusal(NamedTuple):
@@ -56,7 +55,6 @@
     Cause.TARGET_FAILED: (503, 502),
     Cause.TIME_OVER: (503, 504),
     Cause.CALLER_GONE: (503, 502),
-    Cause.BROKEN_HOST: (500, 500),
 }
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -11,8 +11,7 @@
     """Return the fate and the `Reply` of an exchange that has ended."""
     if exchange.fate is not Fate.WHOLE:
         return Fate.BROKEN, None
-    fate, reply = judge_head(exchange, None)
-    return fate, reply
+    return judge_head(exchange, None)
 
 
 def judge_head(exchange, rest):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -160,9 +160,7 @@
             offset = result.failure().first
             result = await self._read_raw(topic, offset, 0)
         if isinstance(result, Failure):
-            error = result.failure()
-            is_trimmed = isinstance(error, Trimmed)
-            return Failure(StoreError.TRIMMED if is_trimmed else error)
+            return _without_first(result)
         try:
             end, first = PAGE_PREFIX.unpack_from(result.unwrap())
             records = [LogRecord(*row) for row in _split(result.unwrap(), offset)]
@@ -227,8 +225,7 @@
         """
         result = await self._read_raw(topic, offset, wait)
         if isinstance(result, Failure):
-            is_trimmed = isinstance(result.failure(), Trimmed)
-            return Failure(StoreError.TRIMMED) if is_trimmed else result
+            return _without_first(result)
         try:
             return Success(_decode_page(result.unwrap(), offset))
         except (struct.error, ValueError, IndexError):
@@ -296,6 +293,12 @@
     return KeyedRecord(int(item["offset"]), item["key"], value or None)
 
 
+def _without_first(failed):
+    """Return the `Failure` of a read as a `StoreError` alone."""
+    is_trimmed = isinstance(failed.failure(), Trimmed)
+    return Failure(StoreError.TRIMMED) if is_trimmed else failed
+
+
 def _decode_trimmed(data):
     """Decode the answer to a read of records that were deleted."""
     try:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
@@ -80,7 +80,7 @@
         and event.fields.get("request") != request_id
         and begin - BEFORE <= event.at <= end
     ]
-    story = sorted({id(e): e for e in own + evidence}.values(), key=lambda e: e.at)
+    story = sorted(own + evidence, key=lambda event: event.at)
     return [_tell(event, begin, request_id) for event in story]
 
 
