End connections on half a head with 408; bound bodies without a length

Cause: the header time of the configuration was decoded and not used, so a caller that sent half a head held its connection for good; and a chunked body was measured only in its first 512 kB. Tests: test_half_a_head_ends_its_connection, test_a_body_beyond_the_limit_is_cut_though_it_has_no_length; neither passes without. The connection class moved out of front.py, which read requests and kept connections.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -10,7 +10,6 @@
 import logging
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
 from plumsaddle_core.core.traffic import Reply
@@ -28,11 +27,6 @@
 # Bytes of bodies that a host holds at a time; a third of the memory that the smallest
 # hosts have. What comes on top is refused at once.
 HELD_MOST = 64 * 1024 * 1024
-# More than any configuration allows; the limits in force are checked here.
-PARSER_MOST = 131072
-# How long the rest of a refused body is read before its connection is closed: closing
-# with unread bytes resets it, and the caller would lose the refusal.
-LINGER = 2.0
 RETRY_AFTER_LEAST = 0.05
 
 
@@ -148,13 +142,14 @@
             self._held -= taken
 
     def _make_ask(self, request, route, request_id, started, deadline, body, is_whole):
+        rest_most = self._knowledge.cfg.limits.body_bytes - len(body)
         return Ask(
             request_id.encode("latin-1"),
             request.method,
             request.raw_path,
             request.raw_headers,
             body,
-            None if is_whole else _read_rest(request.content),
+            None if is_whole else _read_rest(request.content, rest_most),
             len(body) if is_whole else request.content_length,
             route,
             choose_service(route, self._knowledge.rng),
@@ -266,9 +261,17 @@
     return bytes(parts), False
 
 
-async def _read_rest(content):
-    """Yield the parts of a long body that follow the first one."""
+async def _read_rest(content, most):
+    """
+    Yield the parts of a long body that follow the first one.
+
+    A body without a length shows only here that it is larger than allowed. Part of it
+    is at the target by then, so its connection is cut like that of a broken upload.
+    """
     while part := await content.readany():
+        most -= len(part)
+        if most < 0:
+            raise web.RequestPayloadError("body larger than the limit")
         yield part
 
 
@@ -295,49 +298,3 @@
     if request.headers.get(wire.REQUEST_ID):
         resp.headers[wire.REQUEST_ID] = request.headers[wire.REQUEST_ID]
     return resp
-
-
-class FrontServer(web.Server):
-    """
-    The library's server, with an idle time that follows the configuration.
-
-    Args:
-      front: The `Front`.
-      knowledge: The `Knowledge` with the limits in force.
-    """
-
-    # Before a configuration is known, in seconds.
-    IDLE_FIRST = 15.0
-
-    def __init__(self, front, knowledge):
-        super().__init__(front.handle, handler_cancellation=True)
-        self._front = front
-        self._knowledge = knowledge
-
-    def close_idle(self):
-        """
-        Close the connections on which no request is under way.
-
-        The library's own way to shut down stops reading requests from idle
-        connections but leaves them open, so a request that came next would be taken
-        and never answered.
-        """
-        for conn in self.connections:
-            if self._front.is_busy(conn.transport):
-                conn.close()
-            else:
-                conn.force_close()
-
-    def __call__(self):
-        cfg = self._knowledge.cfg
-        idle = cfg.limits.idle_timeout if cfg else self.IDLE_FIRST
-        return RequestHandler(
-            self,
-            loop=asyncio.get_running_loop(),
-            keepalive_timeout=idle,
-            access_log=None,
-            auto_decompress=False,
-            max_line_size=PARSER_MOST,
-            max_field_size=PARSER_MOST,
-            lingering_time=LINGER,
-        )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -26,10 +26,11 @@
 from ..platform.nodefile import check_host_settings
 from ..platform.store import Store, make_session
 from ..utils.addresses import split_address
+from .callers import FrontServer
 from .clock import now
 from .events import set_up_events
 from .feed import Feed, Gate
-from .front import Front, FrontServer
+from .front import Front
 from .knowledge import Knowledge
 from .links import Links
 from .metrics import EdgeMetrics
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -3,14 +3,16 @@
 """
 
 import asyncio
+from contextlib import suppress
 
 import aiohttp
 import pytest
 
 from plumsaddle_hosts.edge import feed
+from plumsaddle_hosts.utils.addresses import split_address
 
 from .store import Fault
-from .trial import OPERATOR, Trial, configuration, in_loop, until
+from .trial import HOST_NAME, OPERATOR, Trial, configuration, in_loop, until
 from .worker import BODY, LONG_BODY, Mode
 
 
@@ -375,6 +377,57 @@
         assert (await trial.ask("/look/a", "id-3"))[0] == 431
 
 
+@in_loop
+async def test_half_a_head_ends_its_connection():
+    """
+    A host runs out of descriptors, and no request is under way.
+
+    Callers send half a head and no more. Others take their time between two requests,
+    or send a head in two parts, which is all right.
+    """
+    limits = {"header_timeout_ms": 300}
+    async with Trial(services=("look",)) as trial:
+        trial.store.put(OPERATOR, "config", configuration(2, limits=limits))
+        await until(lambda: trial.hosts[0].knowledge.cfg.version == 2)
+        ip, port = split_address(trial.hosts[0].settings.callers)
+        head = b"GET /look/a HTTP/1.1\r\nHost: " + HOST_NAME.encode() + b"\r\n"
+        rest = b"Request-Id: id-%d\r\n\r\n"
+        reader, writer = await asyncio.open_connection(ip, port)
+        for number in range(2):
+            writer.write(head)
+            await asyncio.sleep(0.1)
+            writer.write(rest % number)
+            answer = await reader.readuntil(BODY)
+            assert answer.startswith(b"HTTP/1.1 200")
+            await asyncio.sleep(0.5)
+        writer.write(head)
+        answer = await asyncio.wait_for(reader.read(), 2.0)
+        assert answer.startswith(b"HTTP/1.1 408")
+        writer.close()
+
+
+@in_loop
+async def test_a_body_beyond_the_limit_is_cut_though_it_has_no_length():
+    """
+    A target is filled by a body that no configuration allows.
+
+    The caller sends it in chunks, so that its size shows only when most of it is out.
+    """
+
+    async def parts():
+        for _ in range(80):
+            yield b"x" * 20000
+
+    limits = {"max_body_bytes": 1_000_000}
+    async with Trial(services=("up",)) as trial:
+        trial.store.put(OPERATOR, "config", configuration(2, limits=limits))
+        await until(lambda: trial.hosts[0].knowledge.cfg.version == 2)
+        with suppress(aiohttp.ClientError):
+            status, _, _ = await trial.ask("/up/scan", "id-1", "POST", parts())
+            assert status == 502
+        assert not any(worker.seen for worker in trial.of("up"))
+
+
 @in_loop
 async def test_leaving_answers_what_is_under_way_and_drops_nothing_after():
     """
