--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/times.py
@@ -0,0 +1,66 @@
+"""
+How long a route's requests usually take, and how often they take far too long.
+
+Routes of one service can differ a hundredfold, so a median over all of them would make
+the longer ones look stuck. Everything here is kept for each route of each service.
+"""
+
+import statistics
+from collections import deque
+
+KEPT = 48
+FEWEST = 5
+# The median before any answer was seen, in seconds; an ordinary request's work.
+USUAL_AT_FIRST = 0.3
+# What the share of stuck sends of a route starts from: one in ten, as if ten had been
+# seen. Ordinary routes fall below one in fifty within a minute.
+STUCK_AT_FIRST = 1.0
+SEEN_AT_FIRST = 10.0
+
+
+class RouteTimes:
+    """The recent times and stuck sends of all routes."""
+
+    def __init__(self):
+        self._times = {}
+        self._medians = {}
+        self._stuck = {}
+
+    def usual(self, service, route):
+        """
+        Return the median seconds of a route's recent whole answers.
+
+        A route that is new is taken to be like the slowest known one of its service.
+        """
+        medians = self._medians.get(service, {})
+        known = medians.get(route)
+        if known is not None:
+            return known
+        return max(medians.values(), default=USUAL_AT_FIRST)
+
+    def note_whole(self, service, route, seconds):
+        """Take the time of a whole answer."""
+        self._note_stuck(service, route, False)
+        recent = self._times.setdefault((service, route), deque(maxlen=KEPT))
+        recent.append(seconds)
+        if len(recent) >= FEWEST:
+            medians = self._medians.setdefault(service, {})
+            medians[route] = statistics.median(recent)
+
+    def note_stuck(self, service, route):
+        """Take a stuck send, and return the share that was stuck before it."""
+        return self._note_stuck(service, route, True)
+
+    def _note_stuck(self, service, route, is_stuck):
+        recent = self._stuck.setdefault((service, route), deque(maxlen=KEPT))
+        share = (sum(recent) + STUCK_AT_FIRST) / (len(recent) + SEEN_AT_FIRST)
+        recent.append(is_stuck)
+        return share
+
+    def keep(self, routes):
+        """Forget the routes whose names are not among those given."""
+        self._times = {k: v for k, v in self._times.items() if k[1] in routes}
+        self._stuck = {k: v for k, v in self._stuck.items() if k[1] in routes}
+        for service, medians in self._medians.items():
+            kept = {route: m for route, m in medians.items() if route in routes}
+            self._medians[service] = kept
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -10,7 +10,6 @@
 
 import enum
 import math
-import statistics
 from collections import deque
 from typing import NamedTuple
 
@@ -18,6 +17,7 @@
 from .belief import Belief
 from .floor import Results
 from .share import RetryShare
+from .times import RouteTimes
 
 # Hosts beat once a second; three missed beats and a little is silence.
 SILENT_AFTER = 3.5
@@ -32,16 +32,8 @@
 # Outcomes that a message repeats. At most a few sends of one host end between two
 # messages, so eight cover several lost messages in a row.
 REPEATED = 8
-LATENCIES_KEPT = 48
 # Sends that end sooner than this (seconds) may never show as work in flight.
 QUICK = 0.1
-# The median before any answer was seen, in seconds; an ordinary request's work.
-USUAL_AT_FIRST = 0.3
-FEWEST = 5
-# What the share of stuck sends of a route starts from: one in ten, as if ten had been
-# seen. Ordinary routes fall below one in fifty within a minute.
-STUCK_AT_FIRST = 1.0
-SEEN_AT_FIRST = 10.0
 
 
 class Sign(enum.Enum):
@@ -120,6 +112,7 @@
 
     def __init__(self, ratio, window, started):
         self.beliefs = {}
+        self.times = RouteTimes()
         self._ratio = ratio
         self._window = window
         self._started = started
@@ -133,9 +126,6 @@
         self._peers = {}
         self._outcomes = deque(maxlen=REPEATED)
         self._outcome_count = 0
-        self._latencies = {}
-        self._medians = {}
-        self._stuck = {}
 
     # This host's own work.
 
@@ -329,67 +319,25 @@
         """Return the probability that a target is in its failing state."""
         return self.beliefs.get(target_id, _UNKNOWN).failing(now)
 
-    def usual(self, service, route):
-        """
-        Return the median seconds of a route's recent whole answers.
-
-        Routes of one service can differ a hundredfold, and a median over all of them
-        would make the longer ones look stuck. A route that is new is taken to be like
-        the slowest known one of its service.
-        """
-        medians = self._medians.get(service, {})
-        known = medians.get(route)
-        if known is not None:
-            return known
-        return max(medians.values(), default=USUAL_AT_FIRST)
-
     def forget_targets(self, known):
         """Forget beliefs in targets that are no longer listed."""
         self.beliefs = {key: b for key, b in self.beliefs.items() if key in known}
         self._used_at = {key: at for key, at in self._used_at.items() if key in known}
 
-    def forget_routes(self, known):
-        """Forget the latencies of routes whose names are not known any more."""
-        self._latencies = {k: v for k, v in self._latencies.items() if k[1] in known}
-        self._stuck = {k: v for k, v in self._stuck.items() if k[1] in known}
-        for service, medians in self._medians.items():
-            kept = {route: m for route, m in medians.items() if route in known}
-            self._medians[service] = kept
-
     def _weigh(self, outcome, now):
         belief = self.beliefs.get(outcome.target)
         if belief is None:
             belief = self.beliefs[outcome.target] = Belief()
         if outcome.sign is Sign.WHOLE:
             belief.note_whole(now)
-            self._note_latency(outcome)
-            self._note_stuck(outcome, False)
+            self.times.note_whole(outcome.service, outcome.route, outcome.seconds)
         elif outcome.sign is Sign.STUCK:
-            belief.note_stuck(self._note_stuck(outcome, True), now)
+            share = self.times.note_stuck(outcome.service, outcome.route)
+            belief.note_stuck(share, now)
         elif outcome.sign is Sign.FAILED:
             belief.note_failed(now)
         else:
             belief.note_unreachable(now)
 
-    def _note_stuck(self, outcome, is_stuck):
-        """Return the share of a route's sends that were stuck before this one."""
-        key = (outcome.service, outcome.route)
-        recent = self._stuck.get(key)
-        if recent is None:
-            recent = self._stuck[key] = deque(maxlen=LATENCIES_KEPT)
-        share = (sum(recent) + STUCK_AT_FIRST) / (len(recent) + SEEN_AT_FIRST)
-        recent.append(is_stuck)
-        return share
-
-    def _note_latency(self, outcome):
-        key = (outcome.service, outcome.route)
-        recent = self._latencies.get(key)
-        if recent is None:
-            recent = self._latencies[key] = deque(maxlen=LATENCIES_KEPT)
-        recent.append(outcome.seconds)
-        if len(recent) >= FEWEST:
-            medians = self._medians.setdefault(outcome.service, {})
-            medians[outcome.route] = statistics.median(recent)
-
 
 _UNKNOWN = Belief()
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
@@ -89,8 +89,8 @@
         zone.note("t", "look", "short", Sign.WHOLE, 0.001, number)
         if number % 10 == 0:
             zone.note("t", "look", "long", Sign.WHOLE, 0.4, number)
-    assert zone.usual("look", "long") == 0.4
-    assert zone.usual("look", "new") == 0.4
+    assert zone.times.usual("look", "long") == 0.4
+    assert zone.times.usual("look", "new") == 0.4
 
 
 def test_hosts_together_keep_the_bound_on_retries():
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -86,7 +86,7 @@
         self.cfg = cfg
         self.table = build_table(cfg.routes)
         names = {route.name for route in cfg.routes}
-        self.zone.forget_routes(names)
+        self.zone.times.keep(names)
         kept = {
             name: size for name, size in self._answer_bytes.items() if name in names
         }
@@ -185,7 +185,7 @@
         """Return the `Demand` of a request by now."""
         return Demand(
             route.kind,
-            self.zone.usual(service, route.name),
+            self.zone.times.usual(service, route.name),
             started + route.objective - at,
             deadline - at,
             kilobytes,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -136,7 +136,7 @@
 
     def _usual(self):
         """Return the usual seconds of such a request."""
-        return self._knowledge.zone.usual(self._ask.service, self._ask.route.name)
+        return self._knowledge.zone.times.usual(self._ask.service, self._ask.route.name)
 
     async def _wait(self):
         """Wait for a send to end, for the moment of a second send, or the deadline."""
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
@@ -223,7 +223,7 @@
         )
         for target_id in candidate_ids
     ]
-    usual = zone.usual(SERVICE, ROUTE)
+    usual = zone.times.usual(SERVICE, ROUTE)
     demand = Demand(Kind.ORDER, usual, OBJECTIVE, TIME_LIMIT, 1.0)
     choice = choose_target(candidates, demand, model.rng)
     return model.workers[choice.candidate.target.id]
