--- a/packages/plumsaddle-standins/plumsaddle_standins/trial.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -117,16 +117,24 @@
             worker.stop()
         await self._runner.cleanup()
 
-    async def add_host(self, number):
-        """Start one more host."""
-        seeds = [host.settings.peers for host in self.hosts[:1]]
+    async def add_host(self, number, peers_port=None, seeds=None):
+        """
+        Start one more host.
+
+        Args:
+          number: Its number, which gives its name.
+          peers_port: The port at which other hosts reach it; a free one if None.
+          seeds: The addresses that it asks for others; the first host's if None.
+        """
+        if seeds is None:
+            seeds = [host.settings.peers for host in self.hosts[:1]]
         settings = HostSettings(
             f"host-{number}",
             "x",
             ("x",),
             f"127.0.0.1:{free_port()}",
             f"127.0.0.1:{free_port()}",
-            f"127.0.0.1:{free_port()}",
+            f"127.0.0.1:{peers_port or free_port()}",
             tuple(seeds),
             self.store_address,
             self._bounds,
@@ -136,6 +144,10 @@
         self.hosts.append(host)
         return host
 
+    def at_end(self, task):
+        """Cancel a task when the trial ends."""
+        self._tasks.append(task)
+
     def register(self, worker, state="ready"):
         """Write a target's entry."""
         self.store.put(TARGETS, worker.id, worker.entry(state))
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -129,8 +129,10 @@
         headers = {k.lower(): v.strip() for k, v in (x.split(":", 1) for x in lines)}
         request_id = headers.get("request-id", "")
         if self.mode is Mode.EARLY:
+            self.runs[request_id] += 1
             writer.write(self._answer(request_id, 200, BODY))
-            await reader.read(10)
+            # It reads on later; whatever comes is the rest of the body to it.
+            await _read_body(reader, headers)
             return True
         body = await _read_body(reader, headers)
         self.seen.append(Seen(request_id, method, path, headers, body))
