--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
@@ -0,0 +1,67 @@
+"""
+The commands that explain what happened from the logs of hosts on the platform.
+"""
+
+import sys
+
+from .common import DONE, MISTAKE, NOT_KNOWN, fail, read_text, say
+from .events import read_events
+from .standing import tell_standing
+from .trace import trace_request
+
+
+def _read_logs(paths):
+    """Return the events of all files in order, or exit."""
+    lines = []
+    for path in paths:
+        lines += read_text(path).splitlines()
+    return read_events(lines)
+
+
+def trace(request_id, *logs):
+    """
+    Tell the story of one request from the logs of hosts on the platform.
+
+    Args:
+      request_id: The request's id.
+      logs: The hosts' logs.
+    """
+    story = trace_request(_read_logs(logs), str(request_id))
+    if not story:
+        fail(f"No line bears the id {request_id}.", NOT_KNOWN)
+    for line in story:
+        say(line)
+    sys.exit(DONE)
+
+
+def explain_from_logs(target, logs):
+    """Tell, second by second, what hosts saw of a target, and exit."""
+    lines = tell_standing(_read_logs(logs), str(target))
+    if not lines:
+        fail(f"No line names the target {target}.", NOT_KNOWN)
+    for line in lines:
+        say(line)
+    sys.exit(DONE)
+
+
+def report(*logs, out="report.png"):
+    """
+    Draw a day from the logs of hosts on the platform.
+
+    Args:
+      logs: The hosts' logs.
+      out: The picture's path; its ending (png, svg, pdf) decides the format.
+    """
+    # The plotting library is large and is needed for this command only.
+    try:
+        from .picture import draw_day
+    except ImportError as exc:
+        fail(f"A report needs the plotting library: {exc}", MISTAKE)
+    from .day import sum_up_day
+
+    day = sum_up_day(_read_logs(logs))
+    if day is None:
+        fail("The logs tell of no request.", NOT_KNOWN)
+    draw_day(day, out)
+    say(f"{out}: {len(day.seconds)} seconds, {len(day.targets)} targets")
+    sys.exit(DONE)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
@@ -7,53 +7,16 @@
 """
 
 import json
-from typing import NamedTuple
 
 # Seconds before a request's first line for which other requests' failures are shown:
 # for longer than that a failure hardly moves the choice of a target.
 BEFORE = 10.0
 # Fields that each line has and that are printed in places of their own.
 HEAD = {"created", "name", "message", "host", "request"}
-EVIDENCE = {"send failed", "stuck", "listed", "unlisted", "lapsed"}
-
-
-class Event(NamedTuple):
-    """One line of a log: when (seconds since the epoch), where, what."""
-
-    at: float
-    host: str
-    part: str
-    message: str
-    fields: dict
-
-
-def read_events(lines):
-    """
-    Decode log lines; what is no log line of a host is passed over.
-
-    Args:
-      lines: Texts, each a JSON object as the hosts write it, after any prefix.
-    Returns:
-      A list of `Event` in the order of their times.
-    """
-    events = []
-    for line in lines:
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            fields = json.loads(line[start:])
-            event = Event(
-                float(fields["created"]),
-                fields["host"],
-                fields["name"],
-                fields["message"],
-                fields,
-            )
-        except (ValueError, KeyError, TypeError):
-            continue
-        events.append(event)
-    return sorted(events, key=lambda event: event.at)
+# What hosts tell each other, and what each one believes by itself: of the latter only
+# the request's own host had it.
+TOLD = {"send failed", "stuck"}
+OWN = {"listed", "unlisted", "lapsed"}
 
 
 def trace_request(events, request_id):
@@ -72,10 +35,11 @@
         return []
     begin, end = own[0].at, own[-1].at
     targets = {e.fields["target"] for e in own if "target" in e.fields}
+    hosts = {e.host for e in own}
     evidence = [
         event
         for event in events
-        if event.message in EVIDENCE
+        if (event.message in TOLD or (event.message in OWN and event.host in hosts))
         and event.fields.get("target") in targets
         and event.fields.get("request") != request_id
         and begin - BEFORE <= event.at <= end
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace_test.py
@@ -4,7 +4,8 @@
 
 import json
 
-from .trace import read_events, trace_request
+from .events import read_events
+from .trace import trace_request
 
 
 def _line(at, message, host="h1", **fields):
@@ -21,6 +22,7 @@
     _line(100.1, "sent", request="b", target="t2", retry="failed"),
     _line(50.0, "send failed", request="old", target="t1", fate="failed"),
     _line(99.5, "stuck", request="c", target="t9"),
+    _line(98.0, "listed", host="h2", target="t1", state="ready"),
 ]
 
 
