Learn a route's time from late answers; take a new route for ordinary work

Cause: a new route was taken to be like the slowest known one of its service, which may take 3 ms; its look-ups of 410 ms then counted as stuck after 9 ms and were sent again after 7 ms; and an answer to a send that counts as stuck taught nothing, so the median was never learned.

Ruled out: slow targets, a busy host (docs/incidents/short-median.md).

--- a/packages/plumsaddle-core/plumsaddle_core/ops/times.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/times.py
@@ -30,17 +30,29 @@
         """
         Return the median seconds of a route's recent whole answers.
 
-        A route that is new is taken to be like the slowest known one of its service.
+        A route that is new is taken to be like the slowest known one of its service,
+        and never for quicker than ordinary work: else ordinary requests beside a route
+        that takes milliseconds look stuck from the first one on.
         """
         medians = self._medians.get(service, {})
         known = medians.get(route)
         if known is not None:
             return known
-        return max(medians.values(), default=USUAL_AT_FIRST)
+        return max(USUAL_AT_FIRST, max(medians.values(), default=0.0))
 
     def note_whole(self, service, route, seconds):
         """Take the time of a whole answer."""
         self._note_stuck(service, route, False)
+        self.note_late(service, route, seconds)
+
+    def note_late(self, service, route, seconds):
+        """
+        Take the time of a whole answer to a send that counts as stuck.
+
+        A median that is far too short makes all sends look stuck. If their times were
+        left out, it would stay as it is for ever: a third of a service's look-ups were
+        sent twice, and their targets doubted, for that reason.
+        """
         recent = self._times.setdefault((service, route), deque(maxlen=KEPT))
         recent.append(seconds)
         if len(recent) >= FEWEST:
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -37,12 +37,18 @@
 
 
 class Sign(enum.Enum):
-    """What one send says about its target."""
+    """
+    What one send says about its target.
+
+    A send that was told as stuck may be answered whole after all. That is late: it
+    teaches how long the route takes, and does not undo what was told.
+    """
 
     WHOLE = 0
     FAILED = 1
     UNREACHABLE = 2
     STUCK = 3
+    LATE = 4
 
 
 class OutcomeNote(NamedTuple):
@@ -331,6 +337,8 @@
         if outcome.sign is Sign.WHOLE:
             belief.note_whole(now)
             self.times.note_whole(outcome.service, outcome.route, outcome.seconds)
+        elif outcome.sign is Sign.LATE:
+            self.times.note_late(outcome.service, outcome.route, outcome.seconds)
         elif outcome.sign is Sign.STUCK:
             share = self.times.note_stuck(outcome.service, outcome.route)
             belief.note_stuck(share, now)
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
@@ -7,6 +7,7 @@
 from ..core.traffic import Kind, Target, TargetState
 from .choice import Candidate, Demand, choose_target
 from .share import SPENT_PART, RetryShare
+from .times import USUAL_AT_FIRST
 from .zone import SILENT_AFTER, Counts, OutcomeNote, PeerNews, Sign, Zone
 
 
@@ -93,6 +94,34 @@
     assert zone.times.usual("look", "new") == 0.4
 
 
+def test_a_new_route_is_taken_for_ordinary_work():
+    """
+    Look-ups are sent twice from the first one on, and their targets are doubted.
+
+    Only a route that takes milliseconds is known of their service so far.
+    """
+    zone = _zone()
+    for number in range(10):
+        zone.note("t", "look", "short", Sign.WHOLE, 0.003, number)
+    assert zone.times.usual("look", "new") == USUAL_AT_FIRST
+
+
+def test_a_median_that_is_too_short_is_unlearned():
+    """
+    All day a third of the look-ups are sent twice after some milliseconds.
+
+    The first answers of a route came quickly. All later sends take longer than three
+    times that, count as stuck, and taught nothing.
+    """
+    zone = _zone()
+    for number in range(10):
+        zone.note("t", "look", "r", Sign.WHOLE, 0.003, number)
+    for number in range(20):
+        zone.note("t", "look", "r", Sign.STUCK, 0.0, 10 + number)
+        zone.note("t", "look", "r", Sign.LATE, 0.4, 10 + number)
+    assert zone.times.usual("look", "r") == 0.4
+
+
 def test_hosts_together_keep_the_bound_on_retries():
     """
     A service that fails gets twice its load.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -225,7 +225,13 @@
 
     def note(self, target, route, fate, seconds):
         """Take the fate of a send, or of one that is unanswered for too long."""
-        sign = SIGNS.get(fate)
+        self._note(target, route, SIGNS.get(fate), seconds)
+
+    def note_late(self, target, route, seconds):
+        """Take a whole answer to a send that was noted as unanswered for too long."""
+        self._note(target, route, Sign.LATE, seconds)
+
+    def _note(self, target, route, sign, seconds):
         if sign is None:
             return
         self.zone.note(target.id, target.service, route.name, sign, seconds, now())
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -31,6 +31,9 @@
 STUCK_FACTOR = 3.0
 # An idempotent request gets its second send after this many times the usual.
 HEDGE_FACTOR = 2.2
+# Below this many seconds nothing is slow: a busy processor or a lost packet delays an
+# answer that usually takes milliseconds by as much, whatever its target does.
+SLOW_LEAST = 0.1
 SLOW = "slow"
 # A second send goes only to a target that likely answers; one that nothing is known of
 # fails a fifth of its requests.
@@ -138,12 +141,15 @@
         """Return the usual seconds of such a request."""
         return self._knowledge.zone.times.usual(self._ask.service, self._ask.route.name)
 
+    def _slow_after(self, factor):
+        """Return the seconds after which a send is slow, by a factor of the usual."""
+        return max(SLOW_LEAST, factor * self._usual())
+
     async def _wait(self):
         """Wait for a send to end, for the moment of a second send, or the deadline."""
         timeout = max(0.0, self._time_left())
         if self._may_hedge():
-            usual = self._usual()
-            hedge_at = self._ask.started + HEDGE_FACTOR * usual
+            hedge_at = self._ask.started + self._slow_after(HEDGE_FACTOR)
             timeout = min(timeout, max(0.0, hedge_at - now()))
         done, _ = await asyncio.wait(
             self._sends, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
@@ -308,7 +314,7 @@
         started = now()
         fate = Fate.ABANDONED
         stuck = asyncio.get_running_loop().call_later(
-            STUCK_FACTOR * self._usual(),
+            self._slow_after(STUCK_FACTOR),
             self._note_stuck,
             target,
         )
@@ -323,11 +329,12 @@
                 self._attempt.take_back(target.id)
             else:
                 self._attempt.note_fate(fate)
-            if fate is Fate.ABANDONED and seconds > HEDGE_FACTOR * self._usual():
+            if fate is Fate.ABANDONED and seconds > self._slow_after(HEDGE_FACTOR):
                 fate = Fate.TIMED_OUT
-            # A stuck send has been counted; its late answer does not undo that.
             if not is_stuck:
                 self._knowledge.note(target, self._ask.route, fate, seconds)
+            elif fate is Fate.WHOLE:
+                self._knowledge.note_late(target, self._ask.route, seconds)
         if fate is not Fate.WHOLE:
             self._log_failure(target, fate, reply, seconds)
         return Result(target, fate, reply, seconds)
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -9,6 +9,7 @@
 import pytest
 
 from plumsaddle_hosts.edge import feed
+from plumsaddle_hosts.edge.clock import now
 from plumsaddle_hosts.utils.addresses import split_address
 
 from .store import Fault
@@ -185,6 +186,31 @@
             assert status == 200
 
 
+@in_loop
+async def test_look_ups_that_got_slower_convict_nobody():
+    """
+    Look-ups run at two targets each, and all targets are doubted, all day long.
+
+    The first look-ups of a route are quick, and all later ones take longer than what
+    then seems slow.
+    """
+    async with Trial(services=("look",), retry_extra=1000.0) as trial:
+        for number in range(6):
+            await trial.ask("/look/a", f"quick-{number}")
+        for worker in trial.of("look"):
+            worker.work = 0.15
+        asked = [trial.ask("/look/a", f"slow-{number}") for number in range(60)]
+        await asyncio.gather(*asked[:30])
+        await asyncio.gather(*asked[30:])
+        before = sum(len(worker.seen) for worker in trial.of("look"))
+        for number in range(5):
+            await trial.ask("/look/a", f"later-{number}")
+        after = sum(len(worker.seen) for worker in trial.of("look"))
+        assert after - before == 5
+        zone = trial.hosts[0].knowledge.zone
+        assert max(zone.fails(w.id, now()) for w in trial.of("look")) < 0.2
+
+
 @in_loop
 async def test_an_answer_before_the_request_is_out_ends_the_connection():
     """
