--- a/packages/plumsaddle-standins/plumsaddle_standins/measure.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/measure.py
@@ -20,7 +20,8 @@
 
 from plumsaddle_core.core.data import Weighing
 
-from .model import CENTRES, Model, NaiveHost, OurHost, Shape
+from .model import Model, Shape
+from .model_hosts import CENTRES, NaiveHost, OurHost
 
 ONSET = 30.0
 AFTER = 60.0
--- a/packages/plumsaddle-standins/plumsaddle_standins/model_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/model_test.py
@@ -2,7 +2,8 @@
 
 from plumsaddle_core.core.data import Weighing
 
-from .model import Model, NaiveHost, OurHost, Shape
+from .model import Model, Shape
+from .model_hosts import NaiveHost, OurHost
 
 SHAPE = Shape("s", 6, 2, 390, 4, 0.1, Weighing.DETECTION_TIME, hosts=8, load=0.3)
 BAD = "t-0@10.0.0.0:80"
--- a/packages/plumsaddle-standins/plumsaddle_standins/overload.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/overload.py
@@ -15,7 +15,8 @@
 from plumsaddle_core.ops import pool as pool_module
 
 from .measure import ARCHIVE, SONORE
-from .model import Model, OurHost
+from .model import Model
+from .model_hosts import OurHost
 
 SECONDS = 20.0
 LOADS = (0.5, 0.8, 1.0, 2.0, 5.0)
