Run a local fleet of real hosts under patterns of faults, with checks and a picture

make lab plays one of eleven patterns, or several that overlap by a seed, before stand-ins of the published protocol; it counts what callers saw, checks that no order runs twice, no refused request has run and no success is another's or half, and draws ends and times.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/plumsaddle-core packages/plumsaddle-hosts packages/plumsaddle-standins
 export PYTHONHASHSEED := 0
 
-.PHONY: setup format lint test demo measure floor slopes generate
+.PHONY: setup format lint test demo lab measure floor slopes generate
 
 setup: $(VENV)/ready
 
@@ -28,6 +28,15 @@
 demo: setup
 	$(BIN)/python -m plumsaddle_standins.demo
 
+# make lab PATTERN=gray SECONDS=15 SEED=1 OUT=gray.png
+PATTERN ?= random
+SECONDS ?= 15
+SEED ?= 1
+OUT ?= lab.png
+lab: setup
+	$(BIN)/python -m plumsaddle_standins.lab $(PATTERN) --seconds $(SECONDS) \
+		--seed $(SEED) --out $(OUT)
+
 measure: setup
 	$(BIN)/python -m plumsaddle_standins.measure
 
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/callers.py
@@ -0,0 +1,139 @@
+"""
+Callers of a fleet of hosts: steady requests of three kinds, and what became of each.
+"""
+
+import asyncio
+import time
+from collections import Counter
+from typing import NamedTuple
+
+import aiohttp
+
+from .trial import HOST_NAME
+from .worker import BODY
+
+# The shares of look-ups, orders and uploads, as at a records gateway.
+KINDS = (("/look/a", "GET", 0.3), ("/act/a", "POST", 0.6), ("/up/a", "POST", 0.1))
+UPLOAD = bytes(range(256)) * 1200
+TIME_LEFT_MS = 2000
+# What a caller waits beyond the time that it tells, in seconds.
+PATIENCE = 1.0
+# Statuses that say that a request has not run and never will.
+PROMISES = (408, 421, 429, 503)
+READY_EVERY = 0.25
+
+
+class Ended(NamedTuple):
+    """
+    A request that ended. Times are in seconds from the start of the load.
+
+    `status` is None where the connection ended without an answer.
+    """
+
+    id: str
+    path: str
+    started: float
+    seconds: float
+    status: int | None
+    is_whole: bool
+
+
+class Callers:
+    """
+    Callers that send requests at a rate, each on any ready host.
+
+    Args:
+      hosts: The `HostProcess` objects; as a balancer does, hosts that say that they are
+        not ready get no new requests.
+      rate: Requests a second.
+      rng: A `random.Random`.
+    """
+
+    def __init__(self, hosts, rate, rng):
+        self._hosts = hosts
+        self._rate = rate
+        self._rng = rng
+        self._ready = list(hosts)
+        self._began = 0.0
+        self.ended = []
+
+    async def run(self, seconds):
+        """Send for some seconds, and wait for the last answers."""
+        self._began = time.monotonic()
+        async with aiohttp.ClientSession() as session:
+            looking = asyncio.create_task(self._look(session))
+            asked = []
+            while self._at() < seconds:
+                await asyncio.sleep(self._rng.expovariate(self._rate))
+                asked.append(asyncio.create_task(self._ask(session, len(asked))))
+            await asyncio.gather(*asked)
+            looking.cancel()
+
+    def _at(self):
+        return time.monotonic() - self._began
+
+    async def _look(self, session):
+        """Ask all hosts whether they are ready, again and again."""
+        while True:
+            answers = await asyncio.gather(*(h.is_ready(session) for h in self._hosts))
+            ready = [h for h, is_it in zip(self._hosts, answers, strict=True) if is_it]
+            self._ready = ready or self._hosts
+            await asyncio.sleep(READY_EVERY)
+
+    async def _ask(self, session, number):
+        path, method, _ = self._rng.choices(KINDS, [kind[2] for kind in KINDS])[0]
+        host = self._rng.choice(self._ready)
+        request_id = f"r-{number}"
+        started = self._at()
+        status, is_whole = None, False
+        headers = {
+            "Host": HOST_NAME,
+            "Request-Id": request_id,
+            "Deadline-Ms": str(TIME_LEFT_MS),
+        }
+        try:
+            async with session.request(
+                method,
+                f"http://127.0.0.1:{host.callers}{path}",
+                headers=headers,
+                data=UPLOAD if path.startswith("/up/") else None,
+                timeout=aiohttp.ClientTimeout(TIME_LEFT_MS / 1000 + PATIENCE),
+            ) as resp:
+                is_whole = _is_whole(resp, await resp.read(), request_id)
+                status = resp.status
+        except (aiohttp.ClientError, TimeoutError):
+            # The request's end is unknown to its caller, and counts as that.
+            pass
+        seconds = self._at() - started
+        self.ended.append(Ended(request_id, path, started, seconds, status, is_whole))
+
+
+def _is_whole(resp, body, request_id):
+    """Return whether a success is the target's whole answer to this very request."""
+    signature = resp.headers.get("Response-Signature", "")
+    return resp.status == 200 and body == BODY and signature.endswith("." + request_id)
+
+
+def find_broken(ended, workers):
+    """
+    Return what breaks a promise, as texts.
+
+    Args:
+      ended: A list of `Ended`.
+      workers: The `WorkerStandin` objects, which counted what they ran.
+    """
+    runs = Counter()
+    for worker in workers:
+        runs.update(worker.runs)
+    sent = {end.id for end in ended}
+    broken = [
+        f"{request_id}: run, and nobody sent it" for request_id in set(runs) - sent
+    ]
+    for end in ended:
+        if runs[end.id] > 1 and not end.path.startswith("/look/"):
+            broken.append(f"{end.id}: {end.path} ran {runs[end.id]} times")
+        if end.status in PROMISES and runs[end.id]:
+            broken.append(f"{end.id}: answered {end.status}, and has run")
+        if end.status == 200 and not end.is_whole:
+            broken.append(f"{end.id}: a success that is not its target's whole answer")
+    return broken
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_process_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_process_test.py
@@ -3,78 +3,12 @@
 """
 
 import asyncio
-import json
 import os
 import signal
 import sys
 
-from .trial import Trial, free_port, in_loop
-
-SETTINGS = """
-id = "host-9"
-data_centre = "x"
-data_centres = ["x"]
-seeds = []
-store = "{store}"
-
-[listen]
-callers = "127.0.0.1:{callers}"
-ready = "127.0.0.1:{ready}"
-hosts = "127.0.0.1:{hosts}"
-
-[bounds]
-grace_s = {grace}
-"""
-
-
-class HostProcess:
-    """A host that runs as a process of its own, with its log in a pipe."""
-
-    def __init__(self, folder, store):
-        self.path = folder / "host.toml"
-        self.callers, self.ready = free_port(), free_port()
-        self._values = {
-            "store": store,
-            "callers": self.callers,
-            "ready": self.ready,
-            "hosts": free_port(),
-        }
-        self.write_settings()
-        self.process = None
-
-    def write_settings(self, grace=6, more=""):
-        """Write the settings file."""
-        text = SETTINGS.format(grace=grace, **self._values) + more
-        self.path.write_text(text, encoding="utf-8")
-
-    async def start(self):
-        """Start the process."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "plumsaddle_hosts.edge",
-            str(self.path),
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE,
-        )
-
-    async def kill(self):
-        """Kill the process; its log is read to the end, else waiting never ends."""
-        self.process.kill()
-        await self.process.communicate()
-
-    async def wait_for_line(self, message):
-        """Read the log until an event, and return its fields."""
-        async with asyncio.timeout(10):
-            while True:
-                fields = json.loads(await self.process.stdout.readline())
-                if fields["message"] == message:
-                    return fields
-
-    async def is_ready(self, session):
-        """Return whether the host says that it is ready."""
-        async with session.get(f"http://127.0.0.1:{self.ready}/readyz") as resp:
-            return resp.status == 200
+from .host_process import HostProcess
+from .trial import Trial, in_loop
 
 
 async def _started(trial, folder):
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
@@ -0,0 +1,112 @@
+"""
+A host on the platform as a process of its own.
+"""
+
+import asyncio
+import json
+import signal
+import sys
+
+import aiohttp
+
+from .trial import free_port
+
+SETTINGS = """
+id = "{name}"
+data_centre = "x"
+data_centres = ["x"]
+seeds = {seeds}
+store = "{store}"
+
+[listen]
+callers = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+hosts = "127.0.0.1:{hosts}"
+
+[bounds]
+grace_s = {grace}
+"""
+
+
+class HostProcess:
+    """
+    A host that runs as a process.
+
+    Args:
+      folder: Where its settings file goes.
+      store: The store's address.
+      name: The host's id.
+      seeds: The hosts' addresses that it asks for others.
+      log: An open file for its log; a pipe that `wait_for_line` reads if None.
+    """
+
+    def __init__(self, folder, store, name="host-9", seeds=(), log=None):
+        self.name = name
+        self.path = folder / f"{name}.toml"
+        self.callers, self.ready = free_port(), free_port()
+        self.peers = f"127.0.0.1:{free_port()}"
+        self._log = asyncio.subprocess.PIPE if log is None else log
+        self._values = {
+            "name": name,
+            "store": store,
+            "seeds": json.dumps(list(seeds)),
+            "callers": self.callers,
+            "ready": self.ready,
+            "hosts": self.peers.rpartition(":")[2],
+        }
+        self.write_settings()
+        self.process = None
+
+    def write_settings(self, grace=6, more=""):
+        """Write the settings file."""
+        text = SETTINGS.format(grace=grace, **self._values) + more
+        self.path.write_text(text, encoding="utf-8")
+
+    async def start(self):
+        """Start the process."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "plumsaddle_hosts.edge",
+            str(self.path),
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    @property
+    def is_running(self):
+        """Whether the process was started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    async def kill(self):
+        """Kill the process; its log is read to the end, else waiting never ends."""
+        self.process.kill()
+        await self.process.communicate()
+
+    def signal(self, number):
+        """Send the process a signal, if it runs."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    async def restart(self):
+        """Ask the process to end, wait until it has, and start it again."""
+        self.signal(signal.SIGTERM)
+        await self.process.communicate()
+        await self.start()
+
+    async def wait_for_line(self, message):
+        """Read the log until an event, and return its fields."""
+        async with asyncio.timeout(10):
+            while True:
+                fields = json.loads(await self.process.stdout.readline())
+                if fields["message"] == message:
+                    return fields
+
+    async def is_ready(self, session):
+        """Return whether the host says that it is ready."""
+        url = f"http://127.0.0.1:{self.ready}/readyz"
+        try:
+            async with session.get(url, timeout=aiohttp.ClientTimeout(1.0)) as resp:
+                return resp.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -0,0 +1,260 @@
+"""
+A local fleet under a named pattern of faults, with a tally and a picture.
+
+    python -m plumsaddle_standins.lab gray --seconds 15 --out gray.png
+    python -m plumsaddle_standins.lab random --seed 3
+
+Hosts are real processes; the store, the targets and the callers are stand-ins in this
+one. The last line counts what callers saw, and the exit code is 1 if a promise was
+broken. Two pictures, of a run before a change and one after it, show what it is worth.
+"""
+
+import asyncio
+import random
+import signal
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+import fire
+
+from .callers import PROMISES, Callers, find_broken
+from .host_process import HostProcess
+from .store import Fault
+from .trial import OPERATOR, Trial, configuration
+from .worker import Mode
+
+HOSTS = 3
+TARGETS = 4
+SERVICES = ("look", "act", "up")
+# Seconds that a target works; with four slots each the load takes a third of them.
+WORK = 0.15
+RATE = 60.0
+SECONDS = 15.0
+# When the fault begins and how long it lasts, as shares of the run.
+BEGINS, LASTS = 0.3, 0.3
+START_WITHIN = 10.0
+RANDOM_PAUSE = 1.0
+
+
+class Lab:
+    """A fleet: the stand-ins of a `Trial` and hosts as processes."""
+
+    def __init__(self, trial, hosts, rng):
+        self.trial = trial
+        self.hosts = hosts
+        self.rng = rng
+        self.version = 1
+
+    def any_target(self):
+        """Return a target."""
+        return self.rng.choice(list(self.trial.workers.values()))
+
+    def any_host(self):
+        """Return a host."""
+        return self.rng.choice(self.hosts)
+
+    def publish(self):
+        """Publish one more version of the same routes."""
+        self.version += 1
+        self.trial.store.put(OPERATOR, "config", configuration(self.version))
+
+
+async def calm(lab, seconds):
+    """Let nothing happen."""
+
+
+async def gray(lab, seconds):
+    """Let one target in four fail its work at once, though it stays listed."""
+    await _switch(lab, Mode.ERRORS, seconds)
+
+
+async def hang(lab, seconds):
+    """Let one target in four not answer."""
+    await _switch(lab, Mode.HANG, seconds)
+
+
+async def reset(lab, seconds):
+    """Let one target in four run its requests and reset their connections."""
+    await _switch(lab, Mode.RESET, seconds)
+
+
+async def shed(lab, seconds):
+    """Let half of the targets refuse all work."""
+    await _switch(lab, Mode.SHED, seconds, TARGETS // 2)
+
+
+async def _switch(lab, mode, seconds, count=1):
+    """Switch the first targets of each service for some seconds."""
+    chosen = [w for service in SERVICES for w in lab.trial.of(service)[:count]]
+    for worker in chosen:
+        worker.mode = mode
+    await asyncio.sleep(seconds)
+    for worker in chosen:
+        worker.mode = Mode.GOOD
+
+
+async def store_away(lab, seconds):
+    """Let the store answer nothing, while a version is published."""
+    lab.trial.store.fault = Fault.SILENT
+    lab.publish()
+    await asyncio.sleep(seconds)
+    lab.trial.store.fault = Fault.NONE
+
+
+async def release(lab, seconds):
+    """Replace the orders' targets, one after the other."""
+    for worker in lab.trial.of("act"):
+        lab.trial.register(worker, "draining")
+        await asyncio.sleep(seconds / TARGETS / 2)
+        lab.trial.unregister(worker)
+        await asyncio.sleep(seconds / TARGETS / 2)
+        lab.trial.register(worker)
+
+
+async def roll(lab, seconds):
+    """End and start the hosts in turn."""
+    for host in lab.hosts:
+        await host.restart()
+
+
+async def kill(lab, seconds):
+    """Kill one host, and start it again."""
+    host = lab.any_host()
+    await host.kill()
+    await asyncio.sleep(seconds / 2)
+    await host.start()
+
+
+async def freeze(lab, seconds):
+    """Stop one host, and let it go on."""
+    host = lab.any_host()
+    host.signal(signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    host.signal(signal.SIGCONT)
+
+
+async def storm(lab, seconds):
+    """Publish versions in quick succession, with SIGHUP to all hosts beside them."""
+    for _ in range(int(seconds * 3)):
+        lab.publish()
+        for host in lab.hosts:
+            host.signal(signal.SIGHUP)
+        await asyncio.sleep(1 / 3)
+
+
+PATTERNS = {
+    f.__name__.replace("_", "-"): f
+    for f in (
+        *(calm, gray, hang, reset, shed, store_away),
+        *(release, roll, kill, freeze, storm),
+    )
+}
+
+
+async def at_random(lab, seconds):
+    """Let patterns begin at random moments, so that they overlap, and end them all."""
+    names = sorted(PATTERNS)
+    running = []
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    while loop.time() < end:
+        name = lab.rng.choice(names)
+        lasts = lab.rng.uniform(0.5, 3.0)
+        print(f"{seconds - (end - loop.time()):6.2f} {name} for {lasts:.1f} s")
+        running.append(asyncio.create_task(PATTERNS[name](lab, lasts)))
+        await asyncio.sleep(lab.rng.expovariate(1 / RANDOM_PAUSE))
+    await asyncio.gather(*running)
+
+
+async def play(pattern, seconds, seed, rate, folder):
+    """
+    Play one pattern.
+
+    Returns:
+      A list of `Ended`, and the broken promises as texts.
+    """
+    rng = random.Random(seed)
+    async with Trial(services=SERVICES, targets=TARGETS, hosts=0) as trial:
+        for worker in trial.workers.values():
+            worker.work = WORK
+        hosts = []
+        with (folder / "hosts.log").open("wb") as log:
+            for number in range(HOSTS):
+                seeds = [host.peers for host in hosts[:1]]
+                name = f"host-{number}"
+                hosts.append(HostProcess(folder, trial.store_address, name, seeds, log))
+            try:
+                await asyncio.gather(*(host.start() for host in hosts))
+                await _wait_until_ready(hosts, trial.session)
+                lab = Lab(trial, hosts, rng)
+                callers = Callers(hosts, rate, random.Random(seed + 1))
+                faults = asyncio.create_task(_disturb(lab, pattern, seconds))
+                await callers.run(seconds)
+                await faults
+            finally:
+                for host in hosts:
+                    if host.is_running:
+                        host.signal(signal.SIGCONT)
+                        await host.kill()
+        return callers.ended, find_broken(callers.ended, trial.workers.values())
+
+
+async def _wait_until_ready(hosts, session):
+    async with asyncio.timeout(START_WITHIN):
+        while not all([await host.is_ready(session) for host in hosts]):
+            await asyncio.sleep(0.05)
+
+
+async def _disturb(lab, pattern, seconds):
+    if pattern == "random":
+        await at_random(lab, seconds)
+        return
+    await asyncio.sleep(BEGINS * seconds)
+    await PATTERNS[pattern](lab, LASTS * seconds)
+
+
+def tell(ended, broken):
+    """Return the tally as a line."""
+    words = Counter(_word(end) for end in ended)
+    parts = [f"{words[w]} {w}" for w in ("whole", "refused", "failed", "unknown")]
+    return f"lab: {len(ended)} requests, {', '.join(parts)}, {len(broken)} broken"
+
+
+def _word(end):
+    if end.status is None:
+        return "unknown"
+    if end.status == 200:
+        return "whole"
+    return "refused" if end.status in PROMISES else "failed"
+
+
+def run(pattern="calm", seconds=SECONDS, seed=1, rate=RATE, out=None):
+    """
+    Play a pattern and tell what callers saw.
+
+    Args:
+      pattern: One of the patterns, or `random` for several at random moments.
+      seconds: How long callers send.
+      seed: What is drawn at random.
+      rate: Requests a second.
+      out: The path of a picture, if one is wanted.
+    """
+    if pattern not in PATTERNS and pattern != "random":
+        print(f"The patterns are: random, {', '.join(PATTERNS)}.", file=sys.stderr)
+        sys.exit(2)
+    with tempfile.TemporaryDirectory() as folder:
+        ended, broken = asyncio.run(play(pattern, seconds, seed, rate, Path(folder)))
+    if out is not None:
+        from .lab_picture import draw_load
+
+        draw_load(ended, out)
+    for line in broken:
+        print(line)
+    print(tell(ended, broken))
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(run, name="lab")
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -0,0 +1,47 @@
+"""
+A short run of real hosts under overlapping faults, and the checks that it rests on.
+"""
+
+import asyncio
+
+from .callers import Ended, find_broken
+from .lab import play, tell
+from .worker import WorkerStandin
+
+SECONDS = 5.0
+SEED = 3
+
+
+def test_no_promise_breaks_while_faults_overlap(tmp_path):
+    """
+    An order runs twice, or a refused one has run, while several things go wrong.
+
+    Targets hang and reset, the store falls silent, a host is killed, all are restarted
+    in turn. Callers keep sending to whichever host says that it is ready.
+    """
+    ended, broken = asyncio.run(play("random", SECONDS, SEED, 40.0, tmp_path))
+    assert not broken
+    whole = sum(1 for end in ended if end.status == 200)
+    assert whole > 0.8 * len(ended)
+
+
+def test_the_check_finds_what_breaks_a_promise():
+    worker = WorkerStandin("act-0", "act")
+    worker.runs.update({"twice": 2, "ran": 1, "unsent": 1, "again": 2, "half": 1})
+    ended = [
+        Ended("twice", "/act/a", 0.0, 0.1, 500, False),
+        Ended("ran", "/act/a", 0.0, 0.1, 503, False),
+        Ended("again", "/look/a", 0.0, 0.1, 200, True),
+        Ended("half", "/look/a", 0.0, 0.1, 200, False),
+        Ended("lost", "/up/a", 0.0, 0.1, None, False),
+    ]
+    broken = find_broken(ended, [worker])
+    assert {line.partition(":")[0] for line in broken} == {
+        "twice",
+        "ran",
+        "unsent",
+        "half",
+    }
+    assert tell(ended, broken) == (
+        "lab: 5 requests, 2 whole, 1 refused, 1 failed, 1 unknown, 4 broken"
+    )
