--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_process_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_process_test.py
@@ -10,6 +10,19 @@
 from .host_process import HostProcess
 from .trial import Trial, in_loop
 
+HANG_UP_WHILE_LOADING = """
+import os, runpy, signal, sys
+
+class HangUp:
+    def find_spec(self, name, *args):
+        if name == "plumsaddle_hosts.edge.main":
+            os.kill(os.getpid(), signal.SIGHUP)
+            sys.exit(0)
+
+sys.meta_path.insert(0, HangUp())
+runpy.run_module("plumsaddle_hosts.edge", run_name="__main__")
+"""
+
 
 async def _started(trial, folder):
     host = HostProcess(folder, trial.store_address)
@@ -74,6 +87,20 @@
         await host.kill()
 
 
+@in_loop
+async def test_sighup_while_a_host_is_loading_does_not_end_it():
+    """
+    Hosts that are restarted while settings change do not come up.
+
+    SIGHUP finds a process that has not come to its own handler yet, and ends it. Here
+    it comes just before the host's modules are loaded.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", HANG_UP_WHILE_LOADING
+    )
+    assert await process.wait() == 0
+
+
 @in_loop
 async def test_all_mistakes_are_told_at_once(tmp_path):
     path = tmp_path / "host.toml"
--- a/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
@@ -56,6 +56,9 @@
         }
         self.write_settings()
         self.process = None
+        self._starting = asyncio.Lock()
+        self.is_wanted = False
+        self.own_ends = 0
 
     def write_settings(self, grace=6, more=""):
         """Write the settings file."""
@@ -63,15 +66,19 @@
         self.path.write_text(text, encoding="utf-8")
 
     async def start(self):
-        """Start the process."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "plumsaddle_hosts.edge",
-            str(self.path),
-            stdout=self._log,
-            stderr=self._log,
-        )
+        """Start the process, unless it runs; two faults may want it at once."""
+        self.is_wanted = True
+        async with self._starting:
+            if self.is_running:
+                return
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "plumsaddle_hosts.edge",
+                str(self.path),
+                stdout=self._log,
+                stderr=self._log,
+            )
 
     @property
     def is_running(self):
@@ -80,7 +87,9 @@
 
     async def kill(self):
         """Kill the process; its log is read to the end, else waiting never ends."""
-        self.process.kill()
+        self.is_wanted = False
+        if self.is_running:
+            self.process.kill()
         await self.process.communicate()
 
     def signal(self, number):
@@ -90,10 +99,17 @@
 
     async def restart(self):
         """Ask the process to end, wait until it has, and start it again."""
+        self.is_wanted = False
         self.signal(signal.SIGTERM)
         await self.process.communicate()
         await self.start()
 
+    async def revive(self):
+        """Start the process again if it ended by itself, as the platform does."""
+        if self.is_wanted and not self.is_running:
+            self.own_ends += 1
+            await self.start()
+
     async def wait_for_line(self, message):
         """Read the log until an event, and return its fields."""
         async with asyncio.timeout(10):
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -36,6 +36,8 @@
 BEGINS, LASTS = 0.3, 0.3
 START_WITHIN = 10.0
 RANDOM_PAUSE = 1.0
+# Seconds until a process that ended by itself is started again.
+REVIVE_EVERY = 0.5
 
 
 class Lab:
@@ -190,9 +192,11 @@
                 await _wait_until_ready(hosts, trial.session)
                 lab = Lab(trial, hosts, rng)
                 callers = Callers(hosts, rate, random.Random(seed + 1))
+                reviving = asyncio.create_task(_revive(hosts))
                 faults = asyncio.create_task(_disturb(lab, pattern, seconds))
                 await callers.run(seconds)
                 await faults
+                reviving.cancel()
             finally:
                 for host in hosts:
                     if host.is_running:
@@ -207,6 +211,16 @@
             await asyncio.sleep(0.05)
 
 
+async def _revive(hosts):
+    """Start hosts that ended by themselves again, and tell of it."""
+    while True:
+        await asyncio.sleep(REVIVE_EVERY)
+        for host in hosts:
+            if host.is_wanted and not host.is_running:
+                print(f"{host.name} ended by itself: {host.process.returncode}")
+            await host.revive()
+
+
 async def _disturb(lab, pattern, seconds):
     if pattern == "random":
         await at_random(lab, seconds)
