--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
@@ -6,12 +6,10 @@
 """
 
 import asyncio
-import logging
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-log = logging.getLogger("front")
 # More than any configuration allows; the front checks the limits in force.
 PARSER_MOST = 131072
 # How long the rest of a refused body is read before its connection is closed: closing
@@ -32,19 +30,28 @@
     as it likes: no request is under way, so neither the idle time nor a route's time
     ends it. When bytes have come and the library goes on waiting for a request, they
     belong to a head that is not whole. The rest of a refused body, which the library
-    reads without waiting for a request, is told apart by that.
+    reads without waiting for a request, is told apart by that. Empty lines between two
+    requests are no head.
+
+    Args:
+      server: The library's server.
+      header_timeout: The seconds that a head may take, or None for no bound.
+      on_slow: Called when a connection ends for that.
     """
 
-    def __init__(self, server, header_timeout, **options):
+    def __init__(self, server, header_timeout, on_slow, **options):
         super().__init__(server, **options)
         self._header_timeout = header_timeout
+        self._on_slow = on_slow
         self._head_timer = None
 
     def data_received(self, data):
         super().data_received(data)
         if not self._is_waiting():
             self._stop_timer()
-        elif self._head_timer is None and self._header_timeout is not None:
+            return
+        may_begin = self._head_timer is None and self._header_timeout is not None
+        if may_begin and data.strip(b"\r\n"):
             loop = asyncio.get_running_loop()
             self._head_timer = loop.call_later(self._header_timeout, self._end_slow)
 
@@ -65,7 +72,7 @@
         self._head_timer = None
         if self.transport is None or not self._is_waiting():
             return
-        log.info("refused", extra={"cause": "head-too-slow"})
+        self._on_slow()
         self.transport.write(TOO_SLOW)
         self.force_close()
 
@@ -103,6 +110,7 @@
         return CallerConnection(
             self,
             cfg.limits.header_timeout if cfg else None,
+            self._front.note_slow_head,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=cfg.limits.idle_timeout if cfg else IDLE_FIRST,
             access_log=None,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -70,6 +70,11 @@
         """Return whether a request is under way on a connection."""
         return transport in self._busy
 
+    def note_slow_head(self):
+        """Log and count a connection that ended with half a head."""
+        log.info("refused", extra={"cause": Cause.HEAD_TOO_SLOW.value})
+        self._metrics.refusals.inc({"cause": Cause.HEAD_TOO_SLOW.value})
+
     async def handle(self, request):
         """Answer one request."""
         started = now()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -16,6 +16,7 @@
     NO_ROUTE = "no-route"
     NO_REQUEST_ID = "no-request-id"
     BAD_TIME = "bad-time"
+    HEAD_TOO_SLOW = "head-too-slow"
     HEADERS_TOO_LARGE = "headers-too-large"
     BODY_TOO_LARGE = "body-too-large"
     BODY_TOO_SLOW = "body-too-slow"
@@ -43,6 +44,7 @@
     Cause.NO_ROUTE: (404, 404),
     Cause.NO_REQUEST_ID: (400, 400),
     Cause.BAD_TIME: (400, 400),
+    Cause.HEAD_TOO_SLOW: (408, 408),
     Cause.HEADERS_TOO_LARGE: (431, 431),
     Cause.BODY_TOO_LARGE: (413, 413),
     Cause.BODY_TOO_SLOW: (408, 502),
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -409,7 +409,7 @@
     A host runs out of descriptors, and no request is under way.
 
     Callers send half a head and no more. Others take their time between two requests,
-    or send a head in two parts, which is all right.
+    with an empty line, or send a head in two parts, which is all right.
     """
     limits = {"header_timeout_ms": 300}
     async with Trial(services=("look",)) as trial:
@@ -425,6 +425,7 @@
             writer.write(rest % number)
             answer = await reader.readuntil(BODY)
             assert answer.startswith(b"HTTP/1.1 200")
+            writer.write(b"\r\n")
             await asyncio.sleep(0.5)
         writer.write(head)
         answer = await asyncio.wait_for(reader.read(), 2.0)
--- a/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
@@ -58,7 +58,6 @@
         self.process = None
         self._starting = asyncio.Lock()
         self.is_wanted = False
-        self.own_ends = 0
 
     def write_settings(self, grace=6, more=""):
         """Write the settings file."""
@@ -105,10 +104,17 @@
         await self.start()
 
     async def revive(self):
-        """Start the process again if it ended by itself, as the platform does."""
-        if self.is_wanted and not self.is_running:
-            self.own_ends += 1
-            await self.start()
+        """
+        Start the process again if it ended by itself, as the platform does.
+
+        Returns:
+          Its exit code, or None if it runs or was stopped on purpose.
+        """
+        if not self.is_wanted or self.is_running:
+            return None
+        code = self.process.returncode
+        await self.start()
+        return code
 
     async def wait_for_line(self, message):
         """Read the log until an event, and return its fields."""
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -216,9 +216,9 @@
     while True:
         await asyncio.sleep(REVIVE_EVERY)
         for host in hosts:
-            if host.is_wanted and not host.is_running:
-                print(f"{host.name} ended by itself: {host.process.returncode}")
-            await host.revive()
+            code = await host.revive()
+            if code is not None:
+                print(f"{host.name} ended by itself: {code}")
 
 
 async def _disturb(lab, pattern, seconds):
