Doubt targets that refuse work with room

Cause: a refusal said nothing of its target, and one that refuses everything in a millisecond is never busy, so it looks like the best choice. A refusal now weighs as much as it is rare in its service, like a stuck send in its route; a full target's refusal weighs nothing, and neither does one where all refuse alike.

Ruled out: the bound on retries (it was not used up), a lack of slots (half of the targets were idle).

Tests, both fail without: test_a_target_that_refuses_with_room_is_doubted_unless_all_do, test_targets_that_refuse_with_room_do_not_draw_the_work.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
@@ -23,8 +23,9 @@
 FAILING_FOR = 8.0
 USUAL = FAILING_FOR / (SOUND_FOR + FAILING_FOR)
 SETTLE = 1.0 / (1.0 / SOUND_FOR + 1.0 / FAILING_FOR)
-# Share of the sends to a failing target that hang; most failing targets answer at once.
-STUCK_FAILING = 0.5
+# Share of the sends to a failing target that hang, or that it refuses though it has
+# room; most failing targets answer at once.
+RARE_FAILING = 0.5
 # An unreachable target has failed more surely than one that answered 500.
 UNREACHABLE_RATIO = 200.0
 MOST = 0.995
@@ -57,16 +58,17 @@
         """Take a failure."""
         self._weigh(FAILS_FAILING / FAILS_SOUND, now)
 
-    def note_stuck(self, share, now):
+    def note_rare(self, share, now):
         """
-        Take a send that is unanswered for far too long.
+        Take an end that says the more the rarer it is: stuck, or refused with room.
 
         Args:
-          share: The share of the route's sends to which that happens at all; on a
-            route whose work often takes longer than its time it says little.
+          share: The share of all such sends to which that happens. On a route whose
+            work often takes longer than its time, or in a service that refuses much,
+            it says little of one target.
           now: The present, in seconds.
         """
-        self._weigh(max(1.0, STUCK_FAILING / share), now)
+        self._weigh(max(1.0, RARE_FAILING / share), now)
 
     def note_unreachable(self, now):
         """Take a connection that was refused or not answered."""
--- a/packages/plumsaddle-core/plumsaddle_core/ops/times.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/times.py
@@ -1,8 +1,10 @@
 """
 How long a route's requests usually take, and how often they take far too long.
 
+How often a service's targets refuse work stands here too.
+
 Routes of one service can differ a hundredfold, so a median over all of them would make
-the longer ones look stuck. Everything here is kept for each route of each service.
+the longer ones look stuck. So times are kept for each route of each service.
 """
 
 import statistics
@@ -12,9 +14,9 @@
 FEWEST = 5
 # The median before any answer was seen, in seconds; an ordinary request's work.
 USUAL_AT_FIRST = 0.3
-# What the share of stuck sends of a route starts from: one in ten, as if ten had been
+# What the share of stuck or refused sends starts from: one in ten, as if ten had been
 # seen. Ordinary routes fall below one in fifty within a minute.
-STUCK_AT_FIRST = 1.0
+RARE_AT_FIRST = 1.0
 SEEN_AT_FIRST = 10.0
 
 
@@ -25,6 +27,7 @@
         self._times = {}
         self._medians = {}
         self._stuck = {}
+        self._shed = {}
 
     def usual(self, service, route):
         """
@@ -42,7 +45,8 @@
 
     def note_whole(self, service, route, seconds):
         """Take the time of a whole answer."""
-        self._note_stuck(service, route, False)
+        _note_rare(self._stuck, (service, route), False)
+        _note_rare(self._shed, service, False)
         self.note_late(service, route, seconds)
 
     def note_late(self, service, route, seconds):
@@ -61,13 +65,11 @@
 
     def note_stuck(self, service, route):
         """Take a stuck send, and return the share that was stuck before it."""
-        return self._note_stuck(service, route, True)
+        return _note_rare(self._stuck, (service, route), True)
 
-    def _note_stuck(self, service, route, is_stuck):
-        recent = self._stuck.setdefault((service, route), deque(maxlen=KEPT))
-        share = (sum(recent) + STUCK_AT_FIRST) / (len(recent) + SEEN_AT_FIRST)
-        recent.append(is_stuck)
-        return share
+    def note_shed(self, service):
+        """Take a refusal, and return the share of sends that was refused before it."""
+        return _note_rare(self._shed, service, True)
 
     def keep(self, routes):
         """Forget the routes whose names are not among those given."""
@@ -76,3 +78,11 @@
         for service, medians in self._medians.items():
             kept = {route: m for route, m in medians.items() if route in routes}
             self._medians[service] = kept
+
+
+def _note_rare(ends, key, has_happened):
+    """Take whether a rare end has happened, and return its share before this one."""
+    recent = ends.setdefault(key, deque(maxlen=KEPT))
+    share = (sum(recent) + RARE_AT_FIRST) / (len(recent) + SEEN_AT_FIRST)
+    recent.append(has_happened)
+    return share
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -49,6 +49,7 @@
     UNREACHABLE = 2
     STUCK = 3
     LATE = 4
+    SHED = 5
 
 
 class OutcomeNote(NamedTuple):
@@ -337,11 +338,13 @@
         if outcome.sign is Sign.WHOLE:
             belief.note_whole(now)
             self.times.note_whole(outcome.service, outcome.route, outcome.seconds)
+        elif outcome.sign is Sign.SHED:
+            belief.note_rare(self.times.note_shed(outcome.service), now)
         elif outcome.sign is Sign.LATE:
             self.times.note_late(outcome.service, outcome.route, outcome.seconds)
         elif outcome.sign is Sign.STUCK:
             share = self.times.note_stuck(outcome.service, outcome.route)
-            belief.note_stuck(share, now)
+            belief.note_rare(share, now)
         elif outcome.sign is Sign.FAILED:
             belief.note_failed(now)
         else:
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
@@ -122,6 +122,23 @@
     assert zone.times.usual("look", "r") == 0.4
 
 
+def test_a_target_that_refuses_with_room_is_doubted_unless_all_do():
+    """
+    Requests are refused although other targets have room.
+
+    A target refuses all work at once, so it is never busy and looks like the best.
+    """
+    zone = _zone()
+    for number in range(30):
+        zone.note(f"t{number}", "look", "r", Sign.WHOLE, 0.3, 1.0)
+    zone.note("alone", "look", "r", Sign.SHED, 0.001, 1.0)
+    assert zone.fails("alone", 1.0) > 0.5
+    for _ in range(60):
+        zone.note("t1", "look", "r", Sign.SHED, 0.001, 1.0)
+    zone.note("one of many", "look", "r", Sign.SHED, 0.001, 1.0)
+    assert zone.fails("one of many", 1.0) < 0.25
+
+
 def test_hosts_together_keep_the_bound_on_retries():
     """
     A service that fails gets twice its load.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -30,6 +30,7 @@
     Fate.WRONG_TARGET: Sign.UNREACHABLE,
     Fate.TIMED_OUT: Sign.STUCK,
     Fate.FAILED: Sign.FAILED,
+    Fate.NOT_RUN: Sign.SHED,
     Fate.BROKEN: Sign.FAILED,
     Fate.UNSIGNED: Sign.FAILED,
 }
@@ -225,8 +226,21 @@
 
     def note(self, target, route, fate, seconds):
         """Take the fate of a send, or of one that is unanswered for too long."""
+        if fate is Fate.NOT_RUN and not self._has_room(target):
+            return
         self._note(target, route, SIGNS.get(fate), seconds)
 
+    def _has_room(self, target):
+        """
+        Return whether a target has a free slot as far as the data centre knows.
+
+        A full target refuses rightly. One that refuses with room is never busy, so it
+        looks like the best choice and draws the work of all: with half of a service's
+        targets like that, one request in five was refused, one in a hundred with this.
+        """
+        is_near = target.centre == self.settings.centre
+        return is_near and self.zone.in_flight(target.id) < target.slots
+
     def note_late(self, target, route, seconds):
         """Take a whole answer to a send that was noted as unanswered for too long."""
         self._note(target, route, Sign.LATE, seconds)
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -159,6 +159,26 @@
         assert not any(worker.runs for worker in trial.of("act"))
 
 
+@in_loop
+async def test_targets_that_refuse_with_room_do_not_draw_the_work():
+    """
+    Requests are refused while a target has room for all of them.
+
+    The others refuse everything in a millisecond, so they look idle, and a request that
+    meets two of them is refused.
+    """
+    async with Trial(services=("act",), targets=4) as trial:
+        good, *others = trial.of("act")
+        good.work = 0.05
+        for worker in others:
+            worker.mode = Mode.SHED
+        statuses = []
+        for turn in range(6):
+            asked = [trial.ask("/act/a", f"id-{turn}-{n}", "POST") for n in range(6)]
+            statuses += [status for status, _, _ in await asyncio.gather(*asked)]
+        assert statuses[12:].count(200) >= 22
+
+
 @in_loop
 async def test_a_look_up_survives_a_failing_target():
     """
