Take nothing that would outlast a leaving host

Cause: a host that was told to leave took requests until its listener closed, 3.2 s later; an upload that came then was still at work when the grace ended, and was cut without an answer (docs/incidents/taken-too-late.md). Now requests are refused unrun 2.9 s after the call to leave.

Ruled out: a request that crossed the close, a target that broke off. Test, fails without: test_a_leaving_host_takes_nothing_that_would_outlast_it.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -28,6 +28,10 @@
 # hosts have. What comes on top is refused at once.
 HELD_MOST = 64 * 1024 * 1024
 RETRY_AFTER_LEAST = 0.05
+# Seconds after the call to leave for which requests are still taken. Callers come for
+# three seconds until the balancer has turned away; a long upload that is taken last
+# would outlast the grace and be cut.
+TAKE_FOR = 2.9
 
 
 class Caller:
@@ -59,7 +63,16 @@
         self._held = 0
         self._orders = set()
         self._busy = set()
-        self.is_leaving = False
+        self._left_at = None
+
+    def leave(self):
+        """Take requests for a while only, and close connections after their answers."""
+        self._left_at = now()
+
+    @property
+    def is_leaving(self):
+        """Whether the host was told to leave."""
+        return self._left_at is not None
 
     @property
     def in_flight(self):
@@ -94,6 +107,8 @@
     async def _answer(self, request, started):
         """Return a `Reply` or a `Refusal`."""
         cfg = self._knowledge.cfg
+        if self.is_leaving and started - self._left_at > TAKE_FOR:
+            return self._refuse(request, Cause.LEAVING, 0.0)
         if not self._knowledge.is_complete:
             return self._refuse(request, Cause.NO_CONFIGURATION, 0.5)
         size = sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -156,7 +156,7 @@
 
     async def leave(self):
         """Serve on until the callers have turned away, then end what runs."""
-        self.front.is_leaving = True
+        self.front.leave()
         deadline = now() + self.settings.bounds.grace - GRACE_MARGIN
         await asyncio.sleep(min(LISTEN_ON, max(0.0, deadline - now())))
         self._servers[0].close()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -12,6 +12,7 @@
 class Cause(enum.Enum):
     """Why a request was answered by the host itself."""
 
+    LEAVING = "leaving"
     NO_CONFIGURATION = "no-configuration"
     NO_ROUTE = "no-route"
     NO_REQUEST_ID = "no-request-id"
@@ -40,6 +41,7 @@
 
 
 STATUSES = {
+    Cause.LEAVING: (503, 503),
     Cause.NO_CONFIGURATION: (503, 503),
     Cause.NO_ROUTE: (404, 404),
     Cause.NO_REQUEST_ID: (400, 400),
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from plumsaddle_hosts.edge import feed
+from plumsaddle_hosts.edge import feed, front
 from plumsaddle_hosts.edge.clock import now
 from plumsaddle_hosts.utils.addresses import split_address
 
@@ -504,6 +504,27 @@
         idle_writer.close()
 
 
+@in_loop
+async def test_a_leaving_host_takes_nothing_that_would_outlast_it(monkeypatch):
+    """
+    A scan is lost because a host is restarted.
+
+    A caller's upload comes three seconds after SIGTERM, on a connection that the host
+    still serves. It is taken, and is cut at the end of the grace.
+    """
+    monkeypatch.setattr(front, "TAKE_FOR", 0.2)
+    async with Trial(services=("up",), targets=1) as trial:
+        host = trial.hosts[0]
+        leaving = asyncio.ensure_future(host.leave())
+        trial.at_end(leaving)
+        assert (await trial.ask("/up/a", "id-1", "POST", b"scan"))[0] == 200
+        await asyncio.sleep(0.3)
+        status, headers, _ = await trial.ask("/up/a", "id-2", "POST", b"scan")
+        assert (status, headers["Connection"]) == (503, "close")
+        assert "Retry-After" in headers
+        assert [seen.id for seen in trial.workers["up-0"].seen] == ["id-1"]
+
+
 @in_loop
 async def test_a_host_without_a_configuration_says_so():
     async with Trial(services=("look",)) as trial:
