--- a/packages/plumsaddle-core/plumsaddle_core/ops/times.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/times.py
@@ -10,7 +10,10 @@
 import statistics
 from collections import deque
 
+# Answers that a median, and sends that a share is taken of: some seconds of a busy
+# route's work, so both follow a change within seconds.
 KEPT = 48
+# Answers before a median is believed; of fewer, one odd answer decides it.
 FEWEST = 5
 # The median before any answer was seen, in seconds; an ordinary request's work.
 USUAL_AT_FIRST = 0.3
@@ -21,7 +24,7 @@
 
 
 class RouteTimes:
-    """The recent times and stuck sends of all routes."""
+    """The recent times and stuck sends of all routes, and refusals of all services."""
 
     def __init__(self):
         self._times = {}
