Wait until orders are taken again after the outage that a test makes

Cause: the test before it ends an outage of the log, and a host that has not found the log back refuses the next order, truly (503 log-away, not-run); seen in 2 of 10 runs of the two tests beside load, with the answer printed. The outage's test now also demands that every host takes orders again, which it did not before; the other keeps its assertions and prints the answer when it fails.

--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
@@ -441,6 +441,12 @@
     entry.process.terminate()
     fleet.entries.remove(entry)
     assert entry.process.wait(20) == 0
+    # Hosts go on refusing orders, truly, until they have found the log back.
+    for host in fleet.entries:
+        wait_for(
+            lambda host=host: order(host, make_key(RNG)).status == 200,
+            "orders to be taken again",
+        )
 
 
 def leave_early(entry, method, path, wait, **headers):
@@ -449,7 +455,11 @@
     conn = http.client.HTTPConnection(ip, int(port), timeout=30)
     named = {name.replace("_", "-"): value for name, value in headers.items()}
     conn.request(method, path, headers=named)
-    wait()
+    try:
+        wait()
+    except TimeoutError as exc:
+        resp = conn.getresponse()
+        raise TimeoutError(f"{exc}; answered {resp.status} {resp.read()}") from exc
     conn.close()
 
 
