Keep the command line's waits in one place

Splitting cli.py had left the two constants in cli.py and in orders.py. Values and use are the same; the command line only, no host loads it.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
@@ -33,11 +33,13 @@
 from .common import (
     DEFAULT_SETTINGS,
     DONE,
+    LOOK_EVERY,
     MISTAKE,
     NO_ANSWER,
     NOT_EVERYWHERE,
     NOT_KNOWN,
     REFUSED,
+    VERDICT_WAIT,
     fail,
     read_text,
     run_with,
@@ -47,9 +49,6 @@
 from .log import History
 from .orders import Orders
 
-VERDICT_WAIT = 10.0
-LOOK_EVERY = 0.1
-
 
 def _read_configuration(path):
     """Return a checked configuration's text, or tell all mistakes and exit."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/common.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/common.py
@@ -23,6 +23,9 @@
 NOT_KNOWN = 4
 NOT_EVERYWHERE = 5
 DEFAULT_SETTINGS = "plumsaddle.toml"
+# Until the hosts show what the log took, in seconds.
+VERDICT_WAIT = 10.0
+LOOK_EVERY = 0.1
 
 
 class OperatorSettings(NamedTuple):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/orders.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/orders.py
@@ -13,19 +13,17 @@
 from .common import (
     DEFAULT_SETTINGS,
     DONE,
+    LOOK_EVERY,
     MISTAKE,
     NO_ANSWER,
     NOT_KNOWN,
+    VERDICT_WAIT,
     fail,
     run_with,
     say,
 )
 from .hosts import ask_all
 
-# Until the hosts show what the log took, in seconds.
-VERDICT_WAIT = 10.0
-LOOK_EVERY = 0.1
-
 
 class Orders:
     """Orders without an outcome: show them, and settle what is known of them."""
