--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -10,7 +10,7 @@
 import enum
 from typing import Any, NamedTuple
 
-from .ids import Address, DataCentre, HostId, ServiceName, TargetId
+from .ids import Address, DataCentre, HostId, LifeId, ServiceName, TargetId
 
 
 class Kind(enum.Enum):
@@ -35,11 +35,12 @@
 
 class Target(NamedTuple):
     """
-    One start of a worker process, as the registry lists it.
+    One life of a worker process, as the registry lists it.
 
-    `id` is new at each start, so it tells a restarted target from the former one and
-    from a stranger that was given the same address. `cold_for` are the seconds for
-    which the target said it would still be slow, counted from `read_at`.
+    `id` tells a target from a stranger that was given the same address. A target may
+    start again under its id and then knows nothing of before; `born` is the Unix
+    millisecond of its start, or 0 if its entry does not tell. `cold_for` are the
+    seconds for which the target said it would still be slow, counted from `read_at`.
     """
 
     id: TargetId
@@ -50,6 +51,20 @@
     state: TargetState
     cold_for: float
     read_at: float
+    born: int = 0
+
+    @property
+    def life(self):
+        """
+        The name of this life, under which hosts keep and tell what they know of it.
+
+        Whatever was learnt of a former life stands under another name, so that it can
+        never be taken for news of this one, however late it arrives. The last 32 bits
+        of the start are told, which repeat after 49 days.
+        """
+        if not self.born:
+            return LifeId(self.id)
+        return LifeId(f"{self.id}~{self.born & 0xFFFFFFFF:x}")
 
 
 class Share(NamedTuple):
@@ -115,7 +130,11 @@
 
 
 class HostSettings(NamedTuple):
-    """What a host learns from its settings file."""
+    """
+    What a host learns from its settings file.
+
+    `link` is what the host's link carries, in bytes a second, or None if unknown.
+    """
 
     id: HostId
     centre: DataCentre
@@ -126,6 +145,7 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: Bounds
+    link: float | None = None
 
 
 class Fate(enum.Enum):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
@@ -28,6 +28,8 @@
 RARE_FAILING = 0.5
 # An unreachable target has failed more surely than one that answered 500.
 UNREACHABLE_RATIO = 200.0
+WHOLE_RATIO = (1.0 - FAILS_FAILING) / (1.0 - FAILS_SOUND)
+FAILED_RATIO = FAILS_FAILING / FAILS_SOUND
 MOST = 0.995
 
 
@@ -50,33 +52,30 @@
         failing = self.failing(now)
         return failing * FAILS_FAILING + (1.0 - failing) * FAILS_SOUND
 
-    def note_whole(self, now):
-        """Take a whole answer."""
-        self._weigh((1.0 - FAILS_FAILING) / (1.0 - FAILS_SOUND), now)
-
-    def note_failed(self, now):
-        """Take a failure."""
-        self._weigh(FAILS_FAILING / FAILS_SOUND, now)
-
-    def note_rare(self, share, now):
+    def weigh(self, ratio, now):
         """
-        Take an end that says the more the rarer it is: stuck, or refused with room.
+        Apply Bayes' rule.
 
         Args:
-          share: The share of all such sends to which that happens. On a route whose
-            work often takes longer than its time, or in a service that refuses much,
-            it says little of one target.
+          ratio: How much likelier what was seen is of a failing target than of a sound
+            one.
           now: The present, in seconds.
         """
-        self._weigh(max(1.0, RARE_FAILING / share), now)
-
-    def note_unreachable(self, now):
-        """Take a connection that was refused or not answered."""
-        self._weigh(UNREACHABLE_RATIO, now)
-
-    def _weigh(self, ratio, now):
-        """Apply Bayes' rule with the likelihood ratio of failing to sound."""
         failing = self.failing(now)
         odds = failing / (1.0 - failing) * ratio
         self._failing = min(MOST, odds / (1.0 + odds))
         self._at = now
+
+
+def rare_ratio(share):
+    """
+    Return the weight of an end that says the more the rarer it is.
+
+    That is a send that is stuck, or one that is refused with room.
+
+    Args:
+      share: The share of all such sends to which that happens. On a route whose work
+        often takes longer than its time, or in a service that refuses much, it says
+        little of one target.
+    """
+    return max(1.0, RARE_FAILING / share)
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/news.py
@@ -0,0 +1,167 @@
+"""
+What hosts tell each other of their work, as typed messages.
+
+Hosts of one data centre tell each other all: work in flight, outcomes, counts. Bytes
+between data centres are paid for, so hosts of other data centres are told only the
+outcomes that change what is believed of a target, and which targets got work.
+"""
+
+import enum
+from collections import deque
+from typing import NamedTuple
+
+from ..core.ids import HostId, LifeId, ServiceName
+
+# Notes kept for telling. A host whose allowance is used up tells some tens of
+# outcomes together; what is older than these is not worth telling any more.
+KEPT_MOST = 48
+
+
+class Sign(enum.Enum):
+    """
+    What one send says about its target.
+
+    A send that was told as stuck may be answered whole after all. That is late: it
+    teaches how long the route takes, and does not undo what was told.
+    """
+
+    WHOLE = 0
+    FAILED = 1
+    UNREACHABLE = 2
+    STUCK = 3
+    LATE = 4
+    SHED = 5
+
+
+class OutcomeNote(NamedTuple):
+    """One outcome: its number at the host that saw it, and what it saw."""
+
+    number: int
+    target: LifeId
+    service: ServiceName
+    route: str
+    sign: Sign
+    seconds: float
+
+
+class Evidence(NamedTuple):
+    """
+    What an outcome says of a target to hosts elsewhere.
+
+    `ratio` is how much likelier the outcome is of a failing target than of a sound one.
+    """
+
+    number: int
+    target: LifeId
+    ratio: float
+
+
+class Counts(NamedTuple):
+    """What a host has done for a service since it started."""
+
+    requests: int = 0
+    retries: int = 0
+    ended: int = 0
+    unserved: int = 0
+
+    def plus(self, more):
+        """Return the sum with other counts."""
+        return Counts(*(a + b for a, b in zip(self, more, strict=True)))
+
+    def minus(self, less):
+        """Return the difference to other counts."""
+        return Counts(*(a - b for a, b in zip(self, less, strict=True)))
+
+
+class PeerNews(NamedTuple):
+    """
+    A message to the hosts of the data centre: work in flight and the last outcomes.
+
+    `life` is drawn anew at each start of the host, and `number` counts its messages.
+    `counts` are what it has done for each service since it started; a message without
+    them says nothing of it.
+    """
+
+    host: HostId
+    life: int
+    number: int
+    in_flight: dict[LifeId, int]
+    outcomes: tuple[OutcomeNote, ...]
+    counts: dict[ServiceName, Counts]
+
+
+class FarNews(NamedTuple):
+    """A message to other data centres: evidence, and targets that got work lately."""
+
+    host: HostId
+    life: int
+    evidence: tuple[Evidence, ...]
+    used: tuple[LifeId, ...]
+
+
+class Outbox:
+    """
+    Numbered notes that are told in two messages each.
+
+    Datagrams are lost now and then. Each receiver takes a number once, so telling
+    twice costs some bytes and makes a loss of one note in ten thousand out of one in
+    a hundred.
+    """
+
+    def __init__(self):
+        self.count = 0
+        self._notes = deque(maxlen=KEPT_MOST)
+        self._told_once = 0
+        self._told_twice = 0
+
+    def add(self, note):
+        """Keep a note, whose number must be `count`."""
+        self._notes.append(note)
+        self.count += 1
+
+    @property
+    def has_untold(self):
+        """Whether a note has not been told at all."""
+        return self._told_once < self.count
+
+    def take(self):
+        """Return the notes for the next message."""
+        since = self._told_twice
+        self._told_twice, self._told_once = self._told_once, self.count
+        return tuple(note for note in self._notes if note.number >= since)
+
+    def last(self):
+        """Return all notes that are kept."""
+        return tuple(self._notes)
+
+
+class Inbox:
+    """
+    The numbers of one sender's notes, and its lives, so that each note counts once.
+
+    A sender that starts again draws another life. Lives have no order that a host
+    could keep without a disk, and the time of day jumps; so the lives that were
+    followed by another one are remembered, and their messages are dropped.
+    """
+
+    def __init__(self, life):
+        self.life = life
+        self._ended = deque(maxlen=8)
+        self._number = -1
+
+    def is_former(self, life):
+        """Return whether a life has ended, so that its messages come late."""
+        return life in self._ended
+
+    def begin(self, life):
+        """Begin a new life of the sender."""
+        self._ended.append(self.life)
+        self.life = life
+        self._number = -1
+
+    def fresh(self, notes):
+        """Return the notes that have not come before."""
+        news = [note for note in notes if note.number > self._number]
+        if news:
+            self._number = news[-1].number
+        return news
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pacing_test.py
@@ -0,0 +1,68 @@
+"""
+Tests of the bound on what hosts tell each other, at data centres of three sizes.
+"""
+
+import random
+
+import pytest
+
+from .pacing import OVERDRAWN_FOR, SAVED_FOR, TOLD_SHARE, Allowance, told_rate
+
+# A link of 10 Mbit/s, in bytes a second.
+LINK = 1_250_000.0
+# A message with its datagram's headers: some work in flight and two outcomes.
+MESSAGE = 230
+EVENTS_PER_S = 20.0
+SECONDS = 20.0
+
+
+def _play(hosts, rate, seed=1):
+    """Tell events as they come; return bytes a second and the oldest news in ms."""
+    rng = random.Random(seed)
+    allowance = Allowance(rate)
+    at, sent, oldest, due = 0.0, 0, 0.0, None
+    while at < SECONDS:
+        at += rng.expovariate(EVENTS_PER_S)
+        if due is None:
+            due = at + allowance.wait(False, at)
+            told_from = at
+        if due <= at:
+            size = MESSAGE * (hosts - 1)
+            allowance.spend(size, due)
+            sent += size
+            oldest = max(oldest, due - told_from)
+            due = None
+    return sent / SECONDS, oldest * 1000
+
+
+@pytest.mark.parametrize("hosts", [12, 45, 100])
+def test_telling_takes_a_small_part_of_the_link(hosts):
+    """
+    Requests wait half a second at their own host, and versions come seconds late.
+
+    Forty-five hosts tell each other each start and end at once and fill their small
+    links; nothing that a host sends or reads gets through in time.
+    """
+    bounded, oldest = _play(hosts, told_rate(LINK))
+    assert bounded <= LINK * TOLD_SHARE * (1 + SAVED_FOR)
+    # The news of a hundred hosts is half a second old at most.
+    assert oldest <= 1000 * MESSAGE * hosts / (LINK * TOLD_SHARE) + 1
+    unbounded, _ = _play(hosts, None)
+    if hosts > 12:
+        assert unbounded > 2 * bounded
+
+
+def test_failures_go_out_while_other_news_waits():
+    allowance = Allowance(1000.0)
+    allowance.spend(1000 * SAVED_FOR + 300, 0.0)
+    assert allowance.wait(False, 0.0) == pytest.approx(0.3)
+    assert allowance.wait(True, 0.0) == 0.0
+    allowance.spend(1000 * OVERDRAWN_FOR, 0.0)
+    assert allowance.wait(True, 0.0) == pytest.approx(0.3)
+
+
+def test_a_quiet_host_saves_little():
+    allowance = Allowance(1000.0)
+    allowance.wait(False, 0.0)
+    allowance.spend(1000 * SAVED_FOR + 100, 1000.0)
+    assert allowance.wait(False, 1000.0) == pytest.approx(0.1)
--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -55,15 +55,35 @@
           target: The `Target`.
           offset: Where the entry stands in the log; an older one is ignored.
           now: The present, in seconds.
+        Returns:
+          The `Target` as it was listed before if that was another life of it, which
+          has ended then, else None.
         """
         if self._is_old(target.id, offset):
-            return
+            return None
         self._lapsing.pop(target.id, None)
         former = self.targets.get(target.id)
         if former is not None and former.service != target.service:
             self._unlist(former)
         self.targets[target.id] = target
         self.by_service.setdefault(target.service, {})[target.id] = target
+        has_restarted = former is not None and former.life != target.life
+        return former if has_restarted else None
+
+    def reject(self, target_id, offset):
+        """
+        Take an entry that cannot be used: the target that it was for gets no more work.
+
+        Nothing else is touched, and the next good entry brings the target back.
+        """
+        if self._is_old(target_id, offset) or target_id not in self.targets:
+            return
+        self._lapsing.pop(target_id, None)
+        self._remove(self.targets[target_id])
+
+    def lives(self):
+        """Return the lives of all listed targets."""
+        return {target.life for target in self.targets.values()}
 
     def drop(self, gone, now):
         """
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -3,19 +3,29 @@
 
 Each host tells the others of its data centre what it has in flight at each target and
 how its last sends ended. A message states the whole in-flight table of its sender, so
-a lost one is repaired by the next, and repeats the last few outcomes with their
-numbers, so that each outcome counts once although it may arrive several times. A host
-that has been silent for some seconds is forgotten together with its work.
+a lost one is repaired by the next, and tells each outcome twice with its number, so
+that it counts once although it may arrive several times. A host that has been silent
+for some seconds is forgotten together with its work.
+
+Between data centres go only outcomes that change what is believed of a target. A
+target that begins to fail is found out once for the whole fleet and not once for each
+data centre, and one that is sound again is known to be so everywhere.
+
+All of it is kept by life of a target: one that starts again under its id begins anew.
 """
 
-import enum
 import math
-from collections import deque
-from typing import NamedTuple
-
-from ..core.ids import HostId, ServiceName, TargetId
-from .belief import Belief
+from collections import Counter, deque
+
+from .belief import (
+    FAILED_RATIO,
+    UNREACHABLE_RATIO,
+    WHOLE_RATIO,
+    Belief,
+    rare_ratio,
+)
 from .floor import Results
+from .news import Counts, Evidence, Inbox, Outbox, OutcomeNote, Sign
 from .share import RetryShare
 from .times import RouteTimes
 
@@ -29,79 +39,24 @@
 LOST_FEWEST = 2
 # Seconds after its start for which a host knows too little to leave targets out.
 TROUBLED_AT_START = 5.0
-# Outcomes that a message repeats. At most a few sends of one host end between two
-# messages, so eight cover several lost messages in a row.
-REPEATED = 8
+# An outcome is worth telling to other data centres if it moves the probability that
+# its target is failing by this much. A whole answer of a target in good standing moves
+# it by 0.03, a failure by 0.6, a whole answer of a target in doubt by 0.15 and more.
+SURPRISE = 0.1
 # Sends that end sooner than this (seconds) may never show as work in flight.
 QUICK = 0.1
 
 
-class Sign(enum.Enum):
-    """
-    What one send says about its target.
-
-    A send that was told as stuck may be answered whole after all. That is late: it
-    teaches how long the route takes, and does not undo what was told.
-    """
-
-    WHOLE = 0
-    FAILED = 1
-    UNREACHABLE = 2
-    STUCK = 3
-    LATE = 4
-    SHED = 5
-
-
-class OutcomeNote(NamedTuple):
-    """One outcome: its number at the host that saw it, and what it saw."""
-
-    number: int
-    target: TargetId
-    service: ServiceName
-    route: str
-    sign: Sign
-    seconds: float
-
-
-class PeerNews(NamedTuple):
-    """
-    A host's message: its table of work in flight and its last outcomes.
-
-    `counts` are what it has done for each service since it started.
-    """
-
-    host: HostId
-    life: int
-    number: int
-    in_flight: dict[TargetId, int]
-    outcomes: tuple[OutcomeNote, ...]
-    counts: dict[ServiceName, "Counts"]
-
-
-class Counts(NamedTuple):
-    """What a host has done for a service since it started."""
-
-    requests: int = 0
-    retries: int = 0
-    ended: int = 0
-    unserved: int = 0
-
-    def plus(self, more):
-        """Return the sum with other counts."""
-        return Counts(*(a + b for a, b in zip(self, more, strict=True)))
-
-    def minus(self, less):
-        """Return the difference to other counts."""
-        return Counts(*(a - b for a, b in zip(self, less, strict=True)))
-
-
 class _Peer:
     """What one other host said last."""
 
     def __init__(self, life):
-        self.life = life
+        self.inbox = Inbox(life)
+        self.begin()
+
+    def begin(self):
+        """Begin anew after the host has started again."""
         self.number = -1
-        self.outcome_number = -1
         self.in_flight = {}
         self.counts = None
         self.heard_at = 0.0
@@ -130,15 +85,20 @@
         self._most_heard = 1
         self._restarts = deque()
         self._own = {}
+        self._own_used_at = {}
         self._peers = {}
-        self._outcomes = deque(maxlen=REPEATED)
-        self._outcome_count = 0
+        self._others = Counter()
+        self._far = {}
+        # What is still to be told in the data centre, and to the others.
+        self.outcomes = Outbox()
+        self.evidence = Outbox()
 
     # This host's own work.
 
     def start(self, target_id, now):
         """Count a send of this host's that starts."""
         self._used_at[target_id] = now
+        self._own_used_at[target_id] = now
         self._own[target_id] = self._own.get(target_id, 0) + 1
 
     def end(self, target_id):
@@ -162,11 +122,13 @@
           seconds: How long the send took.
           now: The present, in seconds.
         """
-        number = self._outcome_count
-        self._outcome_count += 1
+        number = self.outcomes.count
         outcome = OutcomeNote(number, target_id, service, route, sign, seconds)
-        self._outcomes.append(outcome)
-        self._weigh(outcome, now)
+        self.outcomes.add(outcome)
+        before = self.failing(target_id, now)
+        ratio = self._weigh(outcome, now)
+        if abs(self.failing(target_id, now) - before) >= SURPRISE:
+            self.evidence.add(Evidence(self.evidence.count, target_id, ratio))
 
     def note_request(self, service, now):
         """Count a request of this host's for a service."""
@@ -217,36 +179,63 @@
         """Return this host's table of work in flight."""
         return dict(self._own)
 
-    def last_outcomes(self):
-        """Return the outcomes to repeat in the next message."""
-        return tuple(self._outcomes)
+    def own_used(self, since):
+        """Return the targets that this host sent to since a moment."""
+        return [key for key, at in self._own_used_at.items() if at >= since]
 
     # The other hosts' work.
 
     def take(self, news, now):
         """Take another host's `PeerNews`; an older one than known is ignored."""
         peer = self._peers.get(news.host)
-        if peer is not None and peer.life < news.life:
-            self._restarts.append(now)
-        if peer is None or peer.life < news.life:
+        if peer is None:
             peer = self._peers[news.host] = _Peer(news.life)
-        if news.life < peer.life or news.number <= peer.number:
+        if peer.inbox.is_former(news.life):
+            return
+        if peer.inbox.life != news.life:
+            self._restarts.append(now)
+            self._others.subtract(peer.in_flight)
+            peer.inbox.begin(news.life)
+            peer.begin()
+        if news.number <= peer.number:
             return
         peer.number = news.number
         peer.heard_at = now
-        for target_id, count in news.in_flight.items():
+        self._take_in_flight(peer, news.in_flight, now)
+        self._most_heard = max(self._most_heard, self.hosts_heard())
+        if news.counts:
+            self._take_counts(peer, news.counts, now)
+        for outcome in peer.inbox.fresh(news.outcomes):
+            if outcome.seconds < QUICK:
+                # It began and ended between two messages.
+                self._used_at[outcome.target] = now
+            self._weigh(outcome, now)
+
+    def _take_in_flight(self, peer, in_flight, now):
+        """Replace a host's work in flight, and the sums over all hosts with it."""
+        for target_id, count in in_flight.items():
             if count > peer.in_flight.get(target_id, 0):
                 self._used_at[target_id] = now
-        peer.in_flight = news.in_flight
-        self._most_heard = max(self._most_heard, self.hosts_heard())
-        self._take_counts(peer, news.counts, now)
-        for outcome in news.outcomes:
-            if outcome.number > peer.outcome_number:
-                peer.outcome_number = outcome.number
-                if outcome.seconds < QUICK:
-                    # It began and ended between two messages.
-                    self._used_at[outcome.target] = now
-                self._weigh(outcome, now)
+        self._others.subtract(peer.in_flight)
+        self._others.update(in_flight)
+        peer.in_flight = in_flight
+
+    def take_far(self, news, now):
+        """
+        Take the `FarNews` of a host in another data centre.
+
+        It arrives from a host there or by way of one here, and may do so twice.
+        """
+        inbox = self._far.setdefault(news.host, Inbox(news.life))
+        if inbox.is_former(news.life):
+            return
+        if inbox.life != news.life:
+            inbox.begin(news.life)
+        for target_id in news.used:
+            self._used_at[target_id] = now
+        for evidence in inbox.fresh(news.evidence):
+            self._used_at[evidence.target] = now
+            self._belief(evidence.target).weigh(evidence.ratio, now)
 
     def _take_counts(self, peer, counts, now):
         """Add what a host has done since its last message; the first one is a base."""
@@ -302,7 +291,8 @@
             if now - peer.heard_at > SILENT_AFTER
         ]
         for host in silent:
-            del self._peers[host]
+            self._others.subtract(self._peers.pop(host).in_flight)
+        self._others = +self._others
         return silent
 
     def hosts_heard(self):
@@ -313,10 +303,7 @@
 
     def in_flight(self, target_id):
         """Return the requests in flight at a target from all known hosts."""
-        total = self._own.get(target_id, 0)
-        for peer in self._peers.values():
-            total += peer.in_flight.get(target_id, 0)
-        return total
+        return self._own.get(target_id, 0) + self._others[target_id]
 
     def fails(self, target_id, now):
         """Return the probability that a send to a target fails."""
@@ -327,28 +314,40 @@
         return self.beliefs.get(target_id, _UNKNOWN).failing(now)
 
     def forget_targets(self, known):
-        """Forget beliefs in targets that are no longer listed."""
+        """Forget what is kept of lives of targets that are no longer listed."""
         self.beliefs = {key: b for key, b in self.beliefs.items() if key in known}
         self._used_at = {key: at for key, at in self._used_at.items() if key in known}
+        own_used = self._own_used_at.items()
+        self._own_used_at = {key: at for key, at in own_used if key in known}
 
-    def _weigh(self, outcome, now):
-        belief = self.beliefs.get(outcome.target)
+    def _belief(self, target_id):
+        belief = self.beliefs.get(target_id)
         if belief is None:
-            belief = self.beliefs[outcome.target] = Belief()
+            belief = self.beliefs[target_id] = Belief()
+        return belief
+
+    def _weigh(self, outcome, now):
+        """Let an outcome change what is believed of its target; return its weight."""
+        ratio = self._ratio_of(outcome)
+        if ratio != 1.0:
+            self._belief(outcome.target).weigh(ratio, now)
+        return ratio
+
+    def _ratio_of(self, outcome):
+        """Return how much an outcome speaks for a failing target, as a ratio."""
         if outcome.sign is Sign.WHOLE:
-            belief.note_whole(now)
             self.times.note_whole(outcome.service, outcome.route, outcome.seconds)
-        elif outcome.sign is Sign.SHED:
-            belief.note_rare(self.times.note_shed(outcome.service), now)
-        elif outcome.sign is Sign.LATE:
+            return WHOLE_RATIO
+        if outcome.sign is Sign.SHED:
+            return rare_ratio(self.times.note_shed(outcome.service))
+        if outcome.sign is Sign.LATE:
             self.times.note_late(outcome.service, outcome.route, outcome.seconds)
-        elif outcome.sign is Sign.STUCK:
-            share = self.times.note_stuck(outcome.service, outcome.route)
-            belief.note_rare(share, now)
-        elif outcome.sign is Sign.FAILED:
-            belief.note_failed(now)
-        else:
-            belief.note_unreachable(now)
+            return 1.0
+        if outcome.sign is Sign.STUCK:
+            return rare_ratio(self.times.note_stuck(outcome.service, outcome.route))
+        if outcome.sign is Sign.FAILED:
+            return FAILED_RATIO
+        return UNREACHABLE_RATIO
 
 
 _UNKNOWN = Belief()
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
@@ -6,9 +6,10 @@
 
 from ..core.traffic import Kind, Target, TargetState
 from .choice import Candidate, Demand, choose_target
+from .news import Counts, OutcomeNote, PeerNews, Sign
 from .share import SPENT_PART, RetryShare
 from .times import USUAL_AT_FIRST
-from .zone import SILENT_AFTER, Counts, OutcomeNote, PeerNews, Sign, Zone
+from .zone import SILENT_AFTER, Zone
 
 
 def _zone():
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -8,12 +8,15 @@
 import logging
 import random
 
+from returns.result import Failure
+
 from plumsaddle_core.core.traffic import Fate, TargetState
 from plumsaddle_core.ops.choice import Candidate, Demand, choose_target
 from plumsaddle_core.ops.floor import Trials
+from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.registry import Registry
 from plumsaddle_core.ops.table import build_table
-from plumsaddle_core.ops.zone import Sign, Zone
+from plumsaddle_core.ops.zone import Zone
 
 from ..platform import wire
 from .clock import now
@@ -23,6 +26,8 @@
 # moves the mean: about the last ten count.
 ANSWER_AT_FIRST = 2000.0
 ANSWER_PART = 0.1
+# Outcomes that can wait to be told: they make no target look worse.
+CALM_SIGNS = {Sign.WHOLE, Sign.LATE}
 SIGNS = {
     Fate.WHOLE: Sign.WHOLE,
     Fate.UNREACHED: Sign.UNREACHABLE,
@@ -57,10 +62,19 @@
         self._answer_bytes = {}
         self._trials = Trials()
         self._on_work = None
+        self._on_ended = None
+
+    def subscribe(self, on_work, on_ended):
+        """
+        Set what is called when something changes.
 
-    def subscribe(self, on_work):
-        """Call a function whenever this host's work or its outcomes change."""
+        Args:
+          on_work: Called when this host's work or its outcomes change, with whether
+            other hosts should know at once.
+          on_ended: Called with the former life of a target that has started again.
+        """
         self._on_work = on_work
+        self._on_ended = on_ended
 
     @property
     def is_complete(self):
@@ -112,24 +126,38 @@
                 gone[record.key] = record.offset
                 continue
             gone.pop(record.key, None)
-            target = wire.decode_target(record.key, record.value, at)
-            if target is None:
-                log.error("unreadable entry", extra={"target": record.key})
-                continue
-            self.registry.put(target, record.offset, at)
-            log.info(
-                "listed",
-                extra={
-                    "target": target.id,
-                    "service": target.service,
-                    "address": target.address,
-                    "state": target.state.value,
-                },
-            )
+            self._take_entry(record, at)
         self.registry.drop(gone, at)
         for target_id in gone:
             log.info("unlisted", extra={"target": target_id})
-        self.zone.forget_targets(self.registry.targets)
+        self.zone.forget_targets(self.registry.lives())
+
+    def _take_entry(self, record, at):
+        """Take one entry, whoever wrote it."""
+        result = wire.decode_target(record.key, record.value, at)
+        if isinstance(result, Failure):
+            self.registry.reject(record.key, record.offset)
+            log.error(
+                "unusable entry",
+                extra={"target": record.key, "cause": result.failure()},
+            )
+            return
+        target = result.unwrap()
+        former = self.registry.put(target, record.offset, at)
+        log.info(
+            "listed",
+            extra={
+                "target": target.id,
+                "born": target.born,
+                "service": target.service,
+                "address": target.address,
+                "state": target.state.value,
+            },
+        )
+        if former is not None:
+            log.info("restarted", extra={"target": target.id, "former": former.life})
+            if self._on_ended is not None:
+                self._on_ended(former.life)
 
     def expire(self, at):
         """Drop what has lapsed."""
@@ -148,7 +176,8 @@
           service: The service's name.
           demand: The `Demand`.
           excluded: Ids of targets not to be used.
-          has_link: A function that tells whether a target's id has a connection open.
+          has_link: A function that tells whether there is an open connection to a life
+            of a target.
           at: The present, in seconds.
         Returns:
           A `Choice`, or None if there is no target.
@@ -158,7 +187,7 @@
         candidates = [
             self._weigh(target, has_link, at)
             for target in usable
-            if (target.id == trial if trial else target.id not in excluded)
+            if (target.life == trial if trial else target.id not in excluded)
         ]
         return choose_target(candidates, demand, self.rng)
 
@@ -166,7 +195,7 @@
         """Return the target near by that must get a request to keep the floor."""
         return self._trials.find(
             service,
-            [t.id for t in usable if t.centre == self.settings.centre],
+            [t.life for t in usable if t.centre == self.settings.centre],
             self.zone,
             self.settings.bounds.floor_share,
             at,
@@ -175,11 +204,11 @@
     def _weigh(self, target, has_link, at):
         return Candidate(
             target,
-            self.zone.fails(target.id, at),
-            self.zone.in_flight(target.id),
+            self.zone.fails(target.life, at),
+            self.zone.in_flight(target.life),
             at < target.read_at + target.cold_for,
             target.centre == self.settings.centre,
-            has_link(target.id),
+            has_link(target.life),
         )
 
     def demand(self, route, service, started, deadline, kilobytes, at):
@@ -202,9 +231,11 @@
         self._answer_bytes[route.name] = former + ANSWER_PART * (size - former)
 
     def is_usable(self, target):
-        """Return whether a target may still get new work."""
+        """Return whether this life of a target may still get new work."""
         listed = self.registry.targets.get(target.id)
-        return listed is not None and listed.state is TargetState.READY
+        if listed is None or listed.life != target.life:
+            return False
+        return listed.state is TargetState.READY
 
     def may_retry(self, service):
         """Return whether one more send for a service fits the bound on retries."""
@@ -216,13 +247,13 @@
 
     def start(self, target):
         """Count a send that starts."""
-        self.zone.start(target.id, now())
-        self._tell()
+        self.zone.start(target.life, now())
+        self._tell(is_urgent=False)
 
     def end(self, target):
         """Count a send that ended."""
-        self.zone.end(target.id)
-        self._tell()
+        self.zone.end(target.life)
+        self._tell(is_urgent=False)
 
     def note(self, target, route, fate, seconds):
         """Take the fate of a send, or of one that is unanswered for too long."""
@@ -239,7 +270,7 @@
         targets like that, one request in five was refused, one in a hundred with this.
         """
         is_near = target.centre == self.settings.centre
-        return is_near and self.zone.in_flight(target.id) < target.slots
+        return is_near and self.zone.in_flight(target.life) < target.slots
 
     def note_late(self, target, route, seconds):
         """Take a whole answer to a send that was noted as unanswered for too long."""
@@ -248,9 +279,9 @@
     def _note(self, target, route, sign, seconds):
         if sign is None:
             return
-        self.zone.note(target.id, target.service, route.name, sign, seconds, now())
-        self._tell()
+        self.zone.note(target.life, target.service, route.name, sign, seconds, now())
+        self._tell(is_urgent=sign not in CALM_SIGNS)
 
-    def _tell(self):
+    def _tell(self, is_urgent):
         if self._on_work is not None:
-            self._on_work()
+            self._on_work(is_urgent)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/links.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/links.py
@@ -18,10 +18,11 @@
 
 
 class Links:
-    """The idle connections of one host, by target id."""
+    """The connections of one host, by life of a target."""
 
     def __init__(self):
         self._idle = {}
+        self._busy = {}
 
     def has(self, target_id, idle_most):
         """Return whether `take` would return a connection."""
@@ -35,7 +36,7 @@
         Take an idle connection to a target.
 
         Args:
-          target_id: The target's id.
+          target_id: The target's life.
           idle_most: The most seconds for which it may have been idle.
         Returns:
           A `Link`, or None if there is none that may be used.
@@ -45,6 +46,7 @@
         while kept:
             link = kept.pop()
             if link.is_reusable(at, idle_most):
+                self._busy.setdefault(target_id, set()).add(link)
                 return link
             link.close()
         return None
@@ -53,9 +55,12 @@
         """Open a connection to a target; return a `Link`, or None."""
 
         def on_closed(link):
-            self._drop(target.id, link)
+            self._drop(target.life, link)
 
-        return await connect(target.address, timeout, on_closed)
+        link = await connect(target.address, timeout, on_closed)
+        if link is not None and not link.is_closed:
+            self._busy.setdefault(target.life, set()).add(link)
+        return link
 
     def put_back(self, target_id, link):
         """Keep a connection whose exchange has ended, if it may be used again."""
@@ -64,6 +69,7 @@
 
     def put_unused(self, target_id, link):
         """Keep a connection on which nothing is under way, if it may be used."""
+        self._let_go(target_id, link)
         if not link.is_reusable(now()):
             link.close()
             return
@@ -77,7 +83,7 @@
         Close connections that are too old or whose target is gone.
 
         Args:
-          known: The ids of all listed targets.
+          known: The lives of all listed targets.
         """
         at = now()
         for target_id, kept in list(self._idle.items()):
@@ -88,6 +94,17 @@
             if not kept:
                 self._idle.pop(target_id, None)
 
+    def end_life(self, target_id):
+        """
+        Close all connections to a life of a target that has ended.
+
+        A target that was cut off or lost its power and starts again under its id sends
+        no reset: a request in flight there would wait for its deadline although its
+        answer can never come. Closed, it is decided at once as after a crash.
+        """
+        for link in (*self._idle.pop(target_id, ()), *self._busy.pop(target_id, ())):
+            link.close()
+
     def close(self):
         """Close all idle connections."""
         for kept in self._idle.values():
@@ -96,6 +113,16 @@
         self._idle.clear()
 
     def _drop(self, target_id, link):
+        self._let_go(target_id, link)
         kept = self._idle.get(target_id, [])
         if link in kept:
             kept.remove(link)
+
+    def _let_go(self, target_id, link):
+        """Take a connection off the busy ones."""
+        busy = self._busy.get(target_id)
+        if busy is None:
+            return
+        busy.discard(link)
+        if not busy:
+            del self._busy[target_id]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -113,7 +113,7 @@
             ),
         ]
         self.peers = Peers(settings, self.knowledge.zone, self._feeds)
-        self.knowledge.subscribe(self.peers.tell_soon)
+        self.knowledge.subscribe(self.peers.tell_soon, self.links.end_life)
         self._servers = []
         self._tasks = []
         self._callers = None
@@ -186,7 +186,7 @@
         while True:
             at = now()
             self.knowledge.expire(at)
-            self.links.close_old(self.knowledge.registry.targets)
+            self.links.close_old(self.knowledge.registry.lives())
             self.peers.beat(at)
             self._look_at_settings()
             cfg = self.knowledge.cfg
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -1,37 +1,71 @@
 """
-Datagrams between the hosts of one data centre.
+Datagrams between hosts.
 
-Each host tells all others of its data centre at once when a request of its own starts
-or ends at a target, and beats once a second besides. Hosts find each other through the
-seeds of their settings and then by what they tell of each other, so it costs the store
-nothing. Losing any message costs a little accuracy and nothing else.
+Each host tells all others of its data centre when a request of its own starts or ends
+at a target, and beats once a second besides. Hosts find each other through the seeds
+of their settings and then by what they tell of each other, so it costs the store
+nothing. Losing any message costs a little accuracy and nothing else. All of it draws
+on an allowance of bytes, so that it never fills a small link.
 
-Hosts of other data centres are told nothing but, by a seed, who is in theirs: bytes
-between data centres are dear.
+To each other data centre a host tells only what changes a belief, and once a second
+which targets it has used: to one host there, drawn anew for each message, which tells
+all of its own. So a data centre pays for one copy, and no host matters.
 """
 
 import asyncio
 import logging
-import time
+import random
+import secrets
+from typing import Annotated
 
 import msgspec
 
-from plumsaddle_core.ops.zone import SILENT_AFTER, Counts, OutcomeNote, PeerNews, Sign
-
-from ..utils.addresses import split_address
+from plumsaddle_core.ops.news import (
+    Counts,
+    Evidence,
+    FarNews,
+    OutcomeNote,
+    PeerNews,
+    Sign,
+)
+from plumsaddle_core.ops.pacing import Allowance, told_rate
+from plumsaddle_core.ops.zone import SILENT_AFTER
+
+from ..utils.addresses import is_address, split_address
 from .clock import now
 
 log = logging.getLogger("peers")
 # A host whose last word is older than this is not written to any more. Longer than a
 # restart takes, so that a restarted host is found again without a seed.
 MEMBER_FOR = 12.0
-# Members that a beat names. A newcomer that hears one beat a second from each member
-# knows all of them after the first.
+# Members that an answer to a newcomer names, and those that a beat names, drawn anew
+# each time. A newcomer hears a beat a second from each member, so that eight names each
+# tell it all others within a second, and each beat is shorter than ten lines of a log.
 NAMED_MOST = 64
+NAMED_IN_BEAT = 8
+# Hosts of each other data centre that a beat or an answer names.
+STRANGERS_NAMED = 3
+# What a datagram has besides its data: the headers of IP and UDP, in bytes.
+DATAGRAM_HEADERS = 28
+# Seconds between two messages that carry counts. They bound retries over ten seconds
+# and tell trouble over two and a half, and are a third of a message.
+COUNTS_EVERY = 0.25
+# Hosts kept of each other data centre. Those heard last are kept, so a few that are up
+# are always among them.
+STRANGERS_KEPT = 16
+# Other data centres hear this often (seconds) which targets a host has used.
+FAR_EVERY = 1.0
 # While a host knows nobody of its data centre, it asks the seeds this often (seconds).
 ASK_EVERY = 1.0
 
 
+# What other hosts say is checked as it is decoded: one bad number in a message would
+# otherwise spoil sums and beliefs for good.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=86400.0)]
+Ratio = Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)]
+
+
 class Hello(msgspec.Struct, array_like=True, tag="h"):
     """A host that looks for the others of its data centre."""
 
@@ -41,29 +75,43 @@
 
 
 class Members(msgspec.Struct, array_like=True, tag="m"):
-    """Addresses of hosts of the asker's data centre."""
+    """Addresses of hosts of the asker's data centre, and of some in each other one."""
 
     addresses: list[str]
+    strangers: dict[str, list[str]] = {}
 
 
 class Work(msgspec.Struct, array_like=True, tag="w"):
     """
     A host's work in flight and its last outcomes.
 
-    A beat also names members, and how far the host has read each topic of the store.
+    A beat also names members, some hosts of other data centres, and how far the host
+    has read each topic of the store.
     """
 
     host: str
-    life: int
-    number: int
-    in_flight: dict[str, int]
-    outcomes: list[tuple[int, str, str, str, int, float]]
-    counts: dict[str, tuple[int, int, int, int]]
+    life: Count
+    number: Count
+    in_flight: dict[str, Count]
+    outcomes: list[tuple[Count, str, str, str, Sign, Seconds]]
+    counts: dict[str, tuple[Count, Count, Count, Count]]
     members: list[str] = []
-    read: dict[str, int] = {}
+    read: dict[str, Count] = {}
+    strangers: dict[str, list[str]] = {}
+
+
+class Far(msgspec.Struct, array_like=True, tag="f"):
+    """What hosts of other data centres are told; passed on once in each of them."""
+
+    host: str
+    life: Count
+    centre: str
+    evidence: list[tuple[Count, str, Ratio]]
+    used: list[str]
+    is_passed_on: bool = False
 
 
-_decode = msgspec.msgpack.Decoder(Hello | Members | Work).decode
+_decode = msgspec.msgpack.Decoder(Hello | Members | Work | Far).decode
 _encode = msgspec.msgpack.Encoder().encode
 
 
@@ -81,12 +129,16 @@
         self._settings = settings
         self._zone = zone
         self._feeds = {feed.topic: feed for feed in feeds}
-        self._life = time.time_ns() // 1_000_000
+        # Drawn and not taken from a clock: the time of day jumps back, and then a
+        # restarted host would look older than it was and be ignored.
+        self._life = secrets.randbits(48)
+        self._allowance = Allowance(told_rate(settings.link))
+        self._counted_at = 0.0
         self._number = 0
         self._members = {}
         self._strangers = {}
         self._transport = None
-        self._is_due = False
+        self._due = None
 
     async def open(self):
         """Open the socket."""
@@ -103,11 +155,22 @@
         """Take settings that were read anew; the seeds may have changed."""
         self._settings = settings
 
-    def tell_soon(self):
-        """Tell the others of this host's work before the loop's next turn ends."""
-        if not self._is_due:
-            self._is_due = True
-            asyncio.get_running_loop().call_soon(self._tell)
+    def tell_soon(self, is_urgent):
+        """
+        Tell the others of this host's work, as soon as the allowance lets it.
+
+        What happens in one turn of the loop, or until then, goes out together.
+
+        Args:
+          is_urgent: Whether the news makes a target look worse.
+        """
+        wait = self._allowance.wait(is_urgent, now())
+        if self._due is not None:
+            if not is_urgent:
+                return
+            self._due.cancel()
+        loop = asyncio.get_running_loop()
+        self._due = loop.call_later(wait, self._tell)
 
     def beat(self, at):
         """Tell the others that this host lives, and look for others."""
@@ -121,9 +184,12 @@
         # Only hosts heard lately are named, else two hosts would keep naming a dead one
         # to each other for ever.
         fresh = [a for a, heard in self._members.items() if at - heard < SILENT_AFTER]
+        named = random.sample(fresh, min(NAMED_IN_BEAT, len(fresh)))
         read = {topic: feed.next_offset for topic, feed in self._feeds.items()}
-        self._send_work(fresh[:NAMED_MOST], read)
-        if not self._members:
+        self._send_work(named, read, self._some_strangers(at))
+        self._send_far(self._zone.own_used(at - FAR_EVERY), at)
+        others = set(self._settings.centres) - {self._settings.centre}
+        if not self._members or others - set(self._some_strangers(at)):
             self._ask_seeds()
 
     def _ask_seeds(self):
@@ -134,30 +200,63 @@
                 self._send(hello, seed)
 
     def _tell(self):
-        self._is_due = False
-        self._send_work([], {})
+        self._due = None
+        self._send_work([], {}, {})
+        if self._zone.evidence.has_untold:
+            self._send_far([], now())
 
-    def _send_work(self, members, read):
+    def _send_work(self, members, read, strangers):
         self._number += 1
         outcomes = [
-            (o.number, o.target, o.service, o.route, o.sign.value, round(o.seconds, 4))
-            for o in self._zone.last_outcomes()
+            (o.number, o.target, o.service, o.route, o.sign, round(o.seconds, 4))
+            for o in self._zone.outcomes.take()
         ]
+        counts = {}
+        if members or now() - self._counted_at >= COUNTS_EVERY:
+            self._counted_at = now()
+            counts = self._zone.own_counts()
         work = Work(
             self._settings.id,
             self._life,
             self._number,
             self._zone.own_in_flight(),
             outcomes,
-            self._zone.own_counts(),
+            counts,
             members,
             read,
+            strangers,
         )
-        data = _encode(work)
+        self._send_all(_encode(work))
+
+    def _send_far(self, used, at):
+        """Tell one host of each other data centre what is news there."""
+        evidence = [
+            (e.number, e.target, round(e.ratio, 3)) for e in self._zone.evidence.take()
+        ]
+        if not evidence and not used:
+            return
+        settings = self._settings
+        far = Far(settings.id, self._life, settings.centre, evidence, used)
+        data = _encode(far)
+        for strangers in self._some_strangers(at).values():
+            self._send(data, random.choice(strangers))
+
+    def _some_strangers(self, at):
+        """Return some hosts of each other data centre that may be up, by centre."""
+        some = {}
+        for centre, heard_at in self._strangers.items():
+            fresh = [a for a, heard in heard_at.items() if at - heard < MEMBER_FOR]
+            if fresh:
+                some[centre] = random.sample(fresh, min(STRANGERS_NAMED, len(fresh)))
+        return some
+
+    def _send_all(self, data):
+        """Send to all hosts of the data centre."""
         for address in self._members:
             self._send(data, address)
 
     def _send(self, data, address):
+        self._allowance.spend(len(data) + DATAGRAM_HEADERS, now())
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(data, split_address(address))
 
@@ -181,9 +280,13 @@
             self._take_hello(message, address)
         elif isinstance(message, Members):
             self._learn(message.addresses)
+            self._learn_strangers(message.strangers)
+        elif isinstance(message, Far):
+            self._take_far(message, address)
         else:
             self._members[address] = now()
             self._learn(message.members)
+            self._learn_strangers(message.strangers)
             self._zone.take(_news_of(message), now())
             for topic, offset in message.read.items():
                 if topic in self._feeds:
@@ -192,32 +295,55 @@
     def _take_hello(self, hello, address):
         """Answer a host that looks for others of its data centre."""
         at = now()
+        strangers = self._some_strangers(at)
         if hello.centre == self._settings.centre:
             known = list(self._members)
             self._members[address] = at
         else:
-            known = self._remember_stranger(hello.centre, address, at)
-        self._send(_encode(Members(known[:NAMED_MOST])), address)
+            heard_at = self._strangers.get(hello.centre, {})
+            known = [a for a, heard in heard_at.items() if at - heard < MEMBER_FOR]
+            self._remember_stranger(hello.centre, address, at)
+            own = [*self._members, self._settings.peers]
+            strangers[self._settings.centre] = own[-STRANGERS_NAMED:]
+        known = [a for a in known if a != address]
+        self._send(_encode(Members(known[:NAMED_MOST], strangers)), address)
+
+    def _take_far(self, far, address):
+        """Take the news of another data centre, and pass it on to the hosts of this."""
+        if not far.is_passed_on:
+            self._remember_stranger(far.centre, address, now())
+            far.is_passed_on = True
+            self._send_all(_encode(far))
+        evidence = tuple(Evidence(*fields) for fields in far.evidence)
+        news = FarNews(far.host, far.life, evidence, tuple(far.used))
+        self._zone.take_far(news, now())
 
     def _remember_stranger(self, centre, address, at):
-        """Keep a host of another data centre, and return the others of it."""
-        strangers = self._strangers.setdefault(centre, {})
-        known = [a for a, heard in strangers.items() if at - heard < MEMBER_FOR]
-        strangers[address] = at
-        return [a for a in known if a != address]
+        """Keep a host of another data centre as one that was up at a moment."""
+        heard_at = self._strangers.setdefault(centre, {})
+        heard_at[address] = max(at, heard_at.get(address, at))
+        if len(heard_at) > STRANGERS_KEPT:
+            del heard_at[min(heard_at, key=heard_at.get)]
+
+    def _learn_strangers(self, strangers):
+        """Take hosts of other data centres that were named, as maybe up."""
+        at = now() - MEMBER_FOR / 2
+        for centre, addresses in strangers.items():
+            is_other = centre != self._settings.centre
+            if is_other and centre in self._settings.centres:
+                for address in filter(is_address, addresses):
+                    self._remember_stranger(centre, address, at)
 
     def _learn(self, addresses):
         """Write to hosts that were named; they stay only if they answer."""
         at = now()
         for address in addresses:
-            if address != self._settings.peers and address not in self._members:
+            is_known = address == self._settings.peers or address in self._members
+            if not is_known and is_address(address):
                 self._members[address] = at - MEMBER_FOR / 2
 
 
 def _news_of(work):
-    outcomes = tuple(
-        OutcomeNote(number, target, service, route, Sign(sign), seconds)
-        for number, target, service, route, sign, seconds in work.outcomes
-    )
+    outcomes = tuple(OutcomeNote(*fields) for fields in work.outcomes)
     counts = {service: Counts(*numbers) for service, numbers in work.counts.items()}
     return PeerNews(work.host, work.life, work.number, work.in_flight, outcomes, counts)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -366,12 +366,12 @@
         is_order = not self._ask.route.kind.may_repeat
         return ORDER_IDLE_MOST if is_order else IDLE_MOST
 
-    def _has_link(self, target_id):
-        return self._links.has(target_id, self._idle_most())
+    def _has_link(self, life):
+        return self._links.has(life, self._idle_most())
 
     async def _exchange(self, target):
         """Get a connection, send, and return a fate and a `Reply` or None."""
-        link = self._links.take(target.id, self._idle_most())
+        link = self._links.take(target.life, self._idle_most())
         if link is None:
             link = await self._links.open(target)
             self._metrics.connections.inc({"service": target.service})
@@ -379,7 +379,7 @@
             return Fate.UNREACHED, None
         is_late = self._time_left() <= 0 or self._ask.caller.is_gone()
         if is_late or not self._knowledge.is_usable(target):
-            self._links.put_unused(target.id, link)
+            self._links.put_unused(target.life, link)
             return Fate.UNSENT, None
         return await self._talk(target, link)
 
@@ -403,7 +403,7 @@
             return judge(exchange)
         finally:
             if not is_done:
-                self._links.put_back(target.id, link)
+                self._links.put_back(target.life, link)
 
 
 async def _send_body(link, ask):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -11,6 +11,9 @@
 
 from plumsaddle_core.core.traffic import Bounds, HostSettings
 
+from ..utils.addresses import is_address
+
+BYTES_A_MEGABIT = 125_000.0
 # Fields of `[bounds]` in the file, with the field of `Bounds` and the divisor that
 # makes it seconds.
 BOUNDS = {
@@ -49,7 +52,7 @@
 
     def address(table, name):
         value = word(table, name)
-        if isinstance(value, str) and value and not _is_address(value):
+        if isinstance(value, str) and value and not is_address(value):
             mistakes.append(f"{name}: {value!r} is no IP:PORT")
         return value
 
@@ -58,7 +61,7 @@
         mistakes.append("listen: a table is needed")
         listen = {}
     seeds = fields.get("seeds") or []
-    if not isinstance(seeds, list) or not all(_is_address(seed) for seed in seeds):
+    if not isinstance(seeds, list) or not all(is_address(seed) for seed in seeds):
         mistakes.append(f"seeds: a list of IP:PORT is needed, not {seeds!r}")
     settings = HostSettings(
         word(fields, "id"),
@@ -70,15 +73,19 @@
         tuple(seeds),
         address(fields, "store"),
         _check_bounds(fields.get("bounds", {}), mistakes),
+        _check_link(fields.get("link_mbps"), mistakes),
     )
     return Failure(mistakes) if mistakes else Success(settings)
 
 
-def _is_address(text):
-    if not isinstance(text, str):
-        return False
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+def _check_link(value, mistakes):
+    """Return the bytes a second of a link given in megabits a second, or None."""
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        mistakes.append(f"link_mbps: a number above 0 is needed, not {value!r}")
+        return None
+    return value * BYTES_A_MEGABIT
 
 
 def _check_bounds(table, mistakes):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -176,8 +176,9 @@
             if isinstance(result, Failure):
                 return result
             for record in result.unwrap().records:
-                target = wire.decode_target(record.key, record.value, 0.0)
-                if target is not None:
+                decoded = wire.decode_target(record.key, record.value, 0.0)
+                if isinstance(decoded, Success):
+                    target = decoded.unwrap()
                     is_leaving = target.state is TargetState.LEAVING
                     rows.append(Listed(target.id, target.address, role, is_leaving))
         return Success(rows)
@@ -327,6 +328,8 @@
 
 def _decode_record(offset, data):
     """Decode one record: a byte of key length, the key, and the value."""
-    size = data[0]
-    key = data[1 : 1 + size].decode("utf-8")
+    # Another writer's record may be empty, or its key no text. It must not make the
+    # whole page unreadable, for then nothing behind it would be read either.
+    size = data[0] if data else 0
+    key = data[1 : 1 + size].decode("utf-8", "backslashreplace")
     return KeyedRecord(offset, key, data[1 + size :] or None)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -6,6 +6,7 @@
 """
 
 import msgspec
+from returns.result import Failure, Success
 
 from plumsaddle_core.core.traffic import (
     Configuration,
@@ -17,6 +18,8 @@
     TargetState,
 )
 
+from ..utils.addresses import is_address
+
 # Headers of requests and answers.
 REQUEST_ID = "Request-Id"
 # Milliseconds that the sender will wait, counted from when the request arrives; a
@@ -35,35 +38,88 @@
 CONFIGURATION_KEY = "config"
 
 KINDS = {"safe": Kind.IDEMPOTENT, "unsafe": Kind.ORDER, "upload": Kind.UPLOAD}
+# Figures beyond these are mistakes: a target with more slots is no one process, and
+# none warms up for a day. Later starts do not fit a timestamp.
+SLOTS_MOST = 100_000
+WARM_UP_MOST_MS = 86_400_000
+BORN_MOST = 2**53
 STATES = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 
 
+class _Entry(msgspec.Struct):
+    """What a target says of itself in the registry; no field may be missing."""
+
+    service: str
+    address: str
+    zone: str
+    # The version of the target's software, not of a configuration.
+    version: str
+    slots: int
+    state: str
+    # How much longer the target stays slow after its start, from when it wrote this.
+    warmup_left_ms: int
+    # Counts a target's writes since its start, so it goes back when that starts again.
+    sequence: int
+    # The Unix millisecond of the target's start; not every platform tells it.
+    born: int = 0
+
+
+_decode_entry = msgspec.json.Decoder(_Entry).decode
+
+
 def decode_target(target_id, data, now):
     """
     Decode the registry's entry of a target.
 
+    Anybody may have written it. A field of another type is not guessed at: work that
+    goes to a wrong address or past a target's slots is lost.
+
     Args:
       target_id: The key under which the entry stands.
       data: The entry's bytes.
       now: The present, in seconds.
     Returns:
-      A `Target`, or None if the entry cannot be read.
+      A `Success` of a `Target`, or a `Failure` of the reason why it names none that
+      can be used, as text.
     """
     try:
-        entry = msgspec.json.decode(data)
-        return Target(
+        entry = _decode_entry(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Failure(str(exc))
+    mistake = _find_mistake(target_id, entry)
+    if mistake is not None:
+        return Failure(mistake)
+    return Success(
+        Target(
             target_id,
-            entry["service"],
-            entry["address"],
-            entry["zone"],
-            int(entry.get("slots", 1)),
-            # A state that is not known yet is not safe to send work to.
-            STATES.get(entry["state"], TargetState.LEAVING),
-            int(entry.get("warmup_left_ms", 0)) / 1000,
+            entry.service,
+            entry.address,
+            entry.zone,
+            entry.slots,
+            STATES[entry.state],
+            entry.warmup_left_ms / 1000,
             now,
+            entry.born,
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
-        return None
+    )
+
+
+def _find_mistake(target_id, entry):
+    """Return what is wrong with an entry whose fields have the right types, or None."""
+    # The id goes into a header, so it must not hold what would end one.
+    if not (target_id.isascii() and target_id.isprintable()) or " " in target_id:
+        return "the id is no word"
+    if entry.state not in STATES:
+        return f"the state {entry.state!r} is not known"
+    if not is_address(entry.address):
+        return f"{entry.address!r} is no IP:PORT"
+    if not 0 < entry.slots <= SLOTS_MOST:
+        return f"{entry.slots} slots"
+    if not 0 <= entry.warmup_left_ms <= WARM_UP_MOST_MS:
+        return f"{entry.warmup_left_ms} ms of warming up"
+    if not 0 <= entry.born <= BORN_MOST:
+        return f"born at {entry.born}"
+    return None
 
 
 def decode_configuration(data):
@@ -77,7 +133,14 @@
     """
     try:
         return _decode_configuration(msgspec.json.decode(data))
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (
+        msgspec.DecodeError,
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ):
         return None
 
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
@@ -28,7 +28,8 @@
 from plumsaddle_core.core.traffic import Kind, Target, TargetState
 from plumsaddle_core.ops.choice import Candidate, Demand, choose_target
 from plumsaddle_core.ops.floor import Trials
-from plumsaddle_core.ops.zone import Sign, Zone
+from plumsaddle_core.ops.news import Sign
+from plumsaddle_core.ops.zone import Zone
 
 SERVICE = ServiceName("orders")
 ROUTE = "order"
@@ -261,7 +262,7 @@
     def choose(model, centre, host, at):
         zone = model.zones[centre]
         # The outcomes that the zone repeats are the last ones that it was told.
-        for outcome in zone.last_outcomes():
+        for outcome in zone.outcomes.last():
             ends = recent.setdefault(outcome.target, deque(maxlen=kept))
             if not ends or outcome.number > ends[-1][0]:
                 ends.append((outcome.number, at, outcome.sign is not Sign.WHOLE))
--- a/packages/plumsaddle-standins/plumsaddle_standins/store.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/store.py
@@ -216,6 +216,10 @@
             "service": "",
             "address": row["address"],
             "zone": "",
+            "version": "",
+            "slots": 1,
+            "warmup_left_ms": 0,
+            "sequence": 1,
             "state": "draining" if row["state"] == "leaving" else "ready",
         }
         self.put(topic, row["id"], json.dumps(entry).encode())
