Count the floor over the whole service, not by data centre

Hypothesis: a service with one to three targets in a data centre is below its floor there all the time, so trials never end. With news from elsewhere a host can count all targets; it still tries only those near by.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -88,13 +88,14 @@
     def __init__(self):
         self._budgets = {}
 
-    def find(self, service, target_ids, zone, floor_share, now):
+    def find(self, service, target_ids, near_ids, zone, floor_share, now):
         """
         Return the target that a request must try, or None.
 
         Args:
           service: The service's name.
-          target_ids: The ids of its usable targets in the data centre.
+          target_ids: Its usable targets.
+          near_ids: Those in this data centre, which this host may try.
           zone: The `Zone` that knows of their work.
           floor_share: The share of the targets that an installation asks for.
           now: The present, in seconds.
@@ -105,6 +106,7 @@
             return None
         trial = find_trial(
             target_ids,
+            near_ids,
             lambda target_id: zone.failing(target_id, now),
             zone.used_at,
             floor_share,
@@ -115,12 +117,13 @@
         return trial
 
 
-def find_trial(target_ids, failing, used_at, floor_share, now):
+def find_trial(target_ids, near_ids, failing, used_at, floor_share, now):
     """
     Return the target that needs a request to bring the floor back.
 
     Args:
-      target_ids: The ids of the data centre's usable targets.
+      target_ids: The usable targets of a service.
+      near_ids: Those that may be tried here.
       failing: A function that tells the probability that a target fails its work.
       used_at: A function that tells when a target last got a request.
       floor_share: The share of the targets that an installation asks for.
@@ -134,5 +137,8 @@
     in_use = capacity - sum(sound[t] for t in unused)
     if not unused or in_use >= (floor_share + MARGIN) * capacity:
         return None
-    best = max(unused, key=sound.get)
+    near = [target_id for target_id in unused if target_id in near_ids]
+    if not near:
+        return None
+    best = max(near, key=sound.get)
     return best if sound[best] >= 1.0 - TRIAL_FAILING_MOST else None
--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
@@ -25,26 +25,26 @@
     of two seconds' requests is lost and a third of the sound targets had no part in it.
     """
     failing = {**ALL_ALIKE, "c": 0.8, "d": 0.3}
-    assert find_trial(list(USED), failing.get, USED.get, 0.7, 10.0) == "d"
+    assert find_trial(list(USED), set(USED), failing.get, USED.get, 0.7, 10.0) == "d"
     used = {**USED, "d": 9.5}
-    assert find_trial(list(used), failing.get, used.get, 0.7, 10.0) is None
-    assert find_trial(["a", "b"], failing.get, USED.get, 0.7, 10.0) is None
+    assert find_trial(list(used), set(used), failing.get, used.get, 0.7, 10.0) is None
+    assert find_trial(["a", "b"], {"a", "b"}, failing.get, USED.get, 0.7, 10.0) is None
 
 
 def test_targets_that_surely_fail_do_not_count():
     """A target that fails is no idle capacity, and trying it loses an order."""
     failing = {**ALL_ALIKE, "c": 0.97, "d": 0.97}
-    assert find_trial(list(USED), failing.get, USED.get, 0.7, 10.0) is None
+    assert find_trial(list(USED), set(USED), failing.get, USED.get, 0.7, 10.0) is None
     alone = {"c": 0.7}
-    assert find_trial(["c"], alone.get, USED.get, 0.7, 10.0) is None
+    assert find_trial(["c"], {"c"}, alone.get, USED.get, 0.7, 10.0) is None
 
 
 def test_a_target_is_unused_after_a_while():
     used = {"a": 10.0}
     failing = {"a": 0.2}
     before, after = 9.9 + UNUSED_AFTER, 10.1 + UNUSED_AFTER
-    assert find_trial(["a"], failing.get, used.get, 0.7, before) is None
-    assert find_trial(["a"], failing.get, used.get, 0.7, after) == "a"
+    assert find_trial(["a"], {"a"}, failing.get, used.get, 0.7, before) is None
+    assert find_trial(["a"], {"a"}, failing.get, used.get, 0.7, after) == "a"
 
 
 def test_trials_are_a_small_part_of_a_quiet_services_work():
@@ -56,7 +56,9 @@
     """
     zone = Zone(0.2, 10.0, started=-100.0)
     trials = Trials()
-    found = [trials.find("s", ["a", "b"], zone, 0.7, 0.0) for _ in range(160)]
+    found = [
+        trials.find("s", ["a", "b"], {"a", "b"}, zone, 0.7, 0.0) for _ in range(160)
+    ]
     tried = sum(1 for trial in found if trial is not None)
     assert 160 * TRIALS_PER_REQUEST <= tried <= 160 * TRIALS_PER_REQUEST + 1
 
@@ -66,7 +68,9 @@
     for _ in range(20):
         zone.note_end("s", False, 0.0)
     trials = Trials()
-    found = [trials.find("s", ["a", "b"], zone, 0.7, 0.0) for _ in range(20)]
+    found = [
+        trials.find("s", ["a", "b"], {"a", "b"}, zone, 0.7, 0.0) for _ in range(20)
+    ]
     assert None not in found
 
 
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/life_test.py
@@ -0,0 +1,122 @@
+"""
+Tests of targets that start again under their id.
+"""
+
+from hypothesis import given, settings, strategies as st
+
+from ..core.traffic import Target, TargetState
+from .news import Counts, Evidence, FarNews, OutcomeNote, PeerNews, Sign
+from .registry import Registry
+from .zone import Zone
+
+
+def _target(born, state=TargetState.READY, service="look"):
+    return Target("t", service, "10.0.0.1:80", "x", 2, state, 0.0, 0.0, born)
+
+
+def _news(number, in_flight=None, outcomes=(), host="peer"):
+    notes = tuple(OutcomeNote(n, t, "look", "r", sign, 0.3) for n, t, sign in outcomes)
+    return PeerNews(host, 1, number, in_flight or {}, notes, {"look": Counts()})
+
+
+def test_a_restarted_target_begins_anew():
+    """
+    A target that has just started gets no work for seconds.
+
+    It failed, died and started again under its id; the hosts still count the former
+    life's failures and the work that died with it.
+    """
+    zone = Zone(0.2, 10.0, started=-100.0)
+    former, present = _target(1000), _target(2000)
+    zone.start(former.life, 1.0)
+    zone.take(_news(1, {former.life: 2}), 1.0)
+    zone.note(former.life, "look", "r", Sign.FAILED, 0.0, 1.0)
+    assert zone.fails(former.life, 1.0) > 0.5
+    assert zone.fails(present.life, 1.0) < 0.25
+    assert zone.in_flight(present.life) == 0
+    zone.end(former.life)
+
+
+def test_late_news_of_a_former_life_is_dropped():
+    """
+    A sound target is avoided.
+
+    Two hosts learn of its restart at different times, and the later one still tells
+    failures of the former life, near by and from another data centre.
+    """
+    zone = Zone(0.2, 10.0, started=-100.0)
+    former, present = _target(1000), _target(2000)
+    zone.forget_targets({present.life})
+    before = zone.fails(present.life, 2.0)
+    zone.take(_news(1, {former.life: 1}, [(0, former.life, Sign.FAILED)]), 2.0)
+    zone.take_far(FarNews("far", 7, (Evidence(0, former.life, 35.0),), ()), 2.0)
+    assert zone.fails(present.life, 2.0) == before
+    assert zone.in_flight(present.life) == 0
+    zone.forget_targets({present.life})
+    assert former.life not in zone.beliefs
+
+
+def test_the_registry_tells_a_restart_once():
+    registry = Registry()
+    assert registry.put(_target(1000), 1, 0.0) is None
+    assert registry.put(_target(1000, TargetState.LEAVING), 2, 1.0) is None
+    former = registry.put(_target(2000), 3, 2.0)
+    assert former.life == _target(1000).life
+    assert registry.put(_target(2000), 4, 3.0) is None
+    # A record of before that is read later, as from a listing, is no restart.
+    assert registry.put(_target(1000), 2, 4.0) is None
+    assert registry.targets["t"].born == 2000
+
+
+def test_a_restart_during_an_outage_of_the_store_is_no_lapse():
+    """
+    A target that died while the store was away gets work that it never answers.
+
+    It starts again under its id before the store is back, where its entry is missing
+    at first and then names another life.
+    """
+    registry = Registry()
+    registry.put(_target(1000), 1, 0.0)
+    registry.note_store_away(1.0)
+    registry.note_store_back(9.0)
+    registry.drop(registry.missing(set(), 5), 9.1)
+    former = registry.put(_target(2000), 6, 9.5)
+    assert former.born == 1000
+    assert not registry.expire(20.0)
+    assert [target.born for target in registry.usable("look")] == [2000]
+
+
+ENTRIES = st.lists(
+    st.tuples(
+        st.integers(0, 12),
+        st.sampled_from(["ready", "leaving", "rejected", "gone"]),
+        st.sampled_from([1000, 2000, 3000]),
+        st.sampled_from(["look", "act"]),
+    ),
+    max_size=20,
+)
+
+
+@given(ENTRIES)
+@settings(max_examples=200, deadline=None)
+def test_the_registry_agrees_with_a_naive_fold(entries):
+    """Whatever the order of arrival, what counts is the record of the last offset."""
+    registry = Registry()
+    newest = {}
+    for offset, what, born, service in entries:
+        if what == "gone":
+            registry.drop({"t": offset}, 1.0)
+        elif what == "rejected":
+            registry.reject("t", offset)
+        else:
+            state = TargetState.READY if what == "ready" else TargetState.LEAVING
+            registry.put(_target(born, state, service), offset, 1.0)
+        if offset >= newest.get("offset", -1):
+            newest = {"offset": offset, "what": what, "at": (born, service)}
+    usable = {
+        (target.born, name)
+        for name in ("look", "act")
+        for target in registry.usable(name)
+    }
+    expected = {newest["at"]} if newest.get("what") == "ready" else set()
+    assert usable == expected
--- a/packages/plumsaddle-core/plumsaddle_core/ops/news.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/news.py
@@ -147,7 +147,7 @@
     def __init__(self, life):
         self.life = life
         self._ended = deque(maxlen=8)
-        self._number = -1
+        self._seen = deque(maxlen=KEPT_MOST)
 
     def is_former(self, life):
         """Return whether a life has ended, so that its messages come late."""
@@ -157,11 +157,15 @@
         """Begin a new life of the sender."""
         self._ended.append(self.life)
         self.life = life
-        self._number = -1
+        self._seen.clear()
 
     def fresh(self, notes):
-        """Return the notes that have not come before."""
-        news = [note for note in notes if note.number > self._number]
-        if news:
-            self._number = news[-1].number
+        """
+        Return the notes that have not come before.
+
+        Notes from another data centre come by way of different hosts, so a later one
+        may arrive first; only the numbers themselves tell what has come.
+        """
+        news = [note for note in notes if note.number not in self._seen]
+        self._seen.extend(note.number for note in news)
         return news
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -195,7 +195,8 @@
         """Return the target near by that must get a request to keep the floor."""
         return self._trials.find(
             service,
-            [t.life for t in usable if t.centre == self.settings.centre],
+            [t.life for t in usable],
+            {t.life for t in usable if t.centre == self.settings.centre},
             self.zone,
             self.settings.bounds.floor_share,
             at,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -112,7 +112,7 @@
                 rng,
             ),
         ]
-        self.peers = Peers(settings, self.knowledge.zone, self._feeds)
+        self.peers = Peers(settings, self.knowledge.zone, self._feeds, rng)
         self.knowledge.subscribe(self.peers.tell_soon, self.links.end_life)
         self._servers = []
         self._tasks = []
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -123,11 +123,13 @@
       settings: The `HostSettings`.
       zone: The `Zone` that this host's knowledge is kept in.
       feeds: Each `Feed` of the host.
+      rng: A `random.Random`, which draws whom to name and to tell elsewhere.
     """
 
-    def __init__(self, settings, zone, feeds):
+    def __init__(self, settings, zone, feeds, rng=random):
         self._settings = settings
         self._zone = zone
+        self._rng = rng
         self._feeds = {feed.topic: feed for feed in feeds}
         # Drawn and not taken from a clock: the time of day jumps back, and then a
         # restarted host would look older than it was and be ignored.
@@ -184,20 +186,28 @@
         # Only hosts heard lately are named, else two hosts would keep naming a dead one
         # to each other for ever.
         fresh = [a for a, heard in self._members.items() if at - heard < SILENT_AFTER]
-        named = random.sample(fresh, min(NAMED_IN_BEAT, len(fresh)))
+        named = self._rng.sample(fresh, min(NAMED_IN_BEAT, len(fresh)))
         read = {topic: feed.next_offset for topic, feed in self._feeds.items()}
         self._send_work(named, read, self._some_strangers(at))
         self._send_far(self._zone.own_used(at - FAR_EVERY), at)
+        if not self._members or self._knows_few_strangers(at):
+            self._ask(at)
+
+    def _knows_few_strangers(self, at):
+        """Return whether one or two lost hosts could cut this one off from a centre."""
+        some = self._some_strangers(at)
         others = set(self._settings.centres) - {self._settings.centre}
-        if not self._members or others - set(self._some_strangers(at)):
-            self._ask_seeds()
+        return any(len(some.get(centre, ())) < STRANGERS_NAMED for centre in others)
 
-    def _ask_seeds(self):
+    def _ask(self, at):
+        """Ask the seeds, and the hosts that are known elsewhere, for others."""
         settings = self._settings
         hello = _encode(Hello(settings.id, settings.centre, settings.peers))
-        for seed in settings.seeds:
-            if seed != settings.peers:
-                self._send(hello, seed)
+        asked = set(settings.seeds)
+        for strangers in self._some_strangers(at).values():
+            asked.update(strangers)
+        for address in asked - {settings.peers}:
+            self._send(hello, address)
 
     def _tell(self):
         self._due = None
@@ -239,7 +249,7 @@
         far = Far(settings.id, self._life, settings.centre, evidence, used)
         data = _encode(far)
         for strangers in self._some_strangers(at).values():
-            self._send(data, random.choice(strangers))
+            self._send(data, self._rng.choice(strangers))
 
     def _some_strangers(self, at):
         """Return some hosts of each other data centre that may be up, by centre."""
@@ -247,7 +257,7 @@
         for centre, heard_at in self._strangers.items():
             fresh = [a for a, heard in heard_at.items() if at - heard < MEMBER_FOR]
             if fresh:
-                some[centre] = random.sample(fresh, min(STRANGERS_NAMED, len(fresh)))
+                some[centre] = self._rng.sample(fresh, min(STRANGERS_NAMED, len(fresh)))
         return some
 
     def _send_all(self, data):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -40,7 +40,7 @@
     """
     try:
         fields = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
+    except (tomllib.TOMLDecodeError, RecursionError) as exc:
         return Failure([f"the file is not TOML: {exc}"])
     mistakes = []
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -84,7 +84,7 @@
     """
     try:
         entry = _decode_entry(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         return Failure(str(exc))
     mistake = _find_mistake(target_id, entry)
     if mistake is not None:
@@ -138,6 +138,7 @@
         AttributeError,
         KeyError,
         OverflowError,
+        RecursionError,
         TypeError,
         ValueError,
     ):
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
@@ -0,0 +1,191 @@
+"""
+Tests of the decoders with what other writers may leave in the store.
+"""
+
+import json
+
+import pytest
+from hypothesis import example, given, settings, strategies as st
+from returns.result import Failure, Success
+
+from plumsaddle_core.core.traffic import TargetState
+
+from . import wire
+from .nodefile import check_host_settings
+from .store import _decode_page
+
+GOOD = {
+    "service": "look",
+    "address": "10.0.0.1:8080",
+    "zone": "x",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup_left_ms": 500,
+    "sequence": 4,
+    "born": 1796256000000,
+}
+
+
+def _decode(**changes):
+    fields = {key: v for key, v in {**GOOD, **changes}.items() if v is not ...}
+    return wire.decode_target("i-1", json.dumps(fields).encode(), 5.0)
+
+
+def test_a_good_entry_names_a_target():
+    target = _decode(state="draining", more={"a": 1}).unwrap()
+    assert (target.born, target.cold_for) == (GOOD["born"], 0.5)
+    assert target.state is TargetState.LEAVING
+    assert _decode(born=...).unwrap().born == 0
+
+
+@pytest.mark.parametrize("name", [name for name in GOOD if name != "born"])
+def test_an_entry_without_a_field_names_none(name):
+    assert isinstance(_decode(**{name: ...}), Failure)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"slots": "2"},
+        {"slots": True},
+        {"slots": 0},
+        {"slots": -4},
+        {"slots": 10**30},
+        {"slots": None},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:８０"},
+        {"address": "somewhere:80"},
+        {"address": 8080},
+        {"state": "resting"},
+        {"state": None},
+        {"service": ["look"]},
+        {"zone": 3},
+        {"warmup_left_ms": -1},
+        {"warmup_left_ms": "0"},
+        {"warmup_left_ms": 1e300},
+        {"sequence": "4"},
+        {"born": "1796256000000"},
+        {"born": True},
+        {"born": -1},
+        {"born": 10**20},
+    ],
+)
+def test_an_entry_of_another_type_names_none(changes):
+    """
+    Work goes to an address that is none, or past a target's slots.
+
+    Somebody else has written the entry, with a number in a text, a figure that no
+    target has, or a state that nobody knows.
+    """
+    result = _decode(**changes)
+    assert isinstance(result, Failure)
+    assert isinstance(result.failure(), str)
+
+
+def test_an_id_that_is_no_word_names_none():
+    data = json.dumps(GOOD).encode()
+    for target_id in ("", "i 1", "i-1\r\nX: y", "ï"):
+        if target_id:
+            assert isinstance(wire.decode_target(target_id, data, 0.0), Failure)
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+@given(st.dictionaries(st.sampled_from([*GOOD, "other"]), VALUES))
+@example({"service": "\ud800"})
+@settings(max_examples=200, deadline=None)
+def test_no_entry_raises(changes):
+    data = json.dumps({**GOOD, **changes}).encode()
+    result = wire.decode_target("i-1", data, 0.0)
+    assert isinstance(result, Success | Failure)
+
+
+@given(st.binary(max_size=200))
+@example(b"\xff\xfe")
+@example(b"[]")
+@example(b"null")
+@example(b'{"service":')
+@example(b"[" * 10_000)
+@settings(max_examples=300, deadline=None)
+def test_bytes_that_cannot_be_read_raise_nowhere(data):
+    assert isinstance(wire.decode_target("i-1", data, 0.0), Failure)
+    assert wire.decode_configuration(data) is None, len(data)
+    text = data.decode("utf-8", "replace")
+    assert isinstance(check_host_settings(text), Success | Failure)
+
+
+CONFIGURATION = {
+    "version": 3,
+    "resources": [
+        {
+            "entry_kind": "routes",
+            "metadata": {"name": "r"},
+            "spec": {
+                "host": "h.example",
+                "path_prefix": "/a/",
+                "route_type": "safe",
+                "timeout_ms": 1000,
+                "target_latency_ms": 500,
+                "service": "look",
+            },
+        },
+        {
+            "entry_kind": "limits",
+            "metadata": {},
+            "spec": {
+                "max_header_bytes": 1,
+                "max_body_bytes": 1,
+                "header_timeout_ms": 1,
+                "idle_timeout_ms": 1,
+            },
+        },
+    ],
+}
+
+
+@given(
+    st.sampled_from(["version", "resources", 0, 1]),
+    st.sampled_from(["entry_kind", "metadata", "spec", "host", "timeout_ms"]),
+    VALUES,
+)
+@example("version", "", float("inf"))
+@settings(max_examples=200, deadline=None)
+def test_no_configuration_raises(where, field, value):
+    text = json.loads(json.dumps(CONFIGURATION))
+    if isinstance(where, str):
+        text[where] = value
+    elif field in ("entry_kind", "metadata", "spec"):
+        text["resources"][where][field] = value
+    else:
+        text["resources"][where]["spec"][field] = value
+    wire.decode_configuration(json.dumps(text).encode())
+    assert wire.decode_configuration(json.dumps(CONFIGURATION).encode()) is not None
+
+
+def _record(content):
+    return len(content).to_bytes(4, "big") + content
+
+
+def test_a_record_that_cannot_be_read_touches_no_other():
+    """
+    A host learns of no target any more.
+
+    Another writer's record in the same topic is empty or has a key that is no text,
+    and the page with it could not be read, again and again.
+    """
+    good = json.dumps(GOOD).encode()
+    rows = [b"", b"\x02\xff\xfevalue", b"\x03i-1" + good, b"\xffshort"]
+    data = bytes(16) + b"".join(_record(row) for row in rows)
+    page = _decode_page(data, 10)
+    assert page.next_offset == 14
+    assert page.records[2].key == "i-1"
+    assert page.records[2].value == good
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
@@ -28,7 +28,7 @@
 from plumsaddle_core.core.traffic import Kind, Target, TargetState
 from plumsaddle_core.ops.choice import Candidate, Demand, choose_target
 from plumsaddle_core.ops.floor import Trials
-from plumsaddle_core.ops.news import Sign
+from plumsaddle_core.ops.news import FarNews, Sign
 from plumsaddle_core.ops.zone import Zone
 
 SERVICE = ServiceName("orders")
@@ -47,6 +47,8 @@
 TAIL_SHARE = 0.01
 TAIL_FACTOR = 5.0
 HOSTS = 12
+# Until evidence is known in another data centre, passed on once there.
+FAR_SECONDS = 0.002
 WINDOW = 2.0
 WINDOW_STEP = 0.5
 WARM_UP = 20.0
@@ -72,6 +74,8 @@
     Shape("archive, scans", (2, 3, 1), (3.3, 3.0, 2.8), 4, 0.36),
     Shape("Atlas Sonore, payouts", (7, 6, 6), (18.0, 18.0, 18.0), 2, 0.22),
     Shape("Atlas Sonore, masters", (2, 2, 2), (2.0, 2.0, 1.6), 2, 0.26),
+    Shape("stand builders, booths", (7, 6, 6), (31.0, 40.0, 29.0), 2, 0.16),
+    Shape("stand builders, artwork", (3, 2, 1), (3.2, 4.1, 3.0), 2, 0.19),
 )
 
 
@@ -137,6 +141,7 @@
         """Play some seconds."""
         for centre in range(len(self.shape.targets)):
             self._push(0.0, self._arrive, centre)
+            self._push(centre / 3, self._beat, centre)
         self._push(WARM_UP, self._look)
         while self._events[0][0] < seconds:
             at, _, happen, args = heapq.heappop(self._events)
@@ -187,8 +192,22 @@
         sign = Sign.WHOLE if is_whole else Sign.FAILED
         zone.note(worker.target.id, SERVICE, ROUTE, sign, at - started, at)
         zone.note_end(SERVICE, is_whole, at)
+        if zone.evidence.has_untold:
+            self._push(at + FAR_SECONDS, self._tell_far, centre, ())
         self._work(at, worker)
 
+    def _beat(self, at, centre):
+        """Tell the other data centres which targets had work in the last second."""
+        self._push(at + 1.0, self._beat, centre)
+        used = tuple(self.zones[centre].own_used(at - 1.0))
+        self._push(at + FAR_SECONDS, self._tell_far, centre, used)
+
+    def _tell_far(self, at, centre, used):
+        evidence = self.zones[centre].evidence.take()
+        for other, zone in enumerate(self.zones):
+            if other != centre and (evidence or used):
+                zone.take_far(FarNews(str(centre), 1, evidence, used), at)
+
     def _look(self, at):
         """Count the moments at which too few of the sound targets are in use."""
         self._push(at + WINDOW_STEP, self._look)
@@ -235,9 +254,10 @@
     hosts = [Trials() for _ in range(HOSTS)]
 
     def choose(model, centre, host, at):
-        near = model.near(centre)
+        near = set(model.near(centre))
         zone = model.zones[centre]
-        trial = hosts[host].find(SERVICE, near, zone, FLOOR_SHARE, at)
+        every = list(model.workers)
+        trial = hosts[host].find(SERVICE, every, near, zone, FLOOR_SHARE, at)
         if trial is not None:
             return model.workers[trial]
         return _by_belief(model, centre, model.workers, at)
