Keep what a host believes of its own path apart from the target

Each unanswered connection weighed 200 against the target for every host, and since evidence goes between data centres, for the whole fleet. Now a silence counts in full against the path of the host that met it, and four times against the target; three silences of any hosts weigh as much as a failure.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -19,6 +19,9 @@
 
 from .belief import (
     FAILED_RATIO,
+    PATH_SPELLS,
+    PATH_WHOLE_RATIO,
+    SILENCE_MOST,
     UNREACHABLE_RATIO,
     WHOLE_RATIO,
     Belief,
@@ -39,6 +42,10 @@
 LOST_FEWEST = 2
 # Seconds after its start for which a host knows too little to leave targets out.
 TROUBLED_AT_START = 5.0
+# Ends at which nothing was heard of the target, so that the path may be the cause.
+SILENCES = {Sign.UNREACHABLE, Sign.STUCK}
+# A path that is broken with this probability is not used for trials of its target.
+CUT_OFF_FROM = 0.2
 # An outcome is worth telling to other data centres if it moves the probability that
 # its target is failing by this much. A whole answer of a target in good standing moves
 # it by 0.03, a failure by 0.6, a whole answer of a target in doubt by 0.15 and more.
@@ -74,6 +81,7 @@
 
     def __init__(self, ratio, window, started):
         self.beliefs = {}
+        self.paths = {}
         self.times = RouteTimes()
         self._ratio = ratio
         self._window = window
@@ -126,7 +134,8 @@
         outcome = OutcomeNote(number, target_id, service, route, sign, seconds)
         self.outcomes.add(outcome)
         before = self.failing(target_id, now)
-        ratio = self._weigh(outcome, now)
+        ratio, path_ratio = self._weigh(outcome, now)
+        self._weigh_path(target_id, path_ratio, now)
         if abs(self.failing(target_id, now) - before) >= SURPRISE:
             self.evidence.add(Evidence(self.evidence.count, target_id, ratio))
 
@@ -235,7 +244,9 @@
             self._used_at[target_id] = now
         for evidence in inbox.fresh(news.evidence):
             self._used_at[evidence.target] = now
-            self._belief(evidence.target).weigh(evidence.ratio, now)
+            # Some failures are seen from one side only, so what was seen elsewhere
+            # counts half: two failures there weigh as much as one near by.
+            self._belief(evidence.target).weigh(math.sqrt(evidence.ratio), now)
 
     def _take_counts(self, peer, counts, now):
         """Add what a host has done since its last message; the first one is a base."""
@@ -306,8 +317,14 @@
         return self._own.get(target_id, 0) + self._others[target_id]
 
     def fails(self, target_id, now):
-        """Return the probability that a send to a target fails."""
-        return self.beliefs.get(target_id, _UNKNOWN).fails(now)
+        """Return the probability that a send of this host's to a target fails."""
+        target_fails = self.beliefs.get(target_id, _UNKNOWN).fails(now)
+        path_fails = self.paths.get(target_id, _UNKNOWN_PATH).fails(now)
+        return 1.0 - (1.0 - target_fails) * (1.0 - path_fails)
+
+    def is_cut_off(self, target_id, now):
+        """Return whether this host's own path to a target is likely broken."""
+        return self.paths.get(target_id, _UNKNOWN_PATH).failing(now) >= CUT_OFF_FROM
 
     def failing(self, target_id, now):
         """Return the probability that a target is in its failing state."""
@@ -316,6 +333,7 @@
     def forget_targets(self, known):
         """Forget what is kept of lives of targets that are no longer listed."""
         self.beliefs = {key: b for key, b in self.beliefs.items() if key in known}
+        self.paths = {key: b for key, b in self.paths.items() if key in known}
         self._used_at = {key: at for key, at in self._used_at.items() if key in known}
         own_used = self._own_used_at.items()
         self._own_used_at = {key: at for key, at in own_used if key in known}
@@ -327,11 +345,30 @@
         return belief
 
     def _weigh(self, outcome, now):
-        """Let an outcome change what is believed of its target; return its weight."""
+        """
+        Let an outcome change what is believed of its target.
+
+        Returns:
+          The weight that it has for the target, and the one that it has for the path
+          of the host that saw it.
+        """
         ratio = self._ratio_of(outcome)
+        path_ratio = PATH_WHOLE_RATIO
+        if outcome.sign in SILENCES:
+            path_ratio = ratio
+            ratio = min(SILENCE_MOST, ratio)
         if ratio != 1.0:
             self._belief(outcome.target).weigh(ratio, now)
-        return ratio
+        return ratio, path_ratio
+
+    def _weigh_path(self, target_id, ratio, now):
+        """Change what this host believes of its own path to a target."""
+        path = self.paths.get(target_id)
+        if path is None:
+            if ratio < 1.0:
+                return
+            path = self.paths[target_id] = Belief(PATH_SPELLS)
+        path.weigh(ratio, now)
 
     def _ratio_of(self, outcome):
         """Return how much an outcome speaks for a failing target, as a ratio."""
@@ -351,3 +388,4 @@
 
 
 _UNKNOWN = Belief()
+_UNKNOWN_PATH = Belief(PATH_SPELLS)
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
@@ -248,3 +248,40 @@
         zone.take(_news(10, host=f"h{number}", life=2), 14.0)
     assert not zone.is_troubled("look", 14.1)
     assert zone.is_troubled("look", 17.0)
+
+
+def test_a_target_that_one_host_cannot_reach_is_sound_for_the_others():
+    """
+    Half of a service's targets get no work although all of them are sound.
+
+    A fifth of the hosts have lost their paths to these targets. Their connections are
+    not answered, and what they tell makes every other host avoid the targets too.
+    """
+    cut, other = _zone(), _zone()
+    for number in range(12):
+        at = number / 10
+        cut.note("t", "look", "r", Sign.UNREACHABLE, 0.3, at)
+        is_cut = number % 5 == 0
+        sign = Sign.UNREACHABLE if is_cut else Sign.WHOLE
+        other.take(_news(number, [(number, "t", sign)], host=f"h{number % 5}"), at)
+    assert cut.fails("t", 1.2) > 0.7
+    assert cut.is_cut_off("t", 1.2)
+    assert other.fails("t", 1.2) < 0.1
+    assert not other.is_cut_off("t", 1.2)
+
+
+def test_a_dead_target_is_known_after_three_silences_of_any_hosts():
+    zone = _zone()
+    for number in range(3):
+        news = _news(1, [(0, "t", Sign.UNREACHABLE)], host=f"h{number}")
+        zone.take(news, 1.0)
+    assert zone.fails("t", 1.0) > 0.6
+
+
+def test_a_host_uses_a_path_again_when_it_has_healed():
+    zone = _zone()
+    zone.note("t", "look", "r", Sign.UNREACHABLE, 0.3, 1.0)
+    assert zone.is_cut_off("t", 2.0)
+    assert not zone.is_cut_off("t", 20.0)
+    zone.note("t", "look", "r", Sign.WHOLE, 0.3, 2.0)
+    assert not zone.is_cut_off("t", 2.0)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -196,7 +196,12 @@
         return self._trials.find(
             service,
             [t.life for t in usable],
-            {t.life for t in usable if t.centre == self.settings.centre},
+            {
+                t.life
+                for t in usable
+                if t.centre == self.settings.centre
+                and not self.zone.is_cut_off(t.life, at)
+            },
             self.zone,
             self.settings.bounds.floor_share,
             at,
