Learn how long work takes without the wait for a slot

Now an answer's time is divided by the load that its target had, and what is slow or stuck follows from the time expected of that send.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -62,7 +62,8 @@
     """
     What a request needs. Times are in seconds from now.
 
-    `usual` is the median time of such work, `kilobytes` the size of the body.
+    `usual` is the median time of such work on an idle target, `kilobytes` the size of
+    the body and of its usual answer.
     """
 
     kind: Kind
@@ -73,11 +74,16 @@
 
 
 class Choice(NamedTuple):
-    """The chosen candidate, its value, and the time it is expected to take."""
+    """
+    The chosen candidate, its value, and the time it is expected to take.
+
+    `load` is how many times longer than on an idle, warm target.
+    """
 
     candidate: Candidate
     value: float
     expected: float
+    load: float
 
 
 def choose_target(candidates, demand, rng):
@@ -94,20 +100,24 @@
     best = None
     best_key = None
     for candidate in candidates:
-        expected = expected_time(candidate, demand)
+        load = load_of(candidate)
+        expected = demand.usual * load
         value = send_value(candidate, demand, expected)
         key = (value, rng.random())
         if best is None or key > best_key:
-            best, best_key = Choice(candidate, value, expected), key
+            best, best_key = Choice(candidate, value, expected, load), key
     return best
 
 
-def expected_time(candidate, demand):
-    """Return the seconds until a candidate would have answered."""
-    work = demand.usual * (COLD_FACTOR if candidate.is_cold else 1.0)
+def load_of(candidate):
+    """
+    Return how many times its work's time a request would spend at a target.
+
+    What is in flight beyond the slots waits, and a cold target is slow.
+    """
     slots = max(1, candidate.target.slots)
     ahead = max(0, candidate.in_flight + 1 - slots)
-    return work + work * ahead / slots
+    return (COLD_FACTOR if candidate.is_cold else 1.0) * (1.0 + ahead / slots)
 
 
 def send_value(candidate, demand, expected):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/times.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/times.py
@@ -5,6 +5,11 @@
 
 Routes of one service can differ a hundredfold, so a median over all of them would make
 the longer ones look stuck. So times are kept for each route of each service.
+
+Times are those of the work, without the wait for a slot. With the wait in it, the
+median of a busy service grew to twice its work; added to the wait that is expected of
+each target, it made all sound targets look too late, and a fifth of the look-ups went
+to targets that had just failed, which at least seemed quick.
 """
 
 import statistics
@@ -34,7 +39,7 @@
 
     def usual(self, service, route):
         """
-        Return the median seconds of a route's recent whole answers.
+        Return the median seconds of work behind a route's recent whole answers.
 
         A route that is new is taken to be like the slowest known one of its service,
         and never for quicker than ordinary work: else ordinary requests beside a route
@@ -47,14 +52,14 @@
         return max(USUAL_AT_FIRST, max(medians.values(), default=0.0))
 
     def note_whole(self, service, route, seconds):
-        """Take the time of a whole answer."""
+        """Take the seconds of work behind a whole answer."""
         _note_rare(self._stuck, (service, route), False)
         _note_rare(self._shed, service, False)
         self.note_late(service, route, seconds)
 
     def note_late(self, service, route, seconds):
         """
-        Take the time of a whole answer to a send that counts as stuck.
+        Take the seconds of work behind a whole answer to a send that counts as stuck.
 
         A median that is far too short makes all sends look stuck. If their times were
         left out, it would stay as it is for ever: a third of a service's look-ups were
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -26,10 +26,12 @@
 # Answers up to this many bytes are held back until they are whole, so that one that
 # breaks off can still be replaced. Longer ones are passed on while they come.
 HELD_MOST = 65536
-# A send that takes this many times the usual counts as failed for the choice of
-# targets; sound work passes it about once in a hundred requests.
+# A send that takes this many times the time expected of it, its wait for a slot
+# included, counts as failed for the choice of targets; sound work passes it about once
+# in a hundred requests.
 STUCK_FACTOR = 3.0
-# An idempotent request gets its second send after this many times the usual.
+# An idempotent request gets its second send after this many times the time expected of
+# the first.
 HEDGE_FACTOR = 2.2
 # Below this many seconds nothing is slow: a busy processor or a lost packet delays an
 # answer that usually takes milliseconds by as much, whatever its target does.
@@ -103,6 +105,7 @@
         self._sends = set()
         self._unreached = 0
         self._is_hedged = False
+        self._hedge_at = 0.0
         self._last = None
 
     def cancel(self):
@@ -141,16 +144,11 @@
         """Return the usual seconds of such a request."""
         return self._knowledge.zone.times.usual(self._ask.service, self._ask.route.name)
 
-    def _slow_after(self, factor):
-        """Return the seconds after which a send is slow, by a factor of the usual."""
-        return max(SLOW_LEAST, factor * self._usual())
-
     async def _wait(self):
         """Wait for a send to end, for the moment of a second send, or the deadline."""
         timeout = max(0.0, self._time_left())
         if self._may_hedge():
-            hedge_at = self._ask.started + self._slow_after(HEDGE_FACTOR)
-            timeout = min(timeout, max(0.0, hedge_at - now()))
+            timeout = min(timeout, max(0.0, self._hedge_at - now()))
         done, _ = await asyncio.wait(
             self._sends, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
         )
@@ -305,18 +303,18 @@
         )
         self._knowledge.start(target)
         self._attempt.note_send(target.id)
-        task = asyncio.get_running_loop().create_task(self._send(target))
+        self._hedge_at = at + _slow_after(HEDGE_FACTOR, choice)
+        task = asyncio.get_running_loop().create_task(self._send(choice))
         self._sends.add(task)
         return None
 
-    async def _send(self, target):
-        """Send to one target and return the `Result`."""
+    async def _send(self, choice):
+        """Send to the target of a `Choice` and return the `Result`."""
+        target = choice.candidate.target
         started = now()
         fate = Fate.ABANDONED
         stuck = asyncio.get_running_loop().call_later(
-            self._slow_after(STUCK_FACTOR),
-            self._note_stuck,
-            target,
+            _slow_after(STUCK_FACTOR, choice), self._note_stuck, choice
         )
         try:
             fate, reply = await self._exchange(target)
@@ -329,24 +327,26 @@
                 self._attempt.take_back(target.id)
             else:
                 self._attempt.note_fate(fate)
-            if fate is Fate.ABANDONED and seconds > self._slow_after(HEDGE_FACTOR):
+            if fate is Fate.ABANDONED and seconds > _slow_after(HEDGE_FACTOR, choice):
                 fate = Fate.TIMED_OUT
+            work = seconds / choice.load
             if not is_stuck:
-                self._knowledge.note(target, self._ask.route, fate, seconds)
+                self._knowledge.note(target, self._ask.route, fate, work)
             elif fate is Fate.WHOLE:
-                self._knowledge.note_late(target, self._ask.route, seconds)
+                self._knowledge.note_late(target, self._ask.route, work)
         if fate is not Fate.WHOLE:
             self._log_failure(target, fate, reply, seconds)
         return Result(target, fate, reply, seconds)
 
-    def _note_stuck(self, target):
+    def _note_stuck(self, choice):
+        target = choice.candidate.target
         self._knowledge.note(target, self._ask.route, Fate.TIMED_OUT, 0.0)
         log.info(
             "stuck",
             extra={
                 "request": self._ask.id.decode("latin-1"),
                 "target": target.id,
-                "usual": round(self._usual(), 3),
+                "expected": round(choice.expected, 3),
             },
         )
 
@@ -428,6 +428,11 @@
         reply.rest.close()
 
 
+def _slow_after(factor, choice):
+    """Return the seconds after which a send is slow, by a factor of the expected."""
+    return max(SLOW_LEAST, factor * choice.expected)
+
+
 def _has_no_room(choice, demand):
     """Return whether even the best target would answer only after the time is over."""
     candidate = choice.candidate
