Model what data centres tell each other, and the stand builders' services

`make floor` now counts what is in time, and plays our way without news from elsewhere and with the waits counted as work.

--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
@@ -1,18 +1,21 @@
 """
-Orders served and sound targets left idle in virtual time; targets fail in spells.
+Requests served in time and sound targets left idle, while targets fail in spells.
 
 Each target fails most of its work at once during some spells, drawn anew every nine
 seconds; nothing but work tells. Compared are three ways to choose:
 
 - ours: beliefs, and trials that keep sound targets in use;
 - without trials: beliefs alone;
+- each alone: ours, but data centres tell each other nothing;
+- waits counted: ours, but the wait for a slot counts as a route's usual work;
 - naive: a target that failed two of its last eight sends within four seconds is out,
   and of the others the least busy one is taken.
 
-`served` counts orders, which are sent once. `idle` counts moments at which less than
+`served` counts orders, which are sent once, and `in time` those that are answered
+within the objective. `idle` counts moments at which less than
 0.7 of the sound targets got work in the two seconds before; were all hosts lost just
 then, their callers would be left with that part of the service. The hosts of a data
-centre know of each other at once here.
+centre know of each other at once here, those of others as often as they tell.
 """
 
 import bisect
@@ -28,7 +31,7 @@
 from plumsaddle_core.core.traffic import Kind, Target, TargetState
 from plumsaddle_core.ops.choice import Candidate, Demand, choose_target
 from plumsaddle_core.ops.floor import Trials
-from plumsaddle_core.ops.news import FarNews, Sign
+from plumsaddle_core.ops.news import FarLoad, FarNews, Sign
 from plumsaddle_core.ops.zone import Zone
 
 SERVICE = ServiceName("orders")
@@ -55,8 +58,11 @@
 SECONDS = 200.0
 SEEDS = range(6)
 PROCESSES = 4
-OBJECTIVE = 1.2
-TIME_LIMIT = 2.0
+# Three times the work, and twice that.
+OBJECTIVE = 3.0
+TIME_LIMIT = 6.0
+# Seconds between two messages of the work in flight.
+LOAD_EVERY = 0.1
 
 
 class Shape(NamedTuple):
@@ -76,6 +82,7 @@
     Shape("Atlas Sonore, masters", (2, 2, 2), (2.0, 2.0, 1.6), 2, 0.26),
     Shape("stand builders, booths", (7, 6, 6), (31.0, 40.0, 29.0), 2, 0.16),
     Shape("stand builders, artwork", (3, 2, 1), (3.2, 4.1, 3.0), 2, 0.19),
+    Shape("stand builders, look-ups", (3, 3, 2), (11.0, 14.0, 10.0), 2, 0.21),
 )
 
 
@@ -115,12 +122,15 @@
       shape: The `Shape`.
       make_way: A function that returns a way to choose for a data centre: given the
         model, the centre's number, a host's number and the present, it returns the
-        worker to send to.
+        worker to send to and its load.
       seed: The run's seed.
+      is_shared: Whether data centres tell each other anything.
     """
 
-    def __init__(self, shape, make_way, seed):
+    def __init__(self, shape, make_way, seed, is_shared=True):
         self.shape = shape
+        self._is_shared = is_shared
+        self._load_number = 0
         self.rng = random.Random(seed)
         self.zones = [Zone(0.2, 10.0, started=-100.0) for _ in shape.targets]
         self.workers = {}
@@ -134,6 +144,7 @@
         self._counter = itertools.count()
         self.sent = 0
         self.served = 0
+        self.in_time = 0
         self.windows = 0
         self.idle_windows = 0
 
@@ -141,7 +152,9 @@
         """Play some seconds."""
         for centre in range(len(self.shape.targets)):
             self._push(0.0, self._arrive, centre)
-            self._push(centre / 3, self._beat, centre)
+            if self._is_shared:
+                self._push(centre / 3, self._beat, centre)
+                self._push(centre * LOAD_EVERY / 3, self._tell_load, centre)
         self._push(WARM_UP, self._look)
         while self._events[0][0] < seconds:
             at, _, happen, args = heapq.heappop(self._events)
@@ -160,20 +173,21 @@
         self._push(at + pause, self._arrive, centre)
         zone = self.zones[centre]
         host = self.rng.randrange(HOSTS)
-        worker = self._ways[centre](self, centre, host, at)
+        worker, load = self._ways[centre](self, centre, host, at)
         zone.start(worker.target.id, at)
         worker.sent_at.append(at)
-        worker.waiting.append((centre, at))
+        worker.waiting.append((centre, at, load))
         self.sent += 1
         self._work(at, worker)
 
     def _work(self, at, worker):
         while worker.waiting and worker.busy < self.shape.slots:
-            centre, started = worker.waiting.popleft()
+            centre, started, load = worker.waiting.popleft()
             worker.busy += 1
             is_whole = not self._fails(worker, at)
             seconds = self._draw_work() if is_whole else FAIL_SECONDS
-            self._push(at + seconds, self._end, worker, centre, started, is_whole)
+            send = (centre, started, load, is_whole)
+            self._push(at + seconds, self._end, worker, send)
 
     def _fails(self, worker, at):
         share = SPELL_FAILS if worker.is_failing(at) else 0.0
@@ -184,15 +198,18 @@
         seconds = self.rng.lognormvariate(middle, SPREAD)
         return seconds * (TAIL_FACTOR if self.rng.random() < TAIL_SHARE else 1.0)
 
-    def _end(self, at, worker, centre, started, is_whole):
+    def _end(self, at, worker, send):
+        centre, started, load, is_whole = send
         worker.busy -= 1
         self.served += is_whole
+        self.in_time += is_whole and at - started <= OBJECTIVE * self.shape.work
         zone = self.zones[centre]
         zone.end(worker.target.id)
         sign = Sign.WHOLE if is_whole else Sign.FAILED
-        zone.note(worker.target.id, SERVICE, ROUTE, sign, at - started, at)
+        work = (at - started) / load
+        zone.note(worker.target.id, SERVICE, ROUTE, sign, work, at)
         zone.note_end(SERVICE, is_whole, at)
-        if zone.evidence.has_untold:
+        if zone.evidence.has_untold and self._is_shared:
             self._push(at + FAR_SECONDS, self._tell_far, centre, ())
         self._work(at, worker)
 
@@ -208,6 +225,19 @@
             if other != centre and (evidence or used):
                 zone.take_far(FarNews(str(centre), 1, evidence, used), at)
 
+    def _tell_load(self, at, centre):
+        """Tell the other data centres what is in flight."""
+        self._push(at + LOAD_EVERY, self._tell_load, centre)
+        self._load_number += 1
+        counts = self.zones[centre].load()
+        load = FarLoad(str(centre), "host", 1, self._load_number, counts)
+        self._push(at + FAR_SECONDS, self._take_load, centre, load)
+
+    def _take_load(self, at, centre, load):
+        for other, zone in enumerate(self.zones):
+            if other != centre:
+                zone.take_far_load(load, at)
+
     def _look(self, at):
         """Count the moments at which too few of the sound targets are in use."""
         self._push(at + WINDOW_STEP, self._look)
@@ -239,14 +269,21 @@
             zone.fails(target_id, at),
             zone.in_flight(target_id),
             is_cold=False,
-            is_near=model.workers[target_id].target.centre == str(centre),
+            is_near=_is_in(model, target_id, centre),
+            is_counted=_is_in(model, target_id, centre)
+            or zone.knows_load(model.workers[target_id].target.centre, at),
         )
         for target_id in candidate_ids
     ]
     usual = zone.times.usual(SERVICE, ROUTE)
-    demand = Demand(Kind.ORDER, usual, OBJECTIVE, TIME_LIMIT, 1.0)
+    work = model.shape.work
+    demand = Demand(Kind.ORDER, usual, OBJECTIVE * work, TIME_LIMIT * work, 1.0)
     choice = choose_target(candidates, demand, model.rng)
-    return model.workers[choice.candidate.target.id]
+    return model.workers[choice.candidate.target.id], choice.load
+
+
+def _is_in(model, target_id, centre):
+    return model.workers[target_id].target.centre == str(centre)
 
 
 def choose_with_trials():
@@ -259,12 +296,18 @@
         every = list(model.workers)
         trial = hosts[host].find(SERVICE, every, near, zone, FLOOR_SHARE, at)
         if trial is not None:
-            return model.workers[trial]
+            return _by_belief(model, centre, [trial], at)
         return _by_belief(model, centre, model.workers, at)
 
     return choose
 
 
+def choose_with_waits_counted():
+    """Return our way to choose, with times that hold the wait for a slot."""
+    choose = choose_with_trials()
+    return lambda *args: (choose(*args)[0], 1.0)
+
+
 def choose_without_trials():
     """Return a choice by beliefs alone."""
 
@@ -295,35 +338,41 @@
         near = model.near(centre)
         usable = [t for t in near if not is_out(t)] or near
         model.rng.shuffle(usable)
-        return model.workers[min(usable, key=zone.in_flight)]
+        return model.workers[min(usable, key=zone.in_flight)], 1.0
 
     return choose
 
 
+# Ways to choose, and whether data centres tell each other what they know.
 WAYS = {
-    "ours": choose_with_trials,
-    "without trials": choose_without_trials,
-    "naive": choose_naively,
+    "ours": (choose_with_trials, True),
+    "without trials": (choose_without_trials, True),
+    "each alone": (choose_with_trials, False),
+    "waits counted": (choose_with_waits_counted, False),
+    "naive": (choose_naively, False),
 }
 
 
 def run_one(job):
     """Run one shape with one way and seed, and return the model's counts."""
     shape, way, seed = job
-    model = FloorModel(shape, WAYS[way], seed)
+    make_way, is_shared = WAYS[way]
+    model = FloorModel(shape, make_way, seed, is_shared)
     model.run(SECONDS)
-    return model.sent, model.served, model.windows, model.idle_windows
+    return model.sent, model.served, model.in_time, model.windows, model.idle_windows
 
 
 def main():
     """Print the table, in parts of a thousand."""
-    print("| service | way | served | idle |")
-    print("| --- | --- | --- | --- |")
+    print("| service | way | served | in time | idle |")
+    print("| --- | --- | --- | --- | --- |")
     with multiprocessing.Pool(PROCESSES) as processes:
         for shape, way in itertools.product(SHAPES, WAYS):
             runs = processes.map(run_one, [(shape, way, seed) for seed in SEEDS])
-            sent, served, windows, idle = (sum(n) for n in zip(*runs, strict=True))
-            parts = f"{1000 * served / sent:.0f} | {1000 * idle / windows:.0f}"
+            sums = [sum(counts) for counts in zip(*runs, strict=True)]
+            sent, served, in_time, windows, idle = sums
+            ends = f"{1000 * served / sent:.0f} | {1000 * in_time / sent:.0f}"
+            parts = f"{ends} | {1000 * idle / windows:.0f}"
             print(f"| {shape.name} | {way} | {parts} |", flush=True)
 
 
