--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/core/parts.py
@@ -0,0 +1,29 @@
+"""
+The mechanisms that a host can do without, to measure what each of them is worth.
+
+A host's settings may name some under `[experiments]`. None of them keeps a promise to
+callers by itself, but for the trials, which keep the floor of targets in use.
+"""
+
+import enum
+
+
+class Part(enum.Enum):
+    """A mechanism, by the name that settings give it."""
+
+    # Data centres tell each other outcomes that change a belief.
+    FAR_EVIDENCE = "far-evidence"
+    # Data centres tell each other what they have in flight.
+    FAR_LOAD = "far-load"
+    # A host keeps what it believes of its own path apart from the target.
+    PATHS = "paths"
+    # Requests that keep sound targets in use.
+    FLOOR_TRIALS = "floor-trials"
+    # A second send beside a slow one.
+    SECOND_SENDS = "second-sends"
+    # Targets with an open connection are preferred.
+    OPEN_CONNECTIONS = "open-connections"
+    # The wait for a slot is not counted as work.
+    WORK_TIMES = "work-times"
+    # What hosts tell each other is bounded by their links.
+    ALLOWANCE = "allowance"
--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from .ids import Address, DataCentre, HostId, LifeId, ServiceName, TargetId
+from .parts import Part
 
 
 class Kind(enum.Enum):
@@ -133,7 +134,8 @@
     """
     What a host learns from its settings file.
 
-    `link` is what the host's link carries, in bytes a second, or None if unknown.
+    `link` is what the host's link carries, in bytes a second, or None if unknown. `off`
+    are the mechanisms that an experiment does without.
     """
 
     id: HostId
@@ -146,6 +148,7 @@
     store: Address
     bounds: Bounds
     link: float | None = None
+    off: frozenset[Part] = frozenset()
 
 
 class Fate(enum.Enum):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -90,7 +90,8 @@
     """
     The chosen candidate, its value, and the time it is expected to take.
 
-    `load` is how many times longer than on an idle, warm target; `rule` is what chose it.
+    `load` is how many times longer than on an idle, warm target, and `rule` tells what
+    chose it.
     """
 
     candidate: Candidate
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -80,11 +80,13 @@
       ratio: Retries that one request allows for.
       window: The seconds over which retries are bounded.
       started: When the host started, in seconds.
+      has_paths: Whether silences count against this host's own path first.
     """
 
-    def __init__(self, ratio, window, started):
+    def __init__(self, ratio, window, started, has_paths=True):
         self.beliefs = {}
         self.paths = {}
+        self._has_paths = has_paths
         self.times = RouteTimes()
         self._ratio = ratio
         self._window = window
@@ -379,7 +381,7 @@
         """
         ratio = self._ratio_of(outcome)
         path_ratio = PATH_WHOLE_RATIO
-        if outcome.sign in SILENCES:
+        if outcome.sign in SILENCES and self._has_paths:
             path_ratio = ratio
             ratio = min(SILENCE_MOST, ratio)
         if ratio != 1.0:
@@ -390,7 +392,7 @@
         """Change what this host believes of its own path to a target."""
         path = self.paths.get(target_id)
         if path is None:
-            if ratio < 1.0:
+            if ratio < 1.0 or not self._has_paths:
                 return
             path = self.paths[target_id] = Belief(PATH_SPELLS)
         path.weigh(ratio, now)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -10,6 +10,7 @@
 
 from returns.result import Failure
 
+from plumsaddle_core.core.parts import Part
 from plumsaddle_core.core.traffic import Fate, TargetState
 from plumsaddle_core.ops.choice import Candidate, Demand, Rule, choose_target
 from plumsaddle_core.ops.floor import Trials
@@ -58,7 +59,12 @@
         self.registry = Registry()
         self.has_targets = False
         bounds = settings.bounds
-        self.zone = Zone(bounds.retry_ratio, bounds.retry_window, now())
+        self.zone = Zone(
+            bounds.retry_ratio,
+            bounds.retry_window,
+            now(),
+            has_paths=Part.PATHS not in settings.off,
+        )
         self._answer_bytes = {}
         self._trials = Trials()
         self._on_work = None
@@ -183,7 +189,8 @@
           A `Choice`, or None if there is no target.
         """
         usable = self.registry.usable(service)
-        trial = None if excluded else self._find_trial(service, usable, at)
+        may_try = not excluded and Part.FLOOR_TRIALS not in self.settings.off
+        trial = self._find_trial(service, usable, at) if may_try else None
         candidates = [
             self._weigh(target, has_link, at)
             for target in usable
@@ -216,7 +223,7 @@
             self.zone.in_flight(target.life),
             at < target.read_at + target.cold_for,
             is_near,
-            has_link(target.life),
+            Part.OPEN_CONNECTIONS not in self.settings.off and has_link(target.life),
             is_near or self.zone.knows_load(target.centre, at),
         )
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -151,7 +151,11 @@
             self._tasks.append(task)
         log.info(
             "start",
-            extra={"callers": self.settings.callers, "store": self.settings.store},
+            extra={
+                "callers": self.settings.callers,
+                "store": self.settings.store,
+                "off": sorted(part.value for part in self.settings.off),
+            },
         )
 
     def _on_stop(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -22,6 +22,7 @@
 
 import msgspec
 
+from plumsaddle_core.core.parts import Part
 from plumsaddle_core.ops.news import (
     Counts,
     Evidence,
@@ -154,7 +155,9 @@
         # Drawn and not taken from a clock: the time of day jumps back, and then a
         # restarted host would look older than it was and be ignored.
         self._life = secrets.randbits(48)
-        self._allowance = Allowance(told_rate(settings.link))
+        is_bounded = Part.ALLOWANCE not in settings.off
+        self._rate = told_rate(settings.link) if is_bounded else None
+        self._allowance = Allowance(self._rate)
         self._counted_at = 0.0
         self._load_number = 0
         self._number = 0
@@ -233,7 +236,8 @@
     def _tell(self):
         self._due = None
         self._send_work([], {}, {})
-        if self._zone.evidence.has_untold:
+        may_tell = Part.FAR_EVIDENCE not in self._settings.off
+        if may_tell and self._zone.evidence.has_untold:
             self._send_far([], now())
 
     def _send_work(self, members, read, strangers):
@@ -264,6 +268,8 @@
         evidence = [
             (e.number, e.target, round(e.ratio, 3)) for e in self._zone.evidence.take()
         ]
+        if Part.FAR_EVIDENCE in self._settings.off:
+            evidence = []
         if not evidence and not used:
             return
         settings = self._settings
@@ -283,7 +289,8 @@
           The seconds after which to do so again.
         """
         heard = [a for a, heard in self._members.items() if at - heard < MISSING_AFTER]
-        if any(address < self._settings.peers for address in heard):
+        is_first = all(address > self._settings.peers for address in heard)
+        if not is_first or Part.FAR_LOAD in self._settings.off:
             return LOAD_EVERY
         settings = self._settings
         self._load_number += 1
@@ -291,12 +298,11 @@
         load = Load(settings.centre, settings.id, self._life, self._load_number, counts)
         data = _encode(load)
         self._send_elsewhere(data, at)
-        rate = told_rate(settings.link)
-        if rate is None:
+        if self._rate is None:
             return LOAD_EVERY
         # Whoever passes it on tells as many hosts as there are here, but each time it
         # is another one that does.
-        return max(LOAD_EVERY, len(data) * len(heard) / (rate * LOAD_PART))
+        return max(LOAD_EVERY, len(data) * len(heard) / (self._rate * LOAD_PART))
 
     def _some_strangers(self, at):
         """Return some hosts of each other data centre that may be up, by centre."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -14,6 +14,7 @@
 
 from aiohttp import web
 
+from plumsaddle_core.core.parts import Part
 from plumsaddle_core.core.traffic import Fate, Reply
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 
@@ -157,6 +158,7 @@
     def _may_hedge(self):
         return (
             not self._is_hedged
+            and Part.SECOND_SENDS not in self._knowledge.settings.off
             and self._ask.route.kind.may_repeat
             and self._attempt.may_send()
         )
@@ -330,7 +332,8 @@
                 self._attempt.note_fate(fate)
             if fate is Fate.ABANDONED and seconds > _slow_after(HEDGE_FACTOR, choice):
                 fate = Fate.TIMED_OUT
-            work = seconds / choice.load
+            has_waits = Part.WORK_TIMES in self._knowledge.settings.off
+            work = seconds if has_waits else seconds / choice.load
             if not is_stuck:
                 self._knowledge.note(target, self._ask.route, fate, work)
             elif fate is Fate.WHOLE:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -9,6 +9,7 @@
 
 from returns.result import Failure, Success
 
+from plumsaddle_core.core.parts import Part
 from plumsaddle_core.core.traffic import Bounds, HostSettings
 
 from ..utils.addresses import is_address
@@ -74,6 +75,7 @@
         address(fields, "store"),
         _check_bounds(fields.get("bounds", {}), mistakes),
         _check_link(fields.get("link_mbps"), mistakes),
+        _check_experiments(fields.get("experiments", {}), mistakes),
     )
     return Failure(mistakes) if mistakes else Success(settings)
 
@@ -88,6 +90,18 @@
     return value * BYTES_A_MEGABIT
 
 
+def _check_experiments(table, mistakes):
+    """Return the parts that a table switches off."""
+    off = table.get("off", []) if isinstance(table, dict) else None
+    known = {part.value: part for part in Part}
+    if not isinstance(off, list) or not all(isinstance(name, str) for name in off):
+        mistakes.append("experiments.off: a list of texts is needed")
+        return frozenset()
+    for name in sorted(set(off) - set(known)):
+        mistakes.append(f"experiments.off: {name!r} is none of {', '.join(known)}")
+    return frozenset(known[name] for name in off if name in known)
+
+
 def _check_bounds(table, mistakes):
     """Return the `Bounds` of a table; what is missing keeps its default."""
     if not isinstance(table, dict):
