--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
@@ -4,6 +4,7 @@
 
 import sys
 
+from .causes import sum_up_causes, tell_causes
 from .common import DONE, MISTAKE, NOT_KNOWN, fail, read_text, say
 from .events import read_events
 from .standing import tell_standing
@@ -44,6 +45,22 @@
     sys.exit(DONE)
 
 
+def causes(*logs, every=2.0):
+    """
+    Count why requests were not served, by service and span of seconds.
+
+    Args:
+      logs: The hosts' logs.
+      every: The seconds of a span.
+    """
+    sums = sum_up_causes(_read_logs(logs), float(every))
+    if not sums:
+        fail("The logs tell of no request.", NOT_KNOWN)
+    for line in tell_causes(sums):
+        say(line)
+    sys.exit(DONE)
+
+
 def report(*logs, out="report.png"):
     """
     Draw a day from the logs of hosts on the platform.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards_test.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from .afterwards import report, trace
+from .afterwards import causes, report, trace
 from .cli import explain
 from .common import DONE, MISTAKE, NOT_KNOWN
 
@@ -58,3 +58,52 @@
     out = tmp_path / "day.svg"
     assert _run(report, *logs, out=str(out)) == DONE
     assert "<svg" in out.read_text()
+
+
+def _story(request, *events):
+    return [{"request": request, **fields} for fields in events]
+
+
+def test_causes_tell_what_was_known_when_a_target_was_chosen(tmp_path, capsys):
+    """
+    Every tenth order fails, and nobody can say which decision to look at.
+
+    Some went to targets in doubt, some as trials, some met a failure that nobody knew
+    of; some were refused with time left, since no retry was allowed.
+    """
+    doubted = {"message": "sent", "target": "t", "fails": 0.6, "rule": "best"}
+    trial = {**doubted, "rule": "floor-trial"}
+    sound = {**doubted, "fails": 0.05}
+    failed = {"message": "refused", "cause": "target-failed", "last": "broken"}
+    refused = {"message": "refused", "cause": "not-taken", "last": "not-run"}
+    answered = {"message": "answered", "status": 200}
+    lines = [
+        {"message": "listed", "target": "t", "service": "act"},
+        *_story("a", doubted, {**failed, "targets": ["t"]}),
+        *_story("b", trial, {**failed, "targets": ["t"]}),
+        *_story("c", sound, {**failed, "targets": ["t"]}),
+        *_story("d", sound, {**refused, "targets": ["t"]}),
+        *_story("e", sound, sound, {**refused, "targets": ["t", "u"]}),
+        *_story("f", sound, answered),
+        *_story("g", sound, {**answered, "status": 500}),
+        *_story("h", {"message": "refused", "cause": "no-room", "service": "act"}),
+    ]
+    log = tmp_path / "h.log"
+    log.write_text(_lines("h", *((100.0, fields) for fields in lines)))
+    assert _run(causes, str(log)) == DONE
+    first, span = capsys.readouterr().out.splitlines()
+    assert first.startswith("act: 8 requests, 7 not served: ")
+    assert span.startswith("  +0 s 8 requests, 7 not served: ")
+    for cause in (
+        "doubted-target=1",
+        "floor-trial=1",
+        "unforeseen-failure=1",
+        "retry-denied=1",
+        "refused-by-targets=1",
+        "target's-own-500=1",
+        "no-room=1",
+    ):
+        assert cause in first
+    empty = tmp_path / "empty.log"
+    empty.write_text("")
+    assert _run(causes, str(empty)) == NOT_KNOWN
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
@@ -29,7 +29,7 @@
 from plumsaddle_core.utils.codec import encode_events
 
 from ..daemon.host import CONFIG_STREAM
-from .afterwards import explain_from_logs, report, trace
+from .afterwards import causes, explain_from_logs, report, trace
 from .common import (
     DEFAULT_SETTINGS,
     DONE,
@@ -336,6 +336,7 @@
     "orders": Orders,
     "trace": trace,
     "report": report,
+    "causes": causes,
 }
 
 
