--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -22,12 +22,10 @@
 SPREAD = 0.2
 # A failed idempotent request may be sent once more, so a failure costs it a little
 # less. The relief is small, since the second send comes out of a bounded share.
-REPEAT_RELIEF = 0.0
+REPEAT_RELIEF = 0.15
 # Probability of failing from which a target gets one request at a time as a trial.
 TRIAL_FROM = 0.2
 TRIAL_BUSY = 0.25
-# From this probability of failing a target has no room: it counts as full.
-DOUBT_FROM = 0.4
 # What an open connection is worth, in shares of a request's value. A new one costs its
 # target a millisecond and a slot meanwhile. With forty hosts before twenty targets a
 # host meets each target less often than connections live; keeping to the few with open
@@ -159,8 +157,6 @@
     Beyond its slots a target's work waits, and the expected time says so. Targets of a
     data centre that is not heard are taken to be half busy.
     """
-    if candidate.fails >= DOUBT_FROM:
-        return 1.0
     if not candidate.is_counted:
         return UNCOUNTED_FULLNESS
     return min(1.0, candidate.in_flight / max(1, candidate.target.slots))
