--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
@@ -1,5 +1,5 @@
 """
-Why requests were not served, from the logs of all hosts: what `plumsaddle causes` tells.
+Why requests were not served, from the logs of all hosts.
 
 Each request that ended without a whole answer has one cause, taken from its last send
 and from what was believed when that began. Counted by service and span of seconds, the
