--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -9,7 +9,7 @@
 
 from plumsaddle_core.core.traffic import Bounds, HostSettings
 from plumsaddle_core.ops.news import Sign
-from plumsaddle_core.ops.zone import Zone
+from plumsaddle_core.ops.zone import LOAD_FOR, MISSING_AFTER, Zone
 
 from . import peers as module
 from .peers import Peers
@@ -163,6 +163,8 @@
 )
 @example(encode(["f", "h", 1, "y", [[0, "t", -1.0]], [], True]))
 @example(encode(["w", "h", 1, 1, {"t": -5}, [], {}]))
+@example(encode(["l", "y", "h", 1, 1, {"a": 1}]))
+@example(encode(["l", "y", "h", 1, 1, {5: -1}]))
 @example(
     msgspec.msgpack.encode(["w", "h", 1, 1, {}, [[0, "t", "s", "r", 77, 0.1]], {}])
 )
@@ -180,3 +182,53 @@
     peers.beat(module.now())
     assert zone.in_flight("t") == 1
     assert 0.0 < zone.fails("t", module.now()) < 1.0
+
+
+def test_work_in_flight_is_known_elsewhere():
+    """
+    Requests queue at targets that another data centre keeps full.
+
+    Each data centre counted its own work alone, and half of all work leaves it.
+    """
+    net, hosts = _fleet()
+    at = module.now()
+    for _, zone, _ in hosts[:2]:
+        zone.start("t", at)
+    for peers, _, _ in hosts[:2]:
+        peers._tell()
+    net.deliver()
+    for peers, _, _ in hosts:
+        peers.tell_load(at)
+    net.deliver()
+    for _, zone, _ in hosts:
+        assert zone.in_flight("t") == 2
+    for _, zone, _ in hosts[3:]:
+        assert zone.knows_load("x", at)
+        assert not zone.knows_load("x", module.now() + LOAD_FOR)
+
+
+def test_the_next_host_tells_the_sums_when_the_first_is_lost():
+    """
+    A data centre counts for idle elsewhere, since the host that told its work is dead.
+    """
+    net, hosts = _fleet()
+    at = module.now()
+    hosts[2][1].start("t", at)
+    hosts[2][0]._tell()
+    net.deliver()
+    later = at + MISSING_AFTER + 0.1
+    for peers, _, address in hosts[1:3]:
+        peers._members = {
+            other: later for _, _, other in hosts[1:3] if other != address
+        }
+        peers.tell_load(later)
+    net.deliver()
+    assert all(zone.in_flight("t") == 1 for _, zone, _ in hosts[3:])
+
+
+def test_one_host_tells_the_sums_while_all_are_well():
+    net, hosts = _fleet()
+    net.sent.clear()
+    for peers, _, _ in hosts[:3]:
+        peers.tell_load(module.now())
+    assert len(net.sent) == len(CENTRES) - 1
