--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -27,6 +27,7 @@
     Belief,
     rare_ratio,
 )
+from .elsewhere import Elsewhere
 from .floor import Results
 from .news import Counts, Evidence, Inbox, Outbox, OutcomeNote, Sign, tag_of
 from .share import RetryShare
@@ -42,9 +43,6 @@
 LOST_FEWEST = 2
 # Seconds after its start for which a host knows too little to leave targets out.
 TROUBLED_AT_START = 5.0
-# Work in flight elsewhere is told ten times a second; after this many seconds without
-# it a data centre is cut off, and what it had in flight has mostly ended.
-LOAD_FOR = 1.5
 # Ends at which nothing was heard of the target, so that the path may be the cause.
 SILENCES = {Sign.UNREACHABLE, Sign.STUCK}
 # A path that is broken with this probability is not used for trials of its target.
@@ -102,7 +100,7 @@
         self._peers = {}
         self._others = Counter()
         self._far = {}
-        self._loads = {}
+        self._elsewhere = Elsewhere()
         # What is still to be told in the data centre, and to the others.
         self.outcomes = Outbox()
         self.evidence = Outbox()
@@ -310,8 +308,7 @@
         for host in silent:
             self._others.subtract(self._peers.pop(host).in_flight)
         self._others = +self._others
-        for centre in [c for c in self._loads if not self.knows_load(c, now)]:
-            del self._loads[centre]
+        self._elsewhere.forget_silent(now)
         return silent
 
     def hosts_heard(self):
@@ -322,21 +319,16 @@
 
     def in_flight(self, target_id):
         """Return the requests in flight at a target from all known hosts."""
-        elsewhere = sum(
-            load.counts.get(tag_of(target_id), 0) for load, _ in self._loads.values()
-        )
-        return self._own.get(target_id, 0) + self._others[target_id] + elsewhere
+        here = self._own.get(target_id, 0) + self._others[target_id]
+        return here + self._elsewhere.in_flight(target_id)
 
     def take_far_load(self, load, now):
         """Take another data centre's `FarLoad`; an older one of a host is ignored."""
-        known, _ = self._loads.get(load.centre, (None, 0.0))
-        is_same = known is not None and known[1:3] == load[1:3]
-        if not is_same or load.number > known.number:
-            self._loads[load.centre] = (load, now)
+        self._elsewhere.take(load, now)
 
     def knows_load(self, centre, now):
         """Return whether the work in flight from another data centre is known."""
-        return centre in self._loads and now - self._loads[centre][1] < LOAD_FOR
+        return self._elsewhere.is_known(centre, now)
 
     def load(self):
         """Return the work in flight from this data centre, by tag of target."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -18,45 +18,40 @@
 import logging
 import random
 import secrets
-from typing import Annotated
 
 import msgspec
 
 from plumsaddle_core.core.parts import Part
-from plumsaddle_core.ops.news import (
-    Counts,
-    Evidence,
-    FarLoad,
-    FarNews,
-    OutcomeNote,
-    PeerNews,
-    Sign,
-)
 from plumsaddle_core.ops.pacing import Allowance, told_rate
 from plumsaddle_core.ops.zone import MISSING_AFTER, SILENT_AFTER
 
 from ..utils.addresses import is_address, split_address
 from .clock import now
+from .messages import (
+    Far,
+    Hello,
+    Load,
+    Members,
+    Work,
+    decode,
+    encode,
+    far_load_of,
+    far_news_of,
+    news_of,
+)
+from .strangers import MEMBER_FOR, STRANGERS_NAMED, Strangers
 
 log = logging.getLogger("peers")
-# A host whose last word is older than this is not written to any more. Longer than a
-# restart takes, so that a restarted host is found again without a seed.
-MEMBER_FOR = 12.0
 # Members that an answer to a newcomer names, and those that a beat names, drawn anew
 # each time. A newcomer hears a beat a second from each member, so that eight names each
 # tell it all others within a second, and each beat is shorter than ten lines of a log.
 NAMED_MOST = 64
 NAMED_IN_BEAT = 8
-# Hosts of each other data centre that a beat or an answer names.
-STRANGERS_NAMED = 3
 # What a datagram has besides its data: the headers of IP and UDP, in bytes.
 DATAGRAM_HEADERS = 28
 # Seconds between two messages that carry counts. They bound retries over ten seconds
 # and tell trouble over two and a half, and are a third of a message.
 COUNTS_EVERY = 0.25
-# Hosts kept of each other data centre. Those heard last are kept, so a few that are up
-# are always among them.
-STRANGERS_KEPT = 16
 # Other data centres hear this often (seconds) which targets a host has used.
 FAR_EVERY = 1.0
 # Other data centres hear this often (seconds) what is in flight. Work takes 150 ms and
@@ -65,75 +60,6 @@
 # The part of one host's allowance that passing these sums on may take if one host did
 # it all the time; it is spread over all of them.
 LOAD_PART = 4.0
-# While a host knows nobody of its data centre, it asks the seeds this often (seconds).
-ASK_EVERY = 1.0
-
-
-# What other hosts say is checked as it is decoded: one bad number in a message would
-# otherwise spoil sums and beliefs for good.
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=86400.0)]
-Ratio = Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)]
-
-
-class Hello(msgspec.Struct, array_like=True, tag="h"):
-    """A host that looks for the others of its data centre."""
-
-    host: str
-    centre: str
-    address: str
-
-
-class Members(msgspec.Struct, array_like=True, tag="m"):
-    """Addresses of hosts of the asker's data centre, and of some in each other one."""
-
-    addresses: list[str]
-    strangers: dict[str, list[str]] = {}
-
-
-class Work(msgspec.Struct, array_like=True, tag="w"):
-    """
-    A host's work in flight and its last outcomes.
-
-    A beat also names members, some hosts of other data centres, and how far the host
-    has read each topic of the store.
-    """
-
-    host: str
-    life: Count
-    number: Count
-    in_flight: dict[str, Count]
-    outcomes: list[tuple[Count, str, str, str, Sign, Seconds]]
-    counts: dict[str, tuple[Count, Count, Count, Count]]
-    members: list[str] = []
-    read: dict[str, Count] = {}
-    strangers: dict[str, list[str]] = {}
-
-
-class Far(msgspec.Struct, array_like=True, tag="f"):
-    """What hosts of other data centres are told; passed on once in each of them."""
-
-    host: str
-    life: Count
-    centre: str
-    evidence: list[tuple[Count, str, Ratio]]
-    used: list[str]
-    is_passed_on: bool = False
-
-
-class Load(msgspec.Struct, array_like=True, tag="l"):
-    """What all hosts of a data centre have in flight, by tag of target."""
-
-    centre: str
-    host: str
-    life: Count
-    number: Count
-    counts: dict[int, Count]
-    is_passed_on: bool = False
-
-
-_decode = msgspec.msgpack.Decoder(Hello | Members | Work | Far | Load).decode
-_encode = msgspec.msgpack.Encoder().encode
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -162,7 +88,7 @@
         self._load_number = 0
         self._number = 0
         self._members = {}
-        self._strangers = {}
+        self._strangers = Strangers(settings, rng)
         self._transport = None
         self._due = None
 
@@ -212,23 +138,17 @@
         fresh = [a for a, heard in self._members.items() if at - heard < SILENT_AFTER]
         named = self._rng.sample(fresh, min(NAMED_IN_BEAT, len(fresh)))
         read = {topic: feed.next_offset for topic, feed in self._feeds.items()}
-        self._send_work(named, read, self._some_strangers(at))
+        self._send_work(named, read, self._strangers.some(at))
         self._send_far(self._zone.own_used(at - FAR_EVERY), at)
-        if not self._members or self._knows_few_strangers(at):
+        if not self._members or self._strangers.are_few(at):
             self._ask(at)
 
-    def _knows_few_strangers(self, at):
-        """Return whether one or two lost hosts could cut this one off from a centre."""
-        some = self._some_strangers(at)
-        others = set(self._settings.centres) - {self._settings.centre}
-        return any(len(some.get(centre, ())) < STRANGERS_NAMED for centre in others)
-
     def _ask(self, at):
         """Ask the seeds, and the hosts that are known elsewhere, for others."""
         settings = self._settings
-        hello = _encode(Hello(settings.id, settings.centre, settings.peers))
+        hello = encode(Hello(settings.id, settings.centre, settings.peers))
         asked = set(settings.seeds)
-        for strangers in self._some_strangers(at).values():
+        for strangers in self._strangers.some(at).values():
             asked.update(strangers)
         for address in asked - {settings.peers}:
             self._send(hello, address)
@@ -261,7 +181,7 @@
             read,
             strangers,
         )
-        self._send_all(_encode(work))
+        self._send_all(encode(work))
 
     def _send_far(self, used, at):
         """Tell one host of each other data centre what is news there."""
@@ -274,11 +194,11 @@
             return
         settings = self._settings
         far = Far(settings.id, self._life, settings.centre, evidence, used)
-        self._send_elsewhere(_encode(far), at)
+        self._send_elsewhere(encode(far), at)
 
     def _send_elsewhere(self, data, at):
         """Send to one host of each other data centre."""
-        for strangers in self._some_strangers(at).values():
+        for strangers in self._strangers.some(at).values():
             self._send(data, self._rng.choice(strangers))
 
     def tell_load(self, at):
@@ -296,7 +216,7 @@
         self._load_number += 1
         counts = self._zone.load()
         load = Load(settings.centre, settings.id, self._life, self._load_number, counts)
-        data = _encode(load)
+        data = encode(load)
         self._send_elsewhere(data, at)
         if self._rate is None:
             return LOAD_EVERY
@@ -304,15 +224,6 @@
         # is another one that does.
         return max(LOAD_EVERY, len(data) * len(heard) / (self._rate * LOAD_PART))
 
-    def _some_strangers(self, at):
-        """Return some hosts of each other data centre that may be up, by centre."""
-        some = {}
-        for centre, heard_at in self._strangers.items():
-            fresh = [a for a, heard in heard_at.items() if at - heard < MEMBER_FOR]
-            if fresh:
-                some[centre] = self._rng.sample(fresh, min(STRANGERS_NAMED, len(fresh)))
-        return some
-
     def _send_all(self, data):
         """Send to all hosts of the data centre."""
         for address in self._members:
@@ -334,7 +245,7 @@
 
     def datagram_received(self, data, sender):
         try:
-            message = _decode(data)
+            message = decode(data)
         except msgspec.DecodeError as exc:
             log.warning("unreadable", extra={"peer": sender[0], "cause": str(exc)})
             return
@@ -343,18 +254,18 @@
             self._take_hello(message, address)
         elif isinstance(message, Members):
             self._learn(message.addresses)
-            self._learn_strangers(message.strangers)
+            self._strangers.learn(message.strangers, now())
         elif isinstance(message, Far):
             self._pass_on(message, address)
-            self._zone.take_far(_far_news_of(message), now())
+            self._zone.take_far(far_news_of(message), now())
         elif isinstance(message, Load):
             self._pass_on(message, address)
-            self._zone.take_far_load(_far_load_of(message), now())
+            self._zone.take_far_load(far_load_of(message), now())
         else:
             self._members[address] = now()
             self._learn(message.members)
-            self._learn_strangers(message.strangers)
-            self._zone.take(_news_of(message), now())
+            self._strangers.learn(message.strangers, now())
+            self._zone.take(news_of(message), now())
             for topic, offset in message.read.items():
                 if topic in self._feeds:
                     self._feeds[topic].note_peer(offset, now())
@@ -362,42 +273,25 @@
     def _take_hello(self, hello, address):
         """Answer a host that looks for others of its data centre."""
         at = now()
-        strangers = self._some_strangers(at)
+        strangers = self._strangers.some(at)
         if hello.centre == self._settings.centre:
             known = list(self._members)
             self._members[address] = at
         else:
-            heard_at = self._strangers.get(hello.centre, {})
-            known = [a for a, heard in heard_at.items() if at - heard < MEMBER_FOR]
-            self._remember_stranger(hello.centre, address, at)
+            known = self._strangers.of(hello.centre, at)
+            self._strangers.remember(hello.centre, address, at)
             own = [*self._members, self._settings.peers]
             strangers[self._settings.centre] = own[-STRANGERS_NAMED:]
         known = [a for a in known if a != address]
-        self._send(_encode(Members(known[:NAMED_MOST], strangers)), address)
+        self._send(encode(Members(known[:NAMED_MOST], strangers)), address)
 
     def _pass_on(self, message, address):
         """Pass the news of another data centre on to the hosts of this one."""
         if message.is_passed_on:
             return
-        self._remember_stranger(message.centre, address, now())
+        self._strangers.remember(message.centre, address, now())
         message.is_passed_on = True
-        self._send_all(_encode(message))
-
-    def _remember_stranger(self, centre, address, at):
-        """Keep a host of another data centre as one that was up at a moment."""
-        heard_at = self._strangers.setdefault(centre, {})
-        heard_at[address] = max(at, heard_at.get(address, at))
-        if len(heard_at) > STRANGERS_KEPT:
-            del heard_at[min(heard_at, key=heard_at.get)]
-
-    def _learn_strangers(self, strangers):
-        """Take hosts of other data centres that were named, as maybe up."""
-        at = now() - MEMBER_FOR / 2
-        for centre, addresses in strangers.items():
-            is_other = centre != self._settings.centre
-            if is_other and centre in self._settings.centres:
-                for address in filter(is_address, addresses):
-                    self._remember_stranger(centre, address, at)
+        self._send_all(encode(message))
 
     def _learn(self, addresses):
         """Write to hosts that were named; they stay only if they answer."""
@@ -406,18 +300,3 @@
             is_known = address == self._settings.peers or address in self._members
             if not is_known and is_address(address):
                 self._members[address] = at - MEMBER_FOR / 2
-
-
-def _news_of(work):
-    outcomes = tuple(OutcomeNote(*fields) for fields in work.outcomes)
-    counts = {service: Counts(*numbers) for service, numbers in work.counts.items()}
-    return PeerNews(work.host, work.life, work.number, work.in_flight, outcomes, counts)
-
-
-def _far_news_of(far):
-    evidence = tuple(Evidence(*fields) for fields in far.evidence)
-    return FarNews(far.host, far.life, evidence, tuple(far.used))
-
-
-def _far_load_of(load):
-    return FarLoad(load.centre, load.host, load.life, load.number, load.counts)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -8,8 +8,9 @@
 from hypothesis import example, given, settings, strategies as st
 
 from plumsaddle_core.core.traffic import Bounds, HostSettings
+from plumsaddle_core.ops.elsewhere import LOAD_FOR
 from plumsaddle_core.ops.news import Sign
-from plumsaddle_core.ops.zone import LOAD_FOR, MISSING_AFTER, Zone
+from plumsaddle_core.ops.zone import MISSING_AFTER, Zone
 
 from . import peers as module
 from .peers import Peers
@@ -119,7 +120,7 @@
     net, hosts = _fleet()
     at = module.now()
     for peers, _, _ in hosts:
-        assert peers._some_strangers(at)
+        assert peers._strangers.some(at)
     dead = hosts[3][2]
     del net.hosts[dead]
     peers, zone, _ = hosts[1]
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/strangers.py
@@ -0,0 +1,71 @@
+"""
+Hosts of other data centres that a host has heard of.
+
+A few of each are enough, since any one of them passes on what it is told, and they are
+replaced as others are heard. Each host knows its own few, so that no host's loss cuts
+two data centres off from each other.
+"""
+
+from ..utils.addresses import is_address
+
+# A host whose last word is older than this is not written to any more. Longer than a
+# restart takes, so that a restarted host is found again without a seed.
+MEMBER_FOR = 12.0
+# Hosts of each other data centre that a beat or an answer names.
+STRANGERS_NAMED = 3
+# Hosts kept of each other data centre. Those heard last are kept, so a few that are up
+# are always among them.
+STRANGERS_KEPT = 16
+
+
+class Strangers:
+    """
+    The hosts of other data centres, by data centre and address.
+
+    Args:
+      settings: The `HostSettings`, which name the data centres.
+      rng: A `random.Random`.
+    """
+
+    def __init__(self, settings, rng):
+        self._own = settings.centre
+        self._others = set(settings.centres) - {settings.centre}
+        self._rng = rng
+        self._heard_at = {}
+
+    def remember(self, centre, address, at):
+        """Keep a host of another data centre as one that was up at a moment."""
+        heard_at = self._heard_at.setdefault(centre, {})
+        heard_at[address] = max(at, heard_at.get(address, at))
+        if len(heard_at) > STRANGERS_KEPT:
+            del heard_at[min(heard_at, key=heard_at.get)]
+
+    def learn(self, named, now):
+        """
+        Take hosts that another host named, as maybe up.
+
+        Args:
+          named: A dictionary of data centre to addresses.
+          now: The present, in seconds.
+        """
+        for centre in self._others & set(named):
+            for address in filter(is_address, named[centre]):
+                self.remember(centre, address, now - MEMBER_FOR / 2)
+
+    def of(self, centre, now):
+        """Return the hosts of a data centre that may be up."""
+        heard_at = self._heard_at.get(centre, {})
+        return [a for a, heard in heard_at.items() if now - heard < MEMBER_FOR]
+
+    def some(self, now):
+        """Return a few hosts of each other data centre, by data centre."""
+        some = {}
+        for centre in self._heard_at:
+            fresh = self.of(centre, now)
+            if fresh:
+                some[centre] = self._rng.sample(fresh, min(STRANGERS_NAMED, len(fresh)))
+        return some
+
+    def are_few(self, now):
+        """Return whether one or two lost hosts could cut this one off."""
+        return any(len(self.of(c, now)) < STRANGERS_NAMED for c in self._others)
