--- a/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
@@ -43,8 +43,6 @@
 WHOLE_RATIO = (1.0 - FAILS_FAILING) / (1.0 - FAILS_SOUND)
 FAILED_RATIO = FAILS_FAILING / FAILS_SOUND
 MOST = 0.995
-
-
 # Shares of failed requests over a sound and over a broken path. Packets are lost here
 # and there; a cut path loses all.
 PATH_FAILS_SOUND = 0.005
