Say lines of log commands in one place; ask once whether evidence is told elsewhere

Three commands each wrote the same loop and exit, and `Peers._tell` repeated the switch that `_send_far` asks by itself. No behaviour changes.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -160,8 +160,7 @@
     def _tell(self):
         self._due = None
         self._send_work([], {}, {})
-        may_tell = Part.FAR_EVIDENCE not in self._settings.off
-        if may_tell and self._zone.evidence.has_untold:
+        if self._zone.evidence.has_untold:
             self._send_far([], now())
 
     def _send_work(self, members, read, strangers):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
@@ -10,6 +10,8 @@
 from .standing import tell_standing
 from .trace import trace_request
 
+NO_REQUEST = "The logs tell of no request."
+
 
 def _read_logs(paths):
     """Return the events of all files in order, or exit."""
@@ -19,6 +21,15 @@
     return read_events(lines)
 
 
+def _tell(lines, missing):
+    """Say the lines and exit, or exit with why there are none."""
+    if not lines:
+        fail(missing, NOT_KNOWN)
+    for line in lines:
+        say(line)
+    sys.exit(DONE)
+
+
 def trace(request_id, *logs):
     """
     Tell the story of one request from the logs of hosts on the platform.
@@ -28,21 +39,13 @@
       logs: The hosts' logs.
     """
     story = trace_request(_read_logs(logs), str(request_id))
-    if not story:
-        fail(f"No line bears the id {request_id}.", NOT_KNOWN)
-    for line in story:
-        say(line)
-    sys.exit(DONE)
+    _tell(story, f"No line bears the id {request_id}.")
 
 
 def explain_from_logs(target, logs):
     """Tell, second by second, what hosts saw of a target, and exit."""
     lines = tell_standing(_read_logs(logs), str(target))
-    if not lines:
-        fail(f"No line names the target {target}.", NOT_KNOWN)
-    for line in lines:
-        say(line)
-    sys.exit(DONE)
+    _tell(lines, f"No line names the target {target}.")
 
 
 def causes(*logs, every=2.0):
@@ -54,11 +57,7 @@
       every: The seconds of a span.
     """
     sums = sum_up_causes(_read_logs(logs), float(every))
-    if not sums:
-        fail("The logs tell of no request.", NOT_KNOWN)
-    for line in tell_causes(sums):
-        say(line)
-    sys.exit(DONE)
+    _tell(tell_causes(sums), NO_REQUEST)
 
 
 def report(*logs, out="report.png"):
@@ -78,7 +77,7 @@
 
     day = sum_up_day(_read_logs(logs))
     if day is None:
-        fail("The logs tell of no request.", NOT_KNOWN)
+        fail(NO_REQUEST, NOT_KNOWN)
     draw_day(day, out)
     say(f"{out}: {len(day.seconds)} seconds, {len(day.targets)} targets")
     sys.exit(DONE)
