--- a/packages/plumsaddle-core/plumsaddle_core/ops/elsewhere.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/elsewhere.py
@@ -1,8 +1,14 @@
 """
 Work in flight from other data centres, as each of them tells it in sums.
+
+One host of a data centre, its hub, is told the sums of each other one and tells all
+hosts here the sum over them. So what a host hears of elsewhere does not grow with the
+number of data centres.
 """
 
-from .news import tag_of
+from collections import Counter
+
+from .news import FarSums
 
 # Work in flight elsewhere is told ten times a second; after this many seconds without
 # it a data centre is cut off, and what it had in flight has mostly ended.
@@ -10,10 +16,12 @@
 
 
 class Elsewhere:
-    """The last `FarLoad` of each other data centre."""
+    """The last `FarLoad` of each other data centre, or the last sum over them."""
 
     def __init__(self):
         self._loads = {}
+        self._sums = FarSums((), {})
+        self._sums_at = 0.0
 
     def take(self, load, now):
         """
@@ -30,17 +38,35 @@
         )
         if not is_same or load.number > known.number:
             self._loads[load.centre] = (load, now)
+            self.take_sums(self._sum_up(now), now)
+
+    def _sum_up(self, now):
+        total = Counter()
+        loads = [load for load, at in self._loads.values() if now - at < LOAD_FOR]
+        for load in loads:
+            total.update(load.counts)
+        return FarSums(tuple(load.centre for load in loads), dict(total))
+
+    def sums(self, now):
+        """Return the `FarSums` that were taken or made last, if they are fresh."""
+        return self._sums if now - self._sums_at < LOAD_FOR else FarSums((), {})
+
+    def take_sums(self, sums, now):
+        """Take `FarSums`; they replace the former ones."""
+        self._sums = sums
+        self._sums_at = now
 
     def is_known(self, centre, now):
         """Return whether a data centre has told its work lately."""
-        return centre in self._loads and now - self._loads[centre][1] < LOAD_FOR
+        return centre in self._sums.centres and now - self._sums_at < LOAD_FOR
 
-    def in_flight(self, target_id):
+    def in_flight(self, tag):
         """Return the requests in flight at a target from all other data centres."""
-        tag = tag_of(target_id)
-        return sum(load.counts.get(tag, 0) for load, _ in self._loads.values())
+        return self._sums.counts.get(tag, 0)
 
     def forget_silent(self, now):
         """Forget the work of data centres that have been silent."""
-        for centre in [c for c in self._loads if not self.is_known(c, now)]:
-            del self._loads[centre]
+        heard = self._loads.items()
+        self._loads = {c: entry for c, entry in heard if now - entry[1] < LOAD_FOR}
+        if now - self._sums_at >= LOAD_FOR:
+            self._sums = FarSums((), {})
--- a/packages/plumsaddle-core/plumsaddle_core/ops/news.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/news.py
@@ -80,6 +80,7 @@
     """
     A message to the hosts of the data centre: work in flight and the last outcomes.
 
+    `in_flight` is by `tag_of` the life of a target.
     `life` is drawn anew at each start of the host, and `number` counts its messages.
     `counts` are what it has done for each service since it started; a message without
     them says nothing of it.
@@ -88,18 +89,22 @@
     host: HostId
     life: int
     number: int
-    in_flight: dict[LifeId, int]
+    in_flight: dict[int, int]
     outcomes: tuple[OutcomeNote, ...]
     counts: dict[ServiceName, Counts]
 
 
 class FarNews(NamedTuple):
-    """A message to other data centres: evidence, and targets that got work lately."""
+    """
+    A message to other data centres: evidence, and targets that got work lately.
+
+    `used` are tags as `tag_of` gives them.
+    """
 
     host: HostId
     life: int
     evidence: tuple[Evidence, ...]
-    used: tuple[LifeId, ...]
+    used: tuple[int, ...]
 
 
 class FarLoad(NamedTuple):
@@ -116,6 +121,13 @@
     counts: dict[int, int]
 
 
+class FarSums(NamedTuple):
+    """Work in flight from several data centres together, by tag of target."""
+
+    centres: tuple[DataCentre, ...]
+    counts: dict[int, int]
+
+
 @functools.lru_cache(maxsize=65536)
 def tag_of(target):
     """
--- a/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
@@ -1,26 +1,24 @@
 """
 How much a host may tell the other hosts.
 
-Each start and end of a request is told to every host of the data centre, so what all
-of them send grows with the square of their number. With 45 hosts and ten requests a
-second each, links of 10 Mbit/s filled up: requests waited half a second at their own
-host's link and the store's news for four, while the processors were idle. So telling
-draws on an allowance that is a small part of the link, and news that must wait is
-told together. Failures may overdraw it: an old count of work in flight costs a little
-waiting, an unknown failure costs the next order.
+A hub tells all hosts of its data centre what it was told, so what it sends grows with
+their number. If it told each thing at once, it would fill a small link: with 45 hosts
+that did so, ten requests a second each and links of 10 Mbit/s, requests waited half a
+second at their own host's link and the store's news for four, while the processors
+were idle. So telling draws on an allowance that is a small part of the link, and news
+that must wait is told together. Failures may overdraw it: an old count of work in
+flight costs a little waiting, an unknown failure costs the next order.
 """
 
-# The part of a host's link that telling may use. With 45 hosts behind 10 Mbit/s this
-# is eleven messages a second beside what is passed on from elsewhere, and what all of
-# them send fills a sixth of the link of each that receives it. With a third of this,
-# passing on took all of it: failures were told half a second late, and of a thousand
-# orders 180 failed.
+# The part of a hub's link that telling may use. Sixty hosts and 140 requests a second
+# make 32 kB a second, which go to each of the hosts: a tenth of a link of 200 Mbit/s,
+# and as much as a link of 20 Mbit/s carries, so there they are told less often.
 TOLD_SHARE = 0.15
-# Datagrams a second in which a host may tell its own work. Each costs processor time at
-# both ends: at 45 hosts a host spent 0.064 of a core with eleven messages a second and
-# 0.058 with six, more than half of it on them. With 13 others and four requests a
-# second it sends some 110, so that small data centres tell at once.
-TOLD_DATAGRAMS = 150.0
+# Datagrams a second that a host may send to tell of work. Each costs processor time at
+# both ends, so a hub of sixty hosts tells them ten times a second and one of twelve
+# fifty times. Until the next telling a data centre of sixty sends fourteen requests,
+# for some three hundred targets.
+TOLD_DATAGRAMS = 600.0
 # Seconds of the allowance that a quiet host may save up, and that a host with urgent
 # news may overdraw.
 SAVED_FOR = 0.25
--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -49,6 +49,10 @@
             self._away_since = None
             self._returned_at = now
 
+    def note_store_returned(self, returned_at):
+        """Take from another host when the store came back for it."""
+        self._returned_at = max(self._returned_at, returned_at)
+
     def put(self, target, offset, now):
         """
         Take a target's entry.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -7,7 +7,8 @@
 that it counts once although it may arrive several times. A host that has been silent
 for some seconds is forgotten together with its work.
 
-Between data centres go only outcomes that change what is believed of a target. A
+Between data centres go only outcomes that change what is believed of a target, told by
+one host for all of its data centre, and sums of the work in flight. A
 target that begins to fail is found out once for the whole fleet and not once for each
 data centre, and one that is sound again is known to be so everywhere.
 
@@ -99,7 +100,7 @@
         self._most_heard = 1
         self._restarts = deque()
         self._own = {}
-        self._own_used_at = {}
+        self._near_used_at = {}
         self._peers = {}
         self._others = Counter()
         self._far = {}
@@ -112,8 +113,7 @@
 
     def start(self, target_id, now):
         """Count a send of this host's that starts."""
-        self._used_at[target_id] = now
-        self._own_used_at[target_id] = now
+        self._use(tag_of(target_id), now)
         self._own[target_id] = self._own.get(target_id, 0) + 1
 
     def end(self, target_id):
@@ -140,11 +140,8 @@
         number = self.outcomes.count
         outcome = OutcomeNote(number, target_id, service, route, sign, seconds)
         self.outcomes.add(outcome)
-        before = self.failing(target_id, now)
-        ratio, path_ratio = self._weigh(outcome, now)
+        path_ratio = self._weigh(outcome, now)
         self._weigh_path(target_id, path_ratio, now)
-        if abs(self.failing(target_id, now) - before) >= SURPRISE:
-            self.evidence.add(Evidence(self.evidence.count, target_id, ratio))
 
     def note_request(self, service, now):
         """Count a request of this host's for a service."""
@@ -192,29 +189,39 @@
         return share
 
     def own_in_flight(self):
-        """Return this host's table of work in flight."""
-        return dict(self._own)
+        """Return this host's work in flight, by tag of target."""
+        return {tag_of(target_id): count for target_id, count in self._own.items()}
 
-    def own_used(self, since):
-        """Return the targets that this host sent to since a moment."""
-        return [key for key, at in self._own_used_at.items() if at >= since]
+    def near_used(self, since):
+        """Return the tags of targets that hosts of the data centre used lately."""
+        return [tag for tag, at in self._near_used_at.items() if at >= since]
+
+    def _use(self, tag, now):
+        """Note that a host of the data centre sent to a target."""
+        self._used_at[tag] = now
+        self._near_used_at[tag] = now
 
     # The other hosts' work.
 
     def take(self, news, now):
-        """Take another host's `PeerNews`; an older one than known is ignored."""
+        """
+        Take another host's `PeerNews`; an older one than known is ignored.
+
+        Returns:
+          Whether it was news.
+        """
         peer = self._peers.get(news.host)
         if peer is None:
             peer = self._peers[news.host] = _Peer(news.life)
         if peer.inbox.is_former(news.life):
-            return
+            return False
         if peer.inbox.life != news.life:
             self._restarts.append(now)
             self._others.subtract(peer.in_flight)
             peer.inbox.begin(news.life)
             peer.begin()
         if news.number <= peer.number:
-            return
+            return False
         peer.number = news.number
         peer.heard_at = now
         self._take_in_flight(peer, news.in_flight, now)
@@ -224,38 +231,44 @@
         for outcome in peer.inbox.fresh(news.outcomes):
             if outcome.seconds < QUICK:
                 # It began and ended between two messages.
-                self._used_at[outcome.target] = now
+                self._use(tag_of(outcome.target), now)
             self._weigh(outcome, now)
+        return True
 
     def _take_in_flight(self, peer, in_flight, now):
         """Replace a host's work in flight, and the sums over all hosts with it."""
         former, peer.in_flight = peer.in_flight, in_flight
-        for target_id, count in former.items():
-            self._others[target_id] -= count
-        for target_id, count in in_flight.items():
-            self._others[target_id] += count
-            if count > former.get(target_id, 0):
-                self._used_at[target_id] = now
+        for tag, count in former.items():
+            self._others[tag] -= count
+        for tag, count in in_flight.items():
+            self._others[tag] += count
+            if count > former.get(tag, 0):
+                self._use(tag, now)
 
     def take_far(self, news, now):
         """
         Take the `FarNews` of a host in another data centre.
 
         It arrives from a host there or by way of one here, and may do so twice.
+
+        Returns:
+          Whether it told anything that had not come before.
         """
         inbox, _ = self._far.get(news.host) or (Inbox(news.life), now)
         if inbox.is_former(news.life):
-            return
+            return False
         self._far[news.host] = (inbox, now)
         if inbox.life != news.life:
             inbox.begin(news.life)
-        for target_id in news.used:
-            self._used_at[target_id] = now
-        for evidence in inbox.fresh(news.evidence):
-            self._used_at[evidence.target] = now
+        for tag in news.used:
+            self._used_at[tag] = now
+        fresh = inbox.fresh(news.evidence)
+        for evidence in fresh:
+            self._used_at[tag_of(evidence.target)] = now
             # Some failures are seen from one side only, so what was seen elsewhere
             # counts half: two failures there weigh as much as one near by.
             self._belief(evidence.target).weigh(math.sqrt(evidence.ratio), now)
+        return bool(fresh or news.used)
 
     def _take_counts(self, peer, counts, now):
         """Add what a host has done since its last message; the first one is a base."""
@@ -300,8 +313,8 @@
         return lost >= max(LOST_FEWEST, LOST_SHARE * self._most_heard)
 
     def used_at(self, target_id):
-        """Return when a host of the data centre last sent to a target."""
-        return self._used_at.get(target_id, -math.inf)
+        """Return when a host, of this data centre or another, last sent to a target."""
+        return self._used_at.get(tag_of(target_id), -math.inf)
 
     def forget_silent(self, now):
         """Forget hosts that have been silent, and return their ids."""
@@ -326,21 +339,29 @@
 
     def in_flight(self, target_id):
         """Return the requests in flight at a target from all known hosts."""
-        here = self._own.get(target_id, 0) + self._others[target_id]
-        return here + self._elsewhere.in_flight(target_id)
+        tag = tag_of(target_id)
+        here = self._own.get(target_id, 0) + self._others[tag]
+        return here + self._elsewhere.in_flight(tag)
 
     def take_far_load(self, load, now):
         """Take another data centre's `FarLoad`; an older one of a host is ignored."""
         self._elsewhere.take(load, now)
 
+    def far_load(self, now):
+        """Return the `FarSums` of all other data centres that were heard lately."""
+        return self._elsewhere.sums(now)
+
+    def take_far_sums(self, sums, now):
+        """Take the `FarSums` that a host of this data centre has made."""
+        self._elsewhere.take_sums(sums, now)
+
     def knows_load(self, centre, now):
         """Return whether the work in flight from another data centre is known."""
         return self._elsewhere.is_known(centre, now)
 
     def load(self):
         """Return the work in flight from this data centre, by tag of target."""
-        total = self._others + Counter(self._own)
-        return {tag_of(target_id): count for target_id, count in total.items()}
+        return dict(self._others + Counter(self.own_in_flight()))
 
     def fails(self, target_id, now):
         """Return the probability that a send of this host's to a target fails."""
@@ -360,9 +381,10 @@
         """Forget what is kept of lives of targets that are no longer listed."""
         self.beliefs = {key: b for key, b in self.beliefs.items() if key in known}
         self.paths = {key: b for key, b in self.paths.items() if key in known}
-        self._used_at = {key: at for key, at in self._used_at.items() if key in known}
-        own_used = self._own_used_at.items()
-        self._own_used_at = {key: at for key, at in own_used if key in known}
+        tags = {tag_of(key) for key in known}
+        for tag in self._used_at.keys() - tags:
+            del self._used_at[tag]
+            self._near_used_at.pop(tag, None)
 
     def _belief(self, target_id):
         belief = self.beliefs.get(target_id)
@@ -375,8 +397,7 @@
         Let an outcome change what is believed of its target.
 
         Returns:
-          The weight that it has for the target, and the one that it has for the path
-          of the host that saw it.
+          The weight that it has for the path of the host that saw it.
         """
         ratio = self._ratio_of(outcome)
         path_ratio = PATH_WHOLE_RATIO
@@ -384,8 +405,12 @@
             path_ratio = ratio
             ratio = min(SILENCE_MOST, ratio)
         if ratio != 1.0:
+            before = self.failing(outcome.target, now)
             self._belief(outcome.target).weigh(ratio, now)
-        return ratio, path_ratio
+            if abs(self.failing(outcome.target, now) - before) >= SURPRISE:
+                number = self.evidence.count
+                self.evidence.add(Evidence(number, outcome.target, ratio))
+        return path_ratio
 
     def _weigh_path(self, target_id, ratio, now):
         """Change what this host believes of its own path to a target."""
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone_test.py
@@ -6,7 +6,7 @@
 
 from ..core.traffic import Kind, Target, TargetState
 from .choice import Candidate, Demand, choose_target
-from .news import Counts, OutcomeNote, PeerNews, Sign
+from .news import Counts, OutcomeNote, PeerNews, Sign, tag_of
 from .share import SPENT_PART, RetryShare
 from .times import USUAL_AT_FIRST
 from .zone import SILENT_AFTER, Zone
@@ -18,7 +18,8 @@
 
 def _news(number, outcomes=(), in_flight=None, counts=None, life=1, host="peer"):
     notes = tuple(OutcomeNote(n, t, "look", "r", sign, 0.3) for n, t, sign in outcomes)
-    return PeerNews(host, life, number, in_flight or {}, notes, counts or {})
+    tags = {tag_of(target): count for target, count in (in_flight or {}).items()}
+    return PeerNews(host, life, number, tags, notes, counts or {})
 
 
 def test_an_outcome_counts_once():
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/bundles.py
@@ -0,0 +1,87 @@
+"""
+What a hub has been told and has not yet told the others.
+"""
+
+import msgspec
+
+from .messages import Bundle, encode
+
+# Seconds since a host's last message after which it is no client of this hub any more;
+# clients beat once a second.
+CLIENT_FOR = 2.5
+# Bytes of messages that go into one datagram.
+BUNDLE_MOST = 8_000
+
+
+class Collected:
+    """
+    Messages for all hosts, and those for this host's own clients alone.
+
+    What clients say goes to all. What other hubs say has gone to all hosts that those
+    know, so it goes on only to clients, which may not hear these hubs.
+    """
+
+    def __init__(self):
+        self._clients = {}
+        self._works = []
+        self._fars = []
+        self._works_of_hubs = []
+        self._fars_of_hubs = []
+
+    def note_client(self, address, now):
+        """Note that a host has told this one as its hub."""
+        self._clients[address] = now
+
+    def clients(self, now):
+        """Return the addresses of the hosts that tell this one as their hub."""
+        heard = self._clients.items()
+        self._clients = {a: at for a, at in heard if now - at < CLIENT_FOR}
+        return list(self._clients)
+
+    def add_work(self, data):
+        """Keep an encoded `Work` for all."""
+        self._works.append(msgspec.Raw(data))
+
+    def add_far(self, data):
+        """Keep an encoded `Far` for all."""
+        self._fars.append(msgspec.Raw(data))
+
+    def add_from_hub(self, works, fars):
+        """Keep what another hub told all, for this one's clients."""
+        self._works_of_hubs += works
+        self._fars_of_hubs += fars
+
+    def take(self, sums):
+        """
+        Return what is to be told, and forget it.
+
+        Args:
+          sums: The `FarSums` for the clients, or None.
+        Returns:
+          The datagrams for all hosts, and those for clients besides.
+        """
+        for_all = _pack(self._works, self._fars)
+        for_clients = _pack(self._works_of_hubs, self._fars_of_hubs)
+        if sums is not None and sums.centres:
+            for_clients.append(
+                encode(Bundle(centres=list(sums.centres), load=sums.counts))
+            )
+        self._works, self._fars = [], []
+        self._works_of_hubs, self._fars_of_hubs = [], []
+        return for_all, for_clients
+
+
+def _pack(works, fars):
+    """Return the datagrams of encoded messages, none longer than needs be."""
+    datagrams = []
+    bundle, size = Bundle(works=[], fars=[]), 0
+    rows = [(True, raw) for raw in works] + [(False, raw) for raw in fars]
+    for is_work, raw in rows:
+        if size and size + len(raw) > BUNDLE_MOST:
+            datagrams.append(encode(bundle))
+            bundle, size = Bundle(works=[], fars=[]), 0
+        (bundle.works if is_work else bundle.fars).append(raw)
+        size += len(raw)
+    if size:
+        datagrams.append(encode(bundle))
+    return datagrams
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -5,35 +5,56 @@
 in bursts, so after a page the feed rests a little and takes the next few in one call;
 calls to the store are dear. While the store does not answer, only one feed of a host
 asks it, and the others wait for that one.
+
+Most hosts do not read at all after the listing. Two readers of each data centre pass
+on what they read, and say each second how far the store says that they are. A host asks
+the store itself when no reader has said so lately, or when it misses something that a
+reader has. With each host reading for itself, 293 hosts made a call a second each.
 """
 
 import asyncio
 import logging
+import math
 
 from returns.result import Failure
 
-from ..platform.store import StoreError
+from plumsaddle_core.ops.neighbours import Contact
+
+from ..platform.store import Page, StoreError
 from .clock import now
 
 log = logging.getLogger("store")
-# Seconds that a read waits for news, drawn anew for each read. The store grants up to
-# 30. A read whose answer was lost hangs for its whole time; as the hosts of a data
-# centre wait for different times, one of them soon reads again and the others learn
-# from it that they are behind.
-WAIT_LEAST = 8.0
-WAIT_MOST = 28.0
+# Seconds that a read waits for news, drawn anew for each read. A read whose answer was
+# lost, or whose connection went silent, hangs for this long and the time limit of a
+# call (1.5 s). Together they stay below the three seconds after which a host that lost
+# its connections counts as in contact again and must know all changes.
+WAIT_LEAST = 1.0
+WAIT_MOST = 1.4
 # Rest after a page with changes. What a host knows may be 2 s old; the rest, a call on
 # a slow store and a retry must fit.
 REST = 0.8
 # Pauses between calls while the store is away, in seconds; each is varied by a part, so
-# that hosts do not ask in step.
+# that hosts do not ask in step. Hosts that are not readers ask less often, since the
+# first reader that is answered tells them; a change made after the return must be known
+# two seconds later.
 PAUSE_FIRST = 0.2
 PAUSE_MOST = 0.8
+PAUSE_OTHERS = 1.6
 PAUSE_SPREAD = 0.25
 # A waiting read is given up when another host has had the news for this long (seconds):
 # longer than an answer of a slow store, and short against the two seconds within which
 # a change must be known.
 BEHIND_FOR = 0.5
+# A host that is told by readers asks the store itself when it has missed something for
+# this long (seconds): what two readers tell comes in any order.
+MISSED_FOR = 0.15
+# A reader's last word from the store may be this old (seconds): a read that waits, a
+# beat, and a lost beat of one of two readers.
+TOLD_FOR = 3.0
+# A host whose call failed is no reader for this long (seconds), unless a later one is
+# answered. Others do the part meanwhile, and hosts that the store turns away do not
+# take it on by turns.
+AWAY_FOR = 10.0
 
 
 class Feed:
@@ -55,10 +76,21 @@
         self._gate = gate
         self._on_listing = on_listing
         self._on_changes = on_changes
+        self._on_read = None
         self._rng = rng
         self._next = None
         self._reading = None
         self._behind_since = None
+        self._told_at = -math.inf
+        self._awake = asyncio.Event()
+        self.answered_at = None
+
+    def subscribe(self, on_read):
+        """
+        Set what is called with the topic, the first offset and the `Page` of changes
+        that this host has read itself.
+        """
+        self._on_read = on_read
 
     @property
     def topic(self):
@@ -70,48 +102,122 @@
         """The offset up to which this host has read, or 0 before the first page."""
         return self._next or 0
 
-    def note_peer(self, offset, at):
+    def wake(self):
+        """Look again whether to read; the host has become a reader, or is none now."""
+        self._awake.set()
+
+    # What other hosts say.
+
+    def note_reader(self, offset, age, at):
         """
-        Take how far another host has read; a read that hangs is begun anew.
+        Take how far the store has told a reader that its log goes.
 
         A connection that went silent for good looks like a topic without news. The
         offsets of the other hosts tell the two apart sooner than keep-alive probes.
 
         Args:
-          offset: The other host's `next_offset`.
+          offset: The reader's `next_offset`.
+          age: How many seconds ago the store said so.
           at: The present, in seconds.
         """
-        if self._reading is None or offset <= self.next_offset:
+        if self._next is None:
+            return
+        if offset <= self._next:
+            self._told_at = max(self._told_at, at - age)
+            self.wake()
             return
         if self._behind_since is None:
             self._behind_since = at
-        elif at - self._behind_since > BEHIND_FOR:
+            self.wake()
+        elif self._reading is not None and at - self._behind_since > BEHIND_FOR:
             log.warning(
                 "behind", extra={"topic": self._topic, "at": self._next, "peer": offset}
             )
             self._behind_since = None
             self._reading.cancel()
 
+    def take_page(self, start, records, next_offset, at):
+        """
+        Take changes that a reader has read.
+
+        Args:
+          start: The offset at which its read began.
+          records: A list of `KeyedRecord`.
+          next_offset: Where it reads on.
+          at: The present, in seconds.
+        """
+        if self._next is None or next_offset <= self._next:
+            return
+        if start > self._next:
+            # What came before was lost on the way.
+            self._behind_since = self._behind_since or at
+            self.wake()
+            return
+        self._told_at = at
+        self._take(Page(records, next_offset))
+        self.wake()
+
+    def _take(self, page):
+        """Take changes, but for those that this host had from somebody else."""
+        fresh = [record for record in page.records if record.offset >= self._next]
+        self._next = max(self._next, page.next_offset)
+        self._behind_since = None
+        if fresh:
+            self._on_changes(Page(fresh, self._next))
+
+    def _is_told(self, at):
+        """Whether others follow the store for this host."""
+        if self._next is None or self._gate.is_reader:
+            return False
+        if self._behind_since is not None and at - self._behind_since >= MISSED_FOR:
+            return False
+        return at - self._told_at < TOLD_FOR
+
+    # What the store says.
+
     async def run(self):
         """List, then follow, until cancelled."""
         while True:
+            if self._is_told(now()):
+                await self._wait_while_told()
+                continue
+            start = self._next
             result = await self._follow()
             if isinstance(result, Failure):
                 result = await self._retry(result.failure())
+            if result is None:
+                continue
             page = result.unwrap()
-            is_listing = self._next is None
-            self._next = page.next_offset
-            if is_listing:
+            self.answered_at = now()
+            self._gate.note_answer(self.answered_at)
+            if self._next is None:
+                self._next = page.next_offset
+                self._behind_since = None
                 self._on_listing(page)
-            elif page.records:
-                self._on_changes(page)
+                continue
+            self._take(page)
+            if page.records:
+                if self._on_read is not None and start is not None:
+                    self._on_read(self._topic, start, page)
                 await asyncio.sleep(REST)
 
+    async def _wait_while_told(self):
+        """Wait until something may have to be read."""
+        at = now()
+        until = self._told_at + TOLD_FOR
+        if self._behind_since is not None:
+            until = min(until, self._behind_since + MISSED_FOR)
+        self._awake.clear()
+        try:
+            async with asyncio.timeout(max(0.0, until - at)):
+                await self._awake.wait()
+        except TimeoutError:
+            pass
+
     async def _follow(self):
-        """Make the waiting call, which `note_peer` may cut short."""
-        self._behind_since = None
+        """Make the waiting call, which `note_reader` may cut short."""
         self._reading = asyncio.get_running_loop().create_task(
-            self._call(self._rng.uniform(WAIT_LEAST, WAIT_MOST))
+            self._call(self._draw_wait())
         )
         try:
             return await asyncio.shield(self._reading)
@@ -123,13 +229,23 @@
         finally:
             self._reading = None
 
+    def _draw_wait(self):
+        """Return how long a read waits; what is known to be there is not waited for."""
+        if self._behind_since is not None:
+            return 0.0
+        return self._rng.uniform(WAIT_LEAST, WAIT_MOST)
+
     async def _call(self, wait):
         if self._next is None:
             return await self._store.list_newest(self._topic)
         return await self._store.read(self._topic, self._next, wait)
 
     async def _retry(self, error):
-        """Call again and again until an answer comes, and return it."""
+        """
+        Call again and again until an answer comes, and return it.
+
+        It is None if others follow the store for this host by then.
+        """
         pause = PAUSE_FIRST
         async with self._gate.hold(self._topic, error):
             if self._gate.has_answered:
@@ -142,9 +258,13 @@
                     )
                     self._next = None
                 else:
+                    self._gate.note_failure(now())
                     spread = self._rng.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
                     await asyncio.sleep(pause * spread)
-                    pause = min(PAUSE_MOST, max(PAUSE_FIRST, pause * 2))
+                    most = PAUSE_MOST if self._gate.is_first_asker else PAUSE_OTHERS
+                    pause = min(most, max(PAUSE_FIRST, pause * 2))
+                if self._is_told(now()):
+                    return None
                 result = await self._call(0.0)
                 if not isinstance(result, Failure):
                     self._gate.has_answered = True
@@ -154,19 +274,56 @@
 
 class Gate:
     """
-    Lets one feed at a time ask a store that does not answer.
+    How a host stands to the store; one feed at a time asks a store that is away.
 
     Args:
       on_away: Called with the present when the store is lost.
       on_back: Called with the present when it answers again.
+      on_returned: Called with the moment at which it came back for another host.
     """
 
-    def __init__(self, on_away, on_back):
+    def __init__(self, on_away, on_back, on_returned):
         self._lock = asyncio.Lock()
         self._on_away = on_away
         self._on_back = on_back
+        self._on_returned = on_returned
         self._lost = 0
+        self._failed_at = -math.inf
+        self._answered_at = -math.inf
         self.has_answered = False
+        # When the store came back for this host, in seconds.
+        self.returned_at = -math.inf
+        # Whether this host follows the store for the others.
+        self.is_reader = False
+        # Whether it is among the first that ask a store that is away for all.
+        self.is_first_asker = True
+
+    def contact(self, at):
+        """Return the host's `Contact` by now."""
+        if at - self._failed_at < AWAY_FOR:
+            return Contact.AWAY
+        if self.is_reader and at - self._answered_at < TOLD_FOR:
+            return Contact.READING
+        return Contact.TOLD
+
+    def set_reader(self, is_reader):
+        """Set whether this host reads for others, and return whether that is new."""
+        is_new = is_reader != self.is_reader
+        self.is_reader = is_reader
+        return is_new
+
+    def note_answer(self, at):
+        """Take note of an answer of the store."""
+        self._answered_at = at
+        self._failed_at = -math.inf
+
+    def note_failure(self, at):
+        """Take note of a call without an answer."""
+        self._failed_at = at
+
+    def note_returned(self, returned_at):
+        """Take from another host when the store came back for it."""
+        self._on_returned(returned_at)
 
     def hold(self, topic, error):
         """Return an asynchronous context in which to ask until an answer comes."""
@@ -190,8 +347,13 @@
         if was_away:
             self._lost -= 1
             if not self._lost:
-                log.info("regained", extra={"topic": topic})
-                self._on_back(now())
+                log.info("regained", extra={"topic": topic, "own": self.has_answered})
+                at = now()
+                if self.has_answered:
+                    # Else others follow the store for this host again, and it knows
+                    # only from them when it came back.
+                    self.returned_at = at
+                self._on_back(at)
 
 
 class _Held:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -31,7 +31,10 @@
 
 def _feed(store, away=None):
     log = [] if away is None else away
-    gate = Gate(lambda at: log.append("away"), lambda at: log.append("back"))
+    gate = Gate(
+        lambda at: log.append("away"), lambda at: log.append("back"), lambda at: None
+    )
+    gate.set_reader(True)
     taken = []
     made = Feed(store, "t", gate, taken.append, taken.append, random.Random(1))
     return made, taken
@@ -56,12 +59,12 @@
         made, _ = _feed(store)
         task = asyncio.ensure_future(made.run())
         await _settle()
-        made.note_peer(10, 100.0)
-        made.note_peer(12, 101.0)
-        made.note_peer(12, 101.0 + feed.BEHIND_FOR / 2)
+        made.note_reader(10, 0.0, 100.0)
+        made.note_reader(12, 0.0, 101.0)
+        made.note_reader(12, 0.0, 101.0 + feed.BEHIND_FOR / 2)
         await _settle()
         assert len(store.reads) == 1
-        made.note_peer(12, 101.1 + feed.BEHIND_FOR)
+        made.note_reader(12, 0.0, 101.1 + feed.BEHIND_FOR)
         await asyncio.sleep(0.05)
         assert [wait for _, wait in store.reads][1:] == [0.0]
         task.cancel()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -90,9 +90,11 @@
         )
         self._store_session = make_session()
         self.store = Store(self._store_session, f"http://{settings.store}")
+        registry = self.knowledge.registry
         gate = Gate(
-            self.knowledge.registry.note_store_away,
-            self.knowledge.registry.note_store_back,
+            registry.note_store_away,
+            registry.note_store_back,
+            registry.note_store_returned,
         )
         self._feeds = [
             Feed(
@@ -112,7 +114,7 @@
                 rng,
             ),
         ]
-        self.peers = Peers(settings, self.knowledge.zone, self._feeds, rng)
+        self.peers = Peers(settings, self.knowledge.zone, gate, self._feeds, rng)
         self.knowledge.subscribe(self.peers.tell_soon, self.links.end_life)
         self._servers = []
         self._tasks = []
@@ -144,7 +146,7 @@
         for work in (
             *(feed.run() for feed in self._feeds),
             self._beat(),
-            self._tell_load(),
+            self._look(),
         ):
             task = loop.create_task(work)
             task.add_done_callback(_report)
@@ -203,10 +205,10 @@
             self.metrics.in_flight.set({}, self.front.in_flight)
             await asyncio.sleep(BEAT_EVERY)
 
-    async def _tell_load(self):
-        """Tell the other data centres, again and again, what is in flight."""
+    async def _look(self):
+        """Do this host's part for the others, again and again."""
         while True:
-            await asyncio.sleep(self.peers.tell_load(now()))
+            await asyncio.sleep(self.peers.look(now()))
 
     def _look_at_settings(self):
         """Reload the settings if their file has changed without a signal."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -2,24 +2,30 @@
 The datagrams that hosts tell each other, and their codec.
 """
 
+import zlib
 from typing import Annotated
 
 import msgspec
 
+from plumsaddle_core.ops.neighbours import Contact
 from plumsaddle_core.ops.news import (
     Counts,
     Evidence,
     FarLoad,
     FarNews,
+    FarSums,
     OutcomeNote,
     PeerNews,
     Sign,
 )
 
+from ..platform.store import KeyedRecord
+
 # What other hosts say is checked as it is decoded: one bad number in a message would
 # otherwise spoil sums and beliefs for good.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=86400.0)]
+BytesPerSecond = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
 Ratio = Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)]
 
 
@@ -38,23 +44,68 @@
     strangers: dict[str, list[str]] = {}
 
 
+class Beat(msgspec.Struct, array_like=True):
+    """
+    What a host says of itself once a second.
+
+    `link` is what its link carries, in bytes a second. `read` is how far it has read
+    each topic of the store, and how many seconds ago the store said so. `returned` is
+    how many seconds ago the store came back. A hub also names hosts of its data centre,
+    and some of other ones.
+    """
+
+    link: BytesPerSecond
+    contact: Contact
+    read: dict[str, tuple[Count, Seconds]]
+    returned: Seconds
+    members: list[str] = []
+    strangers: dict[str, list[str]] = {}
+
+
 class Work(msgspec.Struct, array_like=True, tag="w"):
     """
-    A host's work in flight and its last outcomes.
+    A host's work in flight, by tag of target, and its last outcomes.
 
-    A beat also names members, some hosts of other data centres, and how far the host
-    has read each topic of the store.
+    `address` is the host's own, since a hub passes its message on.
     """
 
     host: str
+    address: str
     life: Count
     number: Count
-    in_flight: dict[str, Count]
+    in_flight: dict[int, Count]
     outcomes: list[tuple[Count, str, str, str, Sign, Seconds]]
     counts: dict[str, tuple[Count, Count, Count, Count]]
-    members: list[str] = []
-    read: dict[str, Count] = {}
-    strangers: dict[str, list[str]] = {}
+    beat: Beat | None = None
+
+
+class Bundle(msgspec.Struct, array_like=True, tag="b"):
+    """
+    What a hub tells the hosts of its data centre together.
+
+    `works` and `fars` are encoded `Work`s and `Far`s as they came. `centres` are the
+    other data centres whose work in flight is in `load`.
+    """
+
+    works: list[msgspec.Raw] = []
+    fars: list[msgspec.Raw] = []
+    centres: list[str] = []
+    load: dict[int, Count] = {}
+
+
+class Records(msgspec.Struct, array_like=True, tag="r"):
+    """
+    Changes of a topic of the store, passed on by a reader.
+
+    They are all records from offset `start` to before `next`. `returned` is how many
+    seconds ago the store came back.
+    """
+
+    topic: str
+    start: Count
+    next: Count
+    returned: Seconds
+    packed: bytes
 
 
 class Far(msgspec.Struct, array_like=True, tag="f"):
@@ -64,7 +115,7 @@
     life: Count
     centre: str
     evidence: list[tuple[Count, str, Ratio]]
-    used: list[str]
+    used: list[int]
     is_passed_on: bool = False
 
 
@@ -79,7 +130,10 @@
     is_passed_on: bool = False
 
 
-decode = msgspec.msgpack.Decoder(Hello | Members | Work | Far | Load).decode
+Message = Hello | Members | Work | Bundle | Records | Far | Load
+decode = msgspec.msgpack.Decoder(Message).decode
+decode_work = msgspec.msgpack.Decoder(Work).decode
+decode_far = msgspec.msgpack.Decoder(Far).decode
 encode = msgspec.msgpack.Encoder().encode
 
 
@@ -99,3 +153,37 @@
 def far_load_of(load):
     """Return the `FarLoad` of a `Load`."""
     return FarLoad(load.centre, load.host, load.life, load.number, load.counts)
+
+
+def far_sums_of(bundle):
+    """Return the `FarSums` of a `Bundle`, or None if it has none."""
+    return FarSums(tuple(bundle.centres), bundle.load) if bundle.centres else None
+
+
+# Bytes of records that are passed on in one datagram, packed. A link drops a datagram
+# of many packets more easily; what is longer each host reads from the store itself.
+RECORDS_MOST = 24_000
+# Bytes that a message's records may have unpacked; a configuration has a hundredth.
+UNPACKED_MOST = 16_000_000
+_Rows = list[tuple[Count, str, bytes | None]]
+_decode_rows = msgspec.msgpack.Decoder(_Rows).decode
+
+
+def pack_records(records):
+    """Return the bytes of a list of `KeyedRecord`, or None if they are too many."""
+    packed = zlib.compress(encode([tuple(record) for record in records]), 1)
+    return packed if len(packed) <= RECORDS_MOST else None
+
+
+def unpack_records(packed):
+    """
+    Return the `KeyedRecord`s of `pack_records`.
+
+    Raises:
+      msgspec.DecodeError: If they cannot be read.
+    """
+    try:
+        data = zlib.decompressobj().decompress(packed, UNPACKED_MOST)
+    except zlib.error as exc:
+        raise msgspec.DecodeError(f"records: {exc}") from exc
+    return [KeyedRecord(*row) for row in _decode_rows(data)]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -1,17 +1,18 @@
 """
 Datagrams between hosts.
 
-Each host tells all others of its data centre when a request of its own starts or ends
-at a target, and beats once a second besides. Hosts find each other through the seeds
-of their settings and then by what they tell of each other, so it costs the store
-nothing. Losing any message costs a little accuracy and nothing else. All of it draws
-on an allowance of bytes, so that it never fills a small link.
-
-To each other data centre a host tells only what changes a belief, and once a second
-which targets it has used: to one host there, drawn anew for each message, which tells
-all of its own. So a data centre pays for one copy, and no host matters. One host of
-each data centre, the first by address that was heard lately, tells the others in the
-same way what all of its hosts have in flight.
+Each host tells the hub of its data centre when a request of its own starts or ends at
+a target, and beats once a second besides. The hub tells all hosts there what it was
+told, together. Hosts find each other through the seeds of their settings and then by
+what they tell of each other, so it costs the store nothing. Losing any message costs a
+little accuracy and nothing else.
+
+To each other data centre the hub tells what changes a belief, once a second which
+targets were used, and ten times a second the sums of work in flight. It tells one host
+there, the hub as far as it is known, and that one tells its own. So a data centre pays
+for one copy, and no host matters.
+
+Hosts that follow the store for the others tell them directly what changes there.
 """
 
 import asyncio
@@ -22,44 +23,66 @@
 import msgspec
 
 from plumsaddle_core.core.parts import Part
+from plumsaddle_core.ops.neighbours import Contact, Neighbours
+from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.pacing import TOLD_DATAGRAMS, Allowance, told_rate
-from plumsaddle_core.ops.zone import MISSING_AFTER, SILENT_AFTER
 
 from ..utils.addresses import is_address, split_address
+from .bundles import Collected
 from .clock import now
 from .messages import (
+    Beat,
+    Bundle,
     Far,
     Hello,
     Load,
     Members,
+    Records,
     Work,
     decode,
+    decode_far,
+    decode_work,
     encode,
     far_load_of,
     far_news_of,
+    far_sums_of,
     news_of,
+    pack_records,
+    unpack_records,
 )
-from .strangers import MEMBER_FOR, STRANGERS_NAMED, Strangers
+from .strangers import STRANGERS_NAMED, Strangers
 
 log = logging.getLogger("peers")
-# Members that an answer to a newcomer names, and those that a beat names, drawn anew
-# each time. A newcomer hears a beat a second from each member, so that eight names each
-# tell it all others within a second, and each beat is shorter than ten lines of a log.
+# Members that an answer to a newcomer names, and those that a hub's beat names, drawn
+# anew each time. A newcomer that knows the hub hears of all others within a second.
 NAMED_MOST = 64
-NAMED_IN_BEAT = 8
+NAMED_IN_BEAT = 16
 # What a datagram has besides its data: the headers of IP and UDP, in bytes.
 DATAGRAM_HEADERS = 28
 # Seconds between two messages that carry counts. They bound retries over ten seconds
 # and tell trouble over two and a half, and are a third of a message.
 COUNTS_EVERY = 0.25
-# Other data centres hear this often (seconds) which targets a host has used.
+# Other data centres hear this often (seconds) which targets a data centre has used.
 FAR_EVERY = 1.0
-# Other data centres hear this often (seconds) what is in flight. Work takes 150 ms and
-# more, so what they know is mostly still true.
+# Other data centres hear this often (seconds) what is in flight, and clients of a hub
+# half as often what is in flight elsewhere. Work takes 150 ms and more, so what they
+# know is mostly still true.
 LOAD_EVERY = 0.1
-# The part of one host's allowance that passing these sums on may take if one host did
-# it all the time; it is spread over all of them.
-LOAD_PART = 4.0
+SUMS_EVERY = 0.2
+# The same when the allowance is used up; what is older than 1.5 s counts for nothing.
+SUMS_MOST = 0.8
+# A hub tells its clients something at least this often (seconds), so that they notice
+# its loss.
+HUB_EVERY = 0.2
+# How often (seconds) a host that is no hub looks whether it should be, or has lost it.
+LOOK_EVERY = 0.25
+# The address that spoke for another data centre last is taken for its hub this long
+# (seconds); it speaks ten times a second.
+FAR_HUB_FOR = 1.0
+# A return of the store that is longer ago than this (seconds) is not told any more.
+RETURNED_MOST = 60.0
+# Outcomes that can wait to be told: they make no target look worse.
+CALM_SIGNS = {Sign.WHOLE, Sign.LATE}
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -69,29 +92,41 @@
     Args:
       settings: The `HostSettings`.
       zone: The `Zone` that this host's knowledge is kept in.
+      gate: The `Gate` that tells how the host stands to the store.
       feeds: Each `Feed` of the host.
       rng: A `random.Random`, which draws whom to name and to tell elsewhere.
+      call_later: Called with seconds and a function to call then; the running loop's
+        if None.
     """
 
-    def __init__(self, settings, zone, feeds, rng=random):
+    def __init__(self, settings, zone, gate, feeds, rng=random, call_later=None):
         self._settings = settings
         self._zone = zone
         self._rng = rng
+        self._gate = gate
+        self._call_later = call_later or _call_later
         self._feeds = {feed.topic: feed for feed in feeds}
+        for feed in feeds:
+            feed.subscribe(self.tell_records)
         # Drawn and not taken from a clock: the time of day jumps back, and then a
         # restarted host would look older than it was and be ignored.
         self._life = secrets.randbits(48)
         is_bounded = Part.ALLOWANCE not in settings.off
-        self._rate = told_rate(settings.link) if is_bounded else None
-        self._allowance = Allowance(self._rate)
+        self._allowance = Allowance(told_rate(settings.link) if is_bounded else None)
         self._datagrams = Allowance(TOLD_DATAGRAMS if is_bounded else None)
         self._counted_at = 0.0
         self._load_number = 0
         self._number = 0
-        self._members = {}
+        self._neighbours = Neighbours(settings.peers, settings.link)
         self._strangers = Strangers(settings, rng)
+        self._far_hubs = {}
+        self._collected = Collected()
+        self._bundled_at = 0.0
+        self._summed_at = 0.0
         self._transport = None
+        # The call that tells what waits, and whether own work is part of that.
         self._due = None
+        self._is_work_untold = False
 
     async def open(self):
         """Open the socket."""
@@ -112,11 +147,14 @@
         """
         Tell the others of this host's work, as soon as the allowance lets it.
 
-        What happens in one turn of the loop, or until then, goes out together.
-
         Args:
           is_urgent: Whether the news makes a target look worse.
         """
+        self._is_work_untold = True
+        self._send_soon(is_urgent)
+
+    def _send_soon(self, is_urgent):
+        """Tell what waits; all that happens until then goes out together."""
         at = now()
         wait = max(
             self._allowance.wait(is_urgent, at), self._datagrams.wait(is_urgent, at)
@@ -125,28 +163,43 @@
             if not is_urgent:
                 return
             self._due.cancel()
-        loop = asyncio.get_running_loop()
-        self._due = loop.call_later(wait, self._tell)
+        self._due = self._call_later(wait, self._tell)
 
     def beat(self, at):
         """Tell the others that this host lives, and look for others."""
-        self._members = {
-            address: heard
-            for address, heard in self._members.items()
-            if at - heard < MEMBER_FOR
-        }
+        self._neighbours.forget_silent(at)
         for host in self._zone.forget_silent(at):
             log.info("silent", extra={"peer": host})
-        # Only hosts heard lately are named, else two hosts would keep naming a dead one
-        # to each other for ever.
-        fresh = [a for a, heard in self._members.items() if at - heard < SILENT_AFTER]
-        named = self._rng.sample(fresh, min(NAMED_IN_BEAT, len(fresh)))
-        read = {topic: feed.next_offset for topic, feed in self._feeds.items()}
-        self._send_work(named, read, self._strangers.some(at))
-        self._send_far(self._zone.own_used(at - FAR_EVERY), at)
-        if not self._members or self._strangers.are_few(at):
+        self._pick_hub(at)
+        self._send_work(at, self._make_beat(at))
+        if self._is_first():
+            self._send_far(self._zone.near_used(at - FAR_EVERY), at)
+        else:
+            # The hub tells it for all.
+            self._zone.evidence.take()
+        if not len(self._neighbours) or self._strangers.are_few(at):
             self._ask(at)
 
+    def _make_beat(self, at):
+        members, strangers = [], {}
+        if self._is_first():
+            # Only hosts heard lately are named, else two hosts would keep naming a dead
+            # one to each other for ever.
+            live = self._neighbours.live(at)
+            members = self._rng.sample(live, min(NAMED_IN_BEAT, len(live)))
+            strangers = self._strangers.some(at)
+        contact = self._gate.contact(at)
+        read = {}
+        if contact is Contact.READING:
+            read = {
+                topic: (feed.next_offset, max(0.0, at - feed.answered_at))
+                for topic, feed in self._feeds.items()
+                if feed.answered_at is not None
+            }
+        returned = min(RETURNED_MOST, max(0.0, at - self._gate.returned_at))
+        link = self._settings.link or 0.0
+        return Beat(link, contact, read, returned, members, strangers)
+
     def _ask(self, at):
         """Ask the seeds, and the hosts that are known elsewhere, for others."""
         settings = self._settings
@@ -157,35 +210,121 @@
         for address in asked - {settings.peers}:
             self._send(hello, address)
 
+    # The hub.
+
+    def look(self, at):
+        """
+        Do a hub's part if this host is one, and look whether it should be.
+
+        Returns:
+          The seconds after which to do so again.
+        """
+        if self._pick_hub(at):
+            # Told at once, since what went to a lost hub was told to nobody.
+            self._send_work(at, self._make_beat(at))
+        self._look_at_duty(at)
+        if self._is_first():
+            self._send_load(at)
+        elif not self._collected.clients(at):
+            return LOOK_EVERY
+        if at - self._bundled_at >= HUB_EVERY:
+            self._send_bundle(at)
+        if at - self._bundled_at >= HUB_EVERY:
+            # There was nothing to tell but that it is here.
+            self._send(encode(Bundle()), *self._collected.clients(at))
+            self._bundled_at = at
+        return LOAD_EVERY
+
+    def _pick_hub(self, at):
+        """Return whether this host has another hub than before."""
+        former = self._neighbours.hub
+        if not self._neighbours.pick_hub(at):
+            return False
+        log.info("hub", extra={"peer": self._neighbours.hub, "former": former})
+        return True
+
+    def _look_at_duty(self, at):
+        """Begin or cease to follow the store for the others."""
+        contact = self._gate.contact(at)
+        is_reader = self._neighbours.is_reader(contact, at)
+        self._gate.is_first_asker = self._neighbours.is_first_asker(at)
+        if self._gate.set_reader(is_reader):
+            log.info("reader", extra={"is_reader": is_reader, "contact": contact.name})
+            for feed in self._feeds.values():
+                feed.wake()
+
+    def _is_first(self):
+        """Whether this host is the hub as far as it knows."""
+        return self._neighbours.hub is None
+
+    def _is_hub(self, at):
+        """Whether this host tells others what it is told."""
+        return self._is_first() or bool(self._collected.clients(at))
+
     def _tell(self):
         self._due = None
-        self._send_work([], {}, {})
-        if self._zone.evidence.has_untold:
-            self._send_far([], now())
-
-    def _send_work(self, members, read, strangers):
+        at = now()
+        if self._is_work_untold:
+            self._send_work(at)
+        elif self._is_hub(at):
+            self._send_bundle(at)
+
+    def _send_work(self, at, beat=None):
+        """Tell this host's work to its hub, or as the hub to all."""
+        self._is_work_untold = False
+        data = encode(self._make_work(at, beat))
+        if not self._is_first():
+            self._send(data, self._neighbours.hub)
+        if self._is_hub(at):
+            self._collected.add_work(data)
+            self._send_bundle(at)
+
+    def _make_work(self, at, beat):
         self._number += 1
         outcomes = [
             (o.number, o.target, o.service, o.route, o.sign, round(o.seconds, 4))
             for o in self._zone.outcomes.take()
         ]
         counts = {}
-        if members or now() - self._counted_at >= COUNTS_EVERY:
-            self._counted_at = now()
+        if beat is not None or at - self._counted_at >= COUNTS_EVERY:
+            self._counted_at = at
             counts = self._zone.own_counts()
-        work = Work(
+        return Work(
             self._settings.id,
+            self._settings.peers,
             self._life,
             self._number,
             self._zone.own_in_flight(),
             outcomes,
             counts,
-            members,
-            read,
-            strangers,
+            beat,
         )
-        self._datagrams.spend(len(self._members), now())
-        self._send_all(encode(work))
+
+    def _send_bundle(self, at):
+        """Tell all hosts what this one was told as a hub."""
+        if self._is_first() and self._zone.evidence.has_untold:
+            self._send_far([], at)
+        sums = None
+        if self._is_sums_due(at):
+            self._summed_at = at
+            sums = self._zone.far_load(at)
+        for_all, for_clients = self._collected.take(sums)
+        everyone = self._neighbours.addresses()
+        clients = self._collected.clients(at)
+        for data in for_all:
+            self._send(data, *everyone)
+        for data in for_clients:
+            self._send(data, *clients)
+        if for_all or for_clients:
+            self._bundled_at = at
+
+    def _is_sums_due(self, at):
+        """Whether to tell clients what is in flight elsewhere; small links wait."""
+        age = at - self._summed_at
+        has_room = self._allowance.wait(False, at) <= 0.0
+        return age >= SUMS_MOST or (age >= SUMS_EVERY and has_room)
+
+    # Other data centres.
 
     def _send_far(self, used, at):
         """Tell one host of each other data centre what is news there."""
@@ -201,40 +340,48 @@
         self._send_elsewhere(encode(far), at)
 
     def _send_elsewhere(self, data, at):
-        """Send to one host of each other data centre."""
-        for strangers in self._strangers.some(at).values():
-            self._send(data, self._rng.choice(strangers))
-
-    def tell_load(self, at):
-        """
-        Tell the other data centres what this one has in flight, if it is for this host.
-
-        Returns:
-          The seconds after which to do so again.
-        """
-        heard = [a for a, heard in self._members.items() if at - heard < MISSING_AFTER]
-        is_first = all(address > self._settings.peers for address in heard)
-        if not is_first or Part.FAR_LOAD in self._settings.off:
-            return LOAD_EVERY
+        """Send to one host of each other data centre, the hub if that is known."""
+        for centre, strangers in self._strangers.some(at).items():
+            address, heard_at = self._far_hubs.get(centre, (None, 0.0))
+            if at - heard_at >= FAR_HUB_FOR:
+                address = self._rng.choice(strangers)
+            self._send(data, address)
+
+    def _send_load(self, at):
+        """Tell the other data centres what this one has in flight."""
+        if Part.FAR_LOAD in self._settings.off:
+            return
         settings = self._settings
         self._load_number += 1
         counts = self._zone.load()
         load = Load(settings.centre, settings.id, self._life, self._load_number, counts)
-        data = encode(load)
-        self._send_elsewhere(data, at)
-        if self._rate is None:
-            return LOAD_EVERY
-        # Whoever passes it on tells as many hosts as there are here, but each time it
-        # is another one that does.
-        return max(LOAD_EVERY, len(data) * len(heard) / (self._rate * LOAD_PART))
-
-    def _send_all(self, data):
-        """Send to all hosts of the data centre."""
-        self._send(data, *self._members)
+        self._send_elsewhere(encode(load), at)
+
+    # The store.
+
+    def tell_records(self, topic, start, page):
+        """
+        Tell the other hosts what this one has read, if it reads for them.
+
+        Args:
+          topic: The topic's name.
+          start: The offset at which the read began.
+          page: The `Page`.
+        """
+        if not self._gate.is_reader:
+            return
+        packed = pack_records(page.records)
+        if packed is None:
+            log.info("long records", extra={"topic": topic, "at": start})
+            return
+        returned = min(RETURNED_MOST, max(0.0, now() - self._gate.returned_at))
+        records = Records(topic, start, page.next_offset, returned, packed)
+        self._send(encode(records), *self._neighbours.addresses())
 
     def _send(self, data, *addresses):
-        size = len(addresses) * (len(data) + DATAGRAM_HEADERS)
-        self._allowance.spend(size, now())
+        at = now()
+        self._allowance.spend(len(addresses) * (len(data) + DATAGRAM_HEADERS), at)
+        self._datagrams.spend(len(addresses), at)
         if self._transport is None or self._transport.is_closing():
             return
         for address in addresses:
@@ -250,59 +397,130 @@
         log.debug("refused", extra={"cause": str(exc)})
 
     def datagram_received(self, data, sender):
+        address = f"{sender[0]}:{sender[1]}"
         try:
-            message = decode(data)
+            self._take(decode(data), data, address, now())
         except msgspec.DecodeError as exc:
-            log.warning("unreadable", extra={"peer": sender[0], "cause": str(exc)})
-            return
-        address = f"{sender[0]}:{sender[1]}"
-        if isinstance(message, Hello):
-            self._take_hello(message, address)
-        elif isinstance(message, Members):
-            self._learn(message.addresses)
-            self._strangers.learn(message.strangers, now())
+            log.warning("unreadable", extra={"peer": address, "cause": str(exc)})
+
+    def _take(self, message, data, address, at):
+        """Take a message; those that it holds may be unreadable by themselves."""
+        if isinstance(message, Work):
+            self._collected.note_client(address, at)
+            if self._take_work(message, at):
+                self._collected.add_work(data)
+                is_calm = all(row[4] in CALM_SIGNS for row in message.outcomes)
+                self._send_soon(not is_calm)
+        elif isinstance(message, Bundle):
+            self._take_bundle(message, address, at)
+        elif isinstance(message, Records):
+            self._take_records(message, at)
         elif isinstance(message, Far):
-            self._pass_on(message, address)
-            self._zone.take_far(far_news_of(message), now())
+            self._take_far(message, address, at)
         elif isinstance(message, Load):
-            self._pass_on(message, address)
-            self._zone.take_far_load(far_load_of(message), now())
+            self._take_load(message, address, at)
+        elif isinstance(message, Members):
+            self._learn(message.addresses, at)
+            self._strangers.learn(message.strangers, at)
         else:
-            self._members[address] = now()
-            self._learn(message.members)
-            self._strangers.learn(message.strangers, now())
-            self._zone.take(news_of(message), now())
-            for topic, offset in message.read.items():
-                if topic in self._feeds:
-                    self._feeds[topic].note_peer(offset, now())
-
-    def _take_hello(self, hello, address):
+            self._take_hello(message, address, at)
+
+    def _take_work(self, work, at):
+        """Take a host's work, and return whether it was news."""
+        if work.host == self._settings.id or not is_address(work.address):
+            return False
+        # Only news counts as a word of the host: a hub that wakes from a freeze passes
+        # on what its clients said seconds ago.
+        if not self._zone.take(news_of(work), at):
+            return False
+        self._neighbours.hear(work.address, at)
+        if work.beat is not None:
+            self._take_beat(work.beat, work.address, at)
+        return True
+
+    def _take_beat(self, beat, address, at):
+        self._neighbours.describe(address, beat.link, beat.contact)
+        self._learn(beat.members, at)
+        self._strangers.learn(beat.strangers, at)
+        if beat.contact is Contact.READING:
+            self._gate.note_returned(at - beat.returned)
+        for topic, (offset, age) in beat.read.items():
+            if topic in self._feeds:
+                self._feeds[topic].note_reader(offset, age, at)
+
+    def _take_bundle(self, bundle, address, at):
+        """Take what a hub tells, and pass it on to hosts that tell this one."""
+        self._neighbours.hear(address, at)
+        self._neighbours.hear_hub(address, at)
+        works = [raw for raw in bundle.works if self._take_work(decode_work(raw), at)]
+        fars = [raw for raw in bundle.fars if self._take_far_news(decode_far(raw), at)]
+        sums = far_sums_of(bundle)
+        if sums is not None and not self._is_first():
+            self._zone.take_far_sums(sums, at)
+        if (works or fars) and self._collected.clients(at):
+            self._collected.add_from_hub(works, fars)
+            self._send_soon(is_urgent=False)
+
+    def _take_far_news(self, far, at):
+        """Take news of another data centre, and return whether it was any."""
+        return self._zone.take_far(far_news_of(far), at)
+
+    def _take_far(self, far, address, at):
+        """Take news from elsewhere, and pass it on."""
+        if not far.is_passed_on:
+            self._note_far_hub(far.centre, address, at)
+        is_news = self._take_far_news(far, at)
+        is_for_hub, far.is_passed_on = not far.is_passed_on, True
+        if self._is_hub(at):
+            if is_news:
+                self._collected.add_far(encode(far))
+                self._send_soon(bool(far.evidence))
+        elif is_for_hub:
+            self._send(encode(far), self._neighbours.hub)
+
+    def _take_load(self, load, address, at):
+        """Take the work in flight elsewhere as the hub, or pass it on to the hub."""
+        if not load.is_passed_on:
+            self._note_far_hub(load.centre, address, at)
+        if self._is_first():
+            self._zone.take_far_load(far_load_of(load), at)
+        elif not load.is_passed_on:
+            load.is_passed_on = True
+            self._send(encode(load), self._neighbours.hub)
+
+    def _note_far_hub(self, centre, address, at):
+        self._strangers.remember(centre, address, at)
+        self._far_hubs[centre] = (address, at)
+
+    def _take_records(self, message, at):
+        """Take changes of the store from a reader."""
+        feed = self._feeds.get(message.topic)
+        if feed is None:
+            return
+        records = unpack_records(message.packed)
+        self._gate.note_returned(at - message.returned)
+        feed.take_page(message.start, records, message.next, at)
+
+    def _take_hello(self, hello, address, at):
         """Answer a host that looks for others of its data centre."""
-        at = now()
         strangers = self._strangers.some(at)
         if hello.centre == self._settings.centre:
-            known = list(self._members)
-            self._members[address] = at
+            known = self._neighbours.addresses()
+            self._neighbours.name(address, at)
         else:
             known = self._strangers.of(hello.centre, at)
             self._strangers.remember(hello.centre, address, at)
-            own = [*self._members, self._settings.peers]
+            own = [*self._neighbours.addresses(), self._settings.peers]
             strangers[self._settings.centre] = own[-STRANGERS_NAMED:]
         known = [a for a in known if a != address]
         self._send(encode(Members(known[:NAMED_MOST], strangers)), address)
 
-    def _pass_on(self, message, address):
-        """Pass the news of another data centre on to the hosts of this one."""
-        if message.is_passed_on:
-            return
-        self._strangers.remember(message.centre, address, now())
-        message.is_passed_on = True
-        self._send_all(encode(message))
-
-    def _learn(self, addresses):
-        """Write to hosts that were named; they stay only if they answer."""
-        at = now()
+    def _learn(self, addresses, at):
+        """Take hosts that were named; they stay only if they are heard."""
         for address in addresses:
-            is_known = address == self._settings.peers or address in self._members
-            if not is_known and is_address(address):
-                self._members[address] = at - MEMBER_FOR / 2
+            if is_address(address):
+                self._neighbours.name(address, at)
+
+
+def _call_later(seconds, function):
+    return asyncio.get_running_loop().call_later(seconds, function)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -5,26 +5,38 @@
 import random
 
 import msgspec
+import pytest
 from hypothesis import example, given, settings, strategies as st
 
 from plumsaddle_core.core.traffic import Bounds, HostSettings
 from plumsaddle_core.ops.elsewhere import LOAD_FOR
+from plumsaddle_core.ops.neighbours import AVOIDED_FOR, HUB_SILENT_FOR
 from plumsaddle_core.ops.news import Sign
-from plumsaddle_core.ops.zone import MISSING_AFTER, Zone
+from plumsaddle_core.ops.zone import Zone
 
 from . import peers as module
-from .peers import Peers
+from .feed import Gate
+from .peers import FAR_HUB_FOR, HUB_EVERY, Peers
 
 CENTRES = ("x", "y")
 encode = msgspec.msgpack.encode
 
 
 class Net:
-    """Hosts that hand their datagrams to each other."""
+    """
+    Hosts that hand their datagrams to each other.
+
+    Hosts in `cut` hear nothing and are not heard; `broken` are pairs of addresses
+    between which datagrams are lost.
+    """
 
     def __init__(self):
         self.hosts = {}
         self.sent = []
+        self.cut = set()
+        self.broken = set()
+        self.at = 1000.0
+        self._later = []
         self._rng = random.Random(1)
 
     def add(self, name, centre, seeds=(), link=None):
@@ -33,18 +45,77 @@
             name, centre, CENTRES, "", "", address, seeds, "", Bounds(), link
         )
         zone = Zone(0.2, 10.0, started=-100.0)
-        peers = Peers(settings_, zone, [], self._rng)
+        gate = Gate(_ignore, _ignore, _ignore)
+        peers = Peers(settings_, zone, gate, [], self._rng, self.call_later)
         peers.connection_made(_Transport(self, address))
         self.hosts[address] = peers
         return peers, zone, address
 
+    def call_later(self, seconds, function):
+        """Call a function the next time that all is delivered."""
+        call = _Call(function)
+        self._later.append(call)
+        return call
+
     def deliver(self):
         """Deliver what was sent, and what is sent because of it."""
-        while self.sent:
-            sender, data, address = self.sent.pop(0)
-            if address in self.hosts:
-                ip, _, port = sender.rpartition(":")
-                self.hosts[address].datagram_received(data, (ip, int(port)))
+        while self.sent or self._later:
+            while self.sent:
+                self._hand_over(*self.sent.pop(0))
+            self.run_calls()
+
+    def run_calls(self):
+        """Make the calls that were put off."""
+        later, self._later = self._later, []
+        for call in later:
+            call.run()
+
+    def _hand_over(self, sender, data, address):
+        is_lost = {sender, address} & self.cut or (sender, address) in self.broken
+        if address in self.hosts and not is_lost:
+            ip, _, port = sender.rpartition(":")
+            self.hosts[address].datagram_received(data, (ip, int(port)))
+
+    def play(self, seconds):
+        """Let hosts that are not cut off beat, look and tell for some seconds."""
+        end = self.at + seconds
+        while self.at < end:
+            self.at += HUB_EVERY
+            is_second = int(self.at) != int(self.at - HUB_EVERY)
+            for address, peers in self.hosts.items():
+                if address in self.cut:
+                    continue
+                if is_second:
+                    peers.beat(self.at)
+                peers.look(self.at)
+            self.deliver()
+
+
+class _Call:
+    """A call that was put off."""
+
+    def __init__(self, function):
+        self._function = function
+
+    def run(self):
+        function, self._function = self._function, None
+        if function is not None:
+            function()
+
+    def cancel(self):
+        self._function = None
+
+
+def _ignore(_):
+    pass
+
+
+@pytest.fixture(autouse=True)
+def net(monkeypatch):
+    """A net whose time is the present for all hosts."""
+    made = Net()
+    monkeypatch.setattr(module, "now", lambda: made.at)
+    return made
 
 
 class _Transport:
@@ -60,99 +131,114 @@
         self._net.sent.append((self._address, data, to))
 
 
-def _fleet(count=3):
-    """Return a net and its hosts: some in each data centre, found by one seed each."""
-    net = Net()
+def _fleet(net, count=3, links=None):
+    """Return hosts: some in each data centre, found by one seed each."""
     hosts = []
     for centre in CENTRES:
         seeds = ()
         for number in range(count):
-            host = net.add(f"{centre}{number}", centre, seeds)
+            link = links[number] if links else None
+            host = net.add(f"{centre}{number}", centre, seeds, link)
             seeds = seeds or (host[2],)
             hosts.append(host)
     first_x, first_y = hosts[0], hosts[count]
     first_x[0].take_settings(first_x[0]._settings._replace(seeds=(first_y[2],)))
-    for _ in range(3):
-        for peers, _, _ in hosts:
-            peers.beat(module.now())
-        net.deliver()
-    return net, hosts
+    net.play(4.0)
+    return hosts
+
 
+def _hub(net, hosts):
+    """Return the hub that all of some hosts have picked."""
+    hubs = {peers._neighbours.hub or address for peers, _, address in hosts}
+    assert len(hubs) == 1
+    return hubs.pop()
 
-def test_a_failure_is_known_in_all_data_centres():
+
+def test_a_failure_is_known_in_all_data_centres(net):
     """
     Each data centre loses an order of its own to a target that fails.
 
     Only hosts near the one that saw the failure were told of it.
     """
-    net, hosts = _fleet()
-    peers, zone, _ = hosts[0]
-    at = module.now()
-    zone.note("t", "act", "r", Sign.FAILED, 0.001, at)
-    peers._tell()
-    assert len(net.sent) == 2 + 1
+    hosts = _fleet(net)
+    hub = _hub(net, hosts[:3])
+    peers, zone, _ = next(host for host in hosts[:3] if host[2] != hub)
+    zone.note("t", "act", "r", Sign.FAILED, 0.001, net.at)
+    peers.tell_soon(is_urgent=True)
     net.deliver()
     for _, other, _ in hosts[:3]:
-        assert other.fails("t", at) > 0.6
+        assert other.fails("t", net.at) > 0.6
     for _, other, _ in hosts[3:]:
-        assert other.fails("t", at) > 0.45
+        assert other.fails("t", net.at) > 0.45
 
 
-def test_usual_outcomes_stay_in_their_data_centre():
+def test_usual_outcomes_stay_in_their_data_centre(net):
     """Bytes between data centres are paid for, and most outcomes change nothing."""
-    net, hosts = _fleet()
-    peers, zone, _ = hosts[0]
+    hosts = _fleet(net)
+    hub = _hub(net, hosts[:3])
+    peers, zone, address = next(host for host in hosts[:3] if host[2] != hub)
     for _ in range(6):
-        zone.note("t", "act", "r", Sign.WHOLE, 0.2, module.now())
-    peers._tell()
-    net.sent.clear()
-    zone.note("t", "act", "r", Sign.WHOLE, 0.2, module.now())
-    peers._tell()
-    assert len(net.sent) == 2
-
-
-def test_news_goes_on_without_the_seed():
+        zone.note("t", "act", "r", Sign.WHOLE, 0.2, net.at)
+    peers.tell_soon(is_urgent=False)
+    net.deliver()
+    zone.note("t", "act", "r", Sign.WHOLE, 0.2, net.at)
+    peers.tell_soon(is_urgent=False)
+    sent = []
+    while net.sent or net._later:
+        net.run_calls()
+        sent += [(sender, to) for sender, _, to in net.sent]
+        while net.sent:
+            net._hand_over(*net.sent.pop(0))
+    near = {host[2] for host in hosts[:3]}
+    # One datagram to the hub, and one from it to each of the others.
+    assert sorted(sent) == sorted([(address, hub)] + [(hub, a) for a in near - {hub}])
+
+
+def test_news_goes_on_without_the_seed(net):
     """
     A data centre hears nothing of the others any more, since one host there is dead.
 
     The hosts name each other's neighbours, so each knows some of the other centre.
     """
-    net, hosts = _fleet()
-    at = module.now()
+    hosts = _fleet(net)
     for peers, _, _ in hosts:
-        assert peers._strangers.some(at)
-    dead = hosts[3][2]
-    del net.hosts[dead]
+        assert peers._strangers.some(net.at)
+    net.cut.add(hosts[3][2])
+    net.play(FAR_HUB_FOR + 0.1)
     peers, zone, _ = hosts[1]
     for number in range(40):
-        zone.note(f"t{number}", "act", "r", Sign.FAILED, 0.001, at)
-        # The gateway is drawn anew each time, and each note goes out twice.
-        peers.beat(at)
-    peers.beat(at)
+        zone.note(f"t{number}", "act", "r", Sign.FAILED, 0.001, net.at)
+        # The gateway is drawn anew while no hub there is known, and each note goes out
+        # twice.
+        peers.beat(net.at)
+        net.deliver()
+    peers.beat(net.at)
     net.deliver()
     for _, zone, _ in hosts[4:]:
-        known = sum(zone.fails(f"t{number}", at) > 0.5 for number in range(40))
+        known = sum(zone.fails(f"t{number}", net.at) > 0.5 for number in range(40))
         # Two of three gateways are up, so one note in nine is lost twice.
         assert known >= 30
 
 
-def test_a_host_that_restarts_after_its_clock_went_back_is_heard():
+def test_a_host_that_restarts_after_its_clock_went_back_is_heard(net):
     """
     A restarted host's work is invisible to the others for seconds.
 
     The time of day went back while it was down, so its life looked like an older one.
     """
-    net, hosts = _fleet(2)
+    hosts = _fleet(net, 2)
     peers, zone, address = hosts[0]
-    zone.start("t", module.now())
-    peers._tell()
+    zone.start("t", net.at)
+    peers.tell_soon(is_urgent=False)
     net.deliver()
     again, fresh, _ = hosts[0]
-    again.__init__(peers._settings, fresh, [])
+    again.__init__(
+        peers._settings, fresh, peers._gate, [], random.Random(1), net.call_later
+    )
     again.connection_made(_Transport(net, address))
-    again._members = {hosts[1][2]: module.now()}
-    fresh.start("t", module.now())
-    again._tell()
+    again._neighbours.hear(hosts[1][2], net.at)
+    fresh.start("t", net.at)
+    again.tell_soon(is_urgent=False)
     net.deliver()
     assert hosts[1][1].in_flight("t") == 2
 
@@ -163,12 +249,14 @@
     msgspec.msgpack.encode(["f", "h", 1, "y", [[0, "t", float("nan")]], [], False])
 )
 @example(encode(["f", "h", 1, "y", [[0, "t", -1.0]], [], True]))
-@example(encode(["w", "h", 1, 1, {"t": -5}, [], {}]))
+@example(encode(["w", "h", "1.2.3.4:5", 1, 1, {7: -5}, [], {}]))
+@example(encode(["w", "h", "1.2.3.4:5", 1, 1, {"t": 5}, [], {}]))
+@example(encode(["b", [["w", "h", "1.2.3.4:5", 1, 1, {7: -5}, [], {}]], [], [], {}]))
+@example(encode(["b", [7, "w"], [[]], ["y"], {7: 1}]))
+@example(encode(["r", "t", 0, 1, 0.0, b"no deflated data"]))
 @example(encode(["l", "y", "h", 1, 1, {"a": 1}]))
 @example(encode(["l", "y", "h", 1, 1, {5: -1}]))
-@example(
-    msgspec.msgpack.encode(["w", "h", 1, 1, {}, [[0, "t", "s", "r", 77, 0.1]], {}])
-)
+@example(encode(["w", "h", "1.2.3.4:5", 1, 1, {}, [[0, "t", "s", "r", 77, 0.1]], {}]))
 @settings(max_examples=200, deadline=None)
 def test_no_datagram_raises_or_spoils_what_is_known(data):
     """
@@ -176,60 +264,146 @@
 
     A datagram that made its reader raise would close the socket for good.
     """
-    net = Net()
-    peers, zone, address = net.add("x0", "x")
-    zone.start("t", module.now())
+    made = Net()
+    peers, zone, address = made.add("x0", "x")
+    zone.start("t", made.at)
     peers.datagram_received(data, ("10.0.0.9", 7000))
-    peers.beat(module.now())
+    peers.beat(made.at)
     assert zone.in_flight("t") == 1
-    assert 0.0 < zone.fails("t", module.now()) < 1.0
+    assert 0.0 < zone.fails("t", made.at) < 1.0
 
 
-def test_work_in_flight_is_known_elsewhere():
+def test_work_in_flight_is_known_elsewhere(net):
     """
     Requests queue at targets that another data centre keeps full.
 
     Each data centre counted its own work alone, and half of all work leaves it.
     """
-    net, hosts = _fleet()
-    at = module.now()
-    for _, zone, _ in hosts[:2]:
-        zone.start("t", at)
-    for peers, _, _ in hosts[:2]:
-        peers._tell()
-    net.deliver()
-    for peers, _, _ in hosts:
-        peers.tell_load(at)
+    hosts = _fleet(net)
+    for peers, zone, _ in hosts[:2]:
+        zone.start("t", net.at)
+        peers.tell_soon(is_urgent=False)
     net.deliver()
+    net.play(0.5)
     for _, zone, _ in hosts:
         assert zone.in_flight("t") == 2
     for _, zone, _ in hosts[3:]:
-        assert zone.knows_load("x", at)
-        assert not zone.knows_load("x", module.now() + LOAD_FOR)
+        assert zone.knows_load("x", net.at)
+        assert not zone.knows_load("x", net.at + LOAD_FOR)
 
 
-def test_the_next_host_tells_the_sums_when_the_first_is_lost():
+def test_the_next_host_tells_the_sums_when_the_hub_is_lost(net):
     """
     A data centre counts for idle elsewhere, since the host that told its work is dead.
     """
-    net, hosts = _fleet()
-    at = module.now()
-    hosts[2][1].start("t", at)
-    hosts[2][0]._tell()
-    net.deliver()
-    later = at + MISSING_AFTER + 0.1
-    for peers, _, address in hosts[1:3]:
-        peers._members = {
-            other: later for _, _, other in hosts[1:3] if other != address
-        }
-        peers.tell_load(later)
+    hosts = _fleet(net)
+    hub = _hub(net, hosts[:3])
+    left = [host for host in hosts[:3] if host[2] != hub]
+    left[0][1].start("t", net.at)
+    left[0][0].tell_soon(is_urgent=False)
     net.deliver()
+    net.cut.add(hub)
+    net.play(LOAD_FOR + HUB_SILENT_FOR)
     assert all(zone.in_flight("t") == 1 for _, zone, _ in hosts[3:])
+    assert all(zone.knows_load("x", net.at) for _, zone, _ in hosts[3:])
 
 
-def test_one_host_tells_the_sums_while_all_are_well():
-    net, hosts = _fleet()
+def test_one_host_tells_the_sums_while_all_are_well(net):
+    hosts = _fleet(net)
     net.sent.clear()
     for peers, _, _ in hosts[:3]:
-        peers.tell_load(module.now())
+        peers._bundled_at = net.at
+        peers.look(net.at)
     assert len(net.sent) == len(CENTRES) - 1
+
+
+def test_all_hosts_pick_the_one_with_the_fastest_link(net):
+    """
+    Requests wait at the link of a small host that tells sixty others of all work.
+    """
+    hosts = _fleet(net, 4, links=[2.5e6, 25e6, 2.5e6, 2.5e6])
+    assert _hub(net, hosts[:4]) == hosts[1][2]
+    assert _hub(net, hosts[4:]) == hosts[5][2]
+
+
+def test_a_lost_hub_is_replaced_before_its_clients_look_lost(net):
+    """
+    Requests go to targets that failed a second ago, and hosts that are well count as
+    lost, since their hub was killed and what it was told reached nobody.
+    """
+    hosts = _fleet(net, 4)
+    hub = _hub(net, hosts[:4])
+    net.cut.add(hub)
+    net.play(HUB_SILENT_FOR + 2 * HUB_EVERY)
+    left = [host for host in hosts[:4] if host[2] != hub]
+    assert _hub(net, left) != hub
+    peers, zone, _ = left[-1]
+    zone.note("t", "act", "r", Sign.FAILED, 0.001, net.at)
+    peers.tell_soon(is_urgent=True)
+    net.deliver()
+    for _, other, _ in left:
+        assert other.fails("t", net.at) > 0.6
+        assert not other._lost_hosts(net.at)
+
+
+def test_a_hub_that_wakes_from_a_freeze_takes_its_part_again(net):
+    """
+    A frozen hub wakes and finds all others silent; it must not stay alone with its
+    work, nor draw the others back and forth.
+    """
+    hosts = _fleet(net, 4)
+    hub = _hub(net, hosts[:4])
+    net.cut.add(hub)
+    net.play(4.0)
+    net.cut.discard(hub)
+    net.play(1.2)
+    left = [host for host in hosts[:4] if host[2] != hub]
+    assert _hub(net, left) != hub
+    frozen = next(host for host in hosts[:4] if host[2] == hub)
+    frozen[1].start("t", net.at)
+    frozen[0].tell_soon(is_urgent=False)
+    net.deliver()
+    assert all(zone.in_flight("t") == 1 for _, zone, _ in left)
+    net.play(AVOIDED_FOR)
+    assert _hub(net, hosts[:4]) == hub
+
+
+def test_a_host_that_cannot_hear_the_hub_hears_of_all_work(net):
+    """
+    One host keeps sending to targets that fail, because its path to the hub is cut.
+
+    Its own hub, which all others take for an ordinary host, passes on both ways.
+    """
+    hosts = _fleet(net, 4)
+    hub = _hub(net, hosts[:4])
+    apart = next(host for host in hosts[:4] if host[2] != hub)
+    net.broken |= {(hub, apart[2]), (apart[2], hub)}
+    net.play(HUB_SILENT_FOR + 2 * HUB_EVERY)
+    for number, (peers, zone, _) in enumerate(hosts[:4]):
+        zone.start(f"t{number}", net.at)
+        peers.tell_soon(is_urgent=False)
+    net.deliver()
+    for _, zone, _ in hosts[:4]:
+        assert [zone.in_flight(f"t{number}") for number in range(4)] == [1, 1, 1, 1]
+
+
+@pytest.mark.parametrize("count", [6, 24, 60])
+def test_what_hosts_send_does_not_grow_with_their_square(net, count):
+    """
+    Hosts of a large data centre spend more on telling each other than on requests.
+
+    Each sends one datagram for a start or an end, and the hub one to each host for all
+    that it was told; without a hub each sends one to each other host.
+    """
+    hosts = [net.add(f"x{n}", "x", ("10.0.0.1:7000",)) for n in range(count)]
+    net.play(4.0)
+    hub = _hub(net, hosts)
+    net.sent.clear()
+    for peers, zone, address in hosts:
+        if address != hub:
+            zone.start("t", net.at)
+            peers.tell_soon(is_urgent=False)
+    net.run_calls()
+    assert len(net.sent) == count - 1
+    net.deliver()
+    assert all(zone.in_flight("t") == count - 1 for _, zone, _ in hosts)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/strangers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/strangers.py
@@ -6,11 +6,10 @@
 two data centres off from each other.
 """
 
+from plumsaddle_core.ops.neighbours import KNOWN_FOR
+
 from ..utils.addresses import is_address
 
-# A host whose last word is older than this is not written to any more. Longer than a
-# restart takes, so that a restarted host is found again without a seed.
-MEMBER_FOR = 12.0
 # Hosts of each other data centre that a beat or an answer names.
 STRANGERS_NAMED = 3
 # Hosts kept of each other data centre. Those heard last are kept, so a few that are up
@@ -50,12 +49,12 @@
         """
         for centre in self._others & set(named):
             for address in filter(is_address, named[centre]):
-                self.remember(centre, address, now - MEMBER_FOR / 2)
+                self.remember(centre, address, now - KNOWN_FOR / 2)
 
     def of(self, centre, now):
         """Return the hosts of a data centre that may be up."""
         heard_at = self._heard_at.get(centre, {})
-        return [a for a, heard in heard_at.items() if now - heard < MEMBER_FOR]
+        return [a for a, heard in heard_at.items() if now - heard < KNOWN_FOR]
 
     def some(self, now):
         """Return a few hosts of each other data centre, by data centre."""
