Tell the data centre through a hub, and follow the store by two readers for all

Cause: each host told each start and end to all hosts of its data centre (150 datagrams a second sent and taken at 59 hosts), passed on what each of the 234 hosts elsewhere said of its used targets and evidence, and read both topics for itself (a call a second a host). Now a host tells one hub, the hub tells all together some ten times a second, speaks for its data centre to the others, and two readers pass on what the store says. Hosts pick both by a fixed order over those that they hear and replace silent ones; nothing is agreed on.

--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/neighbours_test.py
@@ -0,0 +1,110 @@
+"""
+Tests of which hosts do a part for all, as each host finds it by itself.
+"""
+
+from .neighbours import (
+    AVOIDED_FOR,
+    FIRST_ASKERS,
+    HUB_SILENT_FOR,
+    READER_LIVE_FOR,
+    READERS,
+    Contact,
+    Neighbours,
+)
+
+NAMES = [f"10.0.0.{number}:7000" for number in range(1, 60)]
+
+
+def _fleet(links=None):
+    """Return the tables of hosts that all hear each other, by address."""
+    links = links or {}
+    tables = {name: Neighbours(name, links.get(name)) for name in NAMES}
+    _hear(tables, NAMES, 0.0, links)
+    return tables
+
+
+def _hear(tables, heard, at, links=None):
+    for own, table in tables.items():
+        for name in heard:
+            if name != own:
+                table.hear(name, at)
+                table.describe(name, (links or {}).get(name, 0.0), Contact.TOLD)
+
+
+def test_hosts_that_hear_the_same_pick_the_same():
+    tables = _fleet({NAMES[7]: 25e6})
+    for table in tables.values():
+        table.pick_hub(0.1)
+    assert {table.hub or name for name, table in tables.items()} == {NAMES[7]}
+    readers = [n for n, t in tables.items() if t.is_reader(Contact.TOLD, 0.1)]
+    assert len(readers) == READERS
+    askers = [n for n, t in tables.items() if t.is_first_asker(0.1)]
+    assert len(askers) == FIRST_ASKERS
+
+
+def test_a_reader_that_lost_the_store_is_replaced_by_the_next():
+    """
+    A data centre learns of no change, since the store turns its two readers away and
+    serves all other hosts.
+    """
+    tables = _fleet()
+    lost = [n for n, t in tables.items() if t.is_reader(Contact.TOLD, 0.1)]
+    for name in lost:
+        for own, table in tables.items():
+            if own != name:
+                table.describe(name, 0.0, Contact.AWAY)
+    contacts = {n: Contact.AWAY if n in lost else Contact.TOLD for n in NAMES}
+    readers = [n for n, t in tables.items() if t.is_reader(contacts[n], 0.1)]
+    assert len(readers) == READERS
+    assert not set(readers) & set(lost)
+
+
+def test_silent_readers_are_replaced_within_the_time_for_a_change():
+    """
+    A target that is leaving gets work for more than two seconds: both readers were cut
+    off when it began to leave, and nobody else asked the store.
+    """
+    tables = _fleet()
+    lost = [n for n, t in tables.items() if t.is_reader(Contact.TOLD, 0.1)]
+    at = READER_LIVE_FOR
+    _hear(tables, set(NAMES) - set(lost), at)
+    readers = [
+        n for n, t in tables.items() if n not in lost and t.is_reader(Contact.TOLD, at)
+    ]
+    assert len(readers) == READERS
+    assert READER_LIVE_FOR < 1.5
+
+
+def test_the_only_host_of_a_data_centre_does_all():
+    alone = Neighbours(NAMES[0], None)
+    assert not alone.pick_hub(1.0)
+    assert alone.hub is None
+    assert alone.is_reader(Contact.TOLD, 1.0)
+
+
+def test_a_silent_hub_is_left_and_not_taken_back_at_once():
+    """
+    A hub whose processor is slow tells each second or so; if its clients left it and
+    came back by turns, each change would lose what was told to the other one.
+    """
+    tables = _fleet()
+    own = NAMES[0]
+    table = tables[own]
+    table.pick_hub(0.0)
+    hub = table.hub
+    assert hub is not None
+    left_at = HUB_SILENT_FOR + 0.01
+    _hear({own: table}, NAMES, left_at)
+    assert table.pick_hub(left_at)
+    assert table.hub != hub
+    second = table.hub
+    for step in range(40):
+        at = left_at + step * 0.1
+        _hear({own: table}, NAMES, at)
+        table.hear_hub(second or own, at)
+        assert not table.pick_hub(at)
+    at = left_at + AVOIDED_FOR
+    _hear({own: table}, NAMES, at)
+    table.hear_hub(second, at)
+    assert table.pick_hub(at)
+    assert table.hub == hub
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -73,7 +73,7 @@
     def __init__(self, store, topic, gate, on_listing, on_changes, rng):
         self._store = store
         self._topic = topic
-        self._gate = gate
+        self.gate = gate
         self._on_listing = on_listing
         self._on_changes = on_changes
         self._on_read = None
@@ -167,7 +167,7 @@
 
     def _is_told(self, at):
         """Whether others follow the store for this host."""
-        if self._next is None or self._gate.is_reader:
+        if self._next is None or self.gate.is_reader:
             return False
         if self._behind_since is not None and at - self._behind_since >= MISSED_FOR:
             return False
@@ -189,7 +189,7 @@
                 continue
             page = result.unwrap()
             self.answered_at = now()
-            self._gate.note_answer(self.answered_at)
+            self.gate.note_answer(self.answered_at)
             if self._next is None:
                 self._next = page.next_offset
                 self._behind_since = None
@@ -247,8 +247,8 @@
         It is None if others follow the store for this host by then.
         """
         pause = PAUSE_FIRST
-        async with self._gate.hold(self._topic, error):
-            if self._gate.has_answered:
+        async with self.gate.hold(self._topic, error):
+            if self.gate.has_answered:
                 # Another feed has just found the store back; no need to wait again.
                 pause = 0.0
             while True:
@@ -258,16 +258,16 @@
                     )
                     self._next = None
                 else:
-                    self._gate.note_failure(now())
+                    self.gate.note_failure(now())
                     spread = self._rng.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
                     await asyncio.sleep(pause * spread)
-                    most = PAUSE_MOST if self._gate.is_first_asker else PAUSE_OTHERS
+                    most = PAUSE_MOST if self.gate.is_first_asker else PAUSE_OTHERS
                     pause = min(most, max(PAUSE_FIRST, pause * 2))
                 if self._is_told(now()):
                     return None
                 result = await self._call(0.0)
                 if not isinstance(result, Failure):
-                    self._gate.has_answered = True
+                    self.gate.has_answered = True
                     return result
                 error = result.failure()
 
@@ -360,13 +360,13 @@
     """The context of `Gate.hold`."""
 
     def __init__(self, gate, topic, error):
-        self._gate = gate
+        self.gate = gate
         self._topic = topic
         self._error = error
         self._was_away = False
 
     async def __aenter__(self):
-        self._was_away = await self._gate.enter(self._topic, self._error)
+        self._was_away = await self.gate.enter(self._topic, self._error)
 
     async def __aexit__(self, *exc_info):
-        self._gate.leave(self._topic, self._was_away)
+        self.gate.leave(self._topic, self._was_away)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -7,8 +7,11 @@
 
 from returns.result import Failure, Success
 
-from ..platform.store import Page, StoreError
+from plumsaddle_core.ops.neighbours import Contact
+
+from ..platform.store import KeyedRecord, Page, StoreError
 from . import feed
+from .clock import now as clock
 from .feed import Feed, Gate
 
 
@@ -29,12 +32,12 @@
         return await self.answers.get()
 
 
-def _feed(store, away=None):
+def _feed(store, away=None, is_reader=True):
     log = [] if away is None else away
     gate = Gate(
         lambda at: log.append("away"), lambda at: log.append("back"), lambda at: None
     )
-    gate.set_reader(True)
+    gate.set_reader(is_reader)
     taken = []
     made = Feed(store, "t", gate, taken.append, taken.append, random.Random(1))
     return made, taken
@@ -106,3 +109,164 @@
         task.cancel()
 
     asyncio.run(run())
+
+
+RECORD = KeyedRecord(10, "t-1", b"entry")
+
+
+def test_a_host_that_is_told_does_not_ask(monkeypatch):
+    """
+    Hundreds of hosts make a call to the store a second each, which costs more than all
+    else that they do.
+
+    Two readers of each data centre pass on what they read.
+    """
+
+    async def run():
+        store = ScriptedStore()
+        made, taken = _feed(store, is_reader=False)
+        task = asyncio.ensure_future(made.run())
+        await _settle()
+        store.answers.put_nowait(Success(Page([], 10)))
+        made.note_reader(10, 0.0, clock())
+        await _settle()
+        assert len(store.reads) == 1
+        made.take_page(10, [RECORD], 11, clock())
+        await _settle()
+        assert taken[1:] == [Page([RECORD], 11)]
+        # The same from the other reader, and a former word that comes late.
+        made.take_page(10, [RECORD], 11, clock())
+        made.take_page(9, [RECORD._replace(offset=9)], 10, clock())
+        assert len(taken) == 2
+        assert len(store.reads) == 1
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_what_was_lost_on_the_way_is_read(monkeypatch):
+    """
+    A target that has left gets work, since the datagram that said so was lost.
+
+    The next one, or a reader's beat, shows by its offset that something is missing.
+    """
+    monkeypatch.setattr(feed, "MISSED_FOR", 0.01)
+
+    async def run(tell):
+        store = ScriptedStore()
+        made, taken = _feed(store, is_reader=False)
+        task = asyncio.ensure_future(made.run())
+        await _settle()
+        store.answers.put_nowait(Success(Page([], 10)))
+        made.note_reader(10, 0.0, clock())
+        await _settle()
+        tell(made)
+        await asyncio.sleep(0.05)
+        assert store.reads[1:] == [(10, 0.0)]
+        store.answers.put_nowait(Success(Page([RECORD], 12)))
+        await _settle()
+        assert taken[1:] == [Page([RECORD], 12)]
+        task.cancel()
+
+    later = RECORD._replace(offset=11)
+    asyncio.run(run(lambda made: made.take_page(11, [later], 12, clock())))
+    asyncio.run(run(lambda made: made.note_reader(12, 0.0, clock())))
+
+
+def test_a_host_reads_for_itself_when_no_reader_is_heard(monkeypatch):
+    """
+    A host serves an old configuration for good: both readers were killed, or woke from
+    a freeze and said how far they were before it.
+    """
+    monkeypatch.setattr(feed, "TOLD_FOR", 0.1)
+
+    async def run():
+        store = ScriptedStore()
+        made, _ = _feed(store, is_reader=False)
+        task = asyncio.ensure_future(made.run())
+        await _settle()
+        store.answers.put_nowait(Success(Page([], 10)))
+        made.note_reader(10, 0.0, clock())
+        await _settle()
+        assert len(store.reads) == 1
+        made.note_reader(10, 5.0, clock())
+        await asyncio.sleep(0.15)
+        assert len(store.reads) == 2
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_a_new_reader_reads_at_once():
+    """
+    A change is known seconds late, since the next host in order begins to read only
+    when the last word of the lost readers is old.
+    """
+
+    async def run():
+        store = ScriptedStore()
+        made, _ = _feed(store, is_reader=False)
+        task = asyncio.ensure_future(made.run())
+        await _settle()
+        store.answers.put_nowait(Success(Page([], 10)))
+        made.note_reader(10, 0.0, clock())
+        await _settle()
+        made.gate.set_reader(True)
+        made.wake()
+        await _settle()
+        assert len(store.reads) == 2
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_hosts_cease_to_ask_once_one_is_answered(monkeypatch):
+    """
+    The store comes back and meets calls of all hosts at once, again and again.
+
+    The first host that is answered passes on what it reads, and the others cease.
+    """
+    monkeypatch.setattr(feed, "PAUSE_FIRST", 0.02)
+    monkeypatch.setattr(feed, "PAUSE_MOST", 0.02)
+
+    async def run():
+        store, away = ScriptedStore(), []
+        made, taken = _feed(store, away, is_reader=False)
+        task = asyncio.ensure_future(made.run())
+        await _settle()
+        store.answers.put_nowait(Failure(StoreError.BUSY))
+        await _settle()
+        assert made.gate.contact(clock()) is Contact.AWAY
+        made.take_page(10, [RECORD], 11, clock())
+        await asyncio.sleep(0.1)
+        assert taken[1:] == [Page([RECORD], 11)]
+        assert away == ["away", "back"]
+        assert store.listings == 1
+        assert len(store.reads) == 1
+        # It does not know of itself that the store is back, so it is no reader yet.
+        assert made.gate.contact(clock()) is Contact.AWAY
+        assert made.gate.returned_at < clock() - 1000.0
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_a_read_that_was_under_way_does_not_take_records_twice():
+    """
+    A host takes a change twice, or an older state of a target after a newer one: its
+    own read began before a reader told it the same.
+    """
+
+    async def run():
+        store = ScriptedStore()
+        made, taken = _feed(store)
+        task = asyncio.ensure_future(made.run())
+        await _settle()
+        made.take_page(10, [RECORD], 11, clock())
+        newer = RECORD._replace(offset=11)
+        store.answers.put_nowait(Success(Page([RECORD, newer], 12)))
+        await _settle()
+        assert taken[1:] == [Page([RECORD], 11), Page([newer], 12)]
+        task.cancel()
+
+    asyncio.run(run())
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -15,6 +15,7 @@
 from plumsaddle_core.ops.zone import Zone
 
 from . import peers as module
+from .bundles import CLIENT_FOR
 from .feed import Gate
 from .peers import FAR_HUB_FOR, HUB_EVERY, Peers
 
@@ -396,7 +397,8 @@
     that it was told; without a hub each sends one to each other host.
     """
     hosts = [net.add(f"x{n}", "x", ("10.0.0.1:7000",)) for n in range(count)]
-    net.play(4.0)
+    # Until those that were hubs while the hosts found each other have no clients left.
+    net.play(4.0 + CLIENT_FOR)
     hub = _hub(net, hosts)
     net.sent.clear()
     for peers, zone, address in hosts:
