Try: listen for a reset between the head and the body of a risky order

Hypothesis: targets in a spell reset at the first byte, so a head alone would draw the reset before the order is sent, and it could go elsewhere truthfully.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -159,7 +159,12 @@
 
 
 class Fate(enum.Enum):
-    """What became of one send, as far as this host can know."""
+    """
+    What became of one send, as far as this host can know.
+
+    A send is cut off if its connection was lost before any of its body went out: the
+    target has an incomplete request, which nobody can run.
+    """
 
     WHOLE = "whole"
     NOT_RUN = "not-run"
@@ -169,6 +174,7 @@
     UNSIGNED = "unsigned"
     UNREACHED = "unreached"
     UNSENT = "unsent"
+    CUT_OFF = "cut-off"
     TIMED_OUT = "timed-out"
     ABANDONED = "abandoned"
 
