--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -159,12 +159,7 @@
 
 
 class Fate(enum.Enum):
-    """
-    What became of one send, as far as this host can know.
-
-    A send is cut off if its connection was lost before any of its body went out: the
-    target has an incomplete request, which nobody can run.
-    """
+    """What became of one send, as far as this host can know."""
 
     WHOLE = "whole"
     NOT_RUN = "not-run"
@@ -174,7 +169,6 @@
     UNSIGNED = "unsigned"
     UNREACHED = "unreached"
     UNSENT = "unsent"
-    CUT_OFF = "cut-off"
     TIMED_OUT = "timed-out"
     ABANDONED = "abandoned"
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/attempt.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/attempt.py
@@ -12,7 +12,7 @@
 
 from ..core.traffic import Fate
 
-NOT_RUN = {Fate.NOT_RUN, Fate.WRONG_TARGET, Fate.CUT_OFF}
+NOT_RUN = {Fate.NOT_RUN, Fate.WRONG_TARGET}
 NOT_SENT = {Fate.UNREACHED, Fate.UNSENT}
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -39,7 +39,6 @@
     Fate.FAILED: Sign.FAILED,
     Fate.NOT_RUN: Sign.SHED,
     Fate.BROKEN: Sign.FAILED,
-    Fate.CUT_OFF: Sign.FAILED,
     Fate.UNSIGNED: Sign.FAILED,
 }
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/link.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/link.py
@@ -30,13 +30,6 @@
 # answer, and a request needs time on the way.
 IDLE_MARGIN = 1.0
 
-# How long to listen between a head and its body, in times that the connection took to
-# open: a reset needs one way back, and a busy target a little more. The bounds are what
-# a timer can tell and what a caller may be kept waiting for it, in seconds.
-LISTEN_FACTOR = 1.5
-LISTEN_LEAST = 0.002
-LISTEN_MOST = 0.01
-
 
 class Exchange:
     """
@@ -52,8 +45,6 @@
         self.headers = []
         self.body = bytearray()
         self.fate = None
-        # Whether the target has sent any byte.
-        self.is_answered = False
         self._waiter = None
 
     @property
@@ -80,15 +71,6 @@
         finally:
             self._waiter = None
 
-    async def listen(self, seconds):
-        """Wait until anything has come or the connection is lost, for some seconds."""
-        try:
-            async with asyncio.timeout(seconds):
-                while self.fate is None and not self.is_answered:
-                    await self.wait()
-        except TimeoutError:
-            pass
-
     async def collect(self, most):
         """Wait until the answer has ended or its body is longer than `most`."""
         while self.fate is None and len(self.body) <= most:
@@ -108,8 +90,6 @@
         self.exchange = None
         self.idle_limit = IDLE_DEFAULT
         self.opened_at = self.used_at = now()
-        # Seconds that it took to open the connection: a way there and back.
-        self.opened_in = 0.0
         self.is_closed = False
         self._is_spoiled = False
         self._on_closed = on_closed
@@ -148,23 +128,6 @@
         self.transport.write(head)
         return self.exchange
 
-    async def listen(self):
-        """
-        Wait after a head for as long as a target takes to say that it is not there.
-
-        Returns:
-          Whether the body may follow. If not, none of it has gone out.
-        """
-        self._is_sending = True
-        patience = max(LISTEN_LEAST, LISTEN_FACTOR * self.opened_in)
-        await self.exchange.listen(min(LISTEN_MOST, patience))
-        return not self.is_closed and self.exchange.fate is None
-
-    def send_first(self, body):
-        """Write the first part of a body, after `listen`."""
-        self.transport.write(body)
-        self._is_sending = False
-
     async def send_body(self, parts):
         """
         Write a body part by part, as fast as the target takes it.
@@ -229,7 +192,6 @@
             self.close()
             return
         exchange = self.exchange
-        exchange.is_answered = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -312,7 +274,6 @@
     """
     ip, port = split_address(address)
     loop = asyncio.get_running_loop()
-    started = now()
     try:
         async with asyncio.timeout(timeout):
             _, link = await loop.create_connection(
@@ -320,7 +281,6 @@
             )
     except (TimeoutError, OSError):
         return None
-    link.opened_in = now() - started
     return link
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -45,7 +45,7 @@
 
 def make_head(ask, target, time_left):
     """
-    Return the bytes of a request's head, as it goes to a target.
+    Return the bytes of a request to a target, with its body if that is whole.
 
     Args:
       ask: The `Ask`.
@@ -64,13 +64,8 @@
         lines.append(b"Transfer-Encoding: chunked")
     elif ask.length or ask.method not in ("GET", "HEAD"):
         lines.append(b"Content-Length: %d" % ask.length)
-    return b"\r\n".join(lines) + b"\r\n\r\n"
-
-
-def first_body(ask):
-    """Return the bytes of a body that follow the head at once."""
-    # Without a length, `frame_body` frames all parts.
-    return b"" if ask.length is None else ask.body
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return head if ask.length is None else head + ask.body
 
 
 def named_by_connection(headers):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -19,7 +19,7 @@
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 
 from .clock import now
-from .outgoing import first_body, frame_body, make_head
+from .outgoing import frame_body, make_head
 from .refusals import Cause, Refusal
 from .verdict import Rest, judge, judge_head
 
@@ -46,13 +46,6 @@
 # An order waits on a kept connection only if that was used just now, in seconds: the
 # longer it has been idle, the likelier the target closes it at that very moment.
 ORDER_IDLE_MOST = 6.0
-# The body of a request that must not repeat follows its head a way there and back later
-# (about two milliseconds) if the connection is new, was idle for this long (seconds) or
-# its target fails with this probability. Targets that fail, and connections that are
-# dead, mostly end with a reset at the first byte. Then the request has certainly not
-# run and goes elsewhere; sent whole, it would be lost.
-LISTEN_IDLE_FROM = 0.5
-LISTEN_FAILS_FROM = 0.06
 IDLE_MOST = 60.0
 
 
@@ -203,6 +196,7 @@
         if self._ask.caller.is_gone():
             return self._give_up(Cause.CALLER_GONE)
         if not self._attempt.may_send() or self._is_rest_begun:
+            # What was read of a long body is gone and cannot be sent once more.
             return self._final(result)
         is_retry = self._attempt.sends > 0
         if is_retry and not self._knowledge.may_retry(self._ask.service):
@@ -336,7 +330,7 @@
             _slow_after(STUCK_FACTOR, choice), self._note_stuck, choice
         )
         try:
-            fate, reply = await self._exchange(choice)
+            fate, reply = await self._exchange(target)
         finally:
             seconds = now() - started
             is_stuck = stuck.when() <= asyncio.get_running_loop().time()
@@ -399,9 +393,8 @@
     def _has_link(self, life):
         return self._links.has(life, self._idle_most())
 
-    async def _exchange(self, choice):
+    async def _exchange(self, target):
         """Get a connection, send, and return a fate and a `Reply` or None."""
-        target = choice.candidate.target
         link = self._links.take(target.life, self._idle_most())
         is_new = link is None
         if link is None:
@@ -416,32 +409,15 @@
         if is_late or not self._knowledge.is_usable(target):
             self._links.put_unused(target.life, link)
             return Fate.UNSENT, None
-        return await self._talk(choice, link)
+        return await self._talk(target, link)
 
-    def _is_risky(self, choice):
-        """Return whether to listen between the head and the body of a send."""
-        ask = self._ask
-        if ask.route.kind.may_repeat or ask.length == 0:
-            return False
-        connection = self._connections[choice.candidate.target.id]
-        is_unproved = connection.idle == 0.0 or connection.idle >= LISTEN_IDLE_FROM
-        return is_unproved or choice.candidate.fails >= LISTEN_FAILS_FROM
-
-    async def _talk(self, choice, link):
+    async def _talk(self, target, link):
         """Send on a connection and read the answer."""
         ask = self._ask
-        target = choice.candidate.target
-        head = make_head(ask, target, self._time_left())
-        is_risky = self._is_risky(choice)
-        exchange = link.begin(head if is_risky else head + first_body(ask), ask.id)
+        exchange = link.begin(make_head(ask, target, self._time_left()), ask.id)
         is_done = False
         try:
-            if is_risky:
-                if await link.listen():
-                    link.send_first(first_body(ask))
-                elif not exchange.is_answered:
-                    return Fate.CUT_OFF, None
-            if ask.rest is not None and exchange.fate is None:
+            if ask.rest is not None:
                 self._is_rest_begun = True
                 sending = asyncio.ensure_future(_send_body(link, ask))
                 await exchange.collect(HELD_MOST)
