--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/plumsaddle-core packages/plumsaddle-hosts packages/plumsaddle-standins
 export PYTHONHASHSEED := 0
 
-.PHONY: setup format lint test demo lab measure floor slopes generate
+.PHONY: setup format lint test demo lab measure floor telling slopes generate
 
 setup: $(VENV)/ready
 
@@ -43,6 +43,9 @@
 floor: setup
 	$(BIN)/python -m plumsaddle_standins.floor_model
 
+telling: setup
+	$(BIN)/python -m plumsaddle_standins.telling_model
+
 slopes: setup
 	$(BIN)/python -m plumsaddle_standins.slopes
 
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/telling_model.py
@@ -0,0 +1,256 @@
+"""
+What telling each other costs the hosts of a data centre, in virtual time.
+
+Hosts start and end sends at a steady rate and tell each other through the datagrams of
+`edge/peers.py`, over links with a delay. Compared are two ways:
+
+- hub: each host tells the hub, and the hub tells all;
+- all to all: each host tells each other one, within the same allowances.
+
+The table shows what one host sends and takes in a second, the processor time of that
+in this process, without the system's part, and by how much the work in flight at a
+target, as a host knows it, is off.
+"""
+
+import heapq
+import itertools
+import random
+import time
+from typing import NamedTuple
+
+from plumsaddle_core.core.traffic import Bounds, HostSettings
+from plumsaddle_core.ops.news import Sign
+from plumsaddle_core.ops.zone import Zone
+from plumsaddle_hosts.edge import peers as module
+from plumsaddle_hosts.edge.feed import Gate
+from plumsaddle_hosts.edge.peers import Peers
+
+SIZES = (12, 45, 60, 100)
+CENTRES = ("x",)
+# Requests a second at each host, and seconds that each takes: those of today's larger
+# deployments.
+RATE = 2.5
+WORK = 0.6
+TARGETS_PER_HOST = 1.2
+DELAY = 0.0003
+# Links of 20 Mbit/s, in bytes a second; the first three hosts have ten times that.
+LINK = 2_500_000.0
+FAST_LINK = 25_000_000.0
+FAST_HOSTS = 3
+WARM_UP = 6.0
+SECONDS = 10.0
+SAMPLE_EVERY = 0.05
+
+
+class Cost(NamedTuple):
+    """
+    What one host spends in a second, and how far off it is.
+
+    `processor` is in milliseconds, `error` in requests at a target.
+    """
+
+    sent: float
+    taken: float
+    sent_bytes: float
+    most_sent_bytes: float
+    processor: float
+    error: float
+
+
+class TellingModel:
+    """
+    One data centre.
+
+    Args:
+      count: How many hosts it has.
+      has_hub: Whether hosts tell a hub; otherwise each tells each other one.
+      seed: The run's seed.
+    """
+
+    def __init__(self, count, has_hub=True, seed=1):
+        self.at = 1000.0
+        self._rng = random.Random(seed)
+        self._events = []
+        self._order = itertools.count()
+        self._hosts = {}
+        self._true = {}
+        self._targets = [f"t{n}" for n in range(int(count * TARGETS_PER_HOST))]
+        self._sent = dict.fromkeys(range(count), 0)
+        self._sent_bytes = dict.fromkeys(range(count), 0)
+        self._taken = 0
+        self._errors = []
+        self._spent = 0.0
+        for number in range(count):
+            self._add_host(number, has_hub)
+
+    def _add_host(self, number, has_hub):
+        address = f"10.0.0.{number + 1}:7000"
+        link = FAST_LINK if number < FAST_HOSTS else LINK
+        settings = HostSettings(
+            f"host-{number}",
+            CENTRES[0],
+            CENTRES,
+            "",
+            "",
+            address,
+            ("10.0.0.1:7000",),
+            "",
+            Bounds(),
+            link,
+        )
+        zone = Zone(0.2, 10.0, started=0.0)
+        gate = Gate(_ignore, _ignore, _ignore)
+        peers = Peers(settings, zone, gate, [], self._rng, self._call_later)
+        if not has_hub:
+            peers._neighbours.pick_hub = lambda at: False
+        peers.connection_made(_Transport(self, number, address))
+        self._hosts[address] = (peers, zone)
+        self._push(self._rng.random(), self._beat, peers)
+        self._push(self._rng.random(), self._look, peers)
+        self._push(1.0 + self._rng.random(), self._start, peers, zone)
+
+    def run(self):
+        """Play, and return the `Cost` of a host and second after the warm-up."""
+        self._play(WARM_UP)
+        self._taken, self._spent = 0, 0.0
+        for counts in (self._sent, self._sent_bytes):
+            counts.update(dict.fromkeys(counts, 0))
+        self._push(SAMPLE_EVERY, self._sample)
+        self._play(SECONDS)
+        host_seconds = len(self._hosts) * SECONDS
+        return Cost(
+            sum(self._sent.values()) / host_seconds,
+            self._taken / host_seconds,
+            sum(self._sent_bytes.values()) / host_seconds,
+            max(self._sent_bytes.values()) / SECONDS,
+            1000 * self._spent / host_seconds,
+            sum(self._errors) / len(self._errors),
+        )
+
+    def _play(self, seconds):
+        end = self.at + seconds
+        while self._events[0][0] < end:
+            self.at, _, call, args = heapq.heappop(self._events)
+            call(*args)
+        self.at = end
+
+    def _push(self, delay, call, *args):
+        event = (self.at + delay, next(self._order), call, args)
+        heapq.heappush(self._events, event)
+
+    def _call_later(self, seconds, function):
+        call = _Call(function)
+        self._push(seconds, self._measure, call.run)
+        return call
+
+    def _measure(self, function, *args):
+        """Call something of a host, and count its processor time."""
+        started = time.process_time()
+        result = function(*args)
+        self._spent += time.process_time() - started
+        return result
+
+    def _beat(self, peers):
+        self._push(1.0, self._beat, peers)
+        self._measure(peers.beat, self.at)
+
+    def _look(self, peers):
+        self._push(self._measure(peers.look, self.at), self._look, peers)
+
+    def _start(self, peers, zone):
+        self._push(self._rng.expovariate(RATE), self._start, peers, zone)
+        target = self._rng.choice(self._targets)
+        self._true[target] = self._true.get(target, 0) + 1
+        zone.start(target, self.at)
+        self._measure(peers.tell_soon, False)
+        seconds = self._rng.expovariate(1 / WORK)
+        self._push(seconds, self._end, peers, zone, target, seconds)
+
+    def _end(self, peers, zone, target, seconds):
+        self._true[target] -= 1
+        zone.end(target)
+        zone.note(target, "s", "r", Sign.WHOLE, seconds, self.at)
+        self._measure(peers.tell_soon, False)
+
+    def _sample(self):
+        self._push(SAMPLE_EVERY, self._sample)
+        _, zone = self._rng.choice(list(self._hosts.values()))
+        known = [zone.in_flight(target) for target in self._targets]
+        true = [self._true.get(target, 0) for target in self._targets]
+        off = sum(abs(a - b) for a, b in zip(known, true, strict=True))
+        self._errors.append(off / len(self._targets))
+
+    def send(self, number, sender, data, address):
+        """Take a datagram from a host."""
+        self._sent[number] += 1
+        self._sent_bytes[number] += len(data) + module.DATAGRAM_HEADERS
+        self._push(DELAY, self._deliver, sender, data, address)
+
+    def _deliver(self, sender, data, address):
+        self._taken += 1
+        peers, _ = self._hosts[address]
+        ip, _, port = sender.rpartition(":")
+        self._measure(peers.datagram_received, data, (ip, int(port)))
+
+
+class _Transport:
+    def __init__(self, model, number, address):
+        self._model = model
+        self._number = number
+        self._address = address
+
+    def is_closing(self):
+        return False
+
+    def sendto(self, data, address):
+        to = f"{address[0]}:{address[1]}"
+        self._model.send(self._number, self._address, data, to)
+
+
+class _Call:
+    """A call that was put off and may be cancelled."""
+
+    def __init__(self, function):
+        self._function = function
+
+    def run(self):
+        """Make the call, unless it was cancelled."""
+        if self._function is not None:
+            self._function()
+
+    def cancel(self):
+        """Forget the call."""
+        self._function = None
+
+
+def _ignore(_):
+    pass
+
+
+def play(count, has_hub, seed=1):
+    """Return the `Cost` of a host and second in a data centre of some hosts."""
+    model = TellingModel(count, has_hub, seed)
+    former, module.now = module.now, lambda: model.at
+    try:
+        return model.run()
+    finally:
+        module.now = former
+
+
+def main():
+    """Print the table."""
+    print("| hosts | way | sent | taken | kB sent | the most | processor ms | off by |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for count, has_hub in itertools.product(SIZES, (True, False)):
+        cost = play(count, has_hub)
+        numbers = (
+            f"{cost.sent:.1f} | {cost.taken:.1f} | {cost.sent_bytes / 1000:.1f} | "
+            f"{cost.most_sent_bytes / 1000:.0f} | {cost.processor:.2f} | "
+            f"{cost.error:.3f}"
+        )
+        way = "hub" if has_hub else "all to all"
+        print(f"| {count} | {way} | {numbers} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
