--- a/packages/plumsaddle-core/plumsaddle_core/ops/neighbours.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/neighbours.py
@@ -17,7 +17,7 @@
 import enum
 import functools
 import zlib
-from typing import NamedTuple
+from dataclasses import dataclass
 
 from ..core.ids import Address
 
@@ -57,12 +57,13 @@
     AWAY = 2
 
 
-class Neighbour(NamedTuple):
+@dataclass(slots=True)
+class Neighbour:
     """
     What a host knows of another one of its data centre.
 
     `link` is what its link carries in bytes a second, 0 if unknown. Times are in
-    seconds.
+    seconds. It changes with each message that a hub passes on.
     """
 
     heard_at: float
@@ -108,12 +109,13 @@
         if known is None:
             self._known[address] = Neighbour(now)
         elif now > known.heard_at:
-            self._known[address] = known._replace(heard_at=now)
+            known.heard_at = now
 
     def describe(self, address, link, contact):
         """Take what a host that was heard says of itself."""
         known = self._known[address]
-        self._known[address] = known._replace(link=link, contact=contact)
+        known.link = link
+        known.contact = contact
 
     def name(self, address, now):
         """Take a host that another one named; it stays only if it is heard."""
@@ -169,8 +171,7 @@
     def _avoid_silent_hub(self, now):
         known = self._known.get(self._hub)
         if known is not None and now - self._hub_heard_at > HUB_SILENT_FOR:
-            until = now + AVOIDED_FOR
-            self._known[self._hub] = known._replace(avoided_until=until)
+            known.avoided_until = now + AVOIDED_FOR
 
     # The readers.
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/times.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/times.py
@@ -33,6 +33,7 @@
 
     def __init__(self):
         self._times = {}
+        # The medians by service and route, None where a time has come since.
         self._medians = {}
         self._stuck = {}
         self._shed = {}
@@ -46,10 +47,17 @@
         that takes milliseconds look stuck from the first one on.
         """
         medians = self._medians.get(service, {})
-        known = medians.get(route)
-        if known is not None:
-            return known
-        return max(USUAL_AT_FIRST, max(medians.values(), default=0.0))
+        if route in medians:
+            return self._median(service, route)
+        others = [self._median(service, other) for other in medians]
+        return max(USUAL_AT_FIRST, max(others, default=0.0))
+
+    def _median(self, service, route):
+        """Return a known route's median, worked out when it is asked for."""
+        medians = self._medians[service]
+        if medians[route] is None:
+            medians[route] = statistics.median(self._times[service, route])
+        return medians[route]
 
     def note_whole(self, service, route, seconds):
         """Take the seconds of work behind a whole answer."""
@@ -68,8 +76,7 @@
         recent = self._times.setdefault((service, route), deque(maxlen=KEPT))
         recent.append(seconds)
         if len(recent) >= FEWEST:
-            medians = self._medians.setdefault(service, {})
-            medians[route] = statistics.median(recent)
+            self._medians.setdefault(service, {})[route] = None
 
     def note_stuck(self, service, route):
         """Take a stuck send, and return the share that was stuck before it."""
