--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -83,10 +83,9 @@
 HUB_EVERY = 0.2
 # How often (seconds) a host that is no hub looks whether it should be, or has lost it.
 LOOK_EVERY = 0.25
-# A host that has other hosts to ask becomes a reader at this age (seconds) at the
-# earliest. Hosts that start together hear of each other within two beats; till then
-# each would take itself for a reader.
-START_READING = 1.5
+# A host that has others to ask does no part for its data centre before this age, in
+# seconds.
+START_ALONE_FOR = 1.5
 # The address that spoke for another data centre last is taken for its hub this long
 # (seconds); it speaks ten times a second.
 FAR_HUB_FOR = 1.0
@@ -184,7 +183,7 @@
             log.info("silent", extra={"peer": host})
         self._pick_hub(at)
         self._send_work(at, self._make_beat(at))
-        if self._is_first():
+        if self._is_first() and self._has_looked_round(at):
             self._send_far(self._zone.near_used(at - FAR_EVERY), at)
         else:
             # The hub tells it for all.
@@ -236,7 +235,8 @@
             self._send_work(at, self._make_beat(at))
         self._look_at_duty(at)
         if self._is_first():
-            self._send_load(at)
+            if self._has_looked_round(at):
+                self._send_load(at)
         elif not self._collected.clients(at):
             return LOOK_EVERY
         if at - self._bundled_at >= HUB_EVERY:
@@ -259,17 +259,23 @@
         """Begin or cease to follow the store for the others."""
         contact = self._gate.contact(at)
         is_reader = self._neighbours.is_reader(contact, at)
-        if is_reader and at - self._started < START_READING and self._has_seeds():
-            # It has not heard yet who else is there, nor have the others.
-            is_reader = False
+        is_reader = is_reader and self._has_looked_round(at)
         self._gate.is_first_asker = self._neighbours.is_first_asker(at)
         if self._gate.set_reader(is_reader):
             log.info("reader", extra={"is_reader": is_reader, "contact": contact.name})
             for feed in self._feeds.values():
                 feed.wake()
 
-    def _has_seeds(self):
-        return bool(set(self._settings.seeds) - {self._settings.peers})
+    def _has_looked_round(self, at):
+        """
+        Whether this host may act for its data centre if it finds nobody before it.
+
+        Hosts that start together hear of each other within two beats. Till then each
+        takes itself for the first: 293 hosts would all read the store and speak to the
+        other data centres ten times a second.
+        """
+        has_seeds = bool(set(self._settings.seeds) - {self._settings.peers})
+        return not has_seeds or at - self._started >= START_ALONE_FOR
 
     def _is_first(self):
         """Whether this host is the hub as far as it knows."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -10,14 +10,14 @@
 
 from plumsaddle_core.core.traffic import Bounds, HostSettings
 from plumsaddle_core.ops.elsewhere import LOAD_FOR
-from plumsaddle_core.ops.neighbours import AVOIDED_FOR, HUB_SILENT_FOR
+from plumsaddle_core.ops.neighbours import AVOIDED_FOR, HUB_SILENT_FOR, READERS
 from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.zone import Zone
 
 from . import peers as module
 from .bundles import CLIENT_FOR
 from .feed import Gate
-from .peers import FAR_HUB_FOR, HUB_EVERY, Peers
+from .peers import FAR_HUB_FOR, HUB_EVERY, START_ALONE_FOR, Peers
 
 CENTRES = ("x", "y")
 encode = msgspec.msgpack.encode
@@ -410,3 +410,25 @@
     assert len(net.sent) == count - 1
     net.deliver()
     assert all(zone.in_flight("t") == count - 1 for _, zone, _ in hosts)
+
+
+def test_hosts_that_start_together_do_not_all_speak_for_their_data_centre(net):
+    """
+    Links fill up when all hosts are killed and come back: each took itself for the hub
+    and the reader of its data centre until it had heard of the others.
+    """
+    seed = ("10.0.0.1:7000",)
+    hosts = [net.add(f"{c}{n}", c, seed) for c in CENTRES for n in range(6)]
+    net.play(START_ALONE_FOR / 2)
+    spoken = [peers for peers, _, _ in hosts if peers._load_number]
+    reading = [peers for peers, _, _ in hosts if peers._gate.is_reader]
+    # The seed itself asks nobody.
+    assert [peers._settings.peers for peers in spoken] == list(seed)
+    assert [peers._settings.peers for peers in reading] == list(seed)
+    net.play(4.0)
+    before = [peers._load_number for peers, _, _ in hosts]
+    net.play(1.0)
+    speaks = [p._load_number > n for (p, _, _), n in zip(hosts, before, strict=True)]
+    assert sum(speaks[:6]) == sum(speaks[6:]) == 1
+    for centre in (hosts[:6], hosts[6:]):
+        assert sum(peers._gate.is_reader for peers, _, _ in centre) == READERS
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_readers_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_readers_test.py
@@ -11,7 +11,7 @@
 
 from plumsaddle_core.core.traffic import TargetState
 from plumsaddle_hosts.edge.feed import START_REST, TOLD_FOR, WAIT_MOST
-from plumsaddle_hosts.edge.peers import HUB_EVERY, START_READING
+from plumsaddle_hosts.edge.peers import HUB_EVERY, START_ALONE_FOR
 from plumsaddle_hosts.platform.store import StoreError
 
 from .trial import Trial, in_loop, until
@@ -69,7 +69,7 @@
     """
     assert WAIT_MOST + SLOW_ANSWER + HUB_EVERY < TOLD_FOR
     assert TOLD_FOR + SLOW_ANSWER < KNOWN_WITHIN
-    assert START_READING < START_REST
+    assert START_ALONE_FOR < START_REST
 
 
 @pytest.mark.parametrize("fault", [_hang, _refuse])
