--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -16,7 +16,13 @@
 from plumsaddle_core.ops.floor import Trials
 from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.registry import Registry
-from plumsaddle_core.ops.subset import WIDEN_BELOW, draw_subset
+from plumsaddle_core.ops.subset import (
+    SMALL,
+    WIDEN_BELOW,
+    Rate,
+    rank_targets,
+    subset_size,
+)
 from plumsaddle_core.ops.table import build_table
 from plumsaddle_core.ops.zone import Zone
 
@@ -67,7 +73,8 @@
             has_paths=Part.PATHS not in settings.off,
         )
         self._answer_bytes = {}
-        self._subsets = {}
+        self._ranked = {}
+        self._rates = {}
         self._trials = Trials()
         self._on_work = None
         self._on_ended = None
@@ -197,7 +204,8 @@
             tried = [target for target in usable if target.life == trial]
             choice = self._choose_among(tried, demand, has_link, at)
             return choice._replace(rule=Rule.FLOOR_TRIAL)
-        subset = self._subset(service, usable)
+        rate = self._rates.setdefault(service, Rate()).note(at)
+        subset = self._subset(service, usable, rate)
         kept_to = [target for target in subset if target.id not in excluded]
         choice = self._choose_among(kept_to, demand, has_link, at)
         is_good = choice is not None and choice.value >= WIDEN_BELOW
@@ -206,14 +214,17 @@
         every = [target for target in usable if target.id not in excluded]
         return self._choose_among(every, demand, has_link, at)
 
-    def _subset(self, service, usable):
+    def _subset(self, service, usable, rate):
         """Return the targets of a service that this host keeps to."""
-        revision, subset = self._subsets.get(service, (-1, []))
+        if len(usable) <= SMALL:
+            return usable
+        revision, ranked = self._ranked.get(service, (-1, None))
         if revision != self.registry.revision:
             settings = self.settings
-            subset = draw_subset(usable, settings.id, settings.centre)
-            self._subsets[service] = (self.registry.revision, subset)
-        return subset
+            ranked = rank_targets(usable, settings.id, settings.centre)
+            self._ranked[service] = (self.registry.revision, ranked)
+        hosts = self.zone.hosts_heard()
+        return ranked.first(subset_size(len(ranked.near), hosts, rate))
 
     def _choose_among(self, targets, demand, has_link, at):
         candidates = [self._weigh(target, has_link, at) for target in targets]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge_test.py
@@ -48,6 +48,8 @@
     seconds, and targets close idle connections after ten.
     """
     knowledge = _knowledge(200)
+    knowledge.zone.hosts_heard = lambda: 45
+    knowledge._rates["act"] = _SteadyRate()
     assert len({_choose(knowledge)[0] for _ in range(300)}) <= 48
 
 
@@ -58,7 +60,7 @@
     All that it keeps to are full or fail.
     """
     knowledge = _knowledge(200)
-    kept_to = {target.id for target in knowledge._subset("act", _usable(knowledge))}
+    kept_to = {target.id for target in knowledge._subset("act", _usable(knowledge), 1)}
     for target_id in kept_to:
         knowledge.zone.note(target_id, "act", "r", Sign.FAILED, 0.0, now())
     assert _choose(knowledge)[0] not in kept_to
@@ -71,6 +73,13 @@
     assert first not in {_choose(knowledge)[0] for _ in range(100)}
 
 
+class _SteadyRate:
+    """Ten sends a second."""
+
+    def note(self, at):
+        return 10.0
+
+
 def _usable(knowledge):
     return knowledge.registry.usable("act")
 
