--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 
 import pytest
@@ -13,7 +14,8 @@
 from ..platform.store import KeyedRecord, Page, StoreError
 from . import feed
 from .clock import now as clock
-from .feed import Feed, Gate
+from .feed import Feed
+from .gate import Gate
 
 
 @pytest.fixture(autouse=True)
@@ -50,6 +52,20 @@
     return made, taken
 
 
+@contextlib.asynccontextmanager
+async def _told():
+    """Follow a topic whose readers have said that it ends at offset 10."""
+    store = ScriptedStore()
+    made, taken = _feed(store, is_reader=False)
+    task = asyncio.ensure_future(made.run())
+    await _settle()
+    store.answers.put_nowait(Success(Page([], 10)))
+    made.note_reader(10, 0.0, clock())
+    await _settle()
+    yield store, made, taken
+    task.cancel()
+
+
 async def _settle():
     for _ in range(5):
         await asyncio.sleep(0)
@@ -130,23 +146,16 @@
     """
 
     async def run():
-        store = ScriptedStore()
-        made, taken = _feed(store, is_reader=False)
-        task = asyncio.ensure_future(made.run())
-        await _settle()
-        store.answers.put_nowait(Success(Page([], 10)))
-        made.note_reader(10, 0.0, clock())
-        await _settle()
-        assert len(store.reads) == 1
-        made.take_page(10, [RECORD], 11, clock())
-        await _settle()
-        assert taken[1:] == [Page([RECORD], 11)]
-        # The same from the other reader, and a former word that comes late.
-        made.take_page(10, [RECORD], 11, clock())
-        made.take_page(9, [RECORD._replace(offset=9)], 10, clock())
-        assert len(taken) == 2
-        assert len(store.reads) == 1
-        task.cancel()
+        async with _told() as (store, made, taken):
+            assert len(store.reads) == 1
+            made.take_page(10, [RECORD], 11, clock())
+            await _settle()
+            assert taken[1:] == [Page([RECORD], 11)]
+            # The same from the other reader, and a former word that comes late.
+            made.take_page(10, [RECORD], 11, clock())
+            made.take_page(9, [RECORD._replace(offset=9)], 10, clock())
+            assert len(taken) == 2
+            assert len(store.reads) == 1
 
     asyncio.run(run())
 
@@ -160,20 +169,13 @@
     monkeypatch.setattr(feed, "MISSED_FOR", 0.01)
 
     async def run(tell):
-        store = ScriptedStore()
-        made, taken = _feed(store, is_reader=False)
-        task = asyncio.ensure_future(made.run())
-        await _settle()
-        store.answers.put_nowait(Success(Page([], 10)))
-        made.note_reader(10, 0.0, clock())
-        await _settle()
-        tell(made)
-        await asyncio.sleep(0.05)
-        assert store.reads[1:] == [(10, 0.0)]
-        store.answers.put_nowait(Success(Page([RECORD], 12)))
-        await _settle()
-        assert taken[1:] == [Page([RECORD], 12)]
-        task.cancel()
+        async with _told() as (store, made, taken):
+            tell(made)
+            await asyncio.sleep(0.05)
+            assert store.reads[1:] == [(10, 0.0)]
+            store.answers.put_nowait(Success(Page([RECORD], 12)))
+            await _settle()
+            assert taken[1:] == [Page([RECORD], 12)]
 
     later = RECORD._replace(offset=11)
     asyncio.run(run(lambda made: made.take_page(11, [later], 12, clock())))
@@ -188,18 +190,11 @@
     monkeypatch.setattr(feed, "TOLD_FOR", 0.1)
 
     async def run():
-        store = ScriptedStore()
-        made, _ = _feed(store, is_reader=False)
-        task = asyncio.ensure_future(made.run())
-        await _settle()
-        store.answers.put_nowait(Success(Page([], 10)))
-        made.note_reader(10, 0.0, clock())
-        await _settle()
-        assert len(store.reads) == 1
-        made.note_reader(10, 5.0, clock())
-        await asyncio.sleep(0.15)
-        assert len(store.reads) == 2
-        task.cancel()
+        async with _told() as (store, made, _):
+            assert len(store.reads) == 1
+            made.note_reader(10, 5.0, clock())
+            await asyncio.sleep(0.15)
+            assert len(store.reads) == 2
 
     asyncio.run(run())
 
@@ -211,18 +206,11 @@
     """
 
     async def run():
-        store = ScriptedStore()
-        made, _ = _feed(store, is_reader=False)
-        task = asyncio.ensure_future(made.run())
-        await _settle()
-        store.answers.put_nowait(Success(Page([], 10)))
-        made.note_reader(10, 0.0, clock())
-        await _settle()
-        made.gate.set_reader(True)
-        made.wake()
-        await _settle()
-        assert len(store.reads) == 2
-        task.cancel()
+        async with _told() as (store, made, _):
+            made.gate.set_reader(True)
+            made.wake()
+            await _settle()
+            assert len(store.reads) == 2
 
     asyncio.run(run())
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -29,8 +29,9 @@
 from .callers import FrontServer
 from .clock import now
 from .events import set_up_events
-from .feed import Feed, Gate
+from .feed import Feed
 from .front import Front
+from .gate import Gate
 from .knowledge import Knowledge
 from .links import Links
 from .metrics import EdgeMetrics
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/others.py
@@ -0,0 +1,81 @@
+"""
+What a hub tells the hubs of other data centres.
+"""
+
+from plumsaddle_core.core.parts import Part
+
+from .messages import Far, Load, encode
+from .strangers import Strangers
+
+# The address that spoke for another data centre last is taken for its hub this long
+# (seconds); it speaks ten times a second.
+HUB_KNOWN_FOR = 1.0
+
+
+class OtherCentres:
+    """
+    The other data centres, as the host that speaks for one of them knows them.
+
+    Args:
+      settings: The `HostSettings`.
+      zone: The `Zone` whose news are told.
+      life: The host's life, drawn at its start.
+      send: Called with bytes and the address to send them to.
+      rng: A `random.Random`, which draws whom to tell while no hub is known.
+    """
+
+    def __init__(self, settings, zone, life, send, rng):
+        self._settings = settings
+        self._zone = zone
+        self._life = life
+        self._send = send
+        self._rng = rng
+        self._hubs = {}
+        self._load_number = 0
+        self.strangers = Strangers(settings, rng)
+
+    def note_hub(self, centre, address, at):
+        """Note which host has spoken for another data centre."""
+        self.strangers.remember(centre, address, at)
+        self._hubs[centre] = (address, at)
+
+    def tell_news(self, used, at):
+        """
+        Tell evidence that was not told yet, and which targets were used.
+
+        Args:
+          used: Tags of targets.
+          at: The present, in seconds.
+        """
+        settings = self._settings
+        evidence = [
+            (e.number, e.target, round(e.ratio, 3)) for e in self._zone.evidence.take()
+        ]
+        if Part.FAR_EVIDENCE in settings.off:
+            evidence = []
+        if evidence or used:
+            far = Far(settings.id, self._life, settings.centre, evidence, used)
+            self._send_to_each(encode(far), at)
+
+    def tell_load(self, at):
+        """Tell what the hosts of this data centre have in flight."""
+        settings = self._settings
+        if Part.FAR_LOAD in settings.off:
+            return
+        self._load_number += 1
+        load = Load(
+            settings.centre,
+            settings.id,
+            self._life,
+            self._load_number,
+            self._zone.load(),
+        )
+        self._send_to_each(encode(load), at)
+
+    def _send_to_each(self, data, at):
+        """Send to one host of each other data centre, its hub if that is known."""
+        for centre, strangers in self.strangers.some(at).items():
+            address, heard_at = self._hubs.get(centre, (None, 0.0))
+            if at - heard_at >= HUB_KNOWN_FOR:
+                address = self._rng.choice(strangers)
+            self._send(data, address)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -57,7 +57,8 @@
     unpack_bundle,
     unpack_records,
 )
-from .strangers import STRANGERS_NAMED, Strangers
+from .others import OtherCentres
+from .strangers import STRANGERS_NAMED
 
 log = logging.getLogger("peers")
 # Members that an answer to a newcomer names, and those that a hub's beat names, drawn
@@ -86,9 +87,6 @@
 # A host that has others to ask does no part for its data centre before this age, in
 # seconds.
 START_ALONE_FOR = 1.5
-# The address that spoke for another data centre last is taken for its hub this long
-# (seconds); it speaks ten times a second.
-FAR_HUB_FOR = 1.0
 # A return of the store that is longer ago than this (seconds) is not told any more.
 RETURNED_MOST = 60.0
 # Outcomes that can wait to be told: they make no target look worse.
@@ -126,11 +124,9 @@
         self._datagrams = Allowance(TOLD_DATAGRAMS if is_bounded else None)
         self._urgent_datagrams = Allowance(URGENT_DATAGRAMS if is_bounded else None)
         self._counted_at = 0.0
-        self._load_number = 0
         self._number = 0
         self._neighbours = Neighbours(settings.peers, settings.link)
-        self._strangers = Strangers(settings, rng)
-        self._far_hubs = {}
+        self._others = OtherCentres(settings, zone, self._life, self._send, rng)
         self._collected = Collected()
         self._bundled_at = 0.0
         self._summed_at = 0.0
@@ -184,11 +180,11 @@
         self._pick_hub(at)
         self._send_work(at, self._make_beat(at))
         if self._is_first() and self._has_looked_round(at):
-            self._send_far(self._zone.near_used(at - FAR_EVERY), at)
+            self._others.tell_news(self._zone.near_used(at - FAR_EVERY), at)
         else:
             # The hub tells it for all.
             self._zone.evidence.take()
-        if not len(self._neighbours) or self._strangers.are_few(at):
+        if not len(self._neighbours) or self._others.strangers.are_few(at):
             self._ask(at)
 
     def _make_beat(self, at):
@@ -198,7 +194,7 @@
             # one to each other for ever.
             live = self._neighbours.live(at)
             members = self._rng.sample(live, min(NAMED_IN_BEAT, len(live)))
-            strangers = self._strangers.some(at)
+            strangers = self._others.strangers.some(at)
         contact = self._gate.contact(at)
         read = {}
         if contact is Contact.READING:
@@ -216,7 +212,7 @@
         settings = self._settings
         hello = encode(Hello(settings.id, settings.centre, settings.peers))
         asked = set(settings.seeds)
-        for strangers in self._strangers.some(at).values():
+        for strangers in self._others.strangers.some(at).values():
             asked.update(strangers)
         for address in asked - {settings.peers}:
             self._send(hello, address)
@@ -236,7 +232,7 @@
         self._look_at_duty(at)
         if self._is_first():
             if self._has_looked_round(at):
-                self._send_load(at)
+                self._others.tell_load(at)
         elif not self._collected.clients(at):
             return LOOK_EVERY
         if at - self._bundled_at >= HUB_EVERY:
@@ -327,7 +323,7 @@
     def _send_bundle(self, at):
         """Tell all hosts what this one was told as a hub."""
         if self._is_first() and self._zone.evidence.has_untold:
-            self._send_far([], at)
+            self._others.tell_news([], at)
         sums = None
         if self._is_sums_due(at):
             self._summed_at = at
@@ -348,39 +344,6 @@
         has_room = self._allowance.wait(False, at) <= 0.0
         return age >= SUMS_MOST or (age >= SUMS_EVERY and has_room)
 
-    # Other data centres.
-
-    def _send_far(self, used, at):
-        """Tell one host of each other data centre what is news there."""
-        evidence = [
-            (e.number, e.target, round(e.ratio, 3)) for e in self._zone.evidence.take()
-        ]
-        if Part.FAR_EVIDENCE in self._settings.off:
-            evidence = []
-        if not evidence and not used:
-            return
-        settings = self._settings
-        far = Far(settings.id, self._life, settings.centre, evidence, used)
-        self._send_elsewhere(encode(far), at)
-
-    def _send_elsewhere(self, data, at):
-        """Send to one host of each other data centre, the hub if that is known."""
-        for centre, strangers in self._strangers.some(at).items():
-            address, heard_at = self._far_hubs.get(centre, (None, 0.0))
-            if at - heard_at >= FAR_HUB_FOR:
-                address = self._rng.choice(strangers)
-            self._send(data, address)
-
-    def _send_load(self, at):
-        """Tell the other data centres what this one has in flight."""
-        if Part.FAR_LOAD in self._settings.off:
-            return
-        settings = self._settings
-        self._load_number += 1
-        counts = self._zone.load()
-        load = Load(settings.centre, settings.id, self._life, self._load_number, counts)
-        self._send_elsewhere(encode(load), at)
-
     # The store.
 
     def tell_records(self, topic, start, page):
@@ -456,7 +419,7 @@
             self._take_load(message, address, at)
         elif isinstance(message, Members):
             self._learn(message.addresses, at)
-            self._strangers.learn(message.strangers, at)
+            self._others.strangers.learn(message.strangers, at)
         else:
             self._take_hello(message, address, at)
 
@@ -476,7 +439,7 @@
     def _take_beat(self, beat, address, at):
         self._neighbours.describe(address, beat.link, beat.contact)
         self._learn(beat.members, at)
-        self._strangers.learn(beat.strangers, at)
+        self._others.strangers.learn(beat.strangers, at)
         if beat.contact is Contact.READING:
             self._gate.note_returned(at - beat.returned)
         for topic, (offset, age) in beat.read.items():
@@ -503,7 +466,7 @@
     def _take_far(self, far, address, at):
         """Take news from elsewhere, and pass it on."""
         if not far.is_passed_on:
-            self._note_far_hub(far.centre, address, at)
+            self._others.note_hub(far.centre, address, at)
         is_news = self._take_far_news(far, at)
         is_for_hub, far.is_passed_on = not far.is_passed_on, True
         if self._is_hub(at):
@@ -518,17 +481,13 @@
     def _take_load(self, load, address, at):
         """Take the work in flight elsewhere as the hub, or pass it on to the hub."""
         if not load.is_passed_on:
-            self._note_far_hub(load.centre, address, at)
+            self._others.note_hub(load.centre, address, at)
         if self._is_first():
             self._zone.take_far_load(far_load_of(load), at)
         elif not load.is_passed_on:
             load.is_passed_on = True
             self._send(encode(load), self._neighbours.hub)
 
-    def _note_far_hub(self, centre, address, at):
-        self._strangers.remember(centre, address, at)
-        self._far_hubs[centre] = (address, at)
-
     def _take_records(self, message, at):
         """Take changes of the store from a reader."""
         feed = self._feeds.get(message.topic)
@@ -540,13 +499,13 @@
 
     def _take_hello(self, hello, address, at):
         """Answer a host that looks for others of its data centre."""
-        strangers = self._strangers.some(at)
+        strangers = self._others.strangers.some(at)
         if hello.centre == self._settings.centre:
             known = self._neighbours.addresses()
             self._neighbours.name(address, at)
         else:
-            known = self._strangers.of(hello.centre, at)
-            self._strangers.remember(hello.centre, address, at)
+            known = self._others.strangers.of(hello.centre, at)
+            self._others.strangers.remember(hello.centre, address, at)
             own = [*self._neighbours.addresses(), self._settings.peers]
             strangers[self._settings.centre] = own[-STRANGERS_NAMED:]
         known = [a for a in known if a != address]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -16,8 +16,9 @@
 
 from . import peers as module
 from .bundles import CLIENT_FOR
-from .feed import Gate
-from .peers import FAR_HUB_FOR, HUB_EVERY, START_ALONE_FOR, Peers
+from .gate import Gate
+from .others import HUB_KNOWN_FOR
+from .peers import HUB_EVERY, START_ALONE_FOR, Peers
 
 CENTRES = ("x", "y")
 encode = msgspec.msgpack.encode
@@ -203,9 +204,9 @@
     """
     hosts = _fleet(net)
     for peers, _, _ in hosts:
-        assert peers._strangers.some(net.at)
+        assert peers._others.strangers.some(net.at)
     net.cut.add(hosts[3][2])
-    net.play(FAR_HUB_FOR + 0.1)
+    net.play(HUB_KNOWN_FOR + 0.1)
     peers, zone, _ = hosts[1]
     for number in range(40):
         zone.note(f"t{number}", "act", "r", Sign.FAILED, 0.001, net.at)
@@ -420,15 +421,17 @@
     seed = ("10.0.0.1:7000",)
     hosts = [net.add(f"{c}{n}", c, seed) for c in CENTRES for n in range(6)]
     net.play(START_ALONE_FOR / 2)
-    spoken = [peers for peers, _, _ in hosts if peers._load_number]
+    spoken = [peers for peers, _, _ in hosts if peers._others._load_number]
     reading = [peers for peers, _, _ in hosts if peers._gate.is_reader]
     # The seed itself asks nobody.
     assert [peers._settings.peers for peers in spoken] == list(seed)
     assert [peers._settings.peers for peers in reading] == list(seed)
     net.play(4.0)
-    before = [peers._load_number for peers, _, _ in hosts]
+    before = [peers._others._load_number for peers, _, _ in hosts]
     net.play(1.0)
-    speaks = [p._load_number > n for (p, _, _), n in zip(hosts, before, strict=True)]
+    speaks = [
+        p._others._load_number > n for (p, _, _), n in zip(hosts, before, strict=True)
+    ]
     assert sum(speaks[:6]) == sum(speaks[6:]) == 1
     for centre in (hosts[:6], hosts[6:]):
         assert sum(peers._gate.is_reader for peers, _, _ in centre) == READERS
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_readers_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_readers_test.py
@@ -10,7 +10,8 @@
 from returns.result import Failure
 
 from plumsaddle_core.core.traffic import TargetState
-from plumsaddle_hosts.edge.feed import START_REST, TOLD_FOR, WAIT_MOST
+from plumsaddle_hosts.edge.feed import START_REST, WAIT_MOST
+from plumsaddle_hosts.edge.gate import TOLD_FOR
 from plumsaddle_hosts.edge.peers import HUB_EVERY, START_ALONE_FOR
 from plumsaddle_hosts.platform.store import StoreError
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/telling_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/telling_model.py
@@ -22,7 +22,7 @@
 from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.zone import Zone
 from plumsaddle_hosts.edge import peers as module
-from plumsaddle_hosts.edge.feed import Gate
+from plumsaddle_hosts.edge.gate import Gate
 from plumsaddle_hosts.edge.peers import Peers
 
 SIZES = (12, 45, 60, 100)
