--- a/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
@@ -15,10 +15,10 @@
 # 200 Mbit/s and 30% of one of 20 Mbit/s, so there they are told less often.
 TOLD_SHARE = 0.15
 # Datagrams a second that a host may send to tell of work. Each costs processor time at
-# both ends, so a hub of sixty hosts tells them twenty times a second and one of twelve
-# a hundred times. Until the next telling a data centre of sixty sends seven requests,
-# for some three hundred targets.
-TOLD_DATAGRAMS = 1200.0
+# both ends, so a hub of sixty hosts tells them ten times a second and one of twelve
+# fifty times. Until the next telling a data centre of sixty sends fourteen requests,
+# for some three hundred targets. Twice as many made each host's cost a tenth higher.
+TOLD_DATAGRAMS = 600.0
 # The same for news that makes a target look worse. Until it is told, the others send
 # work there: with failures told a tenth of a second late, a data centre of sixty lost
 # four to seven orders to each target that began to fail, and 14 instead of 7 of a
