Leave a hub that is slow or does not hear; keep two messages of a host for a bundle

A hub that passes on all it is told, but seconds late, was never silent, and one that does not hear a host never told of its work: what a host tells comes back to it now, and the hub is left when that takes a second or stays away for 2.5. A hub behind a small link collected messages without bound. Each has a test that fails without the mend (hub slow, hub deaf, two hundred messages that wait).

--- a/packages/plumsaddle-core/plumsaddle_core/ops/neighbours.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/neighbours.py
@@ -35,6 +35,13 @@
 # whoever noticed. A request that meets what the hosts do not know yet costs more than a
 # change of the hub, which costs a few datagrams.
 HUB_SILENT_FOR = 0.5
+# What a host tells its hub comes back to it with the next bundle. If that takes longer
+# than this (seconds), the hub is slow and all that it tells is old. A hub behind a
+# small link takes half of it.
+HUB_LATE_FOR = 1.0
+# If nothing comes back for this long (seconds), the hub does not hear this host, and
+# nobody knows of its work. Hosts beat each second; one lost beat is no reason.
+UNHEARD_FOR = 2.5
 # A hub that went silent is not picked again for this long, so that one that is slow, or
 # whose link loses much, is not picked and left by turns.
 AVOIDED_FOR = 5.0
@@ -87,6 +94,7 @@
         self._known = {}
         self._hub = None
         self._hub_heard_at = 0.0
+        self._hub_heard_us_at = 0.0
 
     def __contains__(self, address):
         return address in self._known
@@ -166,11 +174,30 @@
         self._hub = picked
         # A hub that has just been picked gets its time to answer.
         self._hub_heard_at = now
+        self._hub_heard_us_at = now
         return True
 
+    def take_echo(self, sent_at, now):
+        """
+        Note that a hub has passed on what this host told it.
+
+        Args:
+          sent_at: When this host told it, in seconds.
+          now: The present, in seconds.
+        """
+        self._hub_heard_us_at = now
+        if now - sent_at > HUB_LATE_FOR:
+            self._avoid_hub(now)
+
     def _avoid_silent_hub(self, now):
+        is_silent = now - self._hub_heard_at > HUB_SILENT_FOR
+        is_deaf = now - self._hub_heard_us_at > UNHEARD_FOR
+        if is_silent or is_deaf:
+            self._avoid_hub(now)
+
+    def _avoid_hub(self, now):
         known = self._known.get(self._hub)
-        if known is not None and now - self._hub_heard_at > HUB_SILENT_FOR:
+        if known is not None:
             known.avoided_until = now + AVOIDED_FOR
 
     # The readers.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/neighbours_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/neighbours_test.py
@@ -101,10 +101,12 @@
     for step in range(40):
         at = left_at + step * 0.1
         _hear({own: table}, NAMES, at)
-        table.hear_hub(second or own, at)
+        table.hear_hub(second, at)
+        table.take_echo(at, at)
         assert not table.pick_hub(at)
     at = left_at + AVOIDED_FOR
     _hear({own: table}, NAMES, at)
     table.hear_hub(second, at)
+    table.take_echo(at, at)
     assert table.pick_hub(at)
     assert table.hub == hub
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/bundles.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/bundles.py
@@ -2,6 +2,9 @@
 What a hub has been told and has not yet told the others.
 """
 
+import itertools
+from collections import deque
+
 import msgspec
 
 from .messages import Bundle, pack_bundle
@@ -9,6 +12,10 @@
 # Seconds since a host's last message after which it is no client of this hub any more;
 # clients beat once a second.
 CLIENT_FOR = 2.5
+# Messages of one host that wait for the next bundle. Each states all of its work, and
+# outcomes are told in two messages each, so the last two say nearly all; with more, a
+# hub behind a small link would fall behind for ever.
+KEPT_OF_HOST = 2
 # Bytes of messages that go into one datagram. Compressed, they fit into one packet, so
 # that links that lose packets lose no more of these than of short datagrams.
 BUNDLE_MOST = 4_000
@@ -24,7 +31,7 @@
 
     def __init__(self):
         self._clients = {}
-        self._works = []
+        self._works = {}
         self._fars = []
         self._works_of_hubs = []
         self._fars_of_hubs = []
@@ -39,9 +46,10 @@
         self._clients = {a: at for a, at in heard if now - at < CLIENT_FOR}
         return list(self._clients)
 
-    def add_work(self, data):
-        """Keep an encoded `Work` for all."""
-        self._works.append(msgspec.Raw(data))
+    def add_work(self, host, data):
+        """Keep a host's encoded `Work` for all."""
+        works = self._works.setdefault(host, deque(maxlen=KEPT_OF_HOST))
+        works.append(msgspec.Raw(data))
 
     def add_far(self, data):
         """Keep an encoded `Far` for all."""
@@ -61,13 +69,14 @@
         Returns:
           The datagrams for all hosts, and those for clients besides.
         """
-        for_all = _pack(self._works, self._fars)
+        works = list(itertools.chain.from_iterable(self._works.values()))
+        for_all = _pack(works, self._fars)
         for_clients = _pack(self._works_of_hubs, self._fars_of_hubs)
         if sums is not None and sums.centres:
             for_clients.append(
                 pack_bundle(Bundle(centres=list(sums.centres), load=sums.counts))
             )
-        self._works, self._fars = [], []
+        self._works, self._fars = {}, []
         self._works_of_hubs, self._fars_of_hubs = [], []
         return for_all, for_clients
 
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/bundles_test.py
@@ -0,0 +1,48 @@
+"""
+Tests of what a hub keeps until it tells it.
+"""
+
+import msgspec
+
+from plumsaddle_core.ops.news import FarSums
+
+from .bundles import CLIENT_FOR, KEPT_OF_HOST, Collected
+from .messages import Work, decode, encode, unpack_bundle
+
+
+def _work(host, number):
+    return encode(Work(host, "10.0.0.1:7000", 1, number, {}, [], {}))
+
+
+def _bundles(datagrams):
+    messages = [decode(data) for data in datagrams]
+    return [m if hasattr(m, "works") else unpack_bundle(m) for m in messages]
+
+
+def test_a_hub_that_may_not_tell_for_a_while_does_not_fall_behind():
+    """
+    Hosts know of failures later and later, until the hub runs out of memory.
+
+    Its link carries less than it is told, and all of it waited to be passed on.
+    """
+    collected = Collected()
+    for number in range(200):
+        for host in range(20):
+            collected.add_work(f"h{host}", _work(f"h{host}", number))
+    for_all, _ = collected.take(None)
+    numbers = [decode(raw).number for b in _bundles(for_all) for raw in b.works]
+    assert sorted(numbers) == sorted(list(range(200 - KEPT_OF_HOST, 200)) * 20)
+    assert collected.take(None) == ([], [])
+
+
+def test_what_other_hubs_say_goes_to_clients_alone():
+    collected = Collected()
+    collected.note_client("10.0.0.2:7000", 1.0)
+    collected.add_from_hub([msgspec.Raw(_work("h1", 1))], [])
+    for_all, for_clients = collected.take(FarSums(("y",), {7: 1}))
+    assert for_all == []
+    works, sums = _bundles(for_clients)
+    assert [decode(raw).host for raw in works.works] == ["h1"]
+    assert (sums.centres, sums.load) == (["y"], {7: 1})
+    assert collected.clients(1.0 + CLIENT_FOR / 2) == ["10.0.0.2:7000"]
+    assert collected.clients(1.1 + CLIENT_FOR) == []
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -87,6 +87,9 @@
 # A host that has others to ask does no part for its data centre before this age, in
 # seconds.
 START_ALONE_FOR = 1.5
+# Messages to the hub that are remembered until it passes them on; a host sends some ten
+# a second.
+ECHOES_AWAITED = 64
 # A return of the store that is longer ago than this (seconds) is not told any more.
 RETURNED_MOST = 60.0
 # Outcomes that can wait to be told: they make no target look worse.
@@ -125,6 +128,8 @@
         self._urgent_datagrams = Allowance(URGENT_DATAGRAMS if is_bounded else None)
         self._counted_at = 0.0
         self._number = 0
+        # When the last messages to the hub were sent, by number.
+        self._sent_at = {}
         self._neighbours = Neighbours(settings.peers, settings.link)
         self._others = OtherCentres(settings, zone, self._life, self._send, rng)
         self._collected = Collected()
@@ -294,9 +299,11 @@
         self._is_work_untold = False
         data = encode(self._make_work(at, beat))
         if not self._is_first():
+            self._sent_at[self._number] = at
+            self._sent_at.pop(self._number - ECHOES_AWAITED, None)
             self._send(data, self._neighbours.hub)
         if self._is_hub(at):
-            self._collected.add_work(data)
+            self._collected.add_work(self._settings.id, data)
             self._send_bundle(at)
 
     def _make_work(self, at, beat):
@@ -404,7 +411,7 @@
         if isinstance(message, Work):
             self._collected.note_client(address, at)
             if self._take_work(message, at):
-                self._collected.add_work(data)
+                self._collected.add_work(message.host, data)
                 is_calm = all(row[4] in CALM_SIGNS for row in message.outcomes)
                 self._send_soon(not is_calm)
         elif isinstance(message, Bundle):
@@ -425,7 +432,10 @@
 
     def _take_work(self, work, at):
         """Take a host's work, and return whether it was news."""
-        if work.host == self._settings.id or not is_address(work.address):
+        if work.host == self._settings.id:
+            self._take_echo(work, at)
+            return False
+        if not is_address(work.address):
             return False
         # Only news counts as a word of the host: a hub that wakes from a freeze passes
         # on what its clients said seconds ago.
@@ -436,6 +446,12 @@
             self._take_beat(work.beat, work.address, at)
         return True
 
+    def _take_echo(self, work, at):
+        """Take what a hub passes on of this host's own."""
+        sent_at = self._sent_at.get(work.number)
+        if work.life == self._life and sent_at is not None:
+            self._neighbours.take_echo(sent_at, at)
+
     def _take_beat(self, beat, address, at):
         self._neighbours.describe(address, beat.link, beat.contact)
         self._learn(beat.members, at)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -10,7 +10,12 @@
 
 from plumsaddle_core.core.traffic import Bounds, HostSettings
 from plumsaddle_core.ops.elsewhere import LOAD_FOR
-from plumsaddle_core.ops.neighbours import AVOIDED_FOR, HUB_SILENT_FOR, READERS
+from plumsaddle_core.ops.neighbours import (
+    AVOIDED_FOR,
+    HUB_SILENT_FOR,
+    READERS,
+    UNHEARD_FOR,
+)
 from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.zone import Zone
 
@@ -37,6 +42,9 @@
         self.sent = []
         self.cut = set()
         self.broken = set()
+        # Seconds that datagrams to an address wait before it takes them.
+        self.slow = {}
+        self._waiting = []
         self.at = 1000.0
         self._later = []
         self._rng = random.Random(1)
@@ -74,15 +82,24 @@
 
     def _hand_over(self, sender, data, address):
         is_lost = {sender, address} & self.cut or (sender, address) in self.broken
-        if address in self.hosts and not is_lost:
-            ip, _, port = sender.rpartition(":")
-            self.hosts[address].datagram_received(data, (ip, int(port)))
+        if address in self.slow and not is_lost:
+            self._waiting.append((self.at + self.slow[address], sender, data, address))
+        elif address in self.hosts and not is_lost:
+            self._take(sender, data, address)
+
+    def _take(self, sender, data, address):
+        ip, _, port = sender.rpartition(":")
+        self.hosts[address].datagram_received(data, (ip, int(port)))
 
     def play(self, seconds):
         """Let hosts that are not cut off beat, look and tell for some seconds."""
         end = self.at + seconds
         while self.at < end:
             self.at += HUB_EVERY
+            ripe = [row for row in self._waiting if row[0] <= self.at]
+            self._waiting = [row for row in self._waiting if row[0] > self.at]
+            for _, sender, data, address in ripe:
+                self._take(sender, data, address)
             is_second = int(self.at) != int(self.at - HUB_EVERY)
             for address, peers in self.hosts.items():
                 if address in self.cut:
@@ -371,6 +388,37 @@
     assert _hub(net, hosts[:4]) == hub
 
 
+def test_a_slow_hub_is_left(net):
+    """
+    Requests go to targets that failed seconds ago, and nobody is silent.
+
+    The hub's processor is slow: it passes on all that it is told, two seconds late.
+    """
+    hosts = _fleet(net, 4)
+    hub = _hub(net, hosts[:4])
+    net.slow[hub] = 2.0
+    net.play(UNHEARD_FOR + 2 * HUB_EVERY)
+    left = [host for host in hosts[:4] if host[2] != hub]
+    assert _hub(net, left) != hub
+
+
+def test_a_host_that_the_hub_does_not_hear_turns_to_another(net):
+    """
+    Targets are overrun by the work of one host that nobody else knows of.
+
+    It hears the hub, but the way there is cut.
+    """
+    hosts = _fleet(net, 4)
+    hub = _hub(net, hosts[:4])
+    apart = next(host for host in hosts[:4] if host[2] != hub)
+    net.broken.add((apart[2], hub))
+    net.play(UNHEARD_FOR + 2 * HUB_EVERY)
+    apart[1].start("t", net.at)
+    apart[0].tell_soon(is_urgent=False)
+    net.deliver()
+    assert all(zone.in_flight("t") == 1 for _, zone, _ in hosts[:4])
+
+
 def test_a_host_that_cannot_hear_the_hub_hears_of_all_work(net):
     """
     One host keeps sending to targets that fail, because its path to the hub is cut.
