--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -412,7 +412,13 @@
     hub = _hub(net, hosts[:4])
     apart = next(host for host in hosts[:4] if host[2] != hub)
     net.broken.add((apart[2], hub))
-    net.play(UNHEARD_FOR + 2 * HUB_EVERY)
+    others = [host for host in hosts[:4] if host[2] != apart[2]]
+    for _ in range(round(UNHEARD_FOR / HUB_EVERY) + 2):
+        # The hub goes on telling all hosts of the others' work.
+        for peers, zone, _ in others:
+            zone.note("u", "act", "r", Sign.WHOLE, 0.2, net.at)
+            peers.tell_soon(is_urgent=False)
+        net.play(HUB_EVERY)
     apart[1].start("t", net.at)
     apart[0].tell_soon(is_urgent=False)
     net.deliver()
