--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -364,11 +364,14 @@
           start: The offset at which the read began.
           page: The `Page`.
         """
+        at = now()
+        # The first that a store answers after an outage is a reader from then on, and
+        # what it has just read keeps all others from asking.
+        self._look_at_duty(at)
         if not self._gate.is_reader:
             return
         if page.records:
             self._send_records(topic, start, page)
-        at = now()
         self._send_work(at, self._make_beat(at))
 
     def _send_records(self, topic, start, page):
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_readers_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_readers_test.py
@@ -10,11 +10,14 @@
 from returns.result import Failure
 
 from plumsaddle_core.core.traffic import TargetState
+from plumsaddle_core.ops.neighbours import Contact
+from plumsaddle_hosts.edge.clock import now
 from plumsaddle_hosts.edge.feed import START_REST, WAIT_MOST
 from plumsaddle_hosts.edge.gate import TOLD_FOR
 from plumsaddle_hosts.edge.peers import HUB_EVERY, START_ALONE_FOR
 from plumsaddle_hosts.platform.store import StoreError
 
+from .store import Fault
 from .trial import Trial, in_loop, until
 
 HOSTS = 5
@@ -124,3 +127,43 @@
         await _drain_in_time(trial, trial.hosts)
         await asyncio.sleep(TOLD_FOR)
         assert all(feed._reading is None for host in told for feed in host._feeds)
+
+
+@in_loop
+async def test_hosts_do_not_all_list_when_the_store_is_back():
+    """
+    A store that has just come back is overrun by the calls of hundreds of hosts.
+
+    The first that is answered reads on for all; nobody lists anything anew, and a
+    change that was made meanwhile is known at once.
+    """
+    async with Trial(services=("act",), targets=2, hosts=HOSTS) as trial:
+        await _settle(trial)
+        trial.store.fault = Fault.BUSY
+        await asyncio.sleep(3.0)
+        assert all(
+            host.store_gate.contact(now()) is Contact.AWAY for host in trial.hosts
+        )
+        trial.store.fault = Fault.NONE
+        trial.store.calls.clear()
+        await _drain_in_time(trial, trial.hosts)
+        paths = [path for _, path, _ in trial.store.calls]
+        assert "/log-newest" not in paths
+
+
+@in_loop
+async def test_hosts_that_are_told_survive_the_loss_of_the_stores_history():
+    """
+    Hosts keep a target for good that has left, since the records that said so were
+    deleted before they read them.
+    """
+    async with Trial(services=("act",), targets=2, hosts=HOSTS) as trial:
+        await _settle(trial)
+        trial.store.fault = Fault.BUSY
+        await asyncio.sleep(1.5)
+        trial.store.keep = 2
+        trial.register(trial.workers["act-0"], "draining")
+        for _ in range(20):
+            trial.register(trial.workers["act-1"])
+        trial.store.fault = Fault.NONE
+        await until(lambda: _leaves(trial, trial.hosts), 2 * KNOWN_WITHIN)
