Pass records on from the offset at which they were read

A reader whose call failed and which heard the other reader meanwhile named the offset of its failed call; hosts that had not heard both would have skipped records. The test fails on the former code.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -82,8 +82,8 @@
 
     def subscribe(self, on_read):
         """
-        Set what is called with the topic, the first offset and the `Page` of each
-        answered read of this host's own; the page may be empty.
+        Set what is called with the topic and the `Page` of each answered read of this
+        host's own; the page may be empty.
         """
         self._on_read = on_read
 
@@ -176,7 +176,6 @@
             if self._is_told(now()):
                 await self._wait_while_told()
                 continue
-            start = self._next
             result = await self._follow()
             if isinstance(result, Failure):
                 result = await self._retry(result.failure())
@@ -194,8 +193,8 @@
                     self._told_at = self.answered_at + START_REST - TOLD_FOR
                 continue
             self._take(page)
-            if self._on_read is not None and start is not None:
-                self._on_read(self._topic, start, page)
+            if self._on_read is not None:
+                self._on_read(self._topic, page)
             if page.records:
                 await asyncio.sleep(REST)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -288,3 +288,31 @@
         task.cancel()
 
     asyncio.run(run())
+
+
+def test_what_is_passed_on_begins_where_it_was_read(monkeypatch):
+    """
+    Other hosts miss the removal of a target, and keep it for good.
+
+    A reader's call failed, and it heard records from the other reader before the next
+    call. It passed on what it read then as if it began where the failed call did.
+    """
+    monkeypatch.setattr(feed, "PAUSE_FIRST", 0.02)
+
+    async def run():
+        store, passed_on = ScriptedStore(), []
+        made, _ = _feed(store)
+        made.subscribe(lambda topic, page: passed_on.append(page))
+        task = asyncio.ensure_future(made.run())
+        await _settle()
+        store.answers.put_nowait(Failure(StoreError.BUSY))
+        await _settle()
+        made.take_page(10, [RECORD], 11, clock())
+        later = RECORD._replace(offset=11)
+        store.answers.put_nowait(Success(Page([later], 12)))
+        await asyncio.sleep(0.05)
+        assert store.reads[-1] == (11, 0.0)
+        assert passed_on == [Page([later], 12)]
+        task.cancel()
+
+    asyncio.run(run())
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -353,7 +353,7 @@
 
     # The store.
 
-    def tell_records(self, topic, start, page):
+    def tell_records(self, topic, page):
         """
         Tell the other hosts what this one has read, if it reads for them.
 
@@ -361,7 +361,6 @@
 
         Args:
           topic: The topic's name.
-          start: The offset at which the read began.
           page: The `Page`.
         """
         at = now()
@@ -371,10 +370,12 @@
         if not self._gate.is_reader:
             return
         if page.records:
-            self._send_records(topic, start, page)
+            self._send_records(topic, page)
         self._send_work(at, self._make_beat(at))
 
-    def _send_records(self, topic, start, page):
+    def _send_records(self, topic, page):
+        # Where the read began, whatever this host knew when it first asked.
+        start = page.records[0].offset
         packed = pack_records(page.records)
         if packed is None:
             log.info("long records", extra={"topic": topic, "at": start})
