--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -228,7 +228,8 @@
         self._most_heard = max(self._most_heard, self.hosts_heard())
         if news.counts:
             self._take_counts(peer, news.counts, now)
-        for outcome in peer.inbox.fresh(news.outcomes):
+        fresh = peer.inbox.fresh(news.outcomes) if news.outcomes else ()
+        for outcome in fresh:
             if outcome.seconds < QUICK:
                 # It began and ended between two messages.
                 self._use(tag_of(outcome.target), now)
@@ -238,6 +239,8 @@
     def _take_in_flight(self, peer, in_flight, now):
         """Replace a host's work in flight, and the sums over all hosts with it."""
         former, peer.in_flight = peer.in_flight, in_flight
+        if former == in_flight:
+            return
         for tag, count in former.items():
             self._others[tag] -= count
         for tag, count in in_flight.items():
@@ -347,7 +350,7 @@
         """Take another data centre's `FarLoad`; an older one of a host is ignored."""
         self._elsewhere.take(load, now)
 
-    def far_load(self, now):
+    def far_sums(self, now):
         """Return the `FarSums` of all other data centres that were heard lately."""
         return self._elsewhere.sums(now)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -147,7 +147,7 @@
         for work in (
             *(feed.run() for feed in self._feeds),
             self._beat(),
-            self._look(),
+            self._tick(),
         ):
             task = loop.create_task(work)
             task.add_done_callback(_report)
@@ -206,10 +206,10 @@
             self.metrics.in_flight.set({}, self.front.in_flight)
             await asyncio.sleep(BEAT_EVERY)
 
-    async def _look(self):
+    async def _tick(self):
         """Do this host's part for the others, again and again."""
         while True:
-            await asyncio.sleep(self.peers.look(now()))
+            await asyncio.sleep(self.peers.tick(now()))
 
     def _look_at_settings(self):
         """Reload the settings if their file has changed without a signal."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -146,8 +146,12 @@
 
 def news_of(work):
     """Return the `PeerNews` of a `Work`."""
-    outcomes = tuple(OutcomeNote(*fields) for fields in work.outcomes)
-    counts = {service: Counts(*numbers) for service, numbers in work.counts.items()}
+    # Most messages tell neither; hosts take some hundreds of them a second.
+    outcomes, counts = (), {}
+    if work.outcomes:
+        outcomes = tuple(OutcomeNote(*fields) for fields in work.outcomes)
+    if work.counts:
+        counts = {name: Counts(*numbers) for name, numbers in work.counts.items()}
     return PeerNews(work.host, work.life, work.number, work.in_flight, outcomes, counts)
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -83,7 +83,7 @@
 # its loss.
 HUB_EVERY = 0.2
 # How often (seconds) a host that is no hub looks whether it should be, or has lost it.
-LOOK_EVERY = 0.25
+TICK_EVERY = 0.25
 # A host that has others to ask does no part for its data centre before this age, in
 # seconds.
 START_ALONE_FOR = 1.5
@@ -184,7 +184,7 @@
             log.info("silent", extra={"peer": host})
         self._pick_hub(at)
         self._send_work(at, self._make_beat(at))
-        if self._is_first() and self._has_looked_round(at):
+        if self._picked_itself() and self._may_act_alone(at):
             self._others.tell_news(self._zone.near_used(at - FAR_EVERY), at)
         else:
             # The hub tells it for all.
@@ -194,7 +194,7 @@
 
     def _make_beat(self, at):
         members, strangers = [], {}
-        if self._is_first():
+        if self._picked_itself():
             # Only hosts heard lately are named, else two hosts would keep naming a dead
             # one to each other for ever.
             live = self._neighbours.live(at)
@@ -224,7 +224,7 @@
 
     # The hub.
 
-    def look(self, at):
+    def tick(self, at):
         """
         Do a hub's part if this host is one, and look whether it should be.
 
@@ -234,12 +234,12 @@
         if self._pick_hub(at):
             # Told at once, since what went to a lost hub was told to nobody.
             self._send_work(at, self._make_beat(at))
-        self._look_at_duty(at)
-        if self._is_first():
-            if self._has_looked_round(at):
+        self._update_duty(at)
+        if self._picked_itself():
+            if self._may_act_alone(at):
                 self._others.tell_load(at)
         elif not self._collected.clients(at):
-            return LOOK_EVERY
+            return TICK_EVERY
         if at - self._bundled_at >= HUB_EVERY:
             self._send_bundle(at)
         if at - self._bundled_at >= HUB_EVERY:
@@ -256,18 +256,18 @@
         log.info("hub", extra={"peer": self._neighbours.hub, "former": former})
         return True
 
-    def _look_at_duty(self, at):
+    def _update_duty(self, at):
         """Begin or cease to follow the store for the others."""
         contact = self._gate.contact(at)
         is_reader = self._neighbours.is_reader(contact, at)
-        is_reader = is_reader and self._has_looked_round(at)
+        is_reader = is_reader and self._may_act_alone(at)
         self._gate.is_first_asker = self._neighbours.is_first_asker(at)
         if self._gate.set_reader(is_reader):
             log.info("reader", extra={"is_reader": is_reader, "contact": contact.name})
             for feed in self._feeds.values():
                 feed.wake()
 
-    def _has_looked_round(self, at):
+    def _may_act_alone(self, at):
         """
         Whether this host may act for its data centre if it finds nobody before it.
 
@@ -278,13 +278,13 @@
         has_seeds = bool(set(self._settings.seeds) - {self._settings.peers})
         return not has_seeds or at - self._started >= START_ALONE_FOR
 
-    def _is_first(self):
+    def _picked_itself(self):
         """Whether this host is the hub as far as it knows."""
         return self._neighbours.hub is None
 
     def _is_hub(self, at):
         """Whether this host tells others what it is told."""
-        return self._is_first() or bool(self._collected.clients(at))
+        return self._picked_itself() or bool(self._collected.clients(at))
 
     def _tell(self):
         self._due = None
@@ -298,7 +298,7 @@
         """Tell this host's work to its hub, or as the hub to all."""
         self._is_work_untold = False
         data = encode(self._make_work(at, beat))
-        if not self._is_first():
+        if not self._picked_itself():
             self._sent_at[self._number] = at
             self._sent_at.pop(self._number - ECHOES_AWAITED, None)
             self._send(data, self._neighbours.hub)
@@ -329,12 +329,12 @@
 
     def _send_bundle(self, at):
         """Tell all hosts what this one was told as a hub."""
-        if self._is_first() and self._zone.evidence.has_untold:
+        if self._picked_itself() and self._zone.evidence.has_untold:
             self._others.tell_news([], at)
         sums = None
         if self._is_sums_due(at):
             self._summed_at = at
-            sums = self._zone.far_load(at)
+            sums = self._zone.far_sums(at)
         for_all, for_clients = self._collected.take(sums)
         everyone = self._neighbours.addresses()
         clients = self._collected.clients(at)
@@ -366,7 +366,7 @@
         at = now()
         # The first that a store answers after an outage is a reader from then on, and
         # what it has just read keeps all others from asking.
-        self._look_at_duty(at)
+        self._update_duty(at)
         if not self._gate.is_reader:
             return
         if page.records:
@@ -473,7 +473,7 @@
         works = [raw for raw in bundle.works if self._take_work(decode_work(raw), at)]
         fars = [raw for raw in bundle.fars if self._take_far_news(decode_far(raw), at)]
         sums = far_sums_of(bundle)
-        if sums is not None and not self._is_first():
+        if sums is not None and not self._picked_itself():
             self._zone.take_far_sums(sums, at)
         if (works or fars) and self._collected.clients(at):
             self._collected.add_from_hub(works, fars)
@@ -502,7 +502,7 @@
         """Take the work in flight elsewhere as the hub, or pass it on to the hub."""
         if not load.is_passed_on:
             self._others.note_hub(load.centre, address, at)
-        if self._is_first():
+        if self._picked_itself():
             self._zone.take_far_load(far_load_of(load), at)
         elif not load.is_passed_on:
             load.is_passed_on = True
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -19,9 +19,11 @@
 from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.zone import Zone
 
+from ..platform.store import KeyedRecord, Page
 from . import peers as module
 from .bundles import CLIENT_FOR
 from .gate import Gate
+from .messages import Records, decode, unpack_records
 from .others import HUB_KNOWN_FOR
 from .peers import HUB_EVERY, START_ALONE_FOR, Peers
 
@@ -106,7 +108,7 @@
                     continue
                 if is_second:
                     peers.beat(self.at)
-                peers.look(self.at)
+                peers.tick(self.at)
             self.deliver()
 
 
@@ -333,7 +335,7 @@
     net.sent.clear()
     for peers, _, _ in hosts[:3]:
         peers._bundled_at = net.at
-        peers.look(net.at)
+        peers.tick(net.at)
     assert len(net.sent) == len(CENTRES) - 1
 
 
@@ -489,3 +491,21 @@
     assert sum(speaks[:6]) == sum(speaks[6:]) == 1
     for centre in (hosts[:6], hosts[6:]):
         assert sum(peers._gate.is_reader for peers, _, _ in centre) == READERS
+
+
+def test_records_are_told_from_their_first_offset(net):
+    """
+    Hosts skip the removal of a target, since a reader named an earlier offset than the
+    one at which it had read.
+    """
+    hosts = _fleet(net, 4)
+    reader = next(peers for peers, _, _ in hosts[:4] if peers._gate.is_reader)
+    net.sent.clear()
+    page = Page([KeyedRecord(11, "t-1", None), KeyedRecord(12, "t-2", b"x")], 13)
+    reader.tell_records("topic", page)
+    told = [decode(data) for _, data, _ in net.sent]
+    records = [message for message in told if isinstance(message, Records)]
+    assert len(records) == 3
+    for message in records:
+        assert (message.start, message.next) == (11, 13)
+        assert unpack_records(message.packed) == page.records
--- a/packages/plumsaddle-standins/plumsaddle_standins/telling_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/telling_model.py
@@ -106,7 +106,7 @@
         peers.connection_made(_Transport(self, number, address))
         self._hosts[address] = (peers, zone)
         self._push(self._rng.random(), self._beat, peers)
-        self._push(self._rng.random(), self._look, peers)
+        self._push(self._rng.random(), self._tick, peers)
         self._push(1.0 + self._rng.random(), self._start, peers, zone)
 
     def run(self):
@@ -154,8 +154,8 @@
         self._push(1.0, self._beat, peers)
         self._measure(peers.beat, self.at)
 
-    def _look(self, peers):
-        self._push(self._measure(peers.look, self.at), self._look, peers)
+    def _tick(self, peers):
+        self._push(self._measure(peers.tick, self.at), self._tick, peers)
 
     def _start(self, peers, zone):
         self._push(self._rng.expovariate(RATE), self._start, peers, zone)
