--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -138,6 +138,7 @@
         self._transport = None
         # The call that tells what waits, and whether own work is part of that.
         self._due = None
+        self._due_at = 0.0
         self._is_work_untold = False
         self._started = now()
 
@@ -172,9 +173,10 @@
         datagrams = self._urgent_datagrams if is_urgent else self._datagrams
         wait = max(self._allowance.wait(is_urgent, at), datagrams.wait(False, at))
         if self._due is not None:
-            if not is_urgent:
+            if at + wait >= self._due_at:
                 return
             self._due.cancel()
+        self._due_at = at + wait
         self._due = self._call_later(wait, self._tell)
 
     def beat(self, at):
@@ -411,7 +413,6 @@
             log.warning("unreadable", extra={"peer": address, "cause": str(exc)})
 
     def _take(self, message, data, address, at):
-        """Take a message; those that it holds may be unreadable by themselves."""
         if isinstance(message, Work):
             self._collected.note_client(address, at)
             if self._take_work(message, at):
@@ -470,8 +471,16 @@
         """Take what a hub tells, and pass it on to hosts that tell this one."""
         self._neighbours.hear(address, at)
         self._neighbours.hear_hub(address, at)
-        works = [raw for raw in bundle.works if self._take_work(decode_work(raw), at)]
-        fars = [raw for raw in bundle.fars if self._take_far_news(decode_far(raw), at)]
+        works = [
+            raw
+            for raw, work in _decode_each(bundle.works, decode_work, address)
+            if self._take_work(work, at)
+        ]
+        fars = [
+            raw
+            for raw, far in _decode_each(bundle.fars, decode_far, address)
+            if self._take_far_news(far, at)
+        ]
         sums = far_sums_of(bundle)
         if sums is not None and not self._picked_itself():
             self._zone.take_far_sums(sums, at)
@@ -538,5 +547,18 @@
                 self._neighbours.name(address, at)
 
 
+def _decode_each(raws, decode_one, address):
+    """
+    Yield encoded messages with what they say, but for those that cannot be read.
+
+    One host of another release would else silence all that stand behind it.
+    """
+    for raw in raws:
+        try:
+            yield raw, decode_one(raw)
+        except msgspec.DecodeError as exc:
+            log.warning("unreadable", extra={"peer": address, "cause": str(exc)})
+
+
 def _call_later(seconds, function):
     return asyncio.get_running_loop().call_later(seconds, function)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -16,14 +16,14 @@
     READERS,
     UNHEARD_FOR,
 )
-from plumsaddle_core.ops.news import Sign
+from plumsaddle_core.ops.news import Sign, tag_of
 from plumsaddle_core.ops.zone import Zone
 
 from ..platform.store import KeyedRecord, Page
 from . import peers as module
 from .bundles import CLIENT_FOR
 from .gate import Gate
-from .messages import Records, decode, unpack_records
+from .messages import Bundle, Records, Work, decode, unpack_records
 from .others import HUB_KNOWN_FOR
 from .peers import HUB_EVERY, START_ALONE_FOR, Peers
 
@@ -509,3 +509,32 @@
     for message in records:
         assert (message.start, message.next) == (11, 13)
         assert unpack_records(message.packed) == page.records
+
+
+def test_one_unreadable_message_does_not_silence_a_bundle(net):
+    """
+    Hosts know of nobody's work any more, since one host runs another release and its
+    messages stand first in each bundle.
+    """
+    peers, zone, _ = net.add("x0", "x")
+    work = Work("x1", "10.0.0.9:7000", 1, 1, {tag_of("t"): 1}, [], {})
+    raws = [msgspec.Raw(encode(["w", "strange"])), msgspec.Raw(encode(work))]
+    peers.datagram_received(encode(Bundle(works=raws)), ("10.0.0.8", 7000))
+    assert zone.in_flight("t") == 1
+
+
+def test_urgent_news_never_waits_longer_than_calm_news(net):
+    """
+    A failure is told later than the work before it, because the allowance for failures
+    was used up just then.
+    """
+    peers, zone, _ = _fleet(net, 4)[0]
+    waits = []
+    peers._call_later = lambda seconds, function: (
+        waits.append(seconds) or _Call(function)
+    )
+    peers._datagrams.spend(10, net.at)
+    peers.tell_soon(is_urgent=False)
+    peers._urgent_datagrams.spend(10_000, net.at)
+    peers.tell_soon(is_urgent=True)
+    assert len(waits) == 1
