--- a/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
@@ -65,6 +65,36 @@
         self._at = now
 
 
+class Allowances:
+    """
+    All that bounds what a host tells: bytes, datagrams, and datagrams of urgent news.
+
+    Args:
+      link: What the host's link carries, in bytes a second, or None if unknown.
+      is_bounded: Whether there is a bound at all.
+    """
+
+    def __init__(self, link, is_bounded=True):
+        self._bytes = Allowance(told_rate(link) if is_bounded else None)
+        self._calm = Allowance(TOLD_DATAGRAMS if is_bounded else None)
+        self._urgent = Allowance(URGENT_DATAGRAMS if is_bounded else None)
+
+    def spend(self, datagrams, size, now):
+        """Count datagrams that go out now, and their bytes together."""
+        self._bytes.spend(size, now)
+        self._calm.spend(datagrams, now)
+        self._urgent.spend(datagrams, now)
+
+    def wait(self, is_urgent, now):
+        """Return the seconds until the next message may go out, 0.0 for at once."""
+        datagrams = self._urgent if is_urgent else self._calm
+        return max(self._bytes.wait(is_urgent, now), datagrams.wait(False, now))
+
+    def has_bytes(self, now):
+        """Return whether the link has room for more."""
+        return self._bytes.wait(False, now) <= 0.0
+
+
 def told_rate(link):
     """Return the bytes a second that a host may tell over its link's bytes a second."""
     return None if link is None else link * TOLD_SHARE
--- a/packages/plumsaddle-core/plumsaddle_core/ops/pacing_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pacing_test.py
@@ -12,6 +12,7 @@
     TOLD_DATAGRAMS,
     TOLD_SHARE,
     Allowance,
+    Allowances,
     told_rate,
 )
 
@@ -106,3 +107,19 @@
     allowance.wait(False, 0.0)
     allowance.spend(1000 * SAVED_FOR + 100, 1000.0)
     assert allowance.wait(False, 1000.0) == pytest.approx(0.1)
+
+
+def test_failures_have_datagrams_of_their_own():
+    """
+    Four to seven hosts lose an order to a target that has begun to fail.
+
+    The hub had used up its datagrams for other news when the first failure came.
+    """
+    allowances = Allowances(None)
+    spent = TOLD_DATAGRAMS * SAVED_FOR + 60
+    allowances.spend(spent, 0, 0.0)
+    assert allowances.wait(False, 0.0) == pytest.approx(60 / TOLD_DATAGRAMS)
+    assert allowances.wait(True, 0.0) == 0.0
+    unbounded = Allowances(None, is_bounded=False)
+    unbounded.spend(1_000_000, 1_000_000, 0.0)
+    assert unbounded.wait(False, 0.0) == 0.0
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -25,12 +25,7 @@
 from plumsaddle_core.core.parts import Part
 from plumsaddle_core.ops.neighbours import Contact, Neighbours
 from plumsaddle_core.ops.news import Sign
-from plumsaddle_core.ops.pacing import (
-    TOLD_DATAGRAMS,
-    URGENT_DATAGRAMS,
-    Allowance,
-    told_rate,
-)
+from plumsaddle_core.ops.pacing import Allowances
 
 from ..utils.addresses import is_address, split_address
 from .bundles import Collected
@@ -123,9 +118,7 @@
         # restarted host would look older than it was and be ignored.
         self._life = secrets.randbits(48)
         is_bounded = Part.ALLOWANCE not in settings.off
-        self._allowance = Allowance(told_rate(settings.link) if is_bounded else None)
-        self._datagrams = Allowance(TOLD_DATAGRAMS if is_bounded else None)
-        self._urgent_datagrams = Allowance(URGENT_DATAGRAMS if is_bounded else None)
+        self._allowances = Allowances(settings.link, is_bounded)
         self._counted_at = 0.0
         self._number = 0
         # When the last messages to the hub were sent, by number.
@@ -170,8 +163,7 @@
     def _send_soon(self, is_urgent):
         """Tell what waits; all that happens until then goes out together."""
         at = now()
-        datagrams = self._urgent_datagrams if is_urgent else self._datagrams
-        wait = max(self._allowance.wait(is_urgent, at), datagrams.wait(False, at))
+        wait = self._allowances.wait(is_urgent, at)
         if self._due is not None:
             if at + wait >= self._due_at:
                 return
@@ -350,7 +342,7 @@
     def _is_sums_due(self, at):
         """Whether to tell clients what is in flight elsewhere; small links wait."""
         age = at - self._summed_at
-        has_room = self._allowance.wait(False, at) <= 0.0
+        has_room = self._allowances.has_bytes(at)
         return age >= SUMS_MOST or (age >= SUMS_EVERY and has_room)
 
     # The store.
@@ -388,9 +380,8 @@
 
     def _send(self, data, *addresses):
         at = now()
-        self._allowance.spend(len(addresses) * (len(data) + DATAGRAM_HEADERS), at)
-        self._datagrams.spend(len(addresses), at)
-        self._urgent_datagrams.spend(len(addresses), at)
+        size = len(addresses) * (len(data) + DATAGRAM_HEADERS)
+        self._allowances.spend(len(addresses), size, at)
         if self._transport is None or self._transport.is_closing():
             return
         for address in addresses:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -533,8 +533,7 @@
     peers._call_later = lambda seconds, function: (
         waits.append(seconds) or _Call(function)
     )
-    peers._datagrams.spend(10, net.at)
     peers.tell_soon(is_urgent=False)
-    peers._urgent_datagrams.spend(10_000, net.at)
+    peers._allowances.spend(10_000, 0, net.at)
     peers.tell_soon(is_urgent=True)
     assert len(waits) == 1
