--- a/packages/plumsaddle-core/plumsaddle_core/ops/neighbours.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/neighbours.py
@@ -96,9 +96,6 @@
         self._hub_heard_at = 0.0
         self._hub_heard_us_at = 0.0
 
-    def __contains__(self, address):
-        return address in self._known
-
     def __len__(self):
         return len(self._known)
 
