--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -23,7 +23,7 @@
 import msgspec
 
 from plumsaddle_core.core.parts import Part
-from plumsaddle_core.ops.neighbours import Contact, Neighbours
+from plumsaddle_core.ops.neighbours import Neighbours
 from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.pacing import Allowances
 
@@ -48,11 +48,10 @@
     far_news_of,
     far_sums_of,
     news_of,
-    pack_records,
     unpack_bundle,
-    unpack_records,
 )
 from .others import OtherCentres
+from .readers import Readers
 from .strangers import STRANGERS_NAMED
 
 log = logging.getLogger("peers")
@@ -85,8 +84,6 @@
 # Messages to the hub that are remembered until it passes them on; a host sends some ten
 # a second.
 ECHOES_AWAITED = 64
-# A return of the store that is longer ago than this (seconds) is not told any more.
-RETURNED_MOST = 60.0
 # Outcomes that can wait to be told: they make no target look worse.
 CALM_SIGNS = {Sign.WHOLE, Sign.LATE}
 
@@ -109,11 +106,9 @@
         self._settings = settings
         self._zone = zone
         self._rng = rng
-        self._gate = gate
         self._call_later = call_later or _call_later
-        self._feeds = {feed.topic: feed for feed in feeds}
         for feed in feeds:
-            feed.subscribe(self.tell_records)
+            feed.subscribe(self.tell_page)
         # Drawn and not taken from a clock: the time of day jumps back, and then a
         # restarted host would look older than it was and be ignored.
         self._life = secrets.randbits(48)
@@ -124,6 +119,7 @@
         # When the last messages to the hub were sent, by number.
         self._sent_at = {}
         self._neighbours = Neighbours(settings.peers, settings.link)
+        self._readers = Readers(gate, feeds, self._neighbours, self._send)
         self._others = OtherCentres(settings, zone, self._life, self._send, rng)
         self._collected = Collected()
         self._bundled_at = 0.0
@@ -194,17 +190,14 @@
             live = self._neighbours.live(at)
             members = self._rng.sample(live, min(NAMED_IN_BEAT, len(live)))
             strangers = self._others.strangers.some(at)
-        contact = self._gate.contact(at)
-        read = {}
-        if contact is Contact.READING:
-            read = {
-                topic: (feed.next_offset, max(0.0, at - feed.answered_at))
-                for topic, feed in self._feeds.items()
-                if feed.answered_at is not None
-            }
-        returned = min(RETURNED_MOST, max(0.0, at - self._gate.returned_at))
-        link = self._settings.link or 0.0
-        return Beat(link, contact, read, returned, members, strangers)
+        return Beat(
+            self._settings.link or 0.0,
+            self._readers.contact(at),
+            self._readers.read(at),
+            self._readers.returned(at),
+            members,
+            strangers,
+        )
 
     def _ask(self, at):
         """Ask the seeds, and the hosts that are known elsewhere, for others."""
@@ -228,7 +221,7 @@
         if self._pick_hub(at):
             # Told at once, since what went to a lost hub was told to nobody.
             self._send_work(at, self._make_beat(at))
-        self._update_duty(at)
+        self._readers.update(self._may_act_alone(at), at)
         if self._picked_itself():
             if self._may_act_alone(at):
                 self._others.tell_load(at)
@@ -250,17 +243,6 @@
         log.info("hub", extra={"peer": self._neighbours.hub, "former": former})
         return True
 
-    def _update_duty(self, at):
-        """Begin or cease to follow the store for the others."""
-        contact = self._gate.contact(at)
-        is_reader = self._neighbours.is_reader(contact, at)
-        is_reader = is_reader and self._may_act_alone(at)
-        self._gate.is_first_asker = self._neighbours.is_first_asker(at)
-        if self._gate.set_reader(is_reader):
-            log.info("reader", extra={"is_reader": is_reader, "contact": contact.name})
-            for feed in self._feeds.values():
-                feed.wake()
-
     def _may_act_alone(self, at):
         """
         Whether this host may act for its data centre if it finds nobody before it.
@@ -345,9 +327,7 @@
         has_room = self._allowances.has_bytes(at)
         return age >= SUMS_MOST or (age >= SUMS_EVERY and has_room)
 
-    # The store.
-
-    def tell_records(self, topic, page):
+    def tell_page(self, topic, page):
         """
         Tell the other hosts what this one has read, if it reads for them.
 
@@ -360,24 +340,13 @@
         at = now()
         # The first that a store answers after an outage is a reader from then on, and
         # what it has just read keeps all others from asking.
-        self._update_duty(at)
-        if not self._gate.is_reader:
+        self._readers.update(self._may_act_alone(at), at)
+        if not self._readers.is_reader:
             return
         if page.records:
-            self._send_records(topic, page)
+            self._readers.tell_records(topic, page)
         self._send_work(at, self._make_beat(at))
 
-    def _send_records(self, topic, page):
-        # Where the read began, whatever this host knew when it first asked.
-        start = page.records[0].offset
-        packed = pack_records(page.records)
-        if packed is None:
-            log.info("long records", extra={"topic": topic, "at": start})
-            return
-        returned = min(RETURNED_MOST, max(0.0, now() - self._gate.returned_at))
-        records = Records(topic, start, page.next_offset, returned, packed)
-        self._send(encode(records), *self._neighbours.addresses())
-
     def _send(self, data, *addresses):
         at = now()
         size = len(addresses) * (len(data) + DATAGRAM_HEADERS)
@@ -415,7 +384,7 @@
         elif isinstance(message, Packed):
             self._take_bundle(unpack_bundle(message), address, at)
         elif isinstance(message, Records):
-            self._take_records(message, at)
+            self._readers.take_records(message, at)
         elif isinstance(message, Far):
             self._take_far(message, address, at)
         elif isinstance(message, Load):
@@ -452,11 +421,7 @@
         self._neighbours.describe(address, beat.link, beat.contact)
         self._learn(beat.members, at)
         self._others.strangers.learn(beat.strangers, at)
-        if beat.contact is Contact.READING:
-            self._gate.note_returned(at - beat.returned)
-        for topic, (offset, age) in beat.read.items():
-            if topic in self._feeds:
-                self._feeds[topic].note_reader(offset, age, at)
+        self._readers.take_beat(beat, at)
 
     def _take_bundle(self, bundle, address, at):
         """Take what a hub tells, and pass it on to hosts that tell this one."""
@@ -508,15 +473,6 @@
             load.is_passed_on = True
             self._send(encode(load), self._neighbours.hub)
 
-    def _take_records(self, message, at):
-        """Take changes of the store from a reader."""
-        feed = self._feeds.get(message.topic)
-        if feed is None:
-            return
-        records = unpack_records(message.packed)
-        self._gate.note_returned(at - message.returned)
-        feed.take_page(message.start, records, message.next, at)
-
     def _take_hello(self, hello, address, at):
         """Answer a host that looks for others of its data centre."""
         strangers = self._others.strangers.some(at)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -254,7 +254,12 @@
     net.deliver()
     again, fresh, _ = hosts[0]
     again.__init__(
-        peers._settings, fresh, peers._gate, [], random.Random(1), net.call_later
+        peers._settings,
+        fresh,
+        Gate(_ignore, _ignore, _ignore),
+        [],
+        random.Random(1),
+        net.call_later,
     )
     again.connection_made(_Transport(net, address))
     again._neighbours.hear(hosts[1][2], net.at)
@@ -478,7 +483,7 @@
     hosts = [net.add(f"{c}{n}", c, seed) for c in CENTRES for n in range(6)]
     net.play(START_ALONE_FOR / 2)
     spoken = [peers for peers, _, _ in hosts if peers._others._load_number]
-    reading = [peers for peers, _, _ in hosts if peers._gate.is_reader]
+    reading = [peers for peers, _, _ in hosts if peers._readers.is_reader]
     # The seed itself asks nobody.
     assert [peers._settings.peers for peers in spoken] == list(seed)
     assert [peers._settings.peers for peers in reading] == list(seed)
@@ -490,7 +495,7 @@
     ]
     assert sum(speaks[:6]) == sum(speaks[6:]) == 1
     for centre in (hosts[:6], hosts[6:]):
-        assert sum(peers._gate.is_reader for peers, _, _ in centre) == READERS
+        assert sum(peers._readers.is_reader for peers, _, _ in centre) == READERS
 
 
 def test_records_are_told_from_their_first_offset(net):
@@ -499,10 +504,10 @@
     one at which it had read.
     """
     hosts = _fleet(net, 4)
-    reader = next(peers for peers, _, _ in hosts[:4] if peers._gate.is_reader)
+    reader = next(peers for peers, _, _ in hosts[:4] if peers._readers.is_reader)
     net.sent.clear()
     page = Page([KeyedRecord(11, "t-1", None), KeyedRecord(12, "t-2", b"x")], 13)
-    reader.tell_records("topic", page)
+    reader.tell_page("topic", page)
     told = [decode(data) for _, data, _ in net.sent]
     records = [message for message in told if isinstance(message, Records)]
     assert len(records) == 3
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/readers.py
@@ -0,0 +1,116 @@
+"""
+What a reader tells the other hosts of its data centre, and what they make of it.
+"""
+
+import logging
+
+from plumsaddle_core.ops.neighbours import Contact
+
+from .clock import now
+from .messages import Records, encode, pack_records, unpack_records
+
+log = logging.getLogger("peers")
+# A return of the store that is longer ago than this (seconds) is not told any more.
+RETURNED_MOST = 60.0
+
+
+class Readers:
+    """
+    The data centre's readers, as one host that may be one of them sees them.
+
+    Args:
+      gate: The `Gate` that tells how the host stands to the store.
+      feeds: Each `Feed` of the host.
+      neighbours: The `Neighbours`.
+      send: Called with bytes and the addresses to send them to.
+    """
+
+    def __init__(self, gate, feeds, neighbours, send):
+        self._gate = gate
+        self._feeds = {feed.topic: feed for feed in feeds}
+        self._neighbours = neighbours
+        self._send = send
+
+    def contact(self, at):
+        """Return how this host stands to the store, as a `Contact`."""
+        return self._gate.contact(at)
+
+    def update(self, may_read, at):
+        """
+        Begin or cease to follow the store for the others.
+
+        Args:
+          may_read: Whether this host may be a reader at all by now.
+          at: The present, in seconds.
+        """
+        contact = self._gate.contact(at)
+        is_reader = may_read and self._neighbours.is_reader(contact, at)
+        self._gate.is_first_asker = self._neighbours.is_first_asker(at)
+        if self._gate.set_reader(is_reader):
+            log.info("reader", extra={"is_reader": is_reader, "contact": contact.name})
+            for feed in self._feeds.values():
+                feed.wake()
+
+    # What a reader tells.
+
+    @property
+    def is_reader(self):
+        """Whether this host follows the store for the others."""
+        return self._gate.is_reader
+
+    def read(self, at):
+        """
+        Return how far this host has read, as beats tell it.
+
+        Returns:
+          By topic the next offset, and how many seconds ago the store said so; nothing
+          unless this host is a reader that the store answers.
+        """
+        if self._gate.contact(at) is not Contact.READING:
+            return {}
+        return {
+            topic: (feed.next_offset, max(0.0, at - feed.answered_at))
+            for topic, feed in self._feeds.items()
+            if feed.answered_at is not None
+        }
+
+    def returned(self, at):
+        """Return how many seconds ago the store came back for this host."""
+        return min(RETURNED_MOST, max(0.0, at - self._gate.returned_at))
+
+    def tell_records(self, topic, page):
+        """
+        Send changes to all other hosts.
+
+        Args:
+          topic: The topic's name.
+          page: A `Page` that is not empty.
+        """
+        # Where the read began, whatever this host knew when it first asked.
+        start = page.records[0].offset
+        packed = pack_records(page.records)
+        if packed is None:
+            log.info("long records", extra={"topic": topic, "at": start})
+            return
+        returned = self.returned(now())
+        records = Records(topic, start, page.next_offset, returned, packed)
+        self._send(encode(records), *self._neighbours.addresses())
+
+    # What the others make of it.
+
+    def take_records(self, message, at):
+        """Take changes of the store from a reader."""
+        feed = self._feeds.get(message.topic)
+        if feed is None:
+            return
+        records = unpack_records(message.packed)
+        self._gate.note_returned(at - message.returned)
+        feed.take_page(message.start, records, message.next, at)
+
+    def take_beat(self, beat, at):
+        """Take what a beat says of the store."""
+        if beat.contact is Contact.READING:
+            self._gate.note_returned(at - beat.returned)
+        for topic, (offset, age) in beat.read.items():
+            if topic in self._feeds:
+                self._feeds[topic].note_reader(offset, age, at)
