Failed sends tell the key of a request that comes again, and refused connections

Cause: the logs of the incident name a request by its id alone, which is new each time its caller comes, and a connection that is refused like one that is silent. So they cannot tell one request that comes back from many, nor a target that has ended from a reset.

Ruled out: the key in each line of each request.

After: a broken send bears the key, trace joins what was done under it, and connection tells refused from silent.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -39,6 +39,8 @@
 
     def __init__(self, request):
         self._request = request
+        # Without the port, which is another one for each connection.
+        self.address = _address_of(request.transport)
 
     def is_gone(self):
         """Return whether the caller has closed its connection."""
@@ -261,6 +263,12 @@
         return resp
 
 
+def _address_of(transport):
+    """Return the address of a connection's other side, without the port, as text."""
+    peer = transport.get_extra_info("peername") if transport is not None else None
+    return peer[0] if peer else ""
+
+
 def _read_time(text, most):
     """Return the seconds that a request may take, or None if the text is no number."""
     if text is None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/link.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/link.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import enum
 import math
 import socket
 
@@ -31,6 +32,18 @@
 IDLE_MARGIN = 1.0
 
 
+class Unconnected(enum.Enum):
+    """
+    Why there is no connection to a target.
+
+    One that is refused tells that nobody listens at the address: the process that did
+    has ended. Silence may as well be a link that is cut or a queue that is full.
+    """
+
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class Exchange:
     """
     One request on a link, and what has come of its answer.
@@ -270,7 +283,7 @@
       timeout: The most seconds that this may take.
       on_closed: As for `Link`.
     Returns:
-      A `Link`, or None if there is no connection in time.
+      A `Link`, or an `Unconnected` if there is no connection in time.
     """
     ip, port = split_address(address)
     loop = asyncio.get_running_loop()
@@ -279,8 +292,10 @@
             _, link = await loop.create_connection(
                 lambda: Link(on_closed), ip, port, family=socket.AF_INET
             )
+    except ConnectionRefusedError:
+        return Unconnected.REFUSED
     except (TimeoutError, OSError):
-        return None
+        return Unconnected.SILENT
     return link
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/links.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/links.py
@@ -7,7 +7,7 @@
 """
 
 from .clock import now
-from .link import connect
+from .link import Link, connect
 
 # Idle connections kept for one target. A host has few requests at one target at a
 # time; more than this would only fill the target's own bound.
@@ -52,13 +52,13 @@
         return None
 
     async def open(self, target, timeout=CONNECT_TIMEOUT):
-        """Open a connection to a target; return a `Link`, or None."""
+        """Open a connection to a target; return a `Link`, or an `Unconnected`."""
 
         def on_closed(link):
             self._drop(target.life, link)
 
         link = await connect(target.address, timeout, on_closed)
-        if link is not None and not link.is_closed:
+        if isinstance(link, Link) and not link.is_closed:
             self._busy.setdefault(target.life, set()).add(link)
         return link
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from plumsaddle_core.core.traffic import Route
+from plumsaddle_core.ops.fingerprint import request_key
 
 from ..front.headers import HOP_BY_HOP
 from ..platform import wire
@@ -43,6 +44,24 @@
     caller: Any
 
 
+def key_of(ask):
+    """
+    Return the key of an `Ask`, which is the same when its caller comes again.
+
+    It takes some microseconds, and half a millisecond for a long body, so it is made
+    only once something asks for it.
+    """
+    headers = {name.lower(): value for name, value in ask.headers}
+    return request_key(
+        headers.get(b"host", b"").decode("latin-1"),
+        ask.method,
+        ask.path,
+        ask.caller.address,
+        ask.body,
+        ask.length,
+    )
+
+
 def make_head(ask, target, time_left):
     """
     Return the bytes of a request to a target, with its body if that is whole.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -19,7 +19,8 @@
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 
 from .clock import now
-from .outgoing import frame_body, make_head
+from .link import Unconnected
+from .outgoing import frame_body, key_of, make_head
 from .refusals import Cause, Refusal
 from .verdict import Rest, judge, judge_head
 
@@ -116,6 +117,7 @@
         self._hedge_at = 0.0
         self._last = None
         self._connections = {}
+        self._key = None
         self._is_rest_begun = False
 
     def cancel(self):
@@ -150,6 +152,12 @@
     def _time_left(self):
         return self._ask.deadline - now()
 
+    def _request_key(self):
+        """Return the key under which the request is known when it comes again."""
+        if self._key is None:
+            self._key = key_of(self._ask)
+        return self._key
+
     def _usual(self):
         """Return the usual seconds of such a request."""
         return self._knowledge.zone.times.usual(self._ask.service, self._ask.route.name)
@@ -373,6 +381,7 @@
                 "fate": fate.value,
                 "status": reply.status if reply else None,
                 "seconds": round(seconds, 4),
+                "key": self._request_key() if fate is Fate.BROKEN else None,
                 **self._describe_connection(target),
             },
         )
@@ -382,6 +391,8 @@
         connection = self._connections.get(target.id)
         if connection is None:
             return {"connection": "none"}
+        if isinstance(connection, Unconnected):
+            return {"connection": connection.value}
         kind = "kept" if connection.idle > 0.0 else "new"
         age, idle = round(connection.age, 3), round(connection.idle, 3)
         return {"connection": kind, "age": age, "idle": idle}
@@ -400,7 +411,8 @@
         if link is None:
             link = await self._links.open(target)
             self._metrics.connections.inc({"service": target.service})
-        if link is None:
+        if isinstance(link, Unconnected):
+            self._connections[target.id] = link
             return Fate.UNREACHED, None
         at = now()
         idle = 0.0 if is_new else at - link.used_at
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
@@ -3,7 +3,8 @@
 
 The lines that bear the request's id tell what was done. What the hosts had seen of its
 targets shortly before tells why: the failed and stuck sends of other requests, and the
-changes of the list of targets.
+changes of the list of targets. A request that broke a target bears a key, and what the
+same request did under other ids, at any host, stands under that key.
 """
 
 import json
@@ -36,6 +37,7 @@
     begin, end = own[0].at, own[-1].at
     targets = {e.fields["target"] for e in own if "target" in e.fields}
     hosts = {e.host for e in own}
+    keys = {e.fields["key"] for e in own if e.fields.get("key")}
     evidence = [
         event
         for event in events
@@ -44,7 +46,15 @@
         and event.fields.get("request") != request_id
         and begin - BEFORE <= event.at <= end
     ]
-    story = sorted(own + evidence, key=lambda event: event.at)
+    repeats = [
+        event
+        for event in events
+        if event.fields.get("key") in keys
+        and event.fields.get("request") != request_id
+        and event.at <= end
+        and event not in evidence
+    ]
+    story = sorted(own + evidence + repeats, key=lambda event: event.at)
     return [_tell(event, begin, request_id) for event in story]
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace_test.py
@@ -39,5 +39,17 @@
     assert "t9" not in " ".join(story)
 
 
+def test_what_the_same_request_did_before_is_part_of_the_story():
+    lines = [
+        _line(40.0, "send failed", host="h2", request="a", target="t7", key="k"),
+        _line(41.0, "send failed", host="h2", request="z", target="t8", key="other"),
+        _line(100.0, "send failed", request="b", target="t1", key="k"),
+        _line(101.0, "send failed", host="h3", request="c", target="t2", key="k"),
+    ]
+    story = trace_request(read_events(lines), "b")
+    assert len(story) == 2
+    assert story[0].startswith(" -60.000 h2     | send failed target=t7")
+
+
 def test_an_unknown_request_has_no_story():
     assert trace_request(read_events(LINES), "none") == []
