--- a/packages/plumsaddle-standins/plumsaddle_standins/trial.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -1,5 +1,5 @@
 """
-One data centre for tests: the stand-in store, targets and hosts in one event loop.
+A fleet for tests: the stand-in store, targets and hosts in one event loop.
 """
 
 import asyncio
@@ -19,6 +19,8 @@
 OPERATOR = "keyed.op"
 TARGETS = "keyed.servers"
 HOST_NAME = "records.example"
+# Seconds for which the entry of a target that has ended is still listed.
+LISTED_FOR = 2.0
 KINDS = {
     "/look/": ("safe", "look"),
     "/act/": ("unsafe", "act"),
@@ -71,13 +73,25 @@
 class Trial:
     """A data centre that is started with `async with`."""
 
-    def __init__(self, services=("look", "act", "up"), targets=2, hosts=1, **bounds):
+    def __init__(
+        self,
+        services=("look", "act", "up"),
+        targets=2,
+        hosts=1,
+        centres=("x",),
+        **bounds,
+    ):
         self.store = StoreStandin()
+        self.centres = centres
         self.workers = {
-            f"{service}-{number}": WorkerStandin(f"{service}-{number}", service)
+            f"{service}-{number}": WorkerStandin(
+                f"{service}-{number}", service, centres[number % len(centres)]
+            )
             for service in services
             for number in range(targets)
         }
+        # Lives of targets that requests have ended: pairs of a path and the moment.
+        self.crashes = []
         self.hosts = []
         self._count = hosts
         self._bounds = Bounds(
@@ -130,8 +144,8 @@
             seeds = [host.settings.peers for host in self.hosts[:1]]
         settings = HostSettings(
             f"host-{number}",
-            "x",
-            ("x",),
+            self.centres[number % len(self.centres)],
+            self.centres,
             f"127.0.0.1:{free_port()}",
             f"127.0.0.1:{free_port()}",
             f"127.0.0.1:{peers_port or free_port()}",
@@ -152,6 +166,38 @@
         """Write a target's entry."""
         self.store.put(TARGETS, worker.id, worker.entry(state))
 
+    def make_deadly(self, service, *paths, down_for=0.5):
+        """
+        Let requests with some paths end each target of a service that runs them.
+
+        Args:
+          service: The service's name.
+          paths: The paths.
+          down_for: The seconds after which a target is back under another id.
+        """
+
+        def on_crash(worker, path):
+            at = asyncio.get_running_loop().time()
+            self.crashes.append((path, at))
+            self.at_end(asyncio.ensure_future(self._revive(worker, down_for)))
+
+        for worker in self.of(service):
+            worker.deadly = frozenset(paths)
+            worker.on_crash = on_crash
+
+    async def _revive(self, crashed, down_for):
+        """Start a target that has ended once more, at its address under a new id."""
+        await asyncio.sleep(down_for)
+        name = f"{crashed.id.partition('.')[0]}.{len(self.crashes)}"
+        worker = WorkerStandin(name, crashed.service, crashed.centre, crashed.work)
+        worker.deadly, worker.on_crash = crashed.deadly, crashed.on_crash
+        await worker.start(int(crashed.address.rpartition(":")[2]))
+        self.workers[name] = worker
+        self.register(worker)
+        await asyncio.sleep(LISTED_FOR)
+        del self.workers[crashed.id]
+        self.unregister(crashed)
+
     def unregister(self, worker):
         """Remove a target's entry."""
         self.store.put(TARGETS, worker.id, b"")
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -4,7 +4,8 @@
 It is written on bare sockets, so that each byte of a fault is as it should be: answers
 that break off, that come twice, that have no length, or that come before a long request
 has been read. `mode` switches what it does to the next requests; `runs` counts what it
-ran, by request id, and `seen` what reached it.
+ran, by request id, and `seen` what reached it. A request with one of the paths in
+`deadly` ends the whole stand-in a moment after it has begun to run.
 """
 
 import asyncio
@@ -45,6 +46,8 @@
 # Requests that a stand-in works on at once.
 SLOTS = 4
 FOR_EVER = 3600.0
+# Seconds for which a request runs that ends its target.
+CRASH_AFTER = 0.02
 LONG_MODES = {Mode.LONG, Mode.LONG_UNSIGNED, Mode.LONG_CUT}
 
 
@@ -77,6 +80,8 @@
         self._slots = asyncio.Semaphore(SLOTS)
         self.mode = Mode.GOOD
         self.idle_limit = 5
+        self.deadly = frozenset()
+        self.on_crash = None
         self.runs = Counter()
         self.done = Counter()
         self.cancelled = Counter()
@@ -144,8 +149,19 @@
         if headers.get("target-instance", self.id) != self.id:
             writer.write(self._answer(request_id, 421, b"", "Instance-Id: other\r\n"))
             return True
+        if path in self.deadly:
+            return await self._crash(path)
         return await self._work(request_id, reader, writer)
 
+    async def _crash(self, path):
+        """Begin to run a request that ends the process."""
+        async with self._slots:
+            await asyncio.sleep(CRASH_AFTER)
+        if self._server.is_serving():
+            self.stop()
+            self.on_crash(self, path)
+        return False
+
     async def _work(self, request_id, reader, writer):
         mode = self.mode
         if mode is Mode.SHED:
