Hold back requests under which three targets have ended

Cause: what hosts remember and tell each other is kept by target, and a request is known by its id alone, which is new each time its caller comes. So a request that ends each target that runs it is sent on and on, by all hosts, and all else at those targets is lost with them.

Design: a request's key is a hash of its host, path, caller and body. A send that breaks without a byte is looked into by a new connection; refused, the target has ended. Hosts tell each other which lives have ended under which keys, as a set that only grows, by datagrams at once and from the second life on by the platform's store. From three lives on the request is answered 503 by whoever gets it. An answer makes up for an end, and lives explained by another request that has ended more do not count.

Ruled out: ejecting faster (each target was sound until the request came); the retry share (each repeat is a request of its own); a vote or a lease (a set union needs none).

--- a/packages/plumsaddle-core/plumsaddle_core/core/parts.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/parts.py
@@ -25,5 +25,7 @@
     OPEN_CONNECTIONS = "open-connections"
     # The wait for a slot is not counted as work.
     WORK_TIMES = "work-times"
+    # Requests under which targets have ended are held back.
+    HOLDING_BACK = "holding-back"
     # What hosts tell each other is bounded by their links.
     ALLOWANCE = "allowance"
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -32,6 +32,7 @@
 from .floor import Results
 from .news import Counts, Evidence, Inbox, Outbox, OutcomeNote, Sign, tag_of
 from .share import RetryShare
+from .suspects import Suspects
 from .times import RouteTimes
 
 # Hosts beat once a second; three missed beats and a little is silence.
@@ -90,6 +91,7 @@
         self.paths = {}
         self._has_paths = has_paths
         self.times = RouteTimes()
+        self.suspects = Suspects()
         self._ratio = ratio
         self._window = window
         self._started = started
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -15,6 +15,7 @@
 import asyncio
 import logging
 import math
+from typing import NamedTuple
 
 from returns.result import Failure
 
@@ -27,6 +28,12 @@
 # was answered, so this is also how often the other hosts hear that they know all.
 WAIT_LEAST = 0.8
 WAIT_MOST = 1.0
+# The same of a topic in which hardly anything is ever written and whose news hosts tell
+# each other by datagrams besides. A read that waits is answered at once when there is
+# news, so only a reader's loss is noticed later. It saves four calls of five.
+SELDOM_LEAST = 4.0
+SELDOM_MOST = 5.0
+SELDOM_TOLD_FOR = 6.0
 # Rest after a page with changes. What a host knows may be 2 s old; the rest, a call on
 # a slow store and a retry must fit.
 REST = 0.8
@@ -52,6 +59,22 @@
 MISSED_FOR = 0.15
 
 
+class Pace(NamedTuple):
+    """
+    How often a topic is read, in seconds.
+
+    A read waits for a time between the first two. A reader's last word that it was
+    answered is trusted for `told_for`.
+    """
+
+    wait_least: float
+    wait_most: float
+    told_for: float
+
+
+SELDOM = Pace(SELDOM_LEAST, SELDOM_MOST, SELDOM_TOLD_FOR)
+
+
 class Feed:
     """
     One topic, followed for ever.
@@ -63,9 +86,10 @@
       on_listing: Called with a `Page` that lists all keys.
       on_changes: Called with a `Page` of changes.
       rng: A `random.Random`.
+      pace: The `Pace`; that of a topic whose changes must be known soon if None.
     """
 
-    def __init__(self, store, topic, gate, on_listing, on_changes, rng):
+    def __init__(self, store, topic, gate, on_listing, on_changes, rng, pace=None):
         self._store = store
         self._topic = topic
         self.gate = gate
@@ -73,6 +97,7 @@
         self._on_changes = on_changes
         self._on_read = None
         self._rng = rng
+        self._pace = pace or Pace(WAIT_LEAST, WAIT_MOST, TOLD_FOR)
         self._next = None
         self._reading = None
         self._behind_since = None
@@ -166,7 +191,7 @@
             return False
         if self._behind_since is not None and at - self._behind_since >= MISSED_FOR:
             return False
-        return at - self._told_at < TOLD_FOR
+        return at - self._told_at < self._pace.told_for
 
     # What the store says.
 
@@ -190,7 +215,7 @@
                 self._behind_since = None
                 self._on_listing(page)
                 if is_start:
-                    self._told_at = self.answered_at + START_REST - TOLD_FOR
+                    self._told_at = self.answered_at + START_REST - self._pace.told_for
                 continue
             self._take(page)
             if self._on_read is not None:
@@ -201,7 +226,7 @@
     async def _wait_while_told(self):
         """Wait until something may have to be read."""
         at = now()
-        until = self._told_at + TOLD_FOR
+        until = self._told_at + self._pace.told_for
         if self._behind_since is not None:
             until = min(until, self._behind_since + MISSED_FOR)
         self._awake.clear()
@@ -232,7 +257,8 @@
             return 0.0
         # The others' time with the last word runs while this host rests after a page.
         rested = now() - (self.answered_at or now())
-        return max(0.0, self._rng.uniform(WAIT_LEAST, WAIT_MOST) - rested)
+        wait = self._rng.uniform(self._pace.wait_least, self._pace.wait_most)
+        return max(0.0, wait - rested)
 
     async def _call(self, wait):
         if self._next is None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -323,6 +323,11 @@
         is_near = target.centre == self.settings.centre
         return is_near and self.zone.in_flight(target.life) < target.slots
 
+    def note_run(self, note):
+        """Take a `RunNote` of this host's own."""
+        if self.zone.suspects.note(note, now(), is_own=True):
+            self._tell(is_urgent=True)
+
     def note_late(self, target, route, seconds):
         """Take a whole answer to a send that was noted as unanswered for too long."""
         self._note(target, route, Sign.LATE, seconds)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -28,8 +28,9 @@
 from ..utils.addresses import split_address
 from .callers import FrontServer
 from .clock import now
+from .endings import Endings
 from .events import set_up_events
-from .feed import Feed
+from .feed import SELDOM, Feed
 from .front import Front
 from .gate import Gate
 from .knowledge import Knowledge
@@ -37,6 +38,7 @@
 from .metrics import EdgeMetrics
 from .peers import Peers
 from .relay import Relay
+from .stored import TOPIC as STORED_TOPIC, StoredSuspects
 
 log = logging.getLogger("host")
 SETTINGS_VARIABLE = "PLUMSADDLE_CONFIG"
@@ -84,11 +86,6 @@
         self.metrics = EdgeMetrics(settings.id)
         self.knowledge = Knowledge(settings, rng)
         self.links = Links()
-        self.front = Front(
-            self.knowledge,
-            Relay(self.knowledge, self.links, self.metrics),
-            self.metrics,
-        )
         self._store_session = make_session()
         self.store = Store(self._store_session, f"http://{settings.store}")
         registry = self.knowledge.registry
@@ -97,6 +94,13 @@
             registry.note_store_back,
             registry.note_store_returned,
         )
+        suspects = self.knowledge.zone.suspects
+        self.stored = StoredSuspects(self.store, suspects, gate)
+        self.endings = Endings(
+            self.knowledge, self.links, self.metrics, self.stored.write_soon
+        )
+        relay = Relay(self.knowledge, self.links, self.metrics, self.endings)
+        self.front = Front(self.knowledge, relay, self.metrics)
         self._feeds = [
             Feed(
                 self.store,
@@ -114,9 +118,18 @@
                 self.knowledge.take_target_changes,
                 rng,
             ),
+            Feed(
+                self.store,
+                STORED_TOPIC,
+                gate,
+                self.stored.take,
+                self.stored.take,
+                rng,
+                SELDOM,
+            ),
         ]
         self.peers = Peers(settings, self.knowledge.zone, gate, self._feeds, rng)
-        self.knowledge.subscribe(self.peers.tell_soon, self.links.end_life)
+        self.knowledge.subscribe(self.peers.tell_soon, self._end_life)
         self._servers = []
         self._tasks = []
         self._callers = None
@@ -161,6 +174,11 @@
             },
         )
 
+    def _end_life(self, life):
+        """Take it that a target has started again, so that its former life is over."""
+        self.endings.note_restarted(life)
+        self.links.end_life(life)
+
     def _on_stop(self):
         log.info("stop", extra={"in_flight": self.front.in_flight})
         self.stop.set()
@@ -198,6 +216,9 @@
             at = now()
             self.knowledge.expire(at)
             self.links.close_old(self.knowledge.registry.lives())
+            self.endings.tick(at)
+            self.stored.forget_old(at)
+            self.stored.write_soon()
             self.peers.beat(at)
             self._look_at_settings()
             cfg = self.knowledge.cfg
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -27,6 +27,8 @@
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=86400.0)]
 BytesPerSecond = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
 Ratio = Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)]
+# A request's key, a life of a target, and whether that ended under it.
+RunRow = tuple[str, str, bool]
 
 
 class Hello(msgspec.Struct, array_like=True, tag="h"):
@@ -66,7 +68,8 @@
     """
     A host's work in flight, by tag of target, and its last outcomes.
 
-    `address` is the host's own, since a hub passes its message on.
+    `address` is the host's own, since a hub passes its message on. `runs` are what
+    became of targets under requests, as `RunNote`.
     """
 
     host: str
@@ -77,6 +80,7 @@
     outcomes: list[tuple[Count, str, str, str, Sign, Seconds]]
     counts: dict[str, tuple[Count, Count, Count, Count]]
     beat: Beat | None = None
+    runs: list[RunRow] = []
 
 
 class Bundle(msgspec.Struct, array_like=True, tag="b"):
@@ -123,6 +127,7 @@
     evidence: list[tuple[Count, str, Ratio]]
     used: list[int]
     is_passed_on: bool = False
+    runs: list[RunRow] = []
 
 
 class Load(msgspec.Struct, array_like=True, tag="l"):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/others.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/others.py
@@ -32,8 +32,15 @@
         self._rng = rng
         self._hubs = {}
         self._load_number = 0
+        self._runs_told = 0
         self.strangers = Strangers(settings, rng)
 
+    @property
+    def has_urgent_news(self):
+        """Whether something was seen here that makes a target or a request worse."""
+        has_runs = self._zone.suspects.near_count != self._runs_told
+        return has_runs or self._zone.evidence.has_untold
+
     def note_hub(self, centre, address, at):
         """Note which host has spoken for another data centre."""
         self.strangers.remember(centre, address, at)
@@ -48,13 +55,17 @@
           at: The present, in seconds.
         """
         settings = self._settings
+        suspects = self._zone.suspects
+        runs = [tuple(note) for note in suspects.near_news(at)]
+        self._runs_told = suspects.near_count
         evidence = [
             (e.number, e.target, round(e.ratio, 3)) for e in self._zone.evidence.take()
         ]
         if Part.FAR_EVIDENCE in settings.off:
             evidence = []
-        if evidence or used:
+        if evidence or used or runs:
             far = Far(settings.id, self._life, settings.centre, evidence, used)
+            far.runs = runs
             self._send_to_each(encode(far), at)
 
     def tell_load(self, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -26,6 +26,7 @@
 from plumsaddle_core.ops.neighbours import Neighbours
 from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.pacing import Allowances
+from plumsaddle_core.ops.suspects import RunNote
 
 from ..utils.addresses import is_address, split_address
 from .bundles import Collected
@@ -301,11 +302,12 @@
             outcomes,
             counts,
             beat,
+            [tuple(note) for note in self._zone.suspects.own_news(at)],
         )
 
     def _send_bundle(self, at):
         """Tell all hosts what this one was told as a hub."""
-        if self._picked_itself() and self._zone.evidence.has_untold:
+        if self._picked_itself() and self._others.has_urgent_news:
             self._others.tell_news([], at)
         sums = None
         if self._is_sums_due(at):
@@ -375,10 +377,12 @@
     def _take(self, message, data, address, at):
         if isinstance(message, Work):
             self._collected.note_client(address, at)
+            runs_known = self._zone.suspects.near_count
             if self._take_work(message, at):
                 self._collected.add_work(message.host, data)
                 is_calm = all(row[4] in CALM_SIGNS for row in message.outcomes)
-                self._send_soon(not is_calm)
+                has_runs = self._zone.suspects.near_count > runs_known
+                self._send_soon(has_runs or not is_calm)
         elif isinstance(message, Bundle):
             self._take_bundle(message, address, at)
         elif isinstance(message, Packed):
@@ -407,6 +411,7 @@
         if not self._zone.take(news_of(work), at):
             return False
         self._neighbours.hear(work.address, at)
+        self._take_runs(work.runs, True, at)
         if work.beat is not None:
             self._take_beat(work.beat, work.address, at)
         return True
@@ -446,7 +451,14 @@
 
     def _take_far_news(self, far, at):
         """Take news of another data centre, and return whether it was any."""
-        return self._zone.take_far(far_news_of(far), at)
+        has_runs = self._take_runs(far.runs, False, at)
+        return self._zone.take_far(far_news_of(far), at) or has_runs
+
+    def _take_runs(self, rows, is_near, at):
+        """Take what became of targets under requests; return whether it was news."""
+        suspects = self._zone.suspects
+        news = [suspects.note(RunNote(*row), at, is_near=is_near) for row in rows]
+        return any(news)
 
     def _take_far(self, far, address, at):
         """Take news from elsewhere, and pass it on."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -30,6 +30,7 @@
     TARGET_FAILED = "target-failed"
     TIME_OVER = "time-over"
     CALLER_GONE = "caller-gone"
+    HELD_BACK = "held-back"
 
 
 class Refusal(NamedTuple):
@@ -59,6 +60,7 @@
     Cause.TARGET_FAILED: (503, 502),
     Cause.TIME_OVER: (503, 504),
     Cause.CALLER_GONE: (503, 502),
+    Cause.HELD_BACK: (503, 502),
 }
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -16,7 +16,8 @@
 
 from plumsaddle_core.core.parts import Part
 from plumsaddle_core.core.traffic import Fate, Reply
-from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
+from plumsaddle_core.ops.attempt import NOT_SENT, Attempt, Stage
+from plumsaddle_core.ops.suspects import RETRIED_MOST, RunNote
 
 from .clock import now
 from .link import Unconnected
@@ -48,6 +49,8 @@
 # longer it has been idle, the likelier the target closes it at that very moment.
 ORDER_IDLE_MOST = 6.0
 IDLE_MOST = 60.0
+# Fates that show that a target ran the request and is still there.
+RAN = {Fate.WHOLE, Fate.FAILED, Fate.UNSIGNED, Fate.TIMED_OUT}
 
 
 class Result(NamedTuple):
@@ -74,12 +77,14 @@
       knowledge: The `Knowledge`.
       links: The `Links`.
       metrics: The `EdgeMetrics`.
+      endings: The `Endings`.
     """
 
-    def __init__(self, knowledge, links, metrics):
+    def __init__(self, knowledge, links, metrics, endings):
         self._knowledge = knowledge
         self._links = links
         self._metrics = metrics
+        self._endings = endings
 
     async def run(self, ask):
         """
@@ -90,8 +95,12 @@
         Returns:
           A `Reply` of a target, or a `Refusal`.
         """
+        run = _Run(ask, self._knowledge, self._links, self._metrics, self._endings)
+        held_for = run.held_for()
+        if held_for:
+            # It counts neither for the service's retries nor for its state.
+            return run.hold_back(held_for)
         self._knowledge.zone.note_request(ask.service, now())
-        run = _Run(ask, self._knowledge, self._links, self._metrics)
         try:
             answer = await run.serve()
             is_served = isinstance(answer, Reply) and answer.status < 500
@@ -104,11 +113,12 @@
 class _Run:
     """One request while it is served."""
 
-    def __init__(self, ask, knowledge, links, metrics):
+    def __init__(self, ask, knowledge, links, metrics, endings):
         self._ask = ask
         self._knowledge = knowledge
         self._links = links
         self._metrics = metrics
+        self._endings = endings
         self._attempt = Attempt(ask.route.kind, ask.route.tries_most)
         self._excluded = set()
         self._sends = set()
@@ -120,6 +130,20 @@
         self._key = None
         self._is_rest_begun = False
 
+    def held_for(self):
+        """Return for how many seconds the request is held back, 0.0 if it is not."""
+        suspects = self._knowledge.zone.suspects
+        if not len(suspects) or Part.HOLDING_BACK in self._knowledge.settings.off:
+            return 0.0
+        return suspects.held_for(self._request_key(), now())
+
+    def hold_back(self, held_for):
+        """Return the refusal of a request under which targets have ended."""
+        lives = self._knowledge.zone.suspects.ended(self._request_key())
+        return self._refuse(
+            Cause.HELD_BACK, held_for, key=self._request_key(), lives=lives
+        )
+
     def cancel(self):
         """Stop all sends that still run, by closing their connections."""
         for task in self._sends:
@@ -178,8 +202,24 @@
             and Part.SECOND_SENDS not in self._knowledge.settings.off
             and self._ask.route.kind.may_repeat
             and self._attempt.may_send()
+            and not self._is_suspect(0)
         )
 
+    def _is_suspect(self, ended_most):
+        """
+        Return whether more targets than that have, or may have, ended under it.
+
+        Own retries and second sends would carry such a request from one target to the
+        next before anybody can know.
+        """
+        if Part.HOLDING_BACK in self._knowledge.settings.off:
+            return False
+        suspects = self._knowledge.zone.suspects
+        if self._key is None and not len(suspects):
+            return False
+        key = self._request_key()
+        return suspects.ended(key) + self._endings.open_questions(key) > ended_most
+
     async def _hedge(self):
         """Send a slow idempotent request to a second target, if one is better."""
         self._is_hedged = True
@@ -203,6 +243,8 @@
             return self._give_up(Cause.UNREACHED)
         if self._ask.caller.is_gone():
             return self._give_up(Cause.CALLER_GONE)
+        if self._is_suspect(RETRIED_MOST):
+            return self._final(result)
         if not self._attempt.may_send() or self._is_rest_begun:
             # What was read of a long body is gone and cannot be sent once more.
             return self._final(result)
@@ -237,7 +279,7 @@
             return self._refuse(Cause.NO_ROOM)
         return self._refuse(cause)
 
-    def _refuse(self, cause):
+    def _refuse(self, cause, pause=None, **fields):
         ask = self._ask
         log.info(
             "refused",
@@ -250,10 +292,12 @@
                 "last": self._last.fate.value if self._last else None,
                 "seconds": round(now() - ask.started, 4),
                 "version": self._knowledge.cfg.version,
+                **fields,
             },
         )
         self._metrics.refusals.inc({"cause": cause.value})
-        return Refusal(cause, not self._attempt.may_promise(), self._pause())
+        pause = self._pause() if pause is None else pause
+        return Refusal(cause, not self._attempt.may_promise(), pause)
 
     def _pause(self):
         """Return the seconds after which there is likely room again."""
@@ -413,6 +457,8 @@
             self._metrics.connections.inc({"service": target.service})
         if isinstance(link, Unconnected):
             self._connections[target.id] = link
+            if link is Unconnected.REFUSED:
+                self._endings.note_refused(target)
             return Fate.UNREACHED, None
         at = now()
         idle = 0.0 if is_new else at - link.used_at
@@ -427,6 +473,7 @@
         """Send on a connection and read the answer."""
         ask = self._ask
         exchange = link.begin(make_head(ask, target, self._time_left()), ask.id)
+        fate = None
         is_done = False
         try:
             if ask.rest is not None:
@@ -441,11 +488,31 @@
                 is_done = fate is Fate.WHOLE
                 # Of a long answer that is a failure nobody will read the rest.
                 return fate, reply if is_done else None
-            return judge(exchange)
+            fate, reply = judge(exchange)
+            return fate, reply
         finally:
+            self._note_run(target, exchange, fate)
             if not is_done:
                 self._links.put_back(target.life, link)
 
+    def _note_run(self, target, exchange, fate):
+        """
+        Take what a send tells of its target and this request together.
+
+        Args:
+          target: The `Target`.
+          exchange: The `Exchange`.
+          fate: The `Fate`, or None if the send was given up.
+        """
+        if fate is Fate.BROKEN and not exchange.has_head:
+            self._endings.note_broken(target, self._request_key())
+        elif fate in RAN:
+            if len(self._knowledge.zone.suspects):
+                note = RunNote(self._request_key(), target.life, False)
+                self._knowledge.note_run(note)
+        elif fate is None and self._attempt.stage is not Stage.ANSWERED:
+            self._endings.note_unanswered(target, self._request_key())
+
 
 async def _send_body(link, ask):
     """
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -132,11 +132,7 @@
           A `Success` of the offset, or a `Failure` of a `StoreError`. Unless the
           error `is_undone`, the record may stand in the log, now or later.
         """
-        query = {"topic": topic, "part": "0"}
-        body = RECORD_PREFIX.pack(len(data)) + data
-        result = await self._call(
-            "POST", "/log-append", query, self._append_timeout, body
-        )
+        result = await self._append(topic, [data])
         if isinstance(result, Failure):
             return result
         try:
@@ -144,6 +140,30 @@
         except (msgspec.DecodeError, KeyError, TypeError, ValueError):
             return Failure(StoreError.UNREADABLE)
 
+    async def put(self, topic, values):
+        """
+        Write keys of a keyed topic in one call, all or none.
+
+        Args:
+          topic: The topic's name.
+          values: The bytes by key; empty ones drop the key.
+        Returns:
+          A `Success`, or a `Failure` of a `StoreError` as of `append`.
+        """
+        records = []
+        for key, value in values.items():
+            name = key.encode()
+            records.append(bytes([len(name)]) + name + value)
+        return await self._append(topic, records)
+
+    async def _append(self, topic, records):
+        """Return a `Success` of an append's answer as bytes, or a `Failure`."""
+        query = {"topic": topic, "part": "0"}
+        body = b"".join(RECORD_PREFIX.pack(len(data)) + data for data in records)
+        return await self._call(
+            "POST", "/log-append", query, self._append_timeout, body
+        )
+
     async def read_log(self, topic, offset, wait):
         """
         Read a plain topic from an offset on, or from the oldest record left.
--- a/packages/plumsaddle-standins/plumsaddle_standins/store.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/store.py
@@ -189,7 +189,8 @@
     async def _hold(self, request):
         """Answer nothing until the fault changes, then cut the connection."""
         await self._changed.wait()
-        request.transport.abort()
+        if request.transport is not None:
+            request.transport.abort()
         return web.Response()
 
     async def _control(self, request):
--- a/packages/plumsaddle-standins/plumsaddle_standins/trial.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -79,10 +79,12 @@
         targets=2,
         hosts=1,
         centres=("x",),
+        off=frozenset(),
         **bounds,
     ):
         self.store = StoreStandin()
         self.centres = centres
+        self._off = off
         self.workers = {
             f"{service}-{number}": WorkerStandin(
                 f"{service}-{number}", service, centres[number % len(centres)]
@@ -90,6 +92,8 @@
             for service in services
             for number in range(targets)
         }
+        # These and all that took the place of one.
+        self.every_worker = list(self.workers.values())
         # Lives of targets that requests have ended: pairs of a path and the moment.
         self.crashes = []
         self.hosts = []
@@ -152,6 +156,7 @@
             tuple(seeds),
             self.store_address,
             self._bounds,
+            off=self._off,
         )
         host = Host(settings, "/nonexistent")
         await host.start()
@@ -193,6 +198,7 @@
         worker.deadly, worker.on_crash = crashed.deadly, crashed.on_crash
         await worker.start(int(crashed.address.rpartition(":")[2]))
         self.workers[name] = worker
+        self.every_worker.append(worker)
         self.register(worker)
         await asyncio.sleep(LISTED_FOR)
         del self.workers[crashed.id]
