--- a/packages/plumsaddle-standins/plumsaddle_standins/crashes.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/crashes.py
@@ -48,6 +48,8 @@
 RETRIES_MOST = 3
 LOSS_MOST = 0.15
 FAULT_PAUSE = (0.5, 2.5)
+# Seconds to wait for the last answers; a host that was killed gives none.
+ANSWERED_WITHIN = 3.0
 
 
 class Tally(NamedTuple):
@@ -151,7 +153,9 @@
             loads = [self._load(), self._trouble()]
             loads += [self._repeat(path) for path in self._deadly]
             await asyncio.gather(*loads)
-            await asyncio.gather(*self._asking, return_exceptions=True)
+            await asyncio.wait(self._asking, timeout=ANSWERED_WITHIN)
+            for task in self._asking:
+                task.cancel()
             return self._sum_up()
 
     def _prepare(self):
--- a/packages/plumsaddle-standins/plumsaddle_standins/trial.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -5,7 +5,6 @@
 import asyncio
 import functools
 import json
-import socket
 
 import aiohttp
 from aiohttp import web
@@ -13,6 +12,7 @@
 from plumsaddle_core.core.traffic import Bounds, HostSettings
 from plumsaddle_hosts.edge.main import Host
 
+from .fleet import free_ports
 from .store import StoreStandin
 from .worker import WorkerStandin
 
@@ -30,9 +30,7 @@
 
 def free_port():
     """Return a port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    return free_ports(1)[0]
 
 
 def configuration(version, timeout=2.0, routes=KINDS, tries=2, limits=None):
