A topic that is known to be empty is not listed at each start; tests of endings

Readers' beats say that the topic is empty, and reads that wait for ten seconds are answered at once when there is news.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -30,10 +30,14 @@
 WAIT_MOST = 1.0
 # The same of a topic in which hardly anything is ever written and whose news hosts tell
 # each other by datagrams besides. A read that waits is answered at once when there is
-# news, so only a reader's loss is noticed later. It saves four calls of five.
-SELDOM_LEAST = 4.0
-SELDOM_MOST = 5.0
-SELDOM_TOLD_FOR = 6.0
+# news, so only a reader's loss is noticed later. It saves nine calls of ten.
+SELDOM_LEAST = 8.0
+SELDOM_MOST = 10.0
+SELDOM_TOLD_FOR = 12.0
+# Seconds for which a host that starts waits to hear from a reader that nothing was ever
+# written to such a topic, before it lists it. It must know three seconds after its
+# start, and readers speak after a second and a half.
+SELDOM_START = 2.2
 # Rest after a page with changes. What a host knows may be 2 s old; the rest, a call on
 # a slow store and a retry must fit.
 REST = 0.8
@@ -64,15 +68,17 @@
     How often a topic is read, in seconds.
 
     A read waits for a time between the first two. A reader's last word that it was
-    answered is trusted for `told_for`.
+    answered is trusted for `told_for`. A host that starts lists the topic only when it
+    has not heard for `start` that it is empty.
     """
 
     wait_least: float
     wait_most: float
     told_for: float
+    start: float = 0.0
 
 
-SELDOM = Pace(SELDOM_LEAST, SELDOM_MOST, SELDOM_TOLD_FOR)
+SELDOM = Pace(SELDOM_LEAST, SELDOM_MOST, SELDOM_TOLD_FOR, SELDOM_START)
 
 
 class Feed:
@@ -141,6 +147,10 @@
           at: The present, in seconds.
         """
         if self._next is None:
+            if self._pace.start and offset == 0:
+                self._next = 0
+                self._told_at = at - age
+                self.wake()
             return
         if offset <= self._next:
             self._told_at = max(self._told_at, at - age)
@@ -197,6 +207,7 @@
 
     async def run(self):
         """List, then follow, until cancelled."""
+        await self._wait_at_start()
         while True:
             if self._is_told(now()):
                 await self._wait_while_told()
@@ -223,15 +234,24 @@
             if page.records:
                 await asyncio.sleep(REST)
 
+    async def _wait_at_start(self):
+        """Wait whether a reader says that there is nothing to list."""
+        until = now() + self._pace.start
+        while self._next is None and not self.gate.is_reader and now() < until:
+            await self._wait_until(until)
+
     async def _wait_while_told(self):
         """Wait until something may have to be read."""
-        at = now()
         until = self._told_at + self._pace.told_for
         if self._behind_since is not None:
             until = min(until, self._behind_since + MISSED_FOR)
+        await self._wait_until(until)
+
+    async def _wait_until(self, until):
+        """Wait until a moment, or until there is something to look at."""
         self._awake.clear()
         try:
-            async with asyncio.timeout(max(0.0, until - at)):
+            async with asyncio.timeout(max(0.0, until - now())):
                 await self._awake.wait()
         except TimeoutError:
             pass
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -316,3 +316,55 @@
         task.cancel()
 
     asyncio.run(run())
+
+
+def _seldom(store, start=0.2):
+    gate = Gate(lambda at: None, lambda at: None, lambda at: None)
+    listed = []
+    pace = feed.Pace(0.1, 0.2, 10.0, start)
+    made = Feed(store, "t", gate, listed.append, listed.append, random.Random(1), pace)
+    return made, gate, listed
+
+
+def test_a_topic_that_readers_know_to_be_empty_is_not_listed():
+    """
+    Each start costs one call more for a topic in which hardly anything is ever written.
+    """
+
+    async def run():
+        store = ScriptedStore()
+        made, _, _ = _seldom(store)
+        task = asyncio.ensure_future(made.run())
+        await asyncio.sleep(0.05)
+        made.note_reader(0, 0.0, clock())
+        await asyncio.sleep(0.4)
+        assert store.listings == 0
+        assert made.next_offset == 0
+        # What is written from now on is taken as from the beginning.
+        made.take_page(0, [KeyedRecord(0, "a", b"1")], 1, clock())
+        assert made.next_offset == 1
+        task.cancel()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("word", [None, 4])
+def test_a_topic_of_which_more_may_be_known_is_listed_in_time(word):
+    """
+    A host that starts sends on what all others hold back.
+
+    No reader is heard, or one says that something was written before the start.
+    """
+
+    async def run():
+        store = ScriptedStore()
+        made, _, listed = _seldom(store)
+        task = asyncio.ensure_future(made.run())
+        if word is not None:
+            made.note_reader(word, 0.0, clock())
+        await asyncio.sleep(0.4)
+        assert store.listings == 1
+        assert len(listed) == 1
+        task.cancel()
+
+    asyncio.run(run())
