A request's key holds what targets see of it, not the caller's address

Targets never see that address.

Before: the test with callers from many addresses fails. After: it passes.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/fingerprint.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/fingerprint.py
@@ -1,8 +1,12 @@
 """
 What makes two requests the same request, whatever their ids.
 
-A caller that comes again draws a new id. Its host, path, address and body are the same,
-and so is what the request does to a target that runs it.
+A caller that comes again draws a new id. What a target sees of the request besides is
+the same, and so is what the request does to a target that runs it.
+
+The caller's address is no part of that: targets never see it, gateways share one among
+many callers, and a caller that comes again may come by way of another one. A caller is
+told by the credentials that the request bears.
 """
 
 import hashlib
@@ -14,29 +18,38 @@
 # times; a shared key would cost a caller its service only if the other one crashed
 # three targets.
 KEY_BYTES = 12
+# Headers that say who a caller is. Others may be new at each try, as ids and traces
+# are, and one such would make each try a request of its own.
+CREDENTIALS = (b"authorization", b"cookie")
+# Bytes of a body that count. A longer one is passed on while it comes, and no more than
+# this is ever at hand of it; its length may not be known before its end.
+BODY_MOST = 524288
 _LENGTH = struct.Struct(">q")
 
 
-def request_key(host, method, path, caller, body, length):
+def request_key(method, path, headers, body):
     """
     Return the key of a request.
 
     Args:
-      host: The host that it names, as text.
       method: Its method, as text.
       path: Its path with the query, as text.
-      caller: The caller's address without the port, as text.
-      body: The body's bytes; the first ones of a long body that is passed on while it
-        comes, of which no more is kept.
-      length: The whole body's length in bytes, or None if it is not known.
+      headers: Its headers, as pairs of bytes.
+      body: The body's bytes; of one longer than `BODY_MOST` at least one byte more.
     Returns:
       A `RequestKey`, in hexadecimal digits.
     """
+    named = {name.lower(): value for name, value in headers}
+    parts = [
+        method.encode(),
+        path.encode("utf-8", "surrogateescape"),
+        named.get(b"host", b"").lower(),
+        *(named.get(name, b"") for name in CREDENTIALS),
+    ]
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
-    for part in (host.lower(), method, path, caller):
-        data = part.encode("utf-8", "surrogateescape")
-        digest.update(_LENGTH.pack(len(data)))
-        digest.update(data)
-    digest.update(_LENGTH.pack(-1 if length is None else length))
-    digest.update(body)
+    for part in parts:
+        digest.update(_LENGTH.pack(len(part)))
+        digest.update(part)
+    digest.update(_LENGTH.pack(len(body) if len(body) <= BODY_MOST else -1))
+    digest.update(body[:BODY_MOST])
     return RequestKey(digest.hexdigest())
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict
 
 from plumsaddle_core.core.traffic import Reply
+from plumsaddle_core.ops.fingerprint import BODY_MOST
 from plumsaddle_core.ops.table import choose_service, find_route
 
 from ..front.headers import HOP_BY_HOP
@@ -22,8 +23,9 @@
 from .refusals import Cause, Refusal, status_of
 
 log = logging.getLogger("front")
-# Bodies up to this many bytes are read whole first.
-WHOLE_MOST = 524288
+# Bodies up to this many bytes are read whole first; what tells a request that comes
+# again from others is then at hand.
+WHOLE_MOST = BODY_MOST
 # Bytes of bodies that a host holds at a time; a third of the memory that the smallest
 # hosts have. What comes on top is refused at once.
 HELD_MOST = 64 * 1024 * 1024
@@ -39,8 +41,6 @@
 
     def __init__(self, request):
         self._request = request
-        # Without the port, which is another one for each connection.
-        self.address = _address_of(request.transport)
 
     def is_gone(self):
         """Return whether the caller has closed its connection."""
@@ -263,12 +263,6 @@
         return resp
 
 
-def _address_of(transport):
-    """Return the address of a connection's other side, without the port, as text."""
-    peer = transport.get_extra_info("peername") if transport is not None else None
-    return peer[0] if peer else ""
-
-
 def _read_time(text, most):
     """Return the seconds that a request may take, or None if the text is no number."""
     if text is None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -51,15 +51,7 @@
     It takes some microseconds, and half a millisecond for a long body, so it is made
     only once something asks for it.
     """
-    headers = {name.lower(): value for name, value in ask.headers}
-    return request_key(
-        headers.get(b"host", b"").decode("latin-1"),
-        ask.method,
-        ask.path,
-        ask.caller.address,
-        ask.body,
-        ask.length,
-    )
+    return request_key(ask.method, ask.path, ask.headers, ask.body)
 
 
 def make_head(ask, target, time_left):
