--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
@@ -246,10 +246,18 @@
 
     def held_for(self, key, now):
         """Return for how many seconds a request is still held back, or 0.0."""
+        return max(0.0, self._verdicts().get(key, -math.inf) - now)
+
+    def held(self, now):
+        """Return the keys of all requests that are held back."""
+        return {key for key, until in self._verdicts().items() if until > now}
+
+    def _verdicts(self):
+        """Return until when requests are held back, by key."""
         if not self._is_judged:
             self._held = self._judge()
             self._is_judged = True
-        return max(0.0, self._held.get(key, -math.inf) - now)
+        return self._held
 
     def _judge(self):
         """
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/endings.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/endings.py
@@ -46,6 +46,7 @@
         self._metrics = metrics
         self._asked = {}
         self._restarted = {}
+        self._held = set()
         self._looks = {}
 
     def note_broken(self, target, key):
@@ -99,6 +100,19 @@
         suspects = self._knowledge.zone.suspects
         for life in {life for life, _ in self._asked if suspects.has_ended(life)}:
             self._blame(life, self._drop(life))
+        self._log_held(at)
+
+    def _log_held(self, at):
+        """Log which requests are held back from now on, and which not any more."""
+        suspects = self._knowledge.zone.suspects
+        held = suspects.held(at)
+        for key in held - self._held:
+            held_for = round(suspects.held_for(key, at), 1)
+            fields = {"key": key, "lives": suspects.ended(key), "held_for": held_for}
+            log.info("holding back", extra=fields)
+        for key in self._held - held:
+            log.info("letting through", extra={"key": key})
+        self._held = held
 
     async def _look(self, target):
         """Find out whether a target still listens."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
@@ -7,7 +7,7 @@
 from .causes import sum_up_causes, tell_causes
 from .common import DONE, MISTAKE, NOT_KNOWN, fail, read_text, say
 from .events import read_events
-from .standing import tell_standing
+from .standing import find_key, tell_request, tell_standing
 from .trace import trace_request
 
 NO_REQUEST = "The logs tell of no request."
@@ -42,10 +42,18 @@
     _tell(story, f"No line bears the id {request_id}.")
 
 
-def explain_from_logs(target, logs):
-    """Tell, second by second, what hosts saw of a target, and exit."""
-    lines = tell_standing(_read_logs(logs), str(target))
-    _tell(lines, f"No line names the target {target}.")
+def explain_from_logs(name, logs):
+    """
+    Tell what hosts saw of a target, or why a request was held back, and exit.
+
+    Args:
+      name: The target's id, the request's key, or the id under which it was refused.
+      logs: The hosts' logs.
+    """
+    events = _read_logs(logs)
+    key = find_key(events, str(name))
+    lines = tell_request(events, key) if key else tell_standing(events, str(name))
+    _tell(lines, f"No line names {name} as a target, and none has a key for it.")
 
 
 def causes(*logs, every=2.0):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
@@ -27,6 +27,7 @@
     SHED = "refused-by-targets"
     RETRY_DENIED = "retry-denied"
     UNREACHED = "unreached"
+    HELD_BACK = "held-back"
     TOO_SLOW = "too-slow"
     NO_ROOM = "no-room"
     HOST = "host-not-able"
@@ -102,6 +103,8 @@
     cause, last = refusal["cause"], refusal.get("last")
     if cause in ("no-route", "caller-gone"):
         return None
+    if cause == "held-back":
+        return Loss.HELD_BACK
     if cause == "time-over":
         return Loss.TOO_SLOW
     if cause in ("no-room", "no-target"):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
@@ -208,6 +208,8 @@
     """
     Show why a target is in or out on each host, and who saw what.
 
+    From logs it also tells why a request is held back, by its key or its id.
+
     Args:
       target: The target's id.
       logs: The logs of hosts on the platform; without any, running hosts are asked.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
@@ -1,5 +1,6 @@
 """
-What the hosts saw of one target, second by second, from their logs.
+What the hosts saw of one target, second by second, from their logs, and under which
+requests targets have ended.
 """
 
 from collections import Counter, defaultdict
@@ -36,6 +37,50 @@
     return [_tell(at, seconds[at]) for at in sorted(seconds)]
 
 
+def find_key(events, name):
+    """Return the key that a name is, or that a request of that id bears, or None."""
+    for event in events:
+        key = event.fields.get("key")
+        if key and name in (key, event.fields.get("request")):
+            return key
+    return None
+
+
+def tell_request(events, key):
+    """
+    Return the story of a request under which targets have ended.
+
+    Args:
+      events: A list of `Event`.
+      key: The request's key, as failed sends and refusals bear it.
+    Returns:
+      Texts, with times in seconds from the first line with the key: each send that
+      broke, each target that ended and what else it ran, when hosts held the request
+      back, and how often it was refused. The list is empty if no line bears the key.
+    """
+    own = [event for event in events if event.fields.get("key") == key]
+    refusals = [event for event in own if event.message == "refused"]
+    lines = [
+        _tell_step(event, event.at - own[0].at)
+        for event in own
+        if event.message != "refused"
+    ]
+    if refusals:
+        hosts = len({event.host for event in refusals})
+        first, last = (refusals[i].at - own[0].at for i in (0, -1))
+        lines.append(
+            f"{first:+.3f} to {last:+.3f} refused={len(refusals)} hosts={hosts}"
+        )
+    return lines
+
+
+def _tell_step(event, after):
+    shown = ("request", "target", "fate", "beside", "lives", "held_for")
+    fields = event.fields.items()
+    told = " ".join(f"{name}={value}" for name, value in fields if name in shown)
+    return f"{after:+.3f} {event.host} {event.message} {told}"
+
+
 def _add(second, event):
     fields = event.fields
     if event.message == "sent":
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
@@ -6,7 +6,7 @@
 
 from .day import sum_up_day
 from .events import read_events
-from .standing import tell_standing
+from .standing import find_key, tell_request, tell_standing
 
 
 def _line(at, message, host="h1", **fields):
@@ -54,3 +54,28 @@
     path = tmp_path / "day.png"
     draw_day(sum_up_day(EVENTS), path)
     assert path.read_bytes().startswith(b"\x89PNG")
+
+
+HELD = read_events(
+    [
+        _line(10.0, "send failed", request="a", target="t1", fate="broken", key="k"),
+        _line(10.1, "ended", target="t1", key="k", beside=2, lives=1),
+        _line(10.1, "ended", target="t1", key="other", beside=2, lives=1),
+        _line(12.0, "ended", host="h2", target="t3", key="k", beside=0, lives=3),
+        _line(12.5, "holding back", host="h2", key="k", lives=3, held_for=600.0),
+        _line(13.0, "refused", request="b", cause="held-back", key="k"),
+        _line(14.0, "refused", host="h2", request="c", cause="held-back", key="k"),
+    ]
+)
+
+
+def test_the_id_of_a_refused_request_leads_to_the_targets_that_ended_under_it():
+    assert find_key(HELD, "c") == find_key(HELD, "k") == "k"
+    assert find_key(HELD, "none") is None
+    assert tell_request(HELD, "k") == [
+        "+0.000 h1 send failed request=a target=t1 fate=broken",
+        "+0.100 h1 ended target=t1 beside=2 lives=1",
+        "+2.000 h2 ended target=t3 beside=0 lives=3",
+        "+2.500 h2 holding back lives=3 held_for=600.0",
+        "+3.000 to +4.000 refused=2 hosts=2",
+    ]
--- a/packages/plumsaddle-standins/plumsaddle_standins/crashes.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/crashes.py
@@ -148,7 +148,6 @@
         async with Trial(names, TARGETS, self._count, CENTRES, self._off) as trial:
             self._trial = trial
             self._loop = asyncio.get_running_loop()
-            trial.session._connector._limit = 0
             self._prepare()
             loads = [self._load(), self._trouble()]
             loads += [self._repeat(path) for path in self._deadly]
@@ -206,9 +205,11 @@
         self._asking.add(task)
 
     async def _ask(self, path, request_id, method, host):
+        # Callers come by way of gateways, each time of another one.
+        gateway = f"127.0.{self._rng.randrange(250)}.{self._rng.randrange(1, 250)}"
         try:
-            status, _, body = await self._trial.ask(
-                path, request_id, method, host=host, left=1500
+            status, _, body = await self._trial.ask_from(
+                gateway, path, request_id, method, host=host, left=1500
             )
         except (aiohttp.ClientError, OSError) as exc:
             if path not in self._deadly:
