--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
@@ -32,7 +32,7 @@
     at: float
 
 
-_decode = msgspec.json.Decoder(Record).decode
+decode_record = msgspec.json.Decoder(Record).decode
 
 
 class StoredSuspects:
@@ -62,7 +62,7 @@
 
     def _take_record(self, record):
         try:
-            known = _decode(record.value)
+            known = decode_record(record.value)
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             log.error("unusable", extra={"key": record.key, "cause": str(exc)})
             return
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
@@ -45,6 +45,7 @@
     run_with,
     say,
 )
+from .held import held, release
 from .hosts import ask_all
 from .log import History
 from .orders import Orders
@@ -339,6 +340,8 @@
     "trace": trace,
     "report": report,
     "causes": causes,
+    "held": held,
+    "release": release,
 }
 
 
