--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/endings.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/endings.py
@@ -88,6 +88,11 @@
         self._restarted[life] = now()
         self._blame(life, self._drop(life))
 
+    @property
+    def has_questions(self):
+        """Whether it is open of any target if it has ended."""
+        return bool(self._asked)
+
     def open_questions(self, key):
         """Return how many targets may have ended under a request, not yet known."""
         return sum(1 for _, asked in self._asked if asked == key)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -38,6 +38,7 @@
 from .metrics import EdgeMetrics
 from .peers import Peers
 from .relay import Relay
+from .sender import Sender
 from .stored import TOPIC as STORED_TOPIC, StoredSuspects
 
 log = logging.getLogger("host")
@@ -99,7 +100,8 @@
         self.endings = Endings(
             self.knowledge, self.links, self.metrics, self.stored.write_soon
         )
-        relay = Relay(self.knowledge, self.links, self.metrics, self.endings)
+        sender = Sender(self.knowledge, self.links, self.metrics, self.endings)
+        relay = Relay(self.knowledge, sender, self.metrics, self.endings)
         self.front = Front(self.knowledge, relay, self.metrics)
         self._feeds = [
             Feed(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -12,23 +12,16 @@
 import logging
 from typing import Any, NamedTuple
 
-from aiohttp import web
-
 from plumsaddle_core.core.parts import Part
 from plumsaddle_core.core.traffic import Fate, Reply
-from plumsaddle_core.ops.attempt import NOT_SENT, Attempt, Stage
-from plumsaddle_core.ops.suspects import RETRIED_MOST, RunNote
+from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 
 from .clock import now
-from .link import Unconnected
-from .outgoing import frame_body, key_of, make_head
 from .refusals import Cause, Refusal
-from .verdict import Rest, judge, judge_head
+from .sender import Sent
+from .suspicion import Suspicion
 
 log = logging.getLogger("relay")
-# Answers up to this many bytes are held back until they are whole, so that one that
-# breaks off can still be replaced. Longer ones are passed on while they come.
-HELD_MOST = 65536
 # A send that takes this many times the time expected of it, its wait for a slot
 # included, counts as failed for the choice of targets; sound work passes it about once
 # in a hundred requests.
@@ -45,12 +38,6 @@
 HEDGE_FAILS_MOST = 0.25
 # Connections that fail to open before a request is given up; nothing was sent.
 UNREACHED_MOST = 3
-# An order waits on a kept connection only if that was used just now, in seconds: the
-# longer it has been idle, the likelier the target closes it at that very moment.
-ORDER_IDLE_MOST = 6.0
-IDLE_MOST = 60.0
-# Fates that show that a target ran the request and is still there.
-RAN = {Fate.WHOLE, Fate.FAILED, Fate.UNSIGNED, Fate.TIMED_OUT}
 
 
 class Result(NamedTuple):
@@ -62,27 +49,20 @@
     seconds: float
 
 
-class Connection(NamedTuple):
-    """How old a send's connection was and how long it had been idle, in seconds."""
-
-    age: float
-    idle: float
-
-
 class Relay:
     """
     The relay of one host.
 
     Args:
       knowledge: The `Knowledge`.
-      links: The `Links`.
+      sender: The `Sender`.
       metrics: The `EdgeMetrics`.
       endings: The `Endings`.
     """
 
-    def __init__(self, knowledge, links, metrics, endings):
+    def __init__(self, knowledge, sender, metrics, endings):
         self._knowledge = knowledge
-        self._links = links
+        self._sender = sender
         self._metrics = metrics
         self._endings = endings
 
@@ -95,11 +75,11 @@
         Returns:
           A `Reply` of a target, or a `Refusal`.
         """
-        run = _Run(ask, self._knowledge, self._links, self._metrics, self._endings)
-        held_for = run.held_for()
-        if held_for:
+        run = _Run(ask, self._knowledge, self._sender, self._metrics, self._endings)
+        refusal = run.hold_back()
+        if refusal is not None:
             # It counts neither for the service's retries nor for its state.
-            return run.hold_back(held_for)
+            return refusal
         self._knowledge.zone.note_request(ask.service, now())
         try:
             answer = await run.serve()
@@ -113,36 +93,28 @@
 class _Run:
     """One request while it is served."""
 
-    def __init__(self, ask, knowledge, links, metrics, endings):
+    def __init__(self, ask, knowledge, sender, metrics, endings):
         self._ask = ask
         self._knowledge = knowledge
-        self._links = links
+        self._sender = sender
         self._metrics = metrics
-        self._endings = endings
         self._attempt = Attempt(ask.route.kind, ask.route.tries_most)
+        self._suspicion = Suspicion(ask, self._attempt, knowledge, endings)
         self._excluded = set()
         self._sends = set()
         self._unreached = 0
         self._is_hedged = False
         self._hedge_at = 0.0
         self._last = None
-        self._connections = {}
-        self._key = None
-        self._is_rest_begun = False
-
-    def held_for(self):
-        """Return for how many seconds the request is held back, 0.0 if it is not."""
-        suspects = self._knowledge.zone.suspects
-        if not len(suspects) or Part.HOLDING_BACK in self._knowledge.settings.off:
-            return 0.0
-        return suspects.held_for(self._request_key(), now())
-
-    def hold_back(self, held_for):
-        """Return the refusal of a request under which targets have ended."""
-        lives = self._knowledge.zone.suspects.ended(self._request_key())
-        return self._refuse(
-            Cause.HELD_BACK, held_for, key=self._request_key(), lives=lives
-        )
+        self._has_begun_rest = False
+
+    def hold_back(self):
+        """Return the refusal of a request that ends its targets, None of others."""
+        held_for = self._suspicion.held_for()
+        if not held_for:
+            return None
+        fields = {"key": self._suspicion.key, "lives": self._suspicion.lives}
+        return self._refuse(Cause.HELD_BACK, held_for, **fields)
 
     def cancel(self):
         """Stop all sends that still run, by closing their connections."""
@@ -176,12 +148,6 @@
     def _time_left(self):
         return self._ask.deadline - now()
 
-    def _request_key(self):
-        """Return the key under which the request is known when it comes again."""
-        if self._key is None:
-            self._key = key_of(self._ask)
-        return self._key
-
     def _usual(self):
         """Return the usual seconds of such a request."""
         return self._knowledge.zone.times.usual(self._ask.service, self._ask.route.name)
@@ -202,24 +168,9 @@
             and Part.SECOND_SENDS not in self._knowledge.settings.off
             and self._ask.route.kind.may_repeat
             and self._attempt.may_send()
-            and not self._is_suspect(0)
+            and self._suspicion.may_hedge()
         )
 
-    def _is_suspect(self, ended_most):
-        """
-        Return whether more targets than that have, or may have, ended under it.
-
-        Own retries and second sends would carry such a request from one target to the
-        next before anybody can know.
-        """
-        if Part.HOLDING_BACK in self._knowledge.settings.off:
-            return False
-        suspects = self._knowledge.zone.suspects
-        if self._key is None and not len(suspects):
-            return False
-        key = self._request_key()
-        return suspects.ended(key) + self._endings.open_questions(key) > ended_most
-
     async def _hedge(self):
         """Send a slow idempotent request to a second target, if one is better."""
         self._is_hedged = True
@@ -243,9 +194,9 @@
             return self._give_up(Cause.UNREACHED)
         if self._ask.caller.is_gone():
             return self._give_up(Cause.CALLER_GONE)
-        if self._is_suspect(RETRIED_MOST):
+        if not self._suspicion.may_retry():
             return self._final(result)
-        if not self._attempt.may_send() or self._is_rest_begun:
+        if not self._attempt.may_send() or self._has_begun_rest:
             # What was read of a long body is gone and cannot be sent once more.
             return self._final(result)
         is_retry = self._attempt.sends > 0
@@ -377,14 +328,15 @@
         """Send to the target of a `Choice` and return the `Result`."""
         target = choice.candidate.target
         started = now()
-        fate = Fate.ABANDONED
+        sent = Sent(Fate.ABANDONED)
         stuck = asyncio.get_running_loop().call_later(
             _slow_after(STUCK_FACTOR, choice), self._note_stuck, choice
         )
         try:
-            fate, reply = await self._exchange(target)
+            sent = await self._sender.send(self._ask, target, self._suspicion)
         finally:
-            seconds = now() - started
+            fate, seconds = sent.fate, now() - started
+            self._has_begun_rest = self._has_begun_rest or sent.has_begun_rest
             is_stuck = stuck.when() <= asyncio.get_running_loop().time()
             stuck.cancel()
             self._knowledge.end(target)
@@ -401,8 +353,8 @@
             elif fate is Fate.WHOLE:
                 self._knowledge.note_late(target, self._ask.route, work)
         if fate is not Fate.WHOLE:
-            self._log_failure(target, fate, reply, seconds)
-        return Result(target, fate, reply, seconds)
+            self._log_failure(target, sent._replace(fate=fate), seconds)
+        return Result(target, fate, sent.reply, seconds)
 
     def _note_stuck(self, choice):
         target = choice.candidate.target
@@ -416,118 +368,25 @@
             },
         )
 
-    def _log_failure(self, target, fate, reply, seconds):
+    def _log_failure(self, target, sent, seconds):
         log.info(
             "send failed",
             extra={
                 "request": self._ask.id.decode("latin-1"),
                 "target": target.id,
-                "fate": fate.value,
-                "status": reply.status if reply else None,
+                "fate": sent.fate.value,
+                "status": sent.reply.status if sent.reply else None,
                 "seconds": round(seconds, 4),
-                "key": self._request_key() if fate is Fate.BROKEN else None,
-                **self._describe_connection(target),
+                "key": self._suspicion.key if sent.fate is Fate.BROKEN else None,
+                # These tell a dead connection from a failing target.
+                "connection": sent.connection.kind,
+                "age": sent.connection.age,
+                "idle": sent.connection.idle,
             },
         )
 
-    def _describe_connection(self, target):
-        """Return log fields that tell a dead connection from a failing target."""
-        connection = self._connections.get(target.id)
-        if connection is None:
-            return {"connection": "none"}
-        if isinstance(connection, Unconnected):
-            return {"connection": connection.value}
-        kind = "kept" if connection.idle > 0.0 else "new"
-        age, idle = round(connection.age, 3), round(connection.idle, 3)
-        return {"connection": kind, "age": age, "idle": idle}
-
-    def _idle_most(self):
-        is_order = not self._ask.route.kind.may_repeat
-        return ORDER_IDLE_MOST if is_order else IDLE_MOST
-
     def _has_link(self, life):
-        return self._links.has(life, self._idle_most())
-
-    async def _exchange(self, target):
-        """Get a connection, send, and return a fate and a `Reply` or None."""
-        link = self._links.take(target.life, self._idle_most())
-        is_new = link is None
-        if link is None:
-            link = await self._links.open(target)
-            self._metrics.connections.inc({"service": target.service})
-        if isinstance(link, Unconnected):
-            self._connections[target.id] = link
-            if link is Unconnected.REFUSED:
-                self._endings.note_refused(target)
-            return Fate.UNREACHED, None
-        at = now()
-        idle = 0.0 if is_new else at - link.used_at
-        self._connections[target.id] = Connection(at - link.opened_at, idle)
-        is_late = self._time_left() <= 0 or self._ask.caller.is_gone()
-        if is_late or not self._knowledge.is_usable(target):
-            self._links.put_unused(target.life, link)
-            return Fate.UNSENT, None
-        return await self._talk(target, link)
-
-    async def _talk(self, target, link):
-        """Send on a connection and read the answer."""
-        ask = self._ask
-        exchange = link.begin(make_head(ask, target, self._time_left()), ask.id)
-        fate = None
-        is_done = False
-        try:
-            if ask.rest is not None:
-                self._is_rest_begun = True
-                sending = asyncio.ensure_future(_send_body(link, ask))
-                await exchange.collect(HELD_MOST)
-                sending.cancel()
-            else:
-                await exchange.collect(HELD_MOST)
-            if exchange.fate is None and exchange.has_head:
-                fate, reply = judge_head(exchange, Rest(exchange, link))
-                is_done = fate is Fate.WHOLE
-                # Of a long answer that is a failure nobody will read the rest.
-                return fate, reply if is_done else None
-            fate, reply = judge(exchange)
-            return fate, reply
-        finally:
-            self._note_run(target, exchange, fate)
-            if not is_done:
-                self._links.put_back(target.life, link)
-
-    def _note_run(self, target, exchange, fate):
-        """
-        Take what a send tells of its target and this request together.
-
-        Args:
-          target: The `Target`.
-          exchange: The `Exchange`.
-          fate: The `Fate`, or None if the send was given up.
-        """
-        if fate is Fate.BROKEN and not exchange.has_head:
-            self._endings.note_broken(target, self._request_key())
-        elif fate in RAN:
-            if len(self._knowledge.zone.suspects):
-                note = RunNote(self._request_key(), target.life, False)
-                self._knowledge.note_run(note)
-        elif fate is None and self._attempt.stage is not Stage.ANSWERED:
-            self._endings.note_unanswered(target, self._request_key())
-
-
-async def _send_body(link, ask):
-    """
-    Pass a long body on; if its caller breaks off, so does the connection.
-
-    The target would wait for the rest until its time is over otherwise.
-    """
-    try:
-        await link.send_body(frame_body(ask))
-    except (web.RequestPayloadError, OSError) as exc:
-        log.info(
-            "upload broke off",
-            extra={"request": ask.id.decode("latin-1"), "cause": type(exc).__name__},
-        )
-        link.close()
+        return self._sender.has_link(self._ask, life)
 
 
 def _drop(reply):
