--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -17,6 +17,7 @@
     UNHEARD_FOR,
 )
 from plumsaddle_core.ops.news import Sign, tag_of
+from plumsaddle_core.ops.suspects import RunNote
 from plumsaddle_core.ops.zone import Zone
 
 from ..platform.store import KeyedRecord, Page
@@ -193,6 +194,52 @@
         assert other.fails("t", net.at) > 0.45
 
 
+def _end_target(net, host):
+    """Let a target end under a request of a host."""
+    peers, zone, _ = host
+    note = RunNote("key", "life", True)
+    zone.suspects.note(note, net.at, is_own=True)
+    peers.tell_soon(is_urgent=True)
+
+
+def test_an_end_under_a_request_is_known_in_all_data_centres_at_once(net):
+    """
+    A request ends three targets in each data centre, and not three in all.
+
+    Hosts told each other what they believe of targets and nothing of requests.
+    """
+    hosts = _fleet(net)
+    hub = _hub(net, hosts[:3])
+    _end_target(net, next(host for host in hosts[:3] if host[2] != hub))
+    net.deliver()
+    assert [zone.suspects.ended("key") for _, zone, _ in hosts] == [1] * 6
+
+
+def test_an_end_is_told_again_to_hosts_that_did_not_hear_it(net):
+    """
+    A host that heard nothing for two seconds sends on what all others hold back.
+
+    Its link lost all datagrams when the target ended. Notes go with each message for
+    some time.
+    """
+    hosts = _fleet(net)
+    hub = _hub(net, hosts[:3])
+    teller, deaf = [host for host in hosts[:3] if host[2] != hub]
+    net.cut.add(deaf[2])
+    _end_target(net, teller)
+    net.play(1.2)
+    assert deaf[1].suspects.ended("key") == 0
+    net.cut.clear()
+    net.play(1.2)
+    assert deaf[1].suspects.ended("key") == 1
+
+
+def test_a_host_of_a_former_release_is_understood():
+    """A rolling release of hosts: the former one tells nothing of requests."""
+    old = ["w", "h", "10.0.0.1:7000", 1, 1, {}, [], {}, None]
+    assert decode(encode(old)).runs == []
+
+
 def test_usual_outcomes_stay_in_their_data_centre(net):
     """Bytes between data centres are paid for, and most outcomes change nothing."""
     hosts = _fleet(net)
