--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_crash_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_crash_test.py
@@ -78,3 +78,79 @@
                 f"/{service}/good", f"good-{number}", method, host=number % HOSTS
             )
             assert status == 200
+
+
+async def _ask_until_held(trial, path, host, most=10):
+    """Send a request to a host until it is held back; return how often it was not."""
+    for number in range(most):
+        status, headers, _ = await trial.ask(path, f"{host}-{number}", host=host)
+        if status == 503 and float(headers["Retry-After"]) > 60.0:
+            return number
+    return most
+
+
+@in_loop
+async def test_a_host_that_starts_when_all_others_are_lost_knows_from_the_store():
+    """
+    A request that was held back ends three more targets after a loss of all hosts.
+
+    What hosts tell each other is gone with them; the store keeps it.
+    """
+    async with Trial(("look",), targets=TARGETS, hosts=2) as trial:
+        trial.make_deadly("look", {"/look/bad": Deadly()}, down_for=30.0)
+        assert await _ask_until_held(trial, "/look/bad", 0) < TARGETS
+        ended = len(trial.crashes)
+        assert ended == 3
+        await until(lambda: trial.store.topic("keyed.suspects").newest)
+        for host in trial.hosts:
+            await host.shut()
+        late = await trial.add_host(2, seeds=[])
+        suspects = late.knowledge.zone.suspects
+        await until(lambda: len(suspects), KNOWN_AFTER)
+        assert await _ask_until_held(trial, "/look/bad", 2) == 0
+        assert len(trial.crashes) == ended
+
+
+@in_loop
+async def test_hosts_that_hear_nothing_of_each_other_know_from_the_store():
+    """
+    Two data centres that are cut off from each other each lose three targets.
+
+    Each reaches the store, and what one writes there at its second end counts for the
+    other.
+    """
+    async with Trial(("look",), targets=TARGETS, hosts=2, centres=("x", "y")) as trial:
+        trial.make_deadly("look", {"/look/bad": Deadly()}, down_for=30.0)
+        for host in trial.hosts:
+            host.peers._send = lambda data, *addresses: None
+        for host in (0, 1):
+            # The route allows two targets, so one request ends two of them.
+            await trial.ask("/look/bad", f"first-{host}", host=host)
+            await asyncio.sleep(0.5)
+        assert len(trial.crashes) <= 4
+        for host in (0, 1):
+            assert await _ask_until_held(trial, "/look/bad", host) == 0
+        assert len(trial.crashes) <= 4
+
+
+@in_loop
+async def test_an_operator_lets_a_request_through_again():
+    """
+    A caller waits for ten minutes although its request can be served by now.
+
+    The targets got a release that can take it, and the operator says so.
+    """
+    async with Trial(("look",), targets=TARGETS, hosts=2) as trial:
+        trial.make_deadly("look", {"/look/bad": Deadly()})
+        assert await _ask_until_held(trial, "/look/bad", 0) < TARGETS
+        topic = trial.store.topic("keyed.suspects")
+        await until(lambda: topic.newest)
+        for worker in trial.workers.values():
+            worker.deadly = {}
+        key = next(iter(topic.newest))
+        trial.store.put("keyed.suspects", key, b"")
+        known = [host.knowledge.zone.suspects for host in trial.hosts]
+        await until(lambda: not any(suspects.ended(key) for suspects in known))
+        for host in (0, 1):
+            status, _, _ = await trial.ask("/look/bad", f"again-{host}", host=host)
+            assert status == 200
