What the store says counts from when it is read; an end is known for five seconds

Cause, found by reading: hosts took the age of a record from its writer's time of day. With a clock an hour behind at the writer, all hosts that know only from the store let the request through at once. And a life was known to have ended for ten minutes, so that a target which comes back under its id would have been blamed for what it left unanswered in its next life.

Hosts count from when they read it, and know of an end for the five seconds in which open questions are settled. The time in the record is for operators.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
@@ -43,6 +43,9 @@
 # Seconds for which a life that has ended is remembered, unless the request is held
 # back for longer than half of that.
 REMEMBERED_FOR = 600.0
+# Seconds for which a life is known to have ended: what it left unanswered is blamed on
+# its end within that time. A target may come back under its id.
+ENDED_FOR = 5.0
 # Requests that are remembered, some 300 bytes each. Those with the fewest lives go
 # first, so a flood of requests that met one crash does not push out the worst.
 KEYS_MOST = 512
@@ -107,10 +110,6 @@
     def __contains__(self, key):
         return key in self._suspects
 
-    def keys(self):
-        """Return the keys of all requests that are remembered."""
-        return list(self._suspects)
-
     # What is learnt.
 
     def note(self, note, now, is_own=False, is_near=True):
@@ -145,7 +144,7 @@
         self.near_count += is_near
         return True
 
-    def note_stored(self, key, ended, answered, at):
+    def note_stored(self, key, ended, answered, now):
         """
         Take what the platform's store says of a request.
 
@@ -153,14 +152,14 @@
           key: The request's key.
           ended: The lives that have ended under it.
           answered: The lives that answered it.
-          at: When the last of them ended, in seconds.
+          now: The present, in seconds.
         Returns:
           Whether any of it was new.
         """
         notes = [RunNote(key, life, True) for life in ended]
         notes += [RunNote(key, life, False) for life in answered]
         # Not told on: each host hears it from the store.
-        news = [self.note(note, at, is_near=False) for note in notes]
+        news = [self.note(note, now, is_near=False) for note in notes]
         if key in self._suspects:
             self._suspects[key].stored = frozenset(ended) | frozenset(answered)
         return any(news)
@@ -184,9 +183,7 @@
         if old:
             self._is_judged = False
         lives = self._ended_lives.items()
-        self._ended_lives = {
-            life: at for life, at in lives if now - at < REMEMBERED_FOR
-        }
+        self._ended_lives = {life: at for life, at in lives if now - at < ENDED_FOR}
         self._recent_since(now - TOLD_FOR)
         return [key for key, suspect in old.items() if suspect.stored]
 
@@ -240,7 +237,7 @@
     # What follows from it.
 
     def has_ended(self, life):
-        """Return whether a life of a target has ended under any request."""
+        """Return whether a life of a target has just ended under any request."""
         return life in self._ended_lives
 
     def lives(self, key):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects_test.py
@@ -8,6 +8,7 @@
 import pytest
 
 from .suspects import (
+    ENDED_FOR,
     ENDED_MOST,
     HELD_FIRST,
     HELD_MOST,
@@ -148,9 +149,13 @@
     _end(suspects, "light", "a")
     _end(suspects, "bad", "b", "c", "d")
     suspects.note_stored("bad", ["b", "c", "d"], [], 0.0)
-    assert suspects.forget_old(REMEMBERED_FOR) == []
+    assert suspects.has_ended("a")
+    assert suspects.forget_old(ENDED_FOR) == []
     assert suspects.has_ended("a") is False
-    assert suspects.keys() == ["bad"]
+    assert "light" in suspects
+    assert suspects.forget_old(REMEMBERED_FOR) == []
+    assert "light" not in suspects
+    assert "bad" in suspects
     # The store's record is not needed any more either.
     assert suspects.forget_old(2 * HELD_FIRST) == ["bad"]
     assert len(suspects) == 0
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
@@ -23,8 +23,9 @@
     """
     What is known of one request.
 
-    `at` is when the last target ended under it, in seconds since the epoch. Clocks of
-    hosts differ by seconds and a request is held back for minutes, so that is enough.
+    `at` is when the last target ended under it, in seconds since the epoch, for
+    operators. Hosts count from when they read it: the time of day of one of them may be
+    off by an hour, and the others would let the request through at once.
     """
 
     ended: list[str]
@@ -66,8 +67,7 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             log.error("unusable", extra={"key": record.key, "cause": str(exc)})
             return
-        age = max(0.0, time.time() - known.at)
-        self._suspects.note_stored(record.key, known.ended, known.answered, now() - age)
+        self._suspects.note_stored(record.key, known.ended, known.answered, now())
 
     def write_soon(self):
         """Write what the store does not say yet; a call that fails is made again."""
