--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/plumsaddle-core packages/plumsaddle-hosts packages/plumsaddle-standins
 export PYTHONHASHSEED := 0
 
-.PHONY: setup format lint test demo lab measure floor telling slopes generate
+.PHONY: setup format lint test demo lab crashes measure floor telling slopes generate
 
 setup: $(VENV)/ready
 
@@ -37,6 +37,13 @@
 	$(BIN)/python -m plumsaddle_standins.lab $(PATTERN) --seconds $(SECONDS) \
 		--seed $(SEED) --out $(OUT)
 
+# make crashes HOSTS=40 SEED=1 RUNS=50
+HOSTS ?= 40
+RUNS ?= 1
+crashes: setup
+	$(BIN)/python -m plumsaddle_standins.crashes --hosts $(HOSTS) --seed $(SEED) \
+		--runs $(RUNS)
+
 measure: setup
 	$(BIN)/python -m plumsaddle_standins.measure
 
