A feed ends when its host does, although its read was cancelled before it

Cause: at the end of a host the feed and its waiting read are both cancelled. When the read is cancelled first, the feed took that for a read cut short by news and asked again, for ever; the process then ends only when it is killed.

Before: the new test fails. After: it passes.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -272,7 +272,10 @@
         try:
             return await asyncio.shield(self._reading)
         except asyncio.CancelledError:
-            if not self._reading.cancelled():
+            # Whether the feed itself is to end, or `note_reader` cut its read short. At
+            # the end of a host both are cancelled, so the read alone does not tell: a
+            # feed that went on asking kept the process from ending.
+            if asyncio.current_task().cancelling():
                 self._reading.cancel()
                 raise
             return Failure(StoreError.AWAY)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -369,3 +369,26 @@
         task.cancel()
 
     asyncio.run(run())
+
+
+def test_a_feed_ends_although_its_read_was_cancelled_before_it():
+    """
+    A host that was told to leave does not end, and is killed when its grace is over.
+
+    At the end all tasks are cancelled at once. The feed took the end of its waiting
+    read for a read that was cut short, and asked the store again and again.
+    """
+
+    async def run():
+        store = ScriptedStore()
+        made, _ = _feed(store)
+        task = asyncio.ensure_future(made.run())
+        await asyncio.sleep(0.05)
+        made._reading.cancel()
+        task.cancel()
+        done, _ = await asyncio.wait({task}, timeout=0.5)
+        return bool(done), task
+
+    has_ended, task = asyncio.run(run())
+    assert has_ended
+    assert task.cancelled()
