--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
@@ -34,8 +34,8 @@
 UNEXPLAINED_LEAST = 2
 # Lives from which on the platform's store is told.
 STORED_FROM = 2
-# Own retries and second sends of a request stop when so many lives have ended under it:
-# what ended one target may be chance, a third try would make the verdict.
+# A request is sent once more after a failed send while no more lives than that have
+# ended under it: one may be chance, and a third would make the verdict.
 RETRIED_MOST = 1
 # Seconds for which a request is held back after the last end, doubled with each life
 # more than it takes: targets may have got a release that can take it. At most this.
@@ -154,16 +154,14 @@
           ended: The lives that have ended under it.
           answered: The lives that answered it.
           now: The present, in seconds.
-        Returns:
-          Whether any of it was new.
         """
         notes = [RunNote(key, life, True) for life in ended]
         notes += [RunNote(key, life, False) for life in answered]
         # Not told on: each host hears it from the store.
-        news = [self.note(note, now, is_near=False) for note in notes]
+        for note in notes:
+            self.note(note, now, is_near=False)
         if key in self._suspects:
             self._suspects[key].stored = frozenset(ended) | frozenset(answered)
-        return any(news)
 
     def drop(self, key):
         """Forget a request, which an operator has let go."""
