A host that is no reader any more gives up its read; a reader passes on what it was told

Cause of the red test: the host without seeds reads at once, and its read of the topic of suspects waits for up to ten seconds. A second and a half later it is no reader any more, but the read goes on. The new readers took from it that the topic is empty, so their own reads wait for ten seconds too, and until these are answered they told nobody how far the topic goes: told hosts would have asked once more. Ruled out: reads of hosts that never read for others (none begun after their listing). Two tests of the feed failed first.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -110,7 +110,14 @@
         self._has_word = False
         self._told_at = -math.inf
         self._awake = asyncio.Event()
+        # Whether the present read was begun as a reader, and has been given up since.
+        self._reads_for_all = False
+        self._is_given_up = False
         self.answered_at = None
+        # When the store last said how far the topic goes, to this host or to a reader.
+        # A new reader's own read may wait long before it is answered; until then it
+        # passes on what it was told, else all hosts would ask for themselves.
+        self.said_at = -math.inf
 
     def subscribe(self, on_read):
         """
@@ -132,6 +139,11 @@
     def wake(self):
         """Look again whether to read; the host has become a reader, or is none now."""
         self._awake.set()
+        if self._reading is not None and self._reads_for_all and self._is_told(now()):
+            # Begun when the host was a reader: the call waits for what others tell it
+            # now, and keeps a connection to the store for as long.
+            self._is_given_up = True
+            self._reading.cancel()
 
     # What other hosts say.
 
@@ -152,6 +164,7 @@
             return
         if offset <= self._next:
             self._told_at = max(self._told_at, at - age)
+            self.said_at = max(self.said_at, at - age)
             self.wake()
             return
         if self._behind_since is None:
@@ -170,7 +183,7 @@
             return
         if offset == 0:
             self._next = 0
-            self._told_at = told_at
+            self._told_at = self.said_at = told_at
         self._has_word = True
         self.wake()
 
@@ -191,7 +204,7 @@
             self._behind_since = self._behind_since or at
             self.wake()
             return
-        self._told_at = at
+        self._told_at = self.said_at = at
         self._take(Page(records, next_offset))
         self.wake()
 
@@ -227,7 +240,7 @@
                 continue
             page = result.unwrap()
             is_start = self.answered_at is None
-            self.answered_at = now()
+            self.answered_at = self.said_at = now()
             self.gate.note_answer(self.answered_at)
             if self._next is None:
                 self._next = page.next_offset
@@ -265,7 +278,13 @@
             pass
 
     async def _follow(self):
-        """Make the waiting call, which `note_reader` may cut short."""
+        """
+        Make the waiting call, which `note_reader` may cut short.
+
+        It is None if others follow the store for this host by then.
+        """
+        self._reads_for_all = self.gate.is_reader
+        self._is_given_up = False
         self._reading = asyncio.get_running_loop().create_task(
             self._call(self._draw_wait())
         )
@@ -278,6 +297,8 @@
             if asyncio.current_task().cancelling():
                 self._reading.cancel()
                 raise
+            if self._is_given_up:
+                return None
             return Failure(StoreError.AWAY)
         finally:
             self._reading = None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -392,3 +392,53 @@
     has_ended, task = asyncio.run(run())
     assert has_ended
     assert task.cancelled()
+
+
+def test_a_host_that_is_no_reader_any_more_gives_up_its_read():
+    """
+    A told host keeps a call to the store open for ten seconds.
+
+    It was the first host up and read for the others, until one with a faster link came.
+    Nothing is written to the topic, so the read that it had begun goes on waiting.
+    """
+
+    async def run():
+        store = ScriptedStore()
+        made, away, _ = _seldom(store)
+        made.gate.set_reader(True)
+        task = asyncio.ensure_future(made.run())
+        await asyncio.sleep(0.05)
+        assert len(store.reads) == 1
+        made.gate.set_reader(False)
+        made.note_reader(made.next_offset, 0.0, clock())
+        await asyncio.sleep(0.05)
+        assert made._reading is None
+        assert len(store.reads) == 1
+        # The store was not lost by this.
+        assert made.gate.contact(clock()) is Contact.TOLD
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_a_reader_passes_on_how_far_it_was_told_that_a_topic_goes():
+    """
+    Told hosts read a topic for themselves, since no reader says how far it goes.
+
+    The reader of before had said that the topic is empty, so the new one had nothing to
+    list, and its own read waits for ten seconds before the store says anything.
+    """
+
+    async def run():
+        store = ScriptedStore()
+        made, _, _ = _seldom(store)
+        task = asyncio.ensure_future(made.run())
+        await asyncio.sleep(0.01)
+        at = clock()
+        made.note_reader(0, 1.0, at)
+        await asyncio.sleep(0.01)
+        assert made.answered_at is None
+        assert made.said_at == at - 1.0
+        task.cancel()
+
+    asyncio.run(run())
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/readers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/readers.py
@@ -3,6 +3,7 @@
 """
 
 import logging
+import math
 
 from plumsaddle_core.ops.neighbours import Contact
 
@@ -69,9 +70,9 @@
         if self._gate.contact(at) is not Contact.READING:
             return {}
         return {
-            topic: (feed.next_offset, max(0.0, at - feed.answered_at))
+            topic: (feed.next_offset, max(0.0, at - feed.said_at))
             for topic, feed in self._feeds.items()
-            if feed.answered_at is not None
+            if feed.said_at > -math.inf
         }
 
     def returned(self, at):
