Workspaces: a request belongs to the one that holds its key

The platform's entries are decoded once into Workspace; a key is kept and shown as a digest only. A request without a known key gets 401 from a host that knows what the store says by now, else 503 with a time to come back, since nobody comes again after a 401. Targets get the workspace's name, never the key, on public routes too. A request that ends its targets is known by its workspace and not by its key. Not yet: limits, priorities.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -11,7 +11,16 @@
 import functools
 from typing import Any, NamedTuple
 
-from .ids import Address, DataCentre, HostId, LifeId, ServiceName, TargetId
+from .ids import (
+    Address,
+    DataCentre,
+    HostId,
+    KeyDigest,
+    LifeId,
+    ServiceName,
+    TargetId,
+    WorkspaceName,
+)
 from .parts import Part
 
 
@@ -87,7 +96,7 @@
     Which requests go to which services, and what may be done with them.
 
     Times are in seconds. `rank` orders kinds of requests under load, and the lowest
-    number is the most urgent.
+    number is the most urgent. Requests of a public route need no key.
     """
 
     name: str
@@ -99,6 +108,23 @@
     timeout: float
     objective: float
     rank: int
+    is_public: bool = False
+
+
+class Workspace(NamedTuple):
+    """
+    Whom requests belong to, by the key that they bear.
+
+    `keys` are digests as `digest_of` gives them. All hosts together let through `rate`
+    requests a second and a `burst` on top; a rate of 0.0 is no limit. `rank` goes
+    before that of a request's route.
+    """
+
+    name: WorkspaceName
+    keys: tuple[KeyDigest, ...]
+    rate: float = 0.0
+    burst: float = 0.0
+    rank: int = 0
 
 
 class Limits(NamedTuple):
@@ -111,12 +137,17 @@
 
 
 class Configuration(NamedTuple):
-    """One version of the operators' configuration, decoded."""
+    """
+    One version of the operators' configuration, decoded.
+
+    Without workspaces there are no keys, and everybody may ask.
+    """
 
     version: int
     routes: tuple[Route, ...]
     connections: dict[ServiceName, int]
     limits: Limits
+    workspaces: tuple[Workspace, ...] = ()
 
 
 class Bounds(NamedTuple):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/fingerprint.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/fingerprint.py
@@ -27,15 +27,19 @@
 _LENGTH = struct.Struct(">q")
 
 
-def request_key(method, path, headers, body):
+def request_key(method, path, headers, body, workspace=b""):
     """
     Return the key of a request.
 
+    Where targets are shown a workspace's name in place of the caller's key, the name
+    tells the caller: a workspace may hold several keys.
+
     Args:
       method: Its method, as text.
       path: Its path with the query, as text.
       headers: Its headers, as pairs of bytes.
       body: The body's bytes; of one longer than `BODY_MOST` at least one byte more.
+      workspace: The name of the request's workspace as bytes, empty if it has none.
     Returns:
       A `RequestKey`, in hexadecimal digits.
     """
@@ -45,6 +49,7 @@
         path.encode("utf-8", "surrogateescape"),
         named.get(b"host", b"").lower(),
         *(named.get(name, b"") for name in CREDENTIALS),
+        workspace,
     ]
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
     for part in parts:
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/workspaces_test.py
@@ -0,0 +1,58 @@
+"""
+Tests of whom a request belongs to, by the key that it bears.
+"""
+
+import pytest
+
+from ..core.traffic import Workspace
+from .workspaces import digest_of, index_keys, read_key, show_digest
+
+A, B, C = (digest_of(name) for name in (b"a", b"b", b"c"))
+
+
+def test_each_key_leads_to_its_workspace():
+    one, two = Workspace("one", (A, B)), Workspace("two", (C,))
+    assert index_keys([one, two]) == ({A: one, B: one, C: two}, set())
+
+
+def test_a_key_of_two_workspaces_opens_neither():
+    """
+    An artist gets another one's statements.
+
+    A key was published for two workspaces by mistake, and the last one won.
+    """
+    one, two = Workspace("one", (A, B)), Workspace("two", (A,))
+    index, shared = index_keys([one, two])
+    assert index == {B: one}
+    assert shared == {A}
+
+
+def test_a_key_that_stands_twice_in_one_workspace_is_its_own():
+    one = Workspace("one", (A, A))
+    assert index_keys([one]) == ({A: one}, set())
+
+
+@pytest.mark.parametrize(
+    "values, key",
+    [
+        ([b"Bearer abc"], b"abc"),
+        ([b"bearer  abc "], b"abc"),
+        ([b"BEARER abc"], b"abc"),
+        ([], None),
+        ([b""], None),
+        ([b"Bearer"], None),
+        ([b"Bearer "], None),
+        ([b"Basic abc"], None),
+        ([b"abc"], None),
+        ([b"Bearer abc", b"Bearer abd"], None),
+        ([b"Bearer abc", b"Bearer abc"], None),
+    ],
+)
+def test_only_one_key_in_the_one_scheme_counts(values, key):
+    headers = [(b"Host", b"x"), *((b"aUthorization", value) for value in values)]
+    assert read_key(headers) == key
+
+
+def test_a_shown_key_tells_nothing_of_it():
+    assert show_digest(digest_of(b"secret")) == digest_of(b"secret").hex()[:8]
+    assert len(show_digest(A)) == 8
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -136,6 +136,14 @@
         """The offset up to which this host has read, or 0 before the first page."""
         return self._next or 0
 
+    def age(self, at):
+        """
+        Return the seconds since the store said that this host has read all there is.
+
+        It is infinite for a host that knows that it has missed something.
+        """
+        return math.inf if self._behind_since is not None else at - self.said_at
+
     def wake(self):
         """Look again whether to read; the host has become a reader, or is none now."""
         self._awake.set()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -15,6 +15,7 @@
 from plumsaddle_core.core.traffic import Reply
 from plumsaddle_core.ops.fingerprint import BODY_MOST
 from plumsaddle_core.ops.table import choose_service, find_route
+from plumsaddle_core.ops.workspaces import digest_of, read_key, show_digest
 
 from ..front.headers import HOP_BY_HOP
 from ..platform import wire
@@ -30,6 +31,8 @@
 # hosts have. What comes on top is refused at once.
 HELD_MOST = 64 * 1024 * 1024
 RETRY_AFTER_LEAST = 0.05
+# Seconds after which a host that has lost the store has likely heard of a new key.
+KEYS_PAUSE = 0.5
 # Seconds after the call to leave for which requests are still taken. Callers come for
 # three seconds until the balancer has turned away; a long upload that is taken last
 # would outlast the grace and be cut.
@@ -121,6 +124,9 @@
         )
         if route is None:
             return self._refuse(request, Cause.NO_ROUTE)
+        workspace, refusal = self._identify(request, route, started)
+        if refusal is not None:
+            return refusal
         request_id = request.headers.get(wire.REQUEST_ID)
         if not request_id:
             return self._refuse(request, Cause.NO_REQUEST_ID)
@@ -131,9 +137,31 @@
         if length is not None and length > cfg.limits.body_bytes:
             return self._refuse(request, Cause.BODY_TOO_LARGE)
         self._metrics.requests.inc({"kind": route.kind.value})
-        return await self._take(request, route, request_id, started, limit)
+        return await self._take(request, route, workspace, request_id, started, limit)
 
-    async def _take(self, request, route, request_id, started, limit):
+    def _identify(self, request, route, at):
+        """
+        Return a request's `Workspace`, None for nobody's, and a `Refusal` or None.
+
+        A key that this host does not know may be one that was given a moment ago. Only
+        a host that knows what the store says by now may call it unknown, since a
+        caller does not come again after that.
+        """
+        if not self._knowledge.cfg.workspaces:
+            return None, None
+        key = read_key(request.raw_headers)
+        digest = None if key is None else digest_of(key)
+        workspace = self._knowledge.keys.get(digest)
+        if workspace is not None or route.is_public:
+            return workspace, None
+        fields = {"key": show_digest(digest) if digest else None}
+        age = self._knowledge.age(at)
+        fields["age"] = round(age, 2)
+        if key is None or age <= self._knowledge.settings.bounds.apply:
+            return None, self._refuse(request, Cause.UNKNOWN_KEY, **fields)
+        return None, self._refuse(request, Cause.KEYS_OUTDATED, KEYS_PAUSE, **fields)
+
+    async def _take(self, request, route, workspace, request_id, started, limit):
         """Read the body, or its first part, and run the request."""
         taken = 0
         deadline = started + limit
@@ -153,7 +181,7 @@
             if len(body) > self._knowledge.cfg.limits.body_bytes:
                 return self._refuse(request, Cause.BODY_TOO_LARGE)
             ask = self._make_ask(
-                request, route, request_id, started, deadline, body, is_whole
+                request, route, workspace, request_id, started, deadline, body, is_whole
             )
             return await self._run(ask)
         except TimeoutError:
@@ -163,7 +191,9 @@
         finally:
             self._held -= taken
 
-    def _make_ask(self, request, route, request_id, started, deadline, body, is_whole):
+    def _make_ask(
+        self, request, route, workspace, request_id, started, deadline, body, is_whole
+    ):
         rest_most = self._knowledge.cfg.limits.body_bytes - len(body)
         return Ask(
             request_id.encode("latin-1"),
@@ -178,6 +208,8 @@
             started,
             deadline,
             Caller(request),
+            bool(self._knowledge.cfg.workspaces),
+            workspace,
         )
 
     async def _run(self, ask):
@@ -195,7 +227,7 @@
         task.add_done_callback(self._orders.discard)
         return await asyncio.shield(task)
 
-    def _refuse(self, request, cause, pause=None):
+    def _refuse(self, request, cause, pause=None, **fields):
         log.info(
             "refused",
             extra={
@@ -204,6 +236,7 @@
                 "target_host": request.headers.get("Host"),
                 "path": request.raw_path,
                 "version": self._knowledge.cfg.version if self._knowledge.cfg else None,
+                **fields,
             },
         )
         self._metrics.refusals.inc({"cause": cause.value})
@@ -317,6 +350,8 @@
     if status in (429, 503):
         pause = max(RETRY_AFTER_LEAST, refusal.pause or 0.0)
         resp.headers[wire.RETRY_AFTER] = f"{pause:.2f}"
+    if status == 401:
+        resp.headers["WWW-Authenticate"] = "Bearer"
     if request.headers.get(wire.REQUEST_ID):
         resp.headers[wire.REQUEST_ID] = request.headers[wire.REQUEST_ID]
     return resp
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import random
 
 from returns.result import Failure
@@ -24,6 +25,7 @@
     subset_size,
 )
 from plumsaddle_core.ops.table import build_table
+from plumsaddle_core.ops.workspaces import index_keys, show_digest
 from plumsaddle_core.ops.zone import Zone
 
 from ..platform import wire
@@ -63,6 +65,7 @@
         self.rng = rng
         self.cfg = None
         self.table = {}
+        self.keys = {}
         self.registry = Registry()
         self.has_targets = False
         bounds = settings.bounds
@@ -78,18 +81,22 @@
         self._trials = Trials()
         self._on_work = None
         self._on_ended = None
+        self.age = lambda at: math.inf
 
-    def subscribe(self, on_work, on_ended):
+    def subscribe(self, on_work, on_ended, age):
         """
-        Set what is called when something changes.
+        Set what is called when something changes, or is asked for.
 
         Args:
           on_work: Called when this host's work or its outcomes change, with whether
             other hosts should know at once.
           on_ended: Called with the former life of a target that has started again.
+          age: Called with the present for the seconds since the store said that the
+            configuration in force is the newest.
         """
         self._on_work = on_work
         self._on_ended = on_ended
+        self.age = age
 
     @property
     def is_complete(self):
@@ -115,6 +122,9 @@
             return
         self.cfg = cfg
         self.table = build_table(cfg.routes)
+        self.keys, shared = index_keys(cfg.workspaces)
+        for digest in shared:
+            log.error("shared key", extra={"key": show_digest(digest)})
         names = {route.name for route in cfg.routes}
         self.zone.times.keep(names)
         kept = {
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -131,7 +131,10 @@
             ),
         ]
         self.peers = Peers(settings, self.knowledge.zone, gate, self._feeds, rng)
-        self.knowledge.subscribe(self.peers.tell_soon, self._end_life)
+        configurations = self._feeds[0]
+        self.knowledge.subscribe(
+            self.peers.tell_soon, self._end_life, configurations.age
+        )
         self._servers = []
         self._tasks = []
         self._callers = None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -4,7 +4,7 @@
 
 from typing import Any, NamedTuple
 
-from plumsaddle_core.core.traffic import Route
+from plumsaddle_core.core.traffic import Route, Workspace
 from plumsaddle_core.ops.fingerprint import request_key
 
 from ..front.headers import HOP_BY_HOP
@@ -18,6 +18,9 @@
     b"expect",
 }
 STOPPED = {name.encode() for name in HOP_BY_HOP} | SET_HERE
+# The same where requests bear keys. A target trusts the workspace's name, and a key
+# that it was shown it could use.
+STOPPED_WITH_KEYS = STOPPED | {b"authorization", wire.WORKSPACE.lower().encode()}
 
 
 class Ask(NamedTuple):
@@ -27,7 +30,9 @@
     `body` is the whole body, or its first part if `rest` is an asynchronous iterator
     of the others. `length` is the body's length, or None if it is not known. Times
     are in seconds on the host's clock; `deadline` is when the caller gives up or the
-    route's time is over, whichever is earlier.
+    route's time is over, whichever is earlier. `has_keys` tells whether the
+    configuration has workspaces, and `workspace` is that of the request, None for
+    nobody's.
     """
 
     id: bytes
@@ -42,6 +47,8 @@
     started: float
     deadline: float
     caller: Any
+    has_keys: bool = False
+    workspace: Workspace | None = None
 
 
 def key_of(ask):
@@ -51,7 +58,24 @@
     It takes some microseconds, and half a millisecond for a long body, so it is made
     only once something asks for it.
     """
-    return request_key(ask.method, ask.path, ask.headers, ask.body)
+    headers = _shown_headers(ask) if ask.has_keys else ask.headers
+    return request_key(ask.method, ask.path, headers, ask.body, _workspace_name(ask))
+
+
+def _workspace_name(ask):
+    """Return the name of a request's workspace as bytes, empty if it has none."""
+    return ask.workspace.name.encode() if ask.workspace is not None else b""
+
+
+def _shown_headers(ask):
+    """Return the headers that a target is shown as they came, in a list of pairs."""
+    stopped = STOPPED_WITH_KEYS if ask.has_keys else STOPPED
+    named = named_by_connection(ask.headers)
+    return [
+        (name, value)
+        for name, value in ask.headers
+        if (lower := name.lower()) not in stopped and lower not in named
+    ]
 
 
 def make_head(ask, target, time_left):
@@ -63,12 +87,10 @@
       target: The `Target`.
       time_left: The seconds that the target may take.
     """
-    named = named_by_connection(ask.headers)
     lines = [f"{ask.method} {ask.path} HTTP/1.1".encode("latin-1")]
-    for name, value in ask.headers:
-        lower = name.lower()
-        if lower not in STOPPED and lower not in named:
-            lines.append(name + b": " + value)
+    lines += [name + b": " + value for name, value in _shown_headers(ask)]
+    if ask.workspace is not None:
+        lines.append(f"{wire.WORKSPACE}: ".encode() + _workspace_name(ask))
     lines.append(f"{wire.TIME_LEFT}: {max(1, int(time_left * 1000))}".encode())
     lines.append(f"{wire.TARGET_ID}: {target.id}".encode())
     if ask.length is None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -15,6 +15,8 @@
     LEAVING = "leaving"
     NO_CONFIGURATION = "no-configuration"
     NO_ROUTE = "no-route"
+    UNKNOWN_KEY = "unknown-key"
+    KEYS_OUTDATED = "keys-outdated"
     NO_REQUEST_ID = "no-request-id"
     BAD_TIME = "bad-time"
     HEAD_TOO_SLOW = "head-too-slow"
@@ -45,6 +47,8 @@
     Cause.LEAVING: (503, 503),
     Cause.NO_CONFIGURATION: (503, 503),
     Cause.NO_ROUTE: (404, 404),
+    Cause.UNKNOWN_KEY: (401, 401),
+    Cause.KEYS_OUTDATED: (503, 503),
     Cause.NO_REQUEST_ID: (400, 400),
     Cause.BAD_TIME: (400, 400),
     Cause.HEAD_TOO_SLOW: (408, 408),
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -16,7 +16,9 @@
     Share,
     Target,
     TargetState,
+    Workspace,
 )
+from plumsaddle_core.ops.workspaces import digest_of
 
 from ..utils.addresses import is_address
 
@@ -31,6 +33,8 @@
 SIGNATURE = "Response-Signature"
 NOT_RUN = "Not-Executed"
 RETRY_AFTER = "Retry-After"
+# The name of the workspace that a request belongs to, as targets are told it.
+WORKSPACE = "Tenant"
 
 # Topics and keys of the store.
 OPERATOR_TOPIC = "keyed.op"
@@ -149,6 +153,7 @@
     routes = []
     connections = {}
     limits = None
+    workspaces = []
     for entry in text["resources"]:
         spec = entry["spec"]
         if entry["entry_kind"] == "routes":
@@ -158,9 +163,13 @@
             connections[entry["metadata"]["name"]] = int(spec.get("max_conns", 0))
         elif entry["entry_kind"] == "limits":
             limits = _decode_limits(spec)
+        elif entry["entry_kind"] == "tenants":
+            workspaces.append(_decode_workspace(entry["metadata"]["name"], spec))
     if limits is None:
         raise ValueError("the configuration has no limits")
-    return Configuration(int(text["version"]), tuple(routes), connections, limits)
+    return Configuration(
+        int(text["version"]), tuple(routes), connections, limits, tuple(workspaces)
+    )
 
 
 def _decode_route(name, spec):
@@ -183,6 +192,25 @@
         # The time for a full-valued answer, not a measured latency.
         int(spec["target_latency_ms"]) / 1000,
         int(spec.get("priority", 0)),
+        # Everybody may ask, with or without a key; the text has it as a true or false.
+        spec.get("public", False) is True,
+    )
+
+
+def _decode_workspace(name, spec):
+    if not name.isascii() or not name.isprintable() or name != name.strip() or not name:
+        # It goes into a header, so it must not hold what would end one.
+        raise ValueError("the name of a workspace is no word")
+    # Of all hosts together, and not of one.
+    rate, burst = (float(spec.get(field) or 0.0) for field in ("rate_per_s", "burst"))
+    if rate < 0 or burst < 0:
+        raise ValueError("a limit of a workspace is below zero")
+    return Workspace(
+        name,
+        tuple(digest_of(key.encode()) for key in spec.get("api_keys", ())),
+        rate,
+        burst,
+        int(spec.get("priority") or 0),
     )
 
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/trial.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -34,8 +34,27 @@
     return free_ports(1)[0]
 
 
-def configuration(version, timeout=2.0, routes=KINDS, tries=2, limits=None):
-    """Return the bytes of a configuration with one route for each kind."""
+def configuration(
+    version,
+    timeout=2.0,
+    routes=KINDS,
+    tries=2,
+    limits=None,
+    workspaces=None,
+    public=(),
+):
+    """
+    Return the bytes of a configuration with one route for each kind.
+
+    Args:
+      version: Its number.
+      timeout: The routes' time, in seconds.
+      routes: By prefix the kind and the service.
+      tries: To how many targets a request may go.
+      limits: What differs from the usual limits of a caller.
+      workspaces: By name the keys, or a dictionary of all that is said of it.
+      public: The prefixes of the routes that need no key.
+    """
     resources = [
         {
             "entry_kind": "routes",
@@ -49,10 +68,16 @@
                 "priority": 1,
                 "service": service,
                 "max_attempts": tries,
+                "public": prefix in public,
             },
         }
         for prefix, (kind, service) in routes.items()
     ]
+    for name, spec in (workspaces or {}).items():
+        spec = spec if isinstance(spec, dict) else {"api_keys": spec}
+        resources.append(
+            {"entry_kind": "tenants", "metadata": {"name": name}, "spec": spec}
+        )
     resources.append(
         {
             "entry_kind": "limits",
@@ -238,6 +263,8 @@
         host=0,
         left=3000,
         session=None,
+        key=None,
+        more=None,
     ):
         """Send a request and return its status, headers and body."""
         session = session or self.session
@@ -246,7 +273,10 @@
             "Host": HOST_NAME,
             "Request-Id": request_id,
             "Deadline-Ms": str(left),
+            **(more or {}),
         }
+        if key is not None:
+            headers["Authorization"] = f"Bearer {key}"
         async with session.request(method, url, headers=headers, data=body) as resp:
             return resp.status, resp.headers, await resp.read()
 
