Limits of workspaces, kept by all hosts together

What is told is a sum that fades, by workspace: idempotent, nothing to lose with a message, a restart or a change of hub. Each host keeps a bucket for the whole fleet and thins its own requests once that runs low, by the part by which the fleet's demand has to shrink; hosts that are not heard keep their part of each limit. Refused at once with 429 and a spread Retry-After; what did not run is given back.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -166,6 +166,9 @@
     retry_window: float = 10.0
     retry_extra: float = 0.0
     floor_share: float = 0.7
+    quota_window: float = 5.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 20.0
 
 
 class HostSettings(NamedTuple):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -31,6 +31,7 @@
 from .elsewhere import Elsewhere
 from .floor import Results
 from .news import Counts, Evidence, Inbox, Outbox, OutcomeNote, Sign, tag_of
+from .quotas import Quotas
 from .share import RetryShare
 from .suspects import Suspects
 from .times import RouteTimes
@@ -84,14 +85,16 @@
       window: The seconds over which retries are bounded.
       started: When the host started, in seconds.
       has_paths: Whether silences count against this host's own path first.
+      quotas: The `Quotas`; such without limits if None.
     """
 
-    def __init__(self, ratio, window, started, has_paths=True):
+    def __init__(self, ratio, window, started, has_paths=True, quotas=None):
         self.beliefs = {}
         self.paths = {}
         self._has_paths = has_paths
         self.times = RouteTimes()
         self.suspects = Suspects()
+        self.quotas = quotas or Quotas()
         self._ratio = ratio
         self._window = window
         self._started = started
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/bundles.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/bundles.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from .messages import Bundle, pack_bundle
+from .messages import Asked, Bundle, pack_bundle
 
 # Seconds since a host's last message after which it is no client of this hub any more;
 # clients beat once a second.
@@ -35,6 +35,7 @@
         self._fars = []
         self._works_of_hubs = []
         self._fars_of_hubs = []
+        self._asked = {}
 
     def note_client(self, address, now):
         """Note that a host has told this one as its hub."""
@@ -60,6 +61,12 @@
         self._works_of_hubs += works
         self._fars_of_hubs += fars
 
+    def add_asked(self, centre, hosts, rows):
+        """Keep what workspaces asked of another data centre, for the clients."""
+        _, newest = self._asked.get(centre, (0, {}))
+        newest.update((row[0], row) for row in rows)
+        self._asked[centre] = (hosts, newest)
+
     def take(self, sums):
         """
         Return what is to be told, and forget it.
@@ -72,10 +79,17 @@
         works = list(itertools.chain.from_iterable(self._works.values()))
         for_all = _pack(works, self._fars)
         for_clients = _pack(self._works_of_hubs, self._fars_of_hubs)
-        if sums is not None and sums.centres:
-            for_clients.append(
-                pack_bundle(Bundle(centres=list(sums.centres), load=sums.counts))
-            )
+        asked = [
+            Asked(centre, hosts, list(rows.values()))
+            for centre, (hosts, rows) in self._asked.items()
+        ]
+        has_sums = sums is not None and bool(sums.centres)
+        if has_sums or any(centre.rows for centre in asked):
+            bundle = Bundle(asked=asked)
+            if has_sums:
+                bundle.centres, bundle.load = list(sums.centres), sums.counts
+            for_clients.append(pack_bundle(bundle))
+            self._asked = {}
         self._works, self._fars = {}, []
         self._works_of_hubs, self._fars_of_hubs = [], []
         return for_all, for_clients
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -137,7 +137,27 @@
         if length is not None and length > cfg.limits.body_bytes:
             return self._refuse(request, Cause.BODY_TOO_LARGE)
         self._metrics.requests.inc({"kind": route.kind.value})
-        return await self._take(request, route, workspace, request_id, started, limit)
+        ruling = self._knowledge.admit(workspace, started)
+        if not ruling.is_admitted:
+            return self._refuse_over_limit(request, workspace, ruling)
+        answer = await self._take(request, route, workspace, request_id, started, limit)
+        if isinstance(answer, Refusal) and not answer.may_have_run:
+            self._knowledge.zone.quotas.give_back(workspace, now())
+        return answer
+
+    def _refuse_over_limit(self, request, workspace, ruling):
+        return self._refuse(
+            request,
+            Cause.OVER_LIMIT,
+            ruling.pause,
+            workspace=workspace.name,
+            rate=workspace.rate,
+            burst=workspace.burst,
+            level=ruling.level,
+            demand=ruling.demand,
+            part=ruling.part,
+            silent=ruling.silent,
+        )
 
     def _identify(self, request, route, at):
         """
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -15,7 +15,9 @@
 from plumsaddle_core.core.traffic import Fate, TargetState
 from plumsaddle_core.ops.choice import Candidate, Demand, Rule, choose_target
 from plumsaddle_core.ops.floor import Trials
+from plumsaddle_core.ops.meter import Tolerance
 from plumsaddle_core.ops.news import Sign
+from plumsaddle_core.ops.quotas import Quotas
 from plumsaddle_core.ops.registry import Registry
 from plumsaddle_core.ops.subset import (
     SMALL,
@@ -74,6 +76,14 @@
             bounds.retry_window,
             now(),
             has_paths=Part.PATHS not in settings.off,
+            quotas=Quotas(
+                Tolerance(
+                    bounds.quota_window, bounds.quota_overshoot, bounds.quota_slack
+                ),
+                len(settings.centres),
+                rng,
+                has_thinning=Part.THINNING not in settings.off,
+            ),
         )
         self._answer_bytes = {}
         self._ranked = {}
@@ -125,6 +135,7 @@
         self.keys, shared = index_keys(cfg.workspaces)
         for digest in shared:
             log.error("shared key", extra={"key": show_digest(digest)})
+        self.zone.quotas.configure(cfg.workspaces, now())
         names = {route.name for route in cfg.routes}
         self.zone.times.keep(names)
         kept = {
@@ -189,6 +200,23 @@
         for target_id in self.registry.expire(at):
             log.info("lapsed", extra={"target": target_id})
 
+    # What the listener asks.
+
+    def admit(self, workspace, at):
+        """
+        Return the `Ruling` on a request of a workspace, and count it.
+
+        Args:
+          workspace: The `Workspace`, or None for nobody's.
+          at: The present, in seconds.
+        """
+        ruling = self.zone.quotas.ask(workspace, at)
+        if not ruling.is_admitted:
+            # What was refused counts for the fleet's demand and is told too; what is
+            # let through is told with its send.
+            self._tell(is_urgent=False)
+        return ruling
+
     # What the relay asks.
 
     def choose(self, service, demand, excluded, has_link, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -27,6 +27,8 @@
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=86400.0)]
 BytesPerSecond = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
 Ratio = Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)]
+# A tag of a workspace, and what was asked and let through of it, as `QuotaRow`.
+QuotaFields = tuple[Count, Count, Count]
 # A request's key, a life of a target, and whether that ended under it.
 RunRow = tuple[str, str, bool]
 
@@ -69,7 +71,7 @@
     A host's work in flight, by tag of target, and its last outcomes.
 
     `address` is the host's own, since a hub passes its message on. `runs` are what
-    became of targets under requests, as `RunNote`.
+    became of targets under requests, as `RunNote`, and `quotas` what workspaces asked.
     """
 
     host: str
@@ -81,6 +83,15 @@
     counts: dict[str, tuple[Count, Count, Count, Count]]
     beat: Beat | None = None
     runs: list[RunRow] = []
+    quotas: list[QuotaFields] = []
+
+
+class Asked(msgspec.Struct, array_like=True):
+    """What workspaces asked of a data centre; `hosts` are heard there, or missing."""
+
+    centre: str
+    hosts: tuple[Count, Count]
+    rows: list[QuotaFields] = []
 
 
 class Bundle(msgspec.Struct, array_like=True, tag="b"):
@@ -88,13 +99,15 @@
     What a hub tells the hosts of its data centre together.
 
     `works` and `fars` are encoded `Work`s and `Far`s as they came. `centres` are the
-    other data centres whose work in flight is in `load`.
+    other data centres whose work in flight is in `load`. `asked` are what workspaces
+    asked of those that were heard since the last bundle.
     """
 
     works: list[msgspec.Raw] = []
     fars: list[msgspec.Raw] = []
     centres: list[str] = []
     load: dict[int, Count] = {}
+    asked: list[Asked] = []
 
 
 class Packed(msgspec.Struct, array_like=True, tag="z"):
@@ -131,7 +144,12 @@
 
 
 class Load(msgspec.Struct, array_like=True, tag="l"):
-    """What all hosts of a data centre have in flight, by tag of target."""
+    """
+    What all hosts of a data centre have in flight, by tag of target.
+
+    `hosts` are how many they are and how many are missing, and `quotas` what workspaces
+    asked of them.
+    """
 
     centre: str
     host: str
@@ -139,6 +157,8 @@
     number: Count
     counts: dict[int, Count]
     is_passed_on: bool = False
+    hosts: tuple[Count, Count] = (1, 0)
+    quotas: list[QuotaFields] = []
 
 
 Message = Hello | Members | Work | Bundle | Packed | Records | Far | Load
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -26,6 +26,7 @@
 from plumsaddle_core.ops.neighbours import Neighbours
 from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.pacing import Allowances
+from plumsaddle_core.ops.quotas import Heads
 from plumsaddle_core.ops.suspects import RunNote
 
 from ..utils.addresses import is_address, split_address
@@ -173,6 +174,7 @@
         self._neighbours.forget_silent(at)
         for host in self._zone.forget_silent(at):
             log.info("silent", extra={"peer": host})
+        self._zone.quotas.tick(at)
         self._pick_hub(at)
         self._send_work(at, self._make_beat(at))
         if self._picked_itself() and self._may_act_alone(at):
@@ -303,6 +305,7 @@
             counts,
             beat,
             [tuple(note) for note in self._zone.suspects.own_news(at)],
+            [tuple(row) for row in self._zone.quotas.own_rows(at)],
         )
 
     def _send_bundle(self, at):
@@ -412,6 +415,7 @@
             return False
         self._neighbours.hear(work.address, at)
         self._take_runs(work.runs, True, at)
+        self._zone.quotas.take_near(work.host, work.life, work.quotas, at)
         if work.beat is not None:
             self._take_beat(work.beat, work.address, at)
         return True
@@ -432,6 +436,7 @@
         """Take what a hub tells, and pass it on to hosts that tell this one."""
         self._neighbours.hear(address, at)
         self._neighbours.hear_hub(address, at)
+        self._zone.quotas.note_hub(at)
         works = [
             raw
             for raw, work in _decode_each(bundle.works, decode_work, address)
@@ -445,10 +450,18 @@
         sums = far_sums_of(bundle)
         if sums is not None and not self._picked_itself():
             self._zone.take_far_sums(sums, at)
+        if not self._picked_itself():
+            for asked in bundle.asked:
+                self._take_asked(asked.centre, asked.hosts, asked.rows, at)
         if (works or fars) and self._collected.clients(at):
             self._collected.add_from_hub(works, fars)
             self._send_soon(is_urgent=False)
 
+    def _take_asked(self, centre, hosts, rows, at):
+        """Take what workspaces asked of another data centre."""
+        if centre != self._settings.centre:
+            self._zone.quotas.take_far(centre, Heads(*hosts), rows, at)
+
     def _take_far_news(self, far, at):
         """Take news of another data centre, and return whether it was any."""
         has_runs = self._take_runs(far.runs, False, at)
@@ -481,6 +494,10 @@
             self._others.note_hub(load.centre, address, at)
         if self._picked_itself():
             self._zone.take_far_load(far_load_of(load), at)
+            self._take_asked(load.centre, load.hosts, load.quotas, at)
+            self._collected.add_asked(load.centre, load.hosts, load.quotas)
+            if load.quotas and self._collected.clients(at):
+                self._send_soon(is_urgent=False)
         elif not load.is_passed_on:
             load.is_passed_on = True
             self._send(encode(load), self._neighbours.hub)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -17,6 +17,7 @@
     NO_ROUTE = "no-route"
     UNKNOWN_KEY = "unknown-key"
     KEYS_OUTDATED = "keys-outdated"
+    OVER_LIMIT = "over-limit"
     NO_REQUEST_ID = "no-request-id"
     BAD_TIME = "bad-time"
     HEAD_TOO_SLOW = "head-too-slow"
@@ -49,6 +50,7 @@
     Cause.NO_ROUTE: (404, 404),
     Cause.UNKNOWN_KEY: (401, 401),
     Cause.KEYS_OUTDATED: (503, 503),
+    Cause.OVER_LIMIT: (429, 429),
     Cause.NO_REQUEST_ID: (400, 400),
     Cause.BAD_TIME: (400, 400),
     Cause.HEAD_TOO_SLOW: (408, 408),
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -26,6 +26,9 @@
     "retry_window_s": ("retry_window", 1.0),
     "retry_extra": ("retry_extra", 1.0),
     "floor_share": ("floor_share", 1.0),
+    "quota_window_s": ("quota_window", 1.0),
+    "quota_overshoot": ("quota_overshoot", 1.0),
+    "quota_slack": ("quota_slack", 1.0),
 }
 
 
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
@@ -0,0 +1,428 @@
+"""
+Ways to keep the limit of a workspace over a whole fleet, in virtual time.
+
+One workspace's requests come in at random and spread unevenly over the hosts of three
+data centres. Hosts tell each other as `edge/peers.py` does, over a hub and with its
+delays, and some messages are lost. Hosts are cut off, each by itself, and serve on; are
+killed together and forget; and limits change. Compared are four ways:
+
+- thinned: `ops/quotas.py`;
+- sum: let through while the fleet's sum, as far as it is known, leaves room;
+- lent: each second a part of the limit by what each host was asked, for two seconds;
+- equal: each host has the same part of the limit for ever.
+
+The table shows the most that ran in any window against the bound, and the share that
+was refused although the workspace kept to its limit.
+"""
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from plumsaddle_core.core.traffic import Workspace
+from plumsaddle_core.ops import quotas as module
+from plumsaddle_core.ops.meter import Meter, Tolerance, capacity_of
+from plumsaddle_core.ops.quotas import Quotas
+
+NAME = "one"
+CENTRES = ("x", "y", "z")
+TOLERANCE = Tolerance()
+# Seconds between two bundles of a hub, and between what hubs tell each other; and how
+# long each is under way.
+NEAR_EVERY = 0.1
+NEAR_DELAY = 0.02
+FAR_EVERY = 0.1
+FAR_DELAY = 0.08
+# A hub says that it is there at least this often (seconds).
+HUB_EVERY = 0.2
+# What a hub's loss costs: seconds until its clients have another one.
+HUB_LOST_FOR = 0.6
+LEASE = 2.0
+LENT_EVERY = 1.0
+# Seconds before the load is what is asked for, and seconds played after that.
+WARM_UP = 6.0
+SECONDS = 24.0
+
+
+class Case(NamedTuple):
+    """
+    What happens to a fleet.
+
+    `load` is what is asked as a share of the rate, and `jump` the share from `jump_at`
+    seconds on. Four seconds after the warm-up, `cut` of the hosts hear nobody for
+    twelve seconds, `killed` of them end together, the callers of a data centre move,
+    and `lowered` is the part of the limit that is left. `unevenness` is how far hosts
+    differ in what they are asked.
+    """
+
+    load: float = 0.6
+    jump: float | None = None
+    jump_at: float = 4.0
+    rate: float = 50.0
+    burst: float = 50.0
+    hosts: int = 40
+    cut: float = 0.0
+    killed: float = 0.0
+    down: float = 2.0
+    loss: float = 0.02
+    unevenness: float = 1.0
+    lowered: float | None = None
+    hub_lost_at: float | None = None
+    moves: bool = False
+
+
+class Outcome(NamedTuple):
+    """
+    What came of it.
+
+    `overshoot` is the most that ran in a window as a share of the bound, `refused` the
+    share of all requests that were, `rows` what a host told a second.
+    """
+
+    overshoot: float
+    refused: float
+    admitted: int
+    rows: float
+
+
+class _Thinned:
+    """A host that goes by `Quotas`."""
+
+    def __init__(self, model, rng):
+        self.quotas = Quotas(TOLERANCE, len(CENTRES), rng)
+        self.quotas.configure([model.workspace], model.at)
+
+    def ask(self, model):
+        return self.quotas.ask(model.workspace, model.at).is_admitted
+
+    def configure(self, model):
+        self.quotas.configure([model.workspace], model.at)
+
+
+class _Summed(_Thinned):
+    """A host that lets through while the sum that it knows leaves room."""
+
+    def ask(self, model):
+        known = self.quotas._find(module.tag_of_workspace(NAME), model.at)
+        tag = module.tag_of_workspace(NAME)
+        known.meter.refill(model.at)
+        is_admitted = known.meter.level >= 1.0
+        self.quotas._count(tag, known, 1.0, float(is_admitted), model.at)
+        return is_admitted
+
+
+class _Bucket:
+    """A host with a bucket of its own."""
+
+    def __init__(self, model, rng):
+        self.part = 1.0 / model.case.hosts
+        self.until = 0.0
+        self.asked = 0
+        self.meter = Meter(0.0, 1.0, model.at)
+        self.configure(model)
+        self.meter.level = self.meter.capacity
+
+    def configure(self, model):
+        rate, burst = model.workspace.rate, model.workspace.burst
+        capacity = capacity_of(burst, TOLERANCE)
+        self.meter.limit(rate * self.part, max(1.0, capacity * self.part))
+
+    def ask(self, model):
+        self.asked += 1
+        if self.until and model.at > self.until:
+            self.part, self.until = 1.0 / model.case.hosts, 0.0
+            self.configure(model)
+        self.meter.refill(model.at)
+        if self.meter.level < 1.0:
+            return False
+        self.meter.note_admitted(1.0, model.at)
+        return True
+
+
+WAYS = {"thinned": _Thinned, "sum": _Summed, "lent": _Bucket, "equal": _Bucket}
+
+
+class QuotaModel:
+    """
+    A fleet before one workspace's callers.
+
+    Args:
+      case: The `Case`.
+      way: A name of `WAYS`.
+      seed: The run's seed.
+    """
+
+    def __init__(self, case, way="thinned", seed=1):
+        self.case = case
+        self.way = way
+        self.at = 1000.0
+        self.start = self.at
+        self.workspace = Workspace(NAME, (), case.rate, case.burst)
+        self._rng = random.Random(seed)
+        self._events = []
+        self._order = itertools.count()
+        self._rows = 0
+        self.ran = []
+        self.asked = []
+        self._limits = [(self.at, case.rate, case.burst)]
+        self._lives = [0] * case.hosts
+        self._is_up = [True] * case.hosts
+        self._cut = set()
+        self._hub_until = dict.fromkeys(CENTRES, 0.0)
+        self.hosts = [WAYS[way](self, self._rng) for _ in range(case.hosts)]
+        self._weights = [
+            self._rng.expovariate(1.0) ** case.unevenness for _ in self.hosts
+        ]
+        self._plan()
+
+    def _centre(self, number):
+        return CENTRES[number % len(CENTRES)]
+
+    def _plan(self):
+        case = self.case
+        self._push(self._draw_gap(), self._request)
+        if self.way in ("thinned", "sum"):
+            for number in range(case.hosts):
+                self._push(self._rng.uniform(0, NEAR_EVERY), self._tell_near, number)
+                self._push(self._rng.random(), self._beat, number)
+            for centre in CENTRES:
+                self._push(self._rng.uniform(0, FAR_EVERY), self._tell_far, centre)
+                self._push(self._rng.uniform(0, FAR_EVERY), self._greet, centre)
+        if self.way == "lent":
+            self._push(LENT_EVERY, self._lend)
+        trouble = WARM_UP + 4.0
+        if case.cut:
+            self._push(trouble, self._begin_cut)
+            self._push(trouble + 12.0, self._cut.clear)
+        if case.killed:
+            self._push(trouble, self._kill)
+        if case.lowered is not None:
+            self._push(trouble, self._lower)
+        if case.hub_lost_at is not None:
+            for centre in CENTRES:
+                self._push(case.hub_lost_at, self._lose_hub, centre)
+        if case.moves:
+            self._push(trouble, self._move)
+
+    def run(self):
+        """Play, and return the `Outcome`."""
+        end = self.start + WARM_UP + SECONDS
+        while self._events[0][0] < end:
+            self.at, _, call, args = heapq.heappop(self._events)
+            call(*args)
+        self.at = end
+        admitted, asked = len(self.ran), len(self.asked)
+        seconds = (WARM_UP + SECONDS) * self.case.hosts
+        refused = (asked - admitted) / max(1, asked)
+        return Outcome(self._worst(), refused, admitted, self._rows / seconds)
+
+    def _worst(self):
+        """Return the most that ran in a window, as a share of what may run in it."""
+        worst, first = 0.0, 0
+        for last, at in enumerate(self.ran):
+            while self.ran[first] < at - TOLERANCE.window:
+                first += 1
+            count = last - first + 1
+            worst = max(worst, count / self._bound(self.ran[first]))
+        return worst
+
+    def _bound(self, at):
+        # A lower limit binds from one window after it is in force.
+        rates = [
+            limit
+            for since, *limit in self._limits
+            if since <= at - (TOLERANCE.window if since > self.start else 0)
+        ]
+        rate, burst = rates[-1]
+        allowed = rate * TOLERANCE.window + burst
+        return allowed * (1 + TOLERANCE.overshoot) + TOLERANCE.slack
+
+    # What happens.
+
+    def _push(self, delay, call, *args):
+        event = (self.at + delay, next(self._order), call, args)
+        heapq.heappush(self._events, event)
+
+    def _draw_gap(self):
+        played = self.at - self.start
+        load = self.case.load
+        if self.case.jump is not None and played >= WARM_UP + self.case.jump_at:
+            load = self.case.jump
+        return self._rng.expovariate(max(0.01, load * self.case.rate))
+
+    def _request(self):
+        self._push(self._draw_gap(), self._request)
+        (number,) = self._rng.choices(range(self.case.hosts), self._weights)
+        if not self._is_up[number]:
+            # The balancer's next host takes it.
+            up = [n for n, is_up in enumerate(self._is_up) if is_up]
+            if not up:
+                return
+            number = self._rng.choice(up)
+        self.asked.append(self.at)
+        if self.hosts[number].ask(self):
+            self.ran.append(self.at)
+
+    def _begin_cut(self):
+        count = int(self.case.cut * self.case.hosts)
+        self._cut.update(self._rng.sample(range(self.case.hosts), count))
+
+    def _kill(self):
+        count = int(self.case.killed * self.case.hosts)
+        for number in self._rng.sample(range(self.case.hosts), count):
+            self._is_up[number] = False
+            self._push(self.case.down, self._revive, number)
+
+    def _revive(self, number):
+        self._is_up[number] = True
+        self._lives[number] += 1
+        self.hosts[number] = WAYS[self.way](self, self._rng)
+
+    def _lower(self):
+        self.workspace = self.workspace._replace(
+            rate=self.workspace.rate * self.case.lowered,
+            burst=self.workspace.burst * self.case.lowered,
+        )
+        self._limits.append((self.at, self.workspace.rate, self.workspace.burst))
+        for host in self.hosts:
+            host.configure(self)
+
+    def _lose_hub(self, centre):
+        self._hub_until[centre] = self.at + HUB_LOST_FOR
+
+    def _move(self):
+        """Let all callers of one data centre move to the others."""
+        for number in range(self.case.hosts):
+            if self._centre(number) == CENTRES[0]:
+                self._weights[number] = 0.0
+
+    # What hosts tell each other.
+
+    def _is_lost(self, sender, taker):
+        is_cut = sender in self._cut or taker in self._cut
+        is_up = self._is_up[sender] and self._is_up[taker]
+        return is_cut or not is_up or self._rng.random() < self.case.loss
+
+    def _peers(self, number):
+        centre = self._centre(number)
+        every = range(self.case.hosts)
+        return [n for n in every if n != number and self._centre(n) == centre]
+
+    def _tell_near(self, number):
+        self._push(NEAR_EVERY, self._tell_near, number)
+        self._tell_rows(number, self.hosts[number].quotas.own_rows(self.at))
+
+    def _beat(self, number):
+        self._push(1.0, self._beat, number)
+        self.hosts[number].quotas.tick(self.at)
+        self._tell_rows(number, [], is_beat=True)
+
+    def _tell_rows(self, number, rows, is_beat=False):
+        if not rows and not is_beat:
+            return
+        self._rows += len(rows)
+        is_hub_lost = self.at < self._hub_until[self._centre(number)]
+        if not self._is_up[number] or is_hub_lost:
+            return
+        if self._rng.random() < self.case.loss:
+            # On the way to the hub.
+            return
+        life = self._lives[number]
+        for taker in self._peers(number):
+            if not self._is_lost(number, taker):
+                self._push(NEAR_DELAY, self._take_near, taker, number, life, rows)
+
+    def _take_near(self, taker, number, life, rows):
+        if self._is_up[taker]:
+            quotas = self.hosts[taker].quotas
+            quotas.take_near(f"host-{number}", life, rows, self.at)
+
+    def _tell_far(self, centre):
+        self._push(FAR_EVERY, self._tell_far, centre)
+        every = range(self.case.hosts)
+        able = [
+            number
+            for number in every
+            if self._centre(number) == centre
+            and self._is_up[number]
+            and number not in self._cut
+        ]
+        if not able or self.at < self._hub_until[centre]:
+            return
+        hub = self.hosts[able[0]].quotas
+        rows, heads = hub.near_rows(self.at), hub.heads()
+        self._rows += len(rows)
+        for taker in every:
+            if self._centre(taker) != centre and not self._is_lost(able[0], taker):
+                args = (taker, centre, heads, rows)
+                self._push(FAR_DELAY, self._take_far, *args)
+
+    def _greet(self, centre):
+        """Let a hub say that it is there."""
+        self._push(HUB_EVERY, self._greet, centre)
+        if self.at < self._hub_until[centre]:
+            return
+        every = [n for n in range(self.case.hosts) if self._centre(n) == centre]
+        hub = next((n for n in every if self._is_up[n] and n not in self._cut), None)
+        for taker in every:
+            if hub is not None and not self._is_lost(hub, taker):
+                self.hosts[taker].quotas.note_hub(self.at)
+
+    def _take_far(self, taker, centre, heads, rows):
+        if self._is_up[taker]:
+            self.hosts[taker].quotas.take_far(centre, heads, rows, self.at)
+
+    def _lend(self):
+        """Lend each host that is heard its part of the limit."""
+        self._push(LENT_EVERY, self._lend)
+        total = sum(host.asked for host in self.hosts) or 1
+        for number, host in enumerate(self.hosts):
+            part = 0.9 * host.asked / total + 0.1 / self.case.hosts
+            host.asked = 0
+            if number not in self._cut and self._is_up[number]:
+                host.part, host.until = part, self.at + LEASE
+                host.configure(self)
+
+
+CASES = {
+    "0.3 of the limit": Case(load=0.3),
+    "0.9 of the limit": Case(load=0.9),
+    "1.1 times the limit": Case(load=1.1),
+    "10 times the limit": Case(load=10.0),
+    "a jump to 10 times": Case(load=0.6, jump=10.0),
+    "a jump, 0.3 of the hosts cut off": Case(load=0.6, jump=6.0, cut=0.33),
+    "0.6, 0.3 of the hosts cut off": Case(load=0.6, cut=0.33),
+    "0.6, 0.6 of the hosts killed": Case(load=0.6, killed=0.6),
+    "6 times, 0.6 of the hosts killed": Case(load=6.0, killed=0.6),
+    "6 times, all hosts killed": Case(load=6.0, killed=1.0, down=1.5),
+    "limit lowered to a fifth": Case(load=0.6, lowered=0.2),
+    "10 times, the hubs lost": Case(load=10.0, hub_lost_at=12.0),
+    "0.9, callers move": Case(load=0.9, moves=True),
+    "few requests, 0.9": Case(load=0.9, rate=3.0, burst=3.0),
+    "few requests, 10 times": Case(load=10.0, rate=3.0, burst=3.0),
+    "many requests, 0.9": Case(load=0.9, rate=250.0, burst=250.0),
+    "many requests, a jump to 10": Case(load=0.6, jump=10.0, rate=250.0, burst=250.0),
+}
+SIZES = (40, 133, 293)
+
+
+def main(seeds=3, sizes=SIZES):
+    """Print the table."""
+    print("| case | hosts | " + " | ".join(f"{way}" for way in WAYS) + " | rows/s |")
+    print("| --- " * (len(WAYS) + 3) + "|")
+    for name, hosts in itertools.product(CASES, sizes):
+        case = CASES[name]._replace(hosts=hosts)
+        cells, rows = [], 0.0
+        for way in WAYS:
+            outcomes = [QuotaModel(case, way, seed).run() for seed in range(seeds)]
+            worst = max(outcome.overshoot for outcome in outcomes)
+            refused = sum(outcome.refused for outcome in outcomes) / seeds
+            cells.append(f"{worst:.2f}, {refused:.3f}")
+            if way == "thinned":
+                rows = sum(outcome.rows for outcome in outcomes) / seeds
+        print(f"| {name} | {hosts} | {' | '.join(cells)} | {rows:.2f} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
