A limit holds over any window, and so does its meter

The rule counts any window of five seconds: so many seconds of the rate, and the burst. The meter counts the last window in slots.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/meter.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/meter.py
@@ -1,14 +1,15 @@
 """
 How much one workspace may still ask of all hosts together, as one host knows it.
 
-A meter is a token bucket for the whole fleet: this host takes its own requests out at
-once and those of the others when it hears of them, some tenths of a second later. While
-the bucket is well filled, everything is let through, so a workspace below its limit
-never notices. Once it runs low the news is too old to go by: each host would see room,
-and all would let everything through until they hear of each other. So each lets the
-same part of its own requests through, the part by which the fleet's demand has to
-shrink to fit the limit. That needs no shares, no leases and nobody who hands them out,
-and it fits however unevenly the callers spread over the hosts.
+A limit is a rate and a burst, and holds over any window: so many seconds of the rate,
+and the burst. A meter counts what the whole fleet let through in the last window. This
+host counts its own requests at once and those of the others when it hears of them, some
+tenths of a second later. While much is left, everything is let through, so a workspace
+below its limit never notices. Once little is left the news is too old to go by: each
+host would see room, and all would let everything through until they hear of each other.
+So each lets the same part of its own requests through, the part by which the fleet's
+demand has to shrink to fit the limit. That needs no shares, no leases and nobody who
+hands them out, and it fits however unevenly the callers spread over the hosts.
 """
 
 import math
@@ -20,14 +21,15 @@
 DEMAND_COUNT = 20.0
 DEMAND_LEAST = 0.5
 DEMAND_MOST = 5.0
-# The part of a full bucket below which demand is thinned, the more the emptier it is.
-# What others have let through and this host has not heard of yet comes out of it.
-RESERVE = 0.4
-# A bucket is overdrawn by this many seconds of its rate at most. More would refuse a
-# workspace for long after it has ceased to ask too much.
-OVERDRAWN_MOST = 5.0
-# Retry-After at most, in seconds.
-PAUSE_MOST = 5.0
+# The part of a limit that must be left for everything to be let through. What others
+# have let through and this host has not heard of yet comes out of it.
+RESERVE = 0.3
+# The part of a limit that is not meant to be used, against the same error.
+MARGIN = 0.08
+# Seconds over which what is left beyond that is let through.
+SPREAD_OVER = 0.5
+# The window is counted in so many slots.
+SLOTS = 20
 
 
 class Tolerance(NamedTuple):
@@ -44,20 +46,21 @@
 
 
 # The part of the slack that a meter lets workspaces use: without it, one of few
-# requests that come in clumps is refused although it keeps to its limit over any
+# requests that come in clumps is thinned although it keeps to its limit over any
 # window. All other tolerance covers what hosts do not know of each other.
 SLACK_USED = 0.3
 
 
-def capacity_of(burst, tolerance):
+def capacity_of(rate, burst, tolerance):
     """
-    Return the tokens that a full bucket holds.
+    Return how many requests may be let through in a window.
 
     Args:
-      burst: Requests on top of the rate.
+      rate: Requests a second.
+      burst: Requests on top.
       tolerance: The `Tolerance`.
     """
-    return burst + SLACK_USED * tolerance.slack
+    return rate * tolerance.window + burst + SLACK_USED * tolerance.slack
 
 
 class Decayed:
@@ -85,30 +88,49 @@
 
 class Meter:
     """
-    One workspace's bucket and demand.
+    What was let through of one workspace in the last window, and what it demands.
 
     Args:
       rate: Requests a second that the workspace may ask of all hosts.
       capacity: What `capacity_of` returned.
+      window: The window, in seconds.
+      since: When this host began to hear what is let through. Before that it takes it
+        that the rate was used up, else a restart of all hosts would give each workspace
+        its limit once more.
       now: The present, in seconds.
     """
 
-    __slots__ = ("_at", "_demand", "_demand_for", "capacity", "level", "rate")
-
-    def __init__(self, rate, capacity, now):
+    __slots__ = (
+        "_demand",
+        "_demand_for",
+        "_slot",
+        "_slots",
+        "_used",
+        "capacity",
+        "rate",
+    )
+
+    def __init__(self, rate, capacity, window, since, now):
         self.rate = rate
         self.capacity = capacity
-        self.level = capacity
-        self._at = now
+        self._slot = window / SLOTS
+        # By number of slot what was let through in it, the oldest first.
+        self._slots = {}
+        self._used = 0.0
+        for number in range(self._number(now) - SLOTS, self._number(since)):
+            self._slots[number] = rate * self._slot
+            self._used += rate * self._slot
         seconds = DEMAND_COUNT / rate if rate else DEMAND_MOST
         self._demand_for = max(DEMAND_LEAST, min(DEMAND_MOST, seconds))
         self._demand = Decayed(self._demand_for)
 
+    def _number(self, now):
+        return int(now / self._slot)
+
     def limit(self, rate, capacity):
         """Set another limit; what was let through under the former one counts."""
         self.rate = rate
         self.capacity = capacity
-        self.level = min(self.level, capacity)
 
     def note_asked(self, count, now):
         """Count requests that some host was asked."""
@@ -116,18 +138,23 @@
 
     def note_admitted(self, count, now):
         """Count requests that some host let through; below zero are given back."""
-        self.refill(now)
-        self.level = max(self.level - count, -OVERDRAWN_MOST * self.rate)
+        number = self._number(now)
+        self._slots[number] = self._slots.get(number, 0.0) + count
+        self._used += count
 
     def demand(self, now):
         """Return the requests a second that all hosts are asked."""
         return self._demand.at(now) / self._demand_for
 
-    def refill(self, now):
-        """Fill the bucket up by what has come since the last time."""
-        gained = max(0.0, now - self._at) * self.rate
-        self._at = now
-        self.level = min(self.capacity, self.level + gained)
+    def left(self, now):
+        """Return how many more requests the window has room for."""
+        oldest = self._number(now) - SLOTS
+        while self._slots:
+            number = next(iter(self._slots))
+            if number >= oldest:
+                break
+            self._used -= self._slots.pop(number)
+        return self.capacity - self._used
 
     def chance(self, part, demand, now):
         """
@@ -138,15 +165,17 @@
           demand: The requests a second that these are asked.
           now: The present, in seconds.
         """
-        self.refill(now)
-        reserve = RESERVE * self.capacity
+        left = self.left(now)
         # Hosts that are not heard likely let through as much for their part.
-        if self.level >= reserve + 1.0 / part:
+        if left >= RESERVE * self.capacity + 1.0 / part:
             return 1.0
-        goal = self.rate * part * self.level / reserve
-        return max(0.0, min(1.0, goal / demand)) if demand else 1.0
+        if left < 1.0:
+            return 0.0
+        freed = self._slots.get(self._number(now) - SLOTS, 0.0) / self._slot
+        goal = freed + (left - MARGIN * self.capacity) / SPREAD_OVER
+        return max(0.0, min(1.0, goal * part / demand)) if demand else 1.0
 
-    def pause(self, part, demand, spread):
+    def pause(self, demand, spread, now):
         """
         Return the seconds after which a refused request likely finds room.
 
@@ -154,10 +183,17 @@
         the wider apart.
 
         Args:
-          part: As for `chance`.
           demand: As for `chance`.
           spread: A number from 0.0 to 1.0, drawn for the caller.
+          now: The present, in seconds.
         """
-        missing = max(0.0, RESERVE * self.capacity - self.level)
-        crowd = spread * demand / (self.rate * part)
-        return min(PAUSE_MOST, (missing + 1.0) / self.rate + crowd)
+        missing = MARGIN * self.capacity + 1.0 - self.left(now)
+        room_at = now
+        for number, count in self._slots.items():
+            if missing <= 0.0:
+                break
+            missing -= count
+            room_at = (number + SLOTS + 1) * self._slot
+        window = self._slot * SLOTS
+        crowd = spread * demand * window / self.capacity
+        return min(window, room_at - now + max(self._slot, crowd))
--- a/packages/plumsaddle-core/plumsaddle_core/ops/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/quotas.py
@@ -86,13 +86,13 @@
     Whether a request is within its workspace's limit.
 
     `pause` is when to come back, in seconds. The others say what it was ruled by: the
-    tokens left, the fleet's demand a second, the part of the limit for the hosts that
+    requests left, the fleet's demand a second, the part of the limit for the hosts that
     are heard, and how many are not.
     """
 
     is_admitted: bool
     pause: float = 0.0
-    level: float = 0.0
+    left: float = 0.0
     demand: float = 0.0
     part: float = 1.0
     silent: int = 0
@@ -174,6 +174,7 @@
         self._centres = max(1, centres)
         self._rng = rng
         self._has_thinning = has_thinning
+        self._started = None
         self._limits = {}
         self._known = {}
         self._sources = {}
@@ -195,6 +196,8 @@
           workspaces: The `Workspace` tuples.
           now: The present, in seconds.
         """
+        if self._started is None:
+            self._started = now
         self._limits = {
             tag_of_workspace(workspace.name): workspace
             for workspace in workspaces
@@ -207,7 +210,8 @@
 
     def _limit_of(self, tag):
         workspace = self._limits[tag]
-        return workspace.rate, capacity_of(workspace.burst, self._tolerance)
+        rate, burst = workspace.rate, workspace.burst
+        return rate, capacity_of(rate, burst, self._tolerance)
 
     def __len__(self):
         return len(self._known)
@@ -235,15 +239,15 @@
         demand = self._demand(known, now)
         chance = known.meter.chance(part, demand, now)
         if not self._has_thinning:
-            chance = float(known.meter.level >= 1.0)
+            chance = float(known.meter.left(now) >= 1.0)
         if chance >= 1.0 or self._rng.random() < chance:
             self._count(tag, known, 0.0, 1.0, now)
             return ADMITTED
         meter = known.meter
         return Ruling(
             False,
-            meter.pause(part, demand, self._rng.random()),
-            round(meter.level, 1),
+            meter.pause(demand, self._rng.random(), now),
+            round(meter.left(now), 1),
             round(demand, 1),
             round(part, 3),
             self._count_silent(),
@@ -272,7 +276,9 @@
         """Return what is known of a workspace with a limit, or None."""
         known = self._known.get(tag)
         if known is None and tag in self._limits:
-            known = self._known[tag] = _Known(Meter(*self._limit_of(tag), now))
+            window = self._tolerance.window
+            meter = Meter(*self._limit_of(tag), window, self._started, now)
+            known = self._known[tag] = _Known(meter)
         if known is not None:
             self._used_at[tag] = now
         return known
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -153,7 +153,7 @@
             workspace=workspace.name,
             rate=workspace.rate,
             burst=workspace.burst,
-            level=ruling.level,
+            left=ruling.left,
             demand=ruling.demand,
             part=ruling.part,
             silent=ruling.silent,
