--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 PACKAGES := packages/plumsaddle-core packages/plumsaddle-hosts packages/plumsaddle-standins
 export PYTHONHASHSEED := 0
 
-.PHONY: setup format lint test demo lab crashes measure floor telling slopes generate
+.PHONY: setup format lint test demo lab crashes measure floor telling quotas slopes \
+	generate
 
 setup: $(VENV)/ready
 
@@ -53,6 +54,9 @@
 telling: setup
 	$(BIN)/python -m plumsaddle_standins.telling_model
 
+quotas: setup
+	$(BIN)/python -m plumsaddle_standins.quota_model
+
 slopes: setup
 	$(BIN)/python -m plumsaddle_standins.slopes
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/meter.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/meter.py
@@ -20,7 +20,7 @@
 # second looks hot by chance; over more, one that turns hot overruns its limit.
 DEMAND_COUNT = 20.0
 DEMAND_LEAST = 0.5
-DEMAND_MOST = 5.0
+DEMAND_MOST = 2.0
 # The part of a limit that must be left for everything to be let through. What others
 # have let through and this host has not heard of yet comes out of it.
 RESERVE = 0.3
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -265,6 +265,7 @@
                 "route": ask.route.name,
                 "targets": self._attempt.targets,
                 "seconds": round(now() - ask.started, 4),
+                "workspace": ask.workspace.name if ask.workspace else None,
             },
         )
         self._metrics.answers.inc({"status": str(result.reply.status)})
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
@@ -9,6 +9,7 @@
 from .events import read_events
 from .standing import find_key, tell_request, tell_standing
 from .trace import trace_request
+from .workspace import tell_workspace
 
 NO_REQUEST = "The logs tell of no request."
 
@@ -44,16 +45,20 @@
 
 def explain_from_logs(name, logs):
     """
-    Tell what hosts saw of a target, or why a request was held back, and exit.
+    Tell what hosts saw of a target or a workspace, or why a request was held back.
+
+    It exits afterwards.
 
     Args:
-      name: The target's id, the request's key, or the id under which it was refused.
+      name: The target's id, the workspace's name, the request's key, or the id under
+        which it was refused.
       logs: The hosts' logs.
     """
     events = _read_logs(logs)
     key = find_key(events, str(name))
     lines = tell_request(events, key) if key else tell_standing(events, str(name))
-    _tell(lines, f"No line names {name} as a target, and none has a key for it.")
+    lines = lines or tell_workspace(events, str(name))
+    _tell(lines, f"No line names {name}, and none has a key for it.")
 
 
 def causes(*logs, every=2.0):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
@@ -28,11 +28,21 @@
     RETRY_DENIED = "retry-denied"
     UNREACHED = "unreached"
     HELD_BACK = "held-back"
+    OVER_LIMIT = "over-limit"
+    UNKNOWN_KEY = "unknown-key"
     TOO_SLOW = "too-slow"
     NO_ROOM = "no-room"
     HOST = "host-not-able"
 
 
+# Causes of refusals that say all by themselves.
+BY_CAUSE = {
+    "held-back": Loss.HELD_BACK,
+    "over-limit": Loss.OVER_LIMIT,
+    "unknown-key": Loss.UNKNOWN_KEY,
+}
+
+
 class Span(NamedTuple):
     """What became of one service's requests in a span of seconds."""
 
@@ -103,8 +113,8 @@
     cause, last = refusal["cause"], refusal.get("last")
     if cause in ("no-route", "caller-gone"):
         return None
-    if cause == "held-back":
-        return Loss.HELD_BACK
+    if cause in BY_CAUSE:
+        return BY_CAUSE[cause]
     if cause == "time-over":
         return Loss.TOO_SLOW
     if cause in ("no-room", "no-target"):
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/workspace.py
@@ -0,0 +1,56 @@
+"""
+What the hosts let through and refused of one workspace, second by second.
+"""
+
+from collections import defaultdict
+
+
+class _Second:
+    """What became of a workspace's requests in one second, over all hosts."""
+
+    def __init__(self):
+        self.answered = 0
+        self.refusals = []
+
+
+def tell_workspace(events, name):
+    """
+    Return a line for each second in which something was answered to a workspace.
+
+    Args:
+      events: A list of `Event`.
+      name: The workspace's name.
+    Returns:
+      Texts, with times in seconds from the first line that names it: how many requests
+      were answered, how many refused since the limit was reached and at how many hosts,
+      and what these went by: the limit, the least and greatest number that they knew to
+      be left of it, the greatest demand a second, the least part of the limit for the
+      hosts that they heard, and the most hosts that they missed. The list is empty if
+      no line names the workspace.
+    """
+    own = [event for event in events if event.fields.get("workspace") == name]
+    seconds = defaultdict(_Second)
+    for event in own:
+        second = seconds[int(event.at - own[0].at)]
+        if event.message == "answered":
+            second.answered += 1
+        elif event.fields.get("cause") == "over-limit":
+            second.refusals.append(event)
+    return [_tell(at, seconds[at]) for at in sorted(seconds)]
+
+
+def _tell(at, second):
+    line = f"+{at} s answered={second.answered}"
+    if not second.refusals:
+        return line
+    fields = [event.fields for event in second.refusals]
+    left = [values["left"] for values in fields]
+    return (
+        f"{line} over-limit={len(fields)} "
+        f"hosts={len({event.host for event in second.refusals})} "
+        f"rate={fields[-1]['rate']:g} burst={fields[-1]['burst']:g} "
+        f"left={min(left):g}..{max(left):g} "
+        f"demand={max(values['demand'] for values in fields):g} "
+        f"part={min(values['part'] for values in fields):g} "
+        f"silent={max(values['silent'] for values in fields)}"
+    )
--- a/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
@@ -11,8 +11,8 @@
 - lent: each second a part of the limit by what each host was asked, for two seconds;
 - equal: each host has the same part of the limit for ever.
 
-The table shows the most that ran in any window against the bound, and the share that
-was refused although the workspace kept to its limit.
+The table shows the most that ran in any window against the bound, the share that was
+refused, and how many were although the workspace kept to its limit.
 """
 
 import heapq
@@ -77,11 +77,14 @@
     What came of it.
 
     `overshoot` is the most that ran in a window as a share of the bound, `refused` the
-    share of all requests that were, `rows` what a host told a second.
+    share of all requests that were, and `wrongly` how many of these although less than
+    nine tenths of the limit had been asked in the window. `rows` is what a host told a
+    second.
     """
 
     overshoot: float
     refused: float
+    wrongly: int
     admitted: int
     rows: float
 
@@ -212,7 +215,19 @@
         admitted, asked = len(self.ran), len(self.asked)
         seconds = (WARM_UP + SECONDS) * self.case.hosts
         refused = (asked - admitted) / max(1, asked)
-        return Outcome(self._worst(), refused, admitted, self._rows / seconds)
+        rows = self._rows / seconds
+        return Outcome(self._worst(), refused, self._wrongly(), admitted, rows)
+
+    def _wrongly(self):
+        """Return how many requests within nine tenths of the limit were refused."""
+        wrongly, first = 0, 0
+        limit = 0.9 * (self.case.rate * TOLERANCE.window + self.case.burst)
+        ran = set(self.ran)
+        for last, at in enumerate(self.asked):
+            while self.asked[first] < at - TOLERANCE.window:
+                first += 1
+            wrongly += at not in ran and last - first + 1 <= limit
+        return wrongly
 
     def _worst(self):
         """Return the most that ran in a window, as a share of what may run in it."""
@@ -415,7 +430,8 @@
             outcomes = [QuotaModel(case, way, seed).run() for seed in range(seeds)]
             worst = max(outcome.overshoot for outcome in outcomes)
             refused = sum(outcome.refused for outcome in outcomes) / seeds
-            cells.append(f"{worst:.2f}, {refused:.3f}")
+            wrongly = sum(outcome.wrongly for outcome in outcomes)
+            cells.append(f"{worst:.2f}, {refused:.3f}, {wrongly}")
             if way == "thinned":
                 rows = sum(outcome.rows for outcome in outcomes) / seeds
         print(f"| {name} | {hosts} | {' | '.join(cells)} | {rows:.2f} |", flush=True)
