--- a/packages/plumsaddle-standins/plumsaddle_standins/pairs_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/pairs_test.py
@@ -17,8 +17,8 @@
         "served": 0.9,
         "refused": 0.0,
         "rules": [],
-        "parts": [["whole day", 0.35, worth + 0.1]],
-        "prices": [["calls", 100.0, 0.1 - worth / 10]],
+        "parts": [["whole day", 0.35, (worth or 0.0) + 0.1]],
+        "prices": [["calls", 100.0, 0.1 - (worth or 0.0) / 10]],
         "by_class": [worth, None],
         **more,
     }
