A workspace's rank goes before its route's where work is refused or tried again

No rank was used on the platform's path at all. With one rank a service nothing changes. Tests: 6 of ops/urgency, red before.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/share.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/share.py
@@ -43,17 +43,18 @@
         """Count retries that went out."""
         self._retries.add(count, now)
 
-    def may_retry(self, extra, now):
+    def may_retry(self, extra, now, part=1.0):
         """
         Return whether a retry may go out.
 
         Args:
           extra: The data centre's part of the fixed extra.
           now: The present, in seconds.
+          part: The part of the share that may be used up; the rest is left to others.
         """
         requests = self._requests.total(now - self.window)
         retries = self._retries.total(now - self.window)
-        return retries + 1 <= (self.ratio * requests + extra) * SPENT_PART
+        return retries + 1 <= (self.ratio * requests + extra) * SPENT_PART * part
 
 
 class _Counted:
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/urgency_test.py
@@ -0,0 +1,76 @@
+"""
+Tests of who goes first where work is refused or tried again.
+"""
+
+import pytest
+
+from ..core.traffic import Kind, Route, Share, Workspace
+from .share import RetryShare
+from .urgency import (
+    Rank,
+    patience,
+    rank_of,
+    rank_services,
+    retries_part,
+    urgency,
+)
+
+
+def _route(name, rank, service="s", is_public=False):
+    kind, shares = Kind.IDEMPOTENT, (Share(service, 1.0),)
+    return Route(name, "h", f"/{name}/", kind, shares, 2, 1.0, 1.0, rank, is_public)
+
+
+FIRST, LAST = Workspace("a", (), rank=0), Workspace("b", (), rank=5)
+HIGH, LOW = _route("high", 1), _route("low", 2)
+
+
+def test_a_workspaces_rank_goes_before_its_routes():
+    ranks = rank_services([HIGH, LOW], [FIRST, LAST])["s"]
+    order = [(FIRST, HIGH), (FIRST, LOW), (LAST, HIGH), (LAST, LOW)]
+    found = [urgency(ranks, rank_of(route, workspace)) for workspace, route in order]
+    assert found == pytest.approx([1.0, 2 / 3, 1 / 3, 0.0])
+
+
+def test_without_workspaces_the_route_decides():
+    ranks = rank_services([HIGH, LOW], [])["s"]
+    assert urgency(ranks, rank_of(HIGH, None)) == 1.0
+    assert urgency(ranks, rank_of(LOW, None)) == 0.0
+
+
+def test_requests_that_are_ranked_alike_are_all_urgent():
+    ranks = rank_services([_route("one", 3), _route("two", 1, "t")], [])
+    assert urgency(ranks["s"], Rank(3, 3)) == 1.0
+    assert urgency(ranks["t"], Rank(1, 1)) == 1.0
+    # Of a version that is not in force any more.
+    assert urgency(ranks["s"], Rank(9, 9)) == 1.0
+
+
+def test_nobodys_request_on_a_public_route_has_its_routes_rank():
+    public = _route("public", 4, is_public=True)
+    ranks = rank_services([public], [FIRST])["s"]
+    assert urgency(ranks, rank_of(public, None)) == 0.0
+
+
+def test_a_flood_of_less_urgent_retries_leaves_some_to_the_urgent():
+    """
+    An order of a workspace that goes first is refused though a target had room.
+
+    Half of a service's targets refuse, and the look-ups of the others, ten times as
+    many, have used up what the data centre may send again.
+    """
+    share = RetryShare(0.2, 10.0)
+    share.note_requests(1000, 0.0)
+    spent = 0
+    while share.may_retry(0.0, 1.0, retries_part(0.0)):
+        share.note_retries(1, 1.0)
+        spent += 1
+    left = 0
+    while share.may_retry(0.0, 1.0, retries_part(1.0)):
+        share.note_retries(1, 1.0)
+        left += 1
+    assert left >= 0.25 * (spent + left)
+
+
+def test_the_less_urgent_is_refused_sooner():
+    assert patience(0.0) < patience(0.5) < patience(1.0) == 1.0
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -169,7 +169,7 @@
         """Return this host's `Counts` by service since it started."""
         return dict(self._own_counts)
 
-    def may_retry(self, service, extra, now):
+    def may_retry(self, service, extra, now, urgent_part=1.0):
         """
         Return whether a further send for a service fits the data centre's share.
 
@@ -181,11 +181,12 @@
           service: The service's name.
           extra: The data centre's part of the fixed extra.
           now: The present, in seconds.
+          urgent_part: The part of the share that the request may use up.
         """
         part = self.hosts_heard() / self._most_heard
         if now - self._started < self._window:
             part = 0.0
-        return self._share(service).may_retry(extra * part, now)
+        return self._share(service).may_retry(extra * part, now, urgent_part)
 
     def _share(self, service):
         share = self._shares.get(service)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -215,6 +215,7 @@
         self, request, route, workspace, request_id, started, deadline, body, is_whole
     ):
         rest_most = self._knowledge.cfg.limits.body_bytes - len(body)
+        service = choose_service(route, self._knowledge.rng)
         return Ask(
             request_id.encode("latin-1"),
             request.method,
@@ -224,12 +225,13 @@
             None if is_whole else _read_rest(request.content, rest_most),
             len(body) if is_whole else request.content_length,
             route,
-            choose_service(route, self._knowledge.rng),
+            service,
             started,
             deadline,
             Caller(request),
             bool(self._knowledge.cfg.workspaces),
             workspace,
+            self._knowledge.urgency(service, route, workspace),
         )
 
     async def _run(self, ask):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -27,6 +27,12 @@
     subset_size,
 )
 from plumsaddle_core.ops.table import build_table
+from plumsaddle_core.ops.urgency import (
+    rank_of,
+    rank_services,
+    retries_part,
+    urgency,
+)
 from plumsaddle_core.ops.workspaces import index_keys, show_digest
 from plumsaddle_core.ops.zone import Zone
 
@@ -68,6 +74,7 @@
         self.cfg = None
         self.table = {}
         self.keys = {}
+        self._ranks = {}
         self.registry = Registry()
         self.has_targets = False
         bounds = settings.bounds
@@ -136,6 +143,7 @@
         for digest in shared:
             log.error("shared key", extra={"key": show_digest(digest)})
         self.zone.quotas.configure(cfg.workspaces, now())
+        self._ranks = rank_services(cfg.routes, cfg.workspaces)
         names = {route.name for route in cfg.routes}
         self.zone.times.keep(names)
         kept = {
@@ -217,6 +225,10 @@
             self._tell(is_urgent=False)
         return ruling
 
+    def urgency(self, service, route, workspace):
+        """Return how urgent a request is for its service, from 0.0 to 1.0."""
+        return urgency(self._ranks.get(service, ()), rank_of(route, workspace))
+
     # What the relay asks.
 
     def choose(self, service, demand, excluded, has_link, at):
@@ -326,11 +338,17 @@
             return False
         return listed.state is TargetState.READY
 
-    def may_retry(self, service):
-        """Return whether one more send for a service fits the bound on retries."""
+    def may_retry(self, service, urgent):
+        """
+        Return whether one more send for a service fits the bound on retries.
+
+        Args:
+          service: The service's name.
+          urgent: The urgency of the request.
+        """
         centres = max(1, len(self.settings.centres))
         extra = self.settings.bounds.retry_extra / centres
-        return self.zone.may_retry(service, extra, now())
+        return self.zone.may_retry(service, extra, now(), retries_part(urgent))
 
     # What the relay tells.
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -32,7 +32,7 @@
     are in seconds on the host's clock; `deadline` is when the caller gives up or the
     route's time is over, whichever is earlier. `has_keys` tells whether the
     configuration has workspaces, and `workspace` is that of the request, None for
-    nobody's.
+    nobody's. `urgency` is 1.0 for the most urgent requests of a service.
     """
 
     id: bytes
@@ -49,6 +49,7 @@
     caller: Any
     has_keys: bool = False
     workspace: Workspace | None = None
+    urgency: float = 1.0
 
 
 def key_of(ask):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -15,6 +15,7 @@
 from plumsaddle_core.core.parts import Part
 from plumsaddle_core.core.traffic import Fate, Reply
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
+from plumsaddle_core.ops.urgency import patience
 
 from .clock import now
 from .refusals import Cause, Refusal
@@ -174,7 +175,7 @@
     async def _hedge(self):
         """Send a slow idempotent request to a second target, if one is better."""
         self._is_hedged = True
-        if self._knowledge.may_retry(self._ask.service):
+        if self._knowledge.may_retry(self._ask.service, self._ask.urgency):
             await self._send_next(SLOW)
 
     async def _recover(self, result):
@@ -200,8 +201,9 @@
             # What was read of a long body is gone and cannot be sent once more.
             return self._final(result)
         is_retry = self._attempt.sends > 0
-        if is_retry and not self._knowledge.may_retry(self._ask.service):
-            self._metrics.retries_denied.inc({"service": self._ask.service})
+        ask = self._ask
+        if is_retry and not self._knowledge.may_retry(ask.service, ask.urgency):
+            self._metrics.retries_denied.inc({"service": ask.service})
             return self._final(result)
         refusal = await self._send_next(result.fate.value)
         return None if refusal is None else self._final(result)
@@ -297,7 +299,7 @@
             return None
         if choice is None:
             return self._refuse(Cause.NO_TARGET)
-        if _has_no_room(choice, demand) and self._attempt.may_promise():
+        if _has_no_room(choice, demand, ask.urgency) and self._attempt.may_promise():
             return self._refuse(Cause.NO_ROOM)
         target = choice.candidate.target
         if retry_cause is not None and self._attempt.sends:
@@ -401,11 +403,15 @@
     return max(SLOW_LEAST, factor * choice.expected)
 
 
-def _has_no_room(choice, demand):
-    """Return whether even the best target would answer only after the time is over."""
+def _has_no_room(choice, demand, urgent):
+    """
+    Return whether even the best target would answer only after the time is over.
+
+    A less urgent request leaves the last places in full targets' queues to others.
+    """
     candidate = choice.candidate
     is_full = candidate.in_flight >= candidate.target.slots
-    return is_full and choice.expected >= demand.time_left
+    return is_full and choice.expected >= demand.time_left * patience(urgent)
 
 
 def _is_worth_hedging(choice):
