Limits: one sum for what is told together; what a workspace costs, in make slopes

A request counted ten times through an exponential, now four. A workspace asked nothing for 15 s is forgotten (30 before): its sums have faded by then.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/quotas.py
@@ -27,7 +27,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from .meter import Decayed, Meter, Tolerance, capacity_of
+from .meter import Meter, Tolerance, capacity_of
 
 # Seconds over which told sums fade. What a message tells late is too small by the part
 # that has faded meanwhile, so it is long against the time that a message takes.
@@ -59,7 +59,7 @@
 # A workspace is forgotten when it has asked nothing for this long, in seconds. By then
 # all that was told of it has faded, and its bucket is full but for the limits below a
 # request in some seconds.
-FORGET_AFTER = 30.0
+FORGET_AFTER = 15.0
 
 
 class QuotaRow(NamedTuple):
@@ -128,28 +128,43 @@
         self.rows = {}
 
 
+class _Sums:
+    """What was asked and let through of a workspace, as sums that fade together."""
+
+    __slots__ = ("_admitted", "_asked", "_at")
+
+    def __init__(self):
+        self._asked = self._admitted = self._at = 0.0
+
+    def add(self, asked, admitted, now):
+        """Count requests that were asked and let through."""
+        kept = _fade(1.0, now - self._at)
+        self._asked = self._asked * kept + asked
+        self._admitted = self._admitted * kept + admitted
+        self._at = now
+
+    def asked(self, now):
+        """Return what is left of the sum of what was asked."""
+        return _fade(self._asked, now - self._at)
+
+    def row(self, tag, now):
+        """Return both sums as a `QuotaRow`."""
+        kept = SCALE * _fade(1.0, now - self._at)
+        asked, admitted = round(kept * self._asked), round(kept * self._admitted)
+        return QuotaRow(tag, max(0, asked), max(0, admitted))
+
+
 class _Known:
     """What is known of one workspace: its meter and the sums that are told of it."""
 
-    __slots__ = (
-        "admitted",
-        "all_asked",
-        "asked",
-        "looks",
-        "meter",
-        "near_admitted",
-        "near_asked",
-        "part",
-        "revision",
-    )
+    __slots__ = ("far", "looks", "meter", "near", "own", "part", "revision")
 
     def __init__(self, meter):
         self.meter = meter
-        self.all_asked = Decayed(TOLD_FADE)
-        self.asked = Decayed(TOLD_FADE)
-        self.admitted = Decayed(TOLD_FADE)
-        self.near_asked = Decayed(TOLD_FADE)
-        self.near_admitted = Decayed(TOLD_FADE)
+        # Of this host, of all hosts of its data centre, and of the other data centres.
+        self.own = _Sums()
+        self.near = _Sums()
+        self.far = _Sums()
         # What this host and all hosts were asked, a look each second.
         self.looks = deque(maxlen=LOOKS_KEPT)
         # The part of the limit for the hosts that are heard, and of which revision.
@@ -234,14 +249,15 @@
         known = self._find(tag, now)
         if known is None:
             return ADMITTED
-        self._count(tag, known, 1.0, 0.0, now)
+        known.meter.note_asked(1.0, now)
         part = self._part(tag, known, now)
         demand = self._demand(known, now)
         chance = known.meter.chance(part, demand, now)
         if not self._has_thinning:
             chance = float(known.meter.left(now) >= 1.0)
-        if chance >= 1.0 or self._rng.random() < chance:
-            self._count(tag, known, 0.0, 1.0, now)
+        is_admitted = chance >= 1.0 or self._rng.random() < chance
+        self._count(tag, known, 1.0, float(is_admitted), now)
+        if is_admitted:
             return ADMITTED
         meter = known.meter
         return Ruling(
@@ -260,7 +276,7 @@
         A host by itself sees few of them, so it takes the longer average.
         """
         if self._is_alone:
-            return known.asked.at(now) / TOLD_FADE
+            return known.own.asked(now) / TOLD_FADE
         return known.meter.demand(now)
 
     def give_back(self, workspace, now):
@@ -289,23 +305,19 @@
             kept.pop(tag, None)
 
     def _count(self, tag, known, asked, admitted, now):
-        known.asked.add(asked, now)
-        known.admitted.add(admitted, now)
-        self._count_near(tag, known, asked, admitted, now)
+        """Count what this host was asked and let through."""
+        known.own.add(asked, admitted, now)
         self._untold[tag] = TOLD_TIMES
+        self._count_near(tag, known, asked, admitted, now)
 
     def _count_near(self, tag, known, asked, admitted, now):
         """Count what a host of this data centre was asked and let through."""
-        known.near_asked.add(asked, now)
-        known.near_admitted.add(admitted, now)
+        known.near.add(asked, admitted, now)
         self._far_untold[tag] = TOLD_TIMES
-        self._meter(tag, known, asked, admitted, now)
+        self._note_admitted(tag, known, admitted, now)
 
-    def _meter(self, tag, known, asked, admitted, now):
-        """Count what some host was asked and let through against the limit."""
-        if asked:
-            known.all_asked.add(asked, now)
-            known.meter.note_asked(asked, now)
+    def _note_admitted(self, tag, known, admitted, now):
+        """Count what some host let through against the limit."""
         if admitted:
             # Hosts that are not heard likely let through as much for their part.
             known.meter.note_admitted(admitted / self._part(tag, known, now), now)
@@ -315,8 +327,7 @@
     def own_rows(self, now):
         """Return the `QuotaRow`s for a message to the hosts of the data centre."""
         return [
-            _row(tag, known.asked, known.admitted, now)
-            for tag, known in self._take_untold(self._untold)
+            known.own.row(tag, now) for tag, known in self._take_untold(self._untold)
         ]
 
     def near_rows(self, now):
@@ -325,12 +336,12 @@
             if not self._is_near_limit(self._known[tag], now):
                 del self._far_untold[tag]
         return [
-            _row(tag, known.near_asked, known.near_admitted, now)
+            known.near.row(tag, now)
             for tag, known in self._take_untold(self._far_untold)
         ]
 
     def _is_near_limit(self, known, now):
-        demand = known.near_asked.at(now) / TOLD_FADE
+        demand = known.near.asked(now) / TOLD_FADE
         return demand >= NEAR_LIMIT * known.meter.rate / self._centres
 
     def _take_untold(self, untold):
@@ -359,6 +370,7 @@
             known = self._find(row[0], now)
             if known is not None:
                 asked, admitted = _differences(source, row, now)
+                known.meter.note_asked(asked, now)
                 self._count_near(row[0], known, asked, admitted, now)
 
     def take_far(self, centre, hosts, rows, now):
@@ -380,7 +392,9 @@
             known = self._find(row[0], now)
             if known is not None:
                 asked, admitted = _differences(source, row, now, is_partial=True)
-                self._meter(row[0], known, asked, admitted, now)
+                known.meter.note_asked(asked, now)
+                known.far.add(asked, admitted, now)
+                self._note_admitted(row[0], known, admitted, now)
 
     def _hear(self, name, life, heads, now):
         source = self._sources.get(name)
@@ -430,7 +444,8 @@
                 self._revision += 1
         if not self._is_anybody_missing() and now - self._heard_at <= ALONE_AFTER:
             for known in self._known.values():
-                known.looks.append((known.asked.at(now), known.all_asked.at(now)))
+                everyone = known.near.asked(now) + known.far.asked(now)
+                known.looks.append((known.own.asked(now), everyone))
         idle = [tag for tag, at in self._used_at.items() if now - at > FORGET_AFTER]
         for tag in idle:
             self._forget(tag)
@@ -499,14 +514,6 @@
     return _fade(asked, source.heard_at - at)
 
 
-def _row(tag, asked, admitted, now):
-    return QuotaRow(
-        tag,
-        max(0, round(SCALE * asked.at(now))),
-        max(0, round(SCALE * admitted.at(now))),
-    )
-
-
 def _fade(value, seconds):
     return value * math.exp(-max(0.0, seconds) / TOLD_FADE)
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/slopes.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/slopes.py
@@ -32,6 +32,7 @@
 
 from .demo import make_key
 from .fleet import TRIAL, Fleet, call, wait_for
+from .workspace_slopes import show_workspaces
 
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -349,6 +350,7 @@
     show("order in a checkpoint", "B", *sized, (200, 400))
     slope_of("target seen by 41 hosts", make_evidence, (50, 200))
     slope_of("host known", make_members, (200, 1200))
+    show_workspaces(slope_of, show)
     show_wire()
     show_appends()
     with tempfile.TemporaryDirectory() as folder:
