Lab: workspaces, a hot one, and checks of whom targets are told

Targets' side is checked beside callers': each request is shown as of its key's workspace, and the key is never passed on. make lab PATTERN=hot; a test that a workspace at ten times its usual takes nothing from another one.

--- a/packages/plumsaddle-standins/plumsaddle_standins/callers.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/callers.py
@@ -23,6 +23,29 @@
 READY_EVERY = 0.25
 
 
+class Asker(NamedTuple):
+    """A workspace as its callers know it, and its share of the requests."""
+
+    name: str
+    key: str
+    share: float
+
+
+ASKERS = (Asker("archive", "key-archive", 0.7), Asker("field", "key-field", 0.3))
+# The one that asks ten times as much while it is hot, and its limit a second.
+HOT = ASKERS[1]
+HOT_LIMIT = 30
+WORKSPACES = {
+    "archive": {"api_keys": ["key-archive"], "priority": 0},
+    "field": {
+        "api_keys": ["key-field"],
+        "priority": 1,
+        "rate_per_s": HOT_LIMIT,
+        "burst": HOT_LIMIT,
+    },
+}
+
+
 class Ended(NamedTuple):
     """
     A request that ended. Times are in seconds from the start of the load.
@@ -36,6 +59,7 @@
     seconds: float
     status: int | None
     is_whole: bool
+    workspace: str | None = None
 
 
 class Callers:
@@ -55,6 +79,8 @@
         self._rng = rng
         self._ready = list(hosts)
         self._began = 0.0
+        # Requests a second of the hot workspace on top.
+        self.more = 0.0
         self.ended = []
 
     async def run(self, seconds):
@@ -64,7 +90,7 @@
             looking = asyncio.create_task(self._look(session))
             asked = []
             while self._at() < seconds:
-                await asyncio.sleep(self._rng.expovariate(self._rate))
+                await asyncio.sleep(self._rng.expovariate(self._rate + self.more))
                 asked.append(asyncio.create_task(self._ask(session, len(asked))))
             await asyncio.gather(*asked)
             looking.cancel()
@@ -80,7 +106,13 @@
             self._ready = ready or self._hosts
             await asyncio.sleep(READY_EVERY)
 
+    def _draw_asker(self):
+        if self._rng.random() * (self._rate + self.more) < self.more:
+            return HOT
+        return self._rng.choices(ASKERS, [asker.share for asker in ASKERS])[0]
+
     async def _ask(self, session, number):
+        asker = self._draw_asker()
         path, method, _ = self._rng.choices(KINDS, [kind[2] for kind in KINDS])[0]
         host = self._rng.choice(self._ready)
         request_id = f"r-{number}"
@@ -90,6 +122,7 @@
             "Host": HOST_NAME,
             "Request-Id": request_id,
             "Deadline-Ms": str(TIME_LEFT_MS),
+            "Authorization": f"Bearer {asker.key}",
         }
         try:
             async with session.request(
@@ -105,7 +138,9 @@
             # The request's end is unknown to its caller, and counts as that.
             pass
         seconds = self._at() - started
-        self.ended.append(Ended(request_id, path, started, seconds, status, is_whole))
+        self.ended.append(
+            Ended(request_id, path, started, seconds, status, is_whole, asker.name)
+        )
 
 
 def _is_whole(resp, body, request_id):
@@ -136,4 +171,17 @@
             broken.append(f"{end.id}: answered {end.status}, and has run")
         if end.status == 200 and not end.is_whole:
             broken.append(f"{end.id}: a success that is not its target's whole answer")
+    return broken + _find_misnamed(ended, workers)
+
+
+def _find_misnamed(ended, workers):
+    """Return requests that targets took for another workspace's, or got the key of."""
+    workspaces = {end.id: end.workspace for end in ended}
+    broken = []
+    for seen in (seen for worker in workers for seen in worker.seen):
+        name = seen.headers.get("tenant")
+        if seen.id in workspaces and name != workspaces[seen.id]:
+            broken.append(f"{seen.id}: shown as of {name}, not {workspaces[seen.id]}")
+        if "authorization" in seen.headers:
+            broken.append(f"{seen.id}: the key was passed on")
     return broken
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -19,7 +19,7 @@
 
 import fire
 
-from .callers import PROMISES, Callers, find_broken
+from .callers import HOT, PROMISES, WORKSPACES, Callers, find_broken
 from .host_process import HostProcess
 from .store import Fault
 from .trial import OPERATOR, Trial, configuration
@@ -47,6 +47,7 @@
         self.trial = trial
         self.hosts = hosts
         self.rng = rng
+        self.callers = None
         self.version = 1
 
     def any_target(self):
@@ -60,7 +61,8 @@
     def publish(self):
         """Publish one more version of the same routes."""
         self.version += 1
-        self.trial.store.put(OPERATOR, "config", configuration(self.version))
+        text = configuration(self.version, workspaces=WORKSPACES)
+        self.trial.store.put(OPERATOR, "config", text)
 
 
 async def calm(lab, seconds):
@@ -137,6 +139,13 @@
     host.signal(signal.SIGCONT)
 
 
+async def hot(lab, seconds):
+    """Let one workspace ask ten times its usual, far beyond its limit."""
+    lab.callers.more = 9 * HOT.share * RATE
+    await asyncio.sleep(seconds)
+    lab.callers.more = 0.0
+
+
 async def storm(lab, seconds):
     """Publish versions in quick succession, with SIGHUP to all hosts beside them."""
     for _ in range(int(seconds * 3)):
@@ -150,14 +159,15 @@
     f.__name__.replace("_", "-"): f
     for f in (
         *(calm, gray, hang, reset, shed, store_away),
-        *(release, roll, kill, freeze, storm),
+        *(release, roll, kill, freeze, storm, hot),
     )
 }
 
 
 async def at_random(lab, seconds):
     """Let patterns begin at random moments, so that they overlap, and end them all."""
-    names = sorted(PATTERNS)
+    # A hot workspace by itself: with it, each seed would draw other faults.
+    names = sorted(PATTERNS.keys() - {hot.__name__})
     running = []
     loop = asyncio.get_running_loop()
     end = loop.time() + seconds
@@ -188,10 +198,12 @@
                 name = f"host-{number}"
                 hosts.append(HostProcess(folder, trial.store_address, name, seeds, log))
             try:
+                lab = Lab(trial, hosts, rng)
+                # Before the hosts start, so that none ever serves without keys.
+                lab.publish()
                 await asyncio.gather(*(host.start() for host in hosts))
                 await _wait_until_ready(hosts, trial.session)
-                lab = Lab(trial, hosts, rng)
-                callers = Callers(hosts, rate, random.Random(seed + 1))
+                lab.callers = callers = Callers(hosts, rate, random.Random(seed + 1))
                 reviving = asyncio.create_task(_revive(hosts))
                 faults = asyncio.create_task(_disturb(lab, pattern, seconds))
                 await callers.run(seconds)
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+from collections import Counter
 
 from .callers import Ended, find_broken
 from .lab import play, tell
@@ -25,6 +26,21 @@
     assert whole > 0.8 * len(ended)
 
 
+def test_a_hot_workspace_takes_nothing_from_others(tmp_path):
+    """
+    An archivist is refused while field teams send ten times their usual.
+
+    What they ask beyond their limit is refused before a target is chosen.
+    """
+    ended, broken = asyncio.run(play("hot", 6.0, SEED, 40.0, tmp_path))
+    assert not broken
+    archive = [end for end in ended if end.workspace == "archive"]
+    assert sum(end.status == 200 for end in archive) >= 0.97 * len(archive)
+    field = Counter(end.status for end in ended if end.workspace == "field")
+    assert field[429] > 0.3 * field.total()
+    assert field[200] >= 6 * 0.3 * 40 * 0.8
+
+
 def test_the_check_finds_what_breaks_a_promise():
     worker = WorkerStandin("act-0", "act")
     worker.runs.update({"twice": 2, "ran": 1, "unsent": 1, "again": 2, "half": 1})
