--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
@@ -25,8 +25,7 @@
 from ..core.ids import LifeId, RequestKey
 
 # Lives that end under a request, less those that answered it, until it is held back.
-# Two may be chance: on a day on which up to a third of the targets crashed three times,
-# three harmless requests of 4,153 were at two ends each, and none at three.
+# Two may be chance, where many targets crash for other reasons.
 ENDED_MOST = 3
 # Of these, lives whose end no other request explains. With one, a page that many ask
 # for is held back after two bad requests and a crash have each cut it short; a second
@@ -135,11 +134,13 @@
         lives = suspect.ended if note.has_ended else suspect.answered
         if note.life in lives:
             return False
-        if len(lives) < LIVES_MOST:
-            lives.add(note.life)
         if note.has_ended:
             suspect.last_at = max(suspect.last_at, now)
             self._ended_lives[note.life] = now
+        if len(lives) >= LIVES_MOST:
+            # Not kept, so it would be news again each time that it comes.
+            return False
+        lives.add(note.life)
         self._is_judged = False
         self._recent.append((now, note, is_own, is_near))
         self.near_count += is_near
--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects_test.py
@@ -144,6 +144,24 @@
     assert suspects.held_for("worst", 0.0) == HELD_MOST
 
 
+def test_a_life_beyond_those_that_are_kept_is_told_once_at_most():
+    """
+    All messages of the data centre are urgent for seconds, and fill its links.
+
+    A request ends one target after the other. Its lives are kept up to a number; one
+    more was news to each host each time that it was told.
+    """
+    suspects = Suspects()
+    for number in range(LIVES_MOST):
+        _end(suspects, "bad", f"life-{number}")
+    count = suspects.near_count
+    for _ in range(3):
+        assert not suspects.note(RunNote("bad", "one more", True), 5.0)
+    assert suspects.near_count == count
+    # It has ended all the same, and the request is held for as long after it.
+    assert suspects.held_for("bad", 5.0) == HELD_MOST
+
+
 def test_all_is_forgotten_in_time():
     suspects = Suspects()
     _end(suspects, "light", "a")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -42,9 +42,8 @@
 # a slow store and a retry must fit.
 REST = 0.8
 # A host's own first listing counts as told for this long, in seconds. By then it has
-# heard of the readers and need not read at all: two reads saved at each start are a
-# third of all calls on a day on which 293 hosts start twice. A host that has started is
-# given three seconds before it must know of each change.
+# heard of the readers and need not read at all. A host that has started is given three
+# seconds before it must know of each change.
 START_REST = 2.2
 # Pauses between calls while the store is away, in seconds; each is varied by a part, so
 # that hosts do not ask in step. Hosts that are not readers ask less often, since the
