A second send that finds no room is weighed again a tenth of a second later

Cause: the moment for a second send came once; if the best other target was full or in doubt then, or the share of retries was used up, a look-up hung until its time was over. The test failed first (504).

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -30,6 +30,8 @@
 # An idempotent request gets its second send after this many times the time expected of
 # the first.
 HEDGE_FACTOR = 2.2
+# Seconds after which a second send is weighed again that found no better target.
+HEDGE_AGAIN = 0.1
 # Below this many seconds nothing is slow: a busy processor or a lost packet delays an
 # answer that usually takes milliseconds by as much, whatever its target does.
 SLOW_LEAST = 0.1
@@ -173,10 +175,17 @@
         )
 
     async def _hedge(self):
-        """Send a slow idempotent request to a second target, if one is better."""
-        self._is_hedged = True
+        """
+        Send a slow idempotent request to a second target, if one is better.
+
+        If none is by now, one may be a little later: targets get done with their work.
+        """
+        sends = self._attempt.sends
         if self._knowledge.may_retry(self._ask.service, self._ask.urgency):
             await self._send_next(SLOW)
+        self._is_hedged = self._attempt.sends > sends
+        if not self._is_hedged:
+            self._hedge_at = now() + HEDGE_AGAIN
 
     async def _recover(self, result):
         """
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -228,6 +228,30 @@
             assert status == 200
 
 
+@in_loop
+async def test_a_second_send_that_finds_no_room_is_tried_again():
+    """
+    A look-up hangs until its time is over, although another target had room by then.
+
+    In the moment for its second send that target was full, and the moment passed.
+    """
+    async with Trial(services=("look",), targets=2) as trial:
+        trial.workers["look-0"].mode = Mode.HANG
+        knowledge = trial.hosts[0].knowledge
+        busy = knowledge.registry.targets["look-1"]
+        # Work of other hosts, as they have told it.
+        for _ in range(busy.slots):
+            knowledge.zone.start(busy.life, now())
+        asked = asyncio.ensure_future(trial.ask("/look/a", "id-9"))
+        await asyncio.sleep(1.0)
+        assert not trial.workers["look-1"].runs
+        for _ in range(busy.slots):
+            knowledge.zone.end(busy.life)
+        status, _, _ = await asked
+        assert trial.workers["look-0"].runs["id-9"] == 1
+        assert status == 200
+
+
 @in_loop
 async def test_look_ups_that_got_slower_convict_nobody():
     """
