Limits: who is heard, and the sums that are told, have modules of their own

Found while reading: an empty Quotas counted as false, so a zone replaced the one that it was given by one with the default tolerance and one data centre.

--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/hearing.py
@@ -0,0 +1,161 @@
+"""
+Which hosts are heard, for what all of them keep together.
+
+A host that falls silent may be dead, or cut off and at work; one that hears nobody at
+all is cut off itself, or has lost its hub. Hosts of other data centres are heard by
+way of what is told for these, with how many hosts are missing there.
+"""
+
+import math
+from typing import NamedTuple
+
+from .sums import ToldSums
+
+# Hosts beat once a second, and a hub passes that on within a tenth of one; hubs speak
+# to each other five times a second. What is silent longer than this (seconds) may be
+# cut off.
+SILENT_AFTER = 1.6
+# A host that hears nobody at all for this long (seconds) is cut off itself, or has lost
+# its hub, which speaks five times a second.
+ALONE_AFTER = 0.35
+# Seconds after which a silent host is taken for gone.
+GONE_AFTER = 60.0
+
+
+class Heads(NamedTuple):
+    """How many hosts of a data centre are heard there, and how many are missing."""
+
+    heard: int
+    unheard: int = 0
+
+
+class Source:
+    """One other host of the data centre, or one other data centre."""
+
+    __slots__ = ("back_at", "heads", "heard_at", "is_silent", "life", "told")
+
+    def __init__(self, life, heads, now):
+        self.life = life
+        self.heads = heads
+        self.heard_at = now
+        self.is_silent = False
+        # When it was heard again after a silence.
+        self.back_at = -math.inf
+        self.told = ToldSums()
+
+
+class Hearing:
+    """
+    Whom one host hears.
+
+    `revision` counts the changes, with which everybody's part of a limit changes.
+    """
+
+    def __init__(self):
+        self.revision = 0
+        self.is_alone = True
+        self._heard_at = -math.inf
+        self._near = {}
+        self._far = {}
+        self._silent = {}
+        self._far_unheard = 0
+
+    # What is heard.
+
+    def hear_host(self, host, life, now):
+        """Note that a host of this data centre was heard, and return its `Source`."""
+        return self._hear(self._near, host, life, Heads(1), now)
+
+    def hear_centre(self, centre, heads, now):
+        """Note what was told for another data centre, and return its `Source`."""
+        source = self._far.get(centre)
+        former = source.heads.unheard if source is not None else 0
+        if former != heads.unheard:
+            self._far_unheard += heads.unheard - former
+            self.revision += 1
+        return self._hear(self._far, centre, 0, heads, now)
+
+    def _hear(self, sources, name, life, heads, now):
+        source = sources.get(name)
+        if source is None or source.life != life:
+            # What its former life let through has been counted.
+            source = sources[name] = Source(life, heads, now)
+            self._end_silence(name)
+        elif source.is_silent:
+            source.is_silent = False
+            source.back_at = now
+            self._end_silence(name)
+        source.heard_at = now
+        source.heads = heads
+        self.hear_hub(now)
+        return source
+
+    def hear_hub(self, now):
+        """Note that something was heard, if only that the hub is there."""
+        self._heard_at = now
+        if self.is_alone:
+            self.is_alone = False
+            for source in self.sources():
+                source.back_at = now
+            self.revision += 1
+
+    def _end_silence(self, name):
+        if self._silent.pop(name, None) is not None:
+            self.revision += 1
+
+    # What follows.
+
+    def look(self, now):
+        """Look whether anything was heard lately, and return whether nothing was."""
+        if not self.is_alone and now - self._heard_at > ALONE_AFTER:
+            self.is_alone = True
+            self.revision += 1
+        return self.is_alone
+
+    def tick(self, now):
+        """Look for sources that have fallen silent or are gone."""
+        self.look(now)
+        for sources in (self._near, self._far):
+            for name, source in list(sources.items()):
+                age = now - source.heard_at
+                if age > GONE_AFTER:
+                    del sources[name]
+                    self._end_silence(name)
+                elif age > SILENT_AFTER and not source.is_silent:
+                    source.is_silent = True
+                    self._silent[name] = source
+                    self.revision += 1
+        self._far_unheard = sum(s.heads.unheard for s in self._far.values())
+
+    def sources(self):
+        """Return all sources that are known."""
+        return [*self._near.values(), *self._far.values()]
+
+    def silent(self):
+        """Return the sources that are known and not heard."""
+        return self.sources() if self.is_alone else list(self._silent.values())
+
+    @property
+    def is_whole(self):
+        """Whether all hosts that are known are heard."""
+        return not (self.is_alone or self._silent or self._far_unheard)
+
+    @property
+    def far_unheard(self):
+        """How many hosts are missing in the data centres that are heard."""
+        return self._far_unheard
+
+    def near_heads(self):
+        """Return the `Heads` of this host's data centre."""
+        unheard = sum(1 for source in self._near.values() if source.is_silent)
+        return Heads(1 + len(self._near) - unheard, unheard)
+
+    def count(self):
+        """Return how many hosts are known, this one included."""
+        return 1 + sum(sum(source.heads) for source in self.sources())
+
+    def count_unheard(self):
+        """Return how many hosts are known and not heard."""
+        silent = self.silent()
+        missing = sum(s.heads.unheard for s in self.sources() if s not in silent)
+        return missing + sum(sum(source.heads) for source in silent)
--- a/packages/plumsaddle-core/plumsaddle_core/ops/quotas_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/quotas_test.py
@@ -7,8 +7,10 @@
 import pytest
 
 from ..core.traffic import Workspace
+from .hearing import GONE_AFTER, Heads
 from .meter import Decayed, Tolerance
-from .quotas import FORGET_AFTER, GONE_AFTER, Heads, Quotas
+from .quotas import FORGET_AFTER, Quotas
+from .zone import Zone
 
 EXACT = Tolerance(5.0, 0.0, 0.0)
 ONE = Workspace("one", (), rate=20.0, burst=20.0)
@@ -54,7 +56,7 @@
     (host,) = _hosts(1, (FREE,))
     assert _ask(host, 5000, START, FREE) == 5000
     assert _ask(host, 5, START, None) == 5
-    assert not len(host)
+    assert not host.kept
     assert host.own_rows(START) == []
 
 
@@ -177,7 +179,7 @@
     (host,) = _hosts(1)
     host.ask(ONE, START)
     host.configure([], START)
-    assert not len(host)
+    assert not host.kept
     assert host.ask(ONE, START).is_admitted
 
 
@@ -188,8 +190,8 @@
     _tell(first, "host-0", [second], START)
     for host in (first, second):
         host.tick(START + FORGET_AFTER + 1.0)
-        assert not len(host)
-    assert not second._sources["host-0"].rows
+        assert not host.kept
+    assert not any(len(source.told) for source in second._hearing.sources())
 
 
 def _play_cut(asked, seconds, workspace=ONE):
@@ -244,7 +246,7 @@
             _tell(host, f"host-{number}", [second if host is first else first], now)
         first.tick(now)
     for second_ in range(int(GONE_AFTER) + 3):
-        first.note_hub(now + second_)
+        first.hear_hub(now + second_)
         first.tick(now + second_)
     ruling = [first.ask(ONE, now + second_) for _ in range(100)][-1]
     assert (ruling.part, ruling.silent) == (1.0, 0)
@@ -262,3 +264,13 @@
     ]
     assert 0.04 < min(pauses) < max(pauses) <= 5.0
     assert max(pauses) - min(pauses) > 0.3
+
+
+def test_a_zone_keeps_the_limits_that_it_is_given():
+    """
+    The settings of an installation are without effect.
+
+    Limits of which nothing is kept yet were taken for none, and replaced by others.
+    """
+    quotas = Quotas(EXACT)
+    assert Zone(0.2, 10.0, START, quotas=quotas).quotas is quotas
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -94,7 +94,7 @@
         self._has_paths = has_paths
         self.times = RouteTimes()
         self.suspects = Suspects()
-        self.quotas = quotas or Quotas()
+        self.quotas = Quotas() if quotas is None else quotas
         self._ratio = ratio
         self._window = window
         self._started = started
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -23,10 +23,10 @@
 import msgspec
 
 from plumsaddle_core.core.parts import Part
+from plumsaddle_core.ops.hearing import Heads
 from plumsaddle_core.ops.neighbours import Neighbours
 from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.pacing import Allowances
-from plumsaddle_core.ops.quotas import Heads
 from plumsaddle_core.ops.suspects import RunNote
 
 from ..utils.addresses import is_address, split_address
@@ -436,7 +436,7 @@
         """Take what a hub tells, and pass it on to hosts that tell this one."""
         self._neighbours.hear(address, at)
         self._neighbours.hear_hub(address, at)
-        self._zone.quotas.note_hub(at)
+        self._zone.quotas.hear_hub(at)
         works = [
             raw
             for raw, work in _decode_each(bundle.works, decode_work, address)
--- a/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
@@ -21,9 +21,9 @@
 from typing import NamedTuple
 
 from plumsaddle_core.core.traffic import Workspace
-from plumsaddle_core.ops import quotas as module
 from plumsaddle_core.ops.meter import Meter, Tolerance, capacity_of
 from plumsaddle_core.ops.quotas import Quotas
+from plumsaddle_core.ops.sums import tag_of_workspace
 
 NAME = "one"
 CENTRES = ("x", "y", "z")
@@ -107,8 +107,8 @@
     """A host that lets through while the sum that it knows leaves room."""
 
     def ask(self, model):
-        known = self.quotas._find(module.tag_of_workspace(NAME), model.at)
-        tag = module.tag_of_workspace(NAME)
+        known = self.quotas._find(tag_of_workspace(NAME), model.at)
+        tag = tag_of_workspace(NAME)
         is_admitted = known.meter.left(model.at) >= 1.0
         self.quotas._count(tag, known, 1.0, float(is_admitted), model.at)
         return is_admitted
@@ -379,7 +379,7 @@
         hub = next((n for n in every if self._is_up[n] and n not in self._cut), None)
         for taker in every:
             if hub is not None and not self._is_lost(hub, taker):
-                self.hosts[taker].quotas.note_hub(self.at)
+                self.hosts[taker].quotas.hear_hub(self.at)
 
     def _take_far(self, taker, centre, heads, rows):
         if self._is_up[taker]:
