--- a/packages/plumsaddle-core/plumsaddle_core/ops/news.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/news.py
@@ -36,6 +36,10 @@
     SHED = 5
 
 
+# Outcomes that can wait to be told: they make no target look worse.
+CALM_SIGNS = {Sign.WHOLE, Sign.LATE}
+
+
 class OutcomeNote(NamedTuple):
     """One outcome: its number at the host that saw it, and what it saw."""
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -16,7 +16,7 @@
 from plumsaddle_core.ops.choice import Candidate, Demand, Rule, choose_target
 from plumsaddle_core.ops.floor import Trials
 from plumsaddle_core.ops.meter import Tolerance
-from plumsaddle_core.ops.news import Sign
+from plumsaddle_core.ops.news import CALM_SIGNS, Sign
 from plumsaddle_core.ops.quotas import Quotas
 from plumsaddle_core.ops.registry import Registry
 from plumsaddle_core.ops.subset import (
@@ -44,8 +44,6 @@
 # moves the mean: about the last ten count.
 ANSWER_AT_FIRST = 2000.0
 ANSWER_PART = 0.1
-# Outcomes that can wait to be told: they make no target look worse.
-CALM_SIGNS = {Sign.WHOLE, Sign.LATE}
 SIGNS = {
     Fate.WHOLE: Sign.WHOLE,
     Fate.UNREACHED: Sign.UNREACHABLE,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -23,43 +23,26 @@
 import msgspec
 
 from plumsaddle_core.core.parts import Part
-from plumsaddle_core.ops.hearing import Heads
 from plumsaddle_core.ops.neighbours import Neighbours
-from plumsaddle_core.ops.news import Sign
 from plumsaddle_core.ops.pacing import Allowances
-from plumsaddle_core.ops.suspects import RunNote
 
-from ..utils.addresses import is_address, split_address
+from ..utils.addresses import split_address
 from .bundles import Collected
 from .clock import now
 from .messages import (
     Beat,
     Bundle,
-    Far,
     Hello,
-    Load,
-    Members,
-    Packed,
-    Records,
     Work,
     decode,
-    decode_far,
-    decode_work,
     encode,
-    far_load_of,
-    far_news_of,
-    far_sums_of,
-    news_of,
-    unpack_bundle,
 )
 from .others import OtherCentres
 from .readers import Readers
-from .strangers import STRANGERS_NAMED
+from .taking import Taking, Ways
 
 log = logging.getLogger("peers")
-# Members that an answer to a newcomer names, and those that a hub's beat names, drawn
-# anew each time. A newcomer that knows the hub hears of all others within a second.
-NAMED_MOST = 64
+# Members that a hub's beat names, drawn anew each time.
 NAMED_IN_BEAT = 16
 # What a datagram has besides its data: the headers of IP and UDP, in bytes.
 DATAGRAM_HEADERS = 28
@@ -86,8 +69,6 @@
 # Messages to the hub that are remembered until it passes them on; a host sends some ten
 # a second.
 ECHOES_AWAITED = 64
-# Outcomes that can wait to be told: they make no target look worse.
-CALM_SIGNS = {Sign.WHOLE, Sign.LATE}
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -124,6 +105,20 @@
         self._readers = Readers(gate, feeds, self._neighbours, self._send)
         self._others = OtherCentres(settings, zone, self._life, self._send, rng)
         self._collected = Collected()
+        self._taking = Taking(
+            settings,
+            zone,
+            self._neighbours,
+            self._readers,
+            self._others,
+            self._collected,
+            Ways(
+                lambda data, *addresses: self._send(data, *addresses),
+                self._send_soon,
+                self._is_hub,
+                self._echo_of,
+            ),
+        )
         self._bundled_at = 0.0
         self._summed_at = 0.0
         self._transport = None
@@ -265,6 +260,10 @@
         """Whether this host tells others what it is told."""
         return self._picked_itself() or bool(self._collected.clients(at))
 
+    def _echo_of(self, work):
+        """Return when a message was sent if it is this host's own, else None."""
+        return self._sent_at.get(work.number) if work.life == self._life else None
+
     def _tell(self):
         self._due = None
         at = now()
@@ -373,165 +372,7 @@
     def datagram_received(self, data, sender):
         address = f"{sender[0]}:{sender[1]}"
         try:
-            self._take(decode(data), data, address, now())
-        except msgspec.DecodeError as exc:
-            log.warning("unreadable", extra={"peer": address, "cause": str(exc)})
-
-    def _take(self, message, data, address, at):
-        if isinstance(message, Work):
-            self._collected.note_client(address, at)
-            runs_known = self._zone.suspects.near_count
-            if self._take_work(message, at):
-                self._collected.add_work(message.host, data)
-                is_calm = all(row[4] in CALM_SIGNS for row in message.outcomes)
-                has_runs = self._zone.suspects.near_count > runs_known
-                self._send_soon(has_runs or not is_calm)
-        elif isinstance(message, Bundle):
-            self._take_bundle(message, address, at)
-        elif isinstance(message, Packed):
-            self._take_bundle(unpack_bundle(message), address, at)
-        elif isinstance(message, Records):
-            self._readers.take_records(message, at)
-        elif isinstance(message, Far):
-            self._take_far(message, address, at)
-        elif isinstance(message, Load):
-            self._take_load(message, address, at)
-        elif isinstance(message, Members):
-            self._learn(message.addresses, at)
-            self._others.strangers.learn(message.strangers, at)
-        else:
-            self._take_hello(message, address, at)
-
-    def _take_work(self, work, at):
-        """Take a host's work, and return whether it was news."""
-        if work.host == self._settings.id:
-            self._take_echo(work, at)
-            return False
-        if not is_address(work.address):
-            return False
-        # Only news counts as a word of the host: a hub that wakes from a freeze passes
-        # on what its clients said seconds ago.
-        if not self._zone.take(news_of(work), at):
-            return False
-        self._neighbours.hear(work.address, at)
-        self._take_runs(work.runs, True, at)
-        self._zone.quotas.take_near(work.host, work.life, work.quotas, at)
-        if work.beat is not None:
-            self._take_beat(work.beat, work.address, at)
-        return True
-
-    def _take_echo(self, work, at):
-        """Take what a hub passes on of this host's own."""
-        sent_at = self._sent_at.get(work.number)
-        if work.life == self._life and sent_at is not None:
-            self._neighbours.take_echo(sent_at, at)
-
-    def _take_beat(self, beat, address, at):
-        self._neighbours.describe(address, beat.link, beat.contact)
-        self._learn(beat.members, at)
-        self._others.strangers.learn(beat.strangers, at)
-        self._readers.take_beat(beat, at)
-
-    def _take_bundle(self, bundle, address, at):
-        """Take what a hub tells, and pass it on to hosts that tell this one."""
-        self._neighbours.hear(address, at)
-        self._neighbours.hear_hub(address, at)
-        self._zone.quotas.hear_hub(at)
-        works = [
-            raw
-            for raw, work in _decode_each(bundle.works, decode_work, address)
-            if self._take_work(work, at)
-        ]
-        fars = [
-            raw
-            for raw, far in _decode_each(bundle.fars, decode_far, address)
-            if self._take_far_news(far, at)
-        ]
-        sums = far_sums_of(bundle)
-        if sums is not None and not self._picked_itself():
-            self._zone.take_far_sums(sums, at)
-        if not self._picked_itself():
-            for asked in bundle.asked:
-                self._take_asked(asked.centre, asked.hosts, asked.rows, at)
-        if (works or fars) and self._collected.clients(at):
-            self._collected.add_from_hub(works, fars)
-            self._send_soon(is_urgent=False)
-
-    def _take_asked(self, centre, hosts, rows, at):
-        """Take what workspaces asked of another data centre."""
-        if centre != self._settings.centre:
-            self._zone.quotas.take_far(centre, Heads(*hosts), rows, at)
-
-    def _take_far_news(self, far, at):
-        """Take news of another data centre, and return whether it was any."""
-        has_runs = self._take_runs(far.runs, False, at)
-        return self._zone.take_far(far_news_of(far), at) or has_runs
-
-    def _take_runs(self, rows, is_near, at):
-        """Take what became of targets under requests; return whether it was news."""
-        suspects = self._zone.suspects
-        news = [suspects.note(RunNote(*row), at, is_near=is_near) for row in rows]
-        return any(news)
-
-    def _take_far(self, far, address, at):
-        """Take news from elsewhere, and pass it on."""
-        if not far.is_passed_on:
-            self._others.note_hub(far.centre, address, at)
-        is_news = self._take_far_news(far, at)
-        is_for_hub, far.is_passed_on = not far.is_passed_on, True
-        if self._is_hub(at):
-            if is_news:
-                self._collected.add_far(encode(far))
-                # What was seen elsewhere says less of a target than what is seen here,
-                # and four other data centres tell far more of it: it can wait.
-                self._send_soon(is_urgent=False)
-        elif is_for_hub:
-            self._send(encode(far), self._neighbours.hub)
-
-    def _take_load(self, load, address, at):
-        """Take the work in flight elsewhere as the hub, or pass it on to the hub."""
-        if not load.is_passed_on:
-            self._others.note_hub(load.centre, address, at)
-        if self._picked_itself():
-            self._zone.take_far_load(far_load_of(load), at)
-            self._take_asked(load.centre, load.hosts, load.quotas, at)
-            self._collected.add_asked(load.centre, load.hosts, load.quotas)
-            if load.quotas and self._collected.clients(at):
-                self._send_soon(is_urgent=False)
-        elif not load.is_passed_on:
-            load.is_passed_on = True
-            self._send(encode(load), self._neighbours.hub)
-
-    def _take_hello(self, hello, address, at):
-        """Answer a host that looks for others of its data centre."""
-        strangers = self._others.strangers.some(at)
-        if hello.centre == self._settings.centre:
-            known = self._neighbours.addresses()
-            self._neighbours.name(address, at)
-        else:
-            known = self._others.strangers.of(hello.centre, at)
-            self._others.strangers.remember(hello.centre, address, at)
-            own = [*self._neighbours.addresses(), self._settings.peers]
-            strangers[self._settings.centre] = own[-STRANGERS_NAMED:]
-        known = [a for a in known if a != address]
-        self._send(encode(Members(known[:NAMED_MOST], strangers)), address)
-
-    def _learn(self, addresses, at):
-        """Take hosts that were named; they stay only if they are heard."""
-        for address in addresses:
-            if is_address(address):
-                self._neighbours.name(address, at)
-
-
-def _decode_each(raws, decode_one, address):
-    """
-    Yield encoded messages with what they say, but for those that cannot be read.
-
-    One host of another release would else silence all that stand behind it.
-    """
-    for raw in raws:
-        try:
-            yield raw, decode_one(raw)
+            self._taking.take(decode(data), data, address, now())
         except msgspec.DecodeError as exc:
             log.warning("unreadable", extra={"peer": address, "cause": str(exc)})
 
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/taking.py
@@ -0,0 +1,254 @@
+"""
+What a host makes of the datagrams that it takes.
+
+Work of hosts of its data centre, news of the others, changes of the store and members
+go to the parts that keep them. A hub keeps what is to be told on, and a host that took
+something for its hub passes it on.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from plumsaddle_core.ops.hearing import Heads
+from plumsaddle_core.ops.news import CALM_SIGNS
+from plumsaddle_core.ops.suspects import RunNote
+
+from ..utils.addresses import is_address
+from .messages import (
+    Bundle,
+    Far,
+    Load,
+    Members,
+    Packed,
+    Records,
+    Work,
+    decode_far,
+    decode_work,
+    encode,
+    far_load_of,
+    far_news_of,
+    far_sums_of,
+    news_of,
+    unpack_bundle,
+)
+from .strangers import STRANGERS_NAMED
+
+log = logging.getLogger("peers")
+# Members that an answer to a newcomer names. One that knows the hub hears of all others
+# within a second.
+NAMED_MOST = 64
+
+
+class Ways(NamedTuple):
+    """
+    How a host tells others.
+
+    `send` is called with bytes and addresses, `send_soon` with whether what waits is
+    urgent. `is_hub` tells at a moment whether this host tells others what it is told,
+    and `echo_of` when a `Work` of its own was sent, or None.
+    """
+
+    send: Callable
+    send_soon: Callable
+    is_hub: Callable
+    echo_of: Callable
+
+
+class Taking:
+    """
+    The taking part of a host's datagram socket.
+
+    Args:
+      settings: The `HostSettings`.
+      zone: The `Zone` that this host's knowledge is kept in.
+      neighbours: The `Neighbours`.
+      readers: The `Readers`.
+      others: The `OtherCentres`.
+      collected: The `Collected`, which keeps what a hub tells on.
+      ways: The `Ways`.
+    """
+
+    def __init__(self, settings, zone, neighbours, readers, others, collected, ways):
+        self._settings = settings
+        self._zone = zone
+        self._neighbours = neighbours
+        self._readers = readers
+        self._others = others
+        self._collected = collected
+        self._ways = ways
+
+    def _picked_itself(self):
+        """Whether this host is the hub as far as it knows."""
+        return self._neighbours.hub is None
+
+    def take(self, message, data, address, at):
+        """
+        Take a message.
+
+        Args:
+          message: What `decode` returned.
+          data: Its bytes.
+          address: Who sent it.
+          at: The present, in seconds.
+        Raises:
+          msgspec.DecodeError: If a part of it cannot be read.
+        """
+        if isinstance(message, Work):
+            self._collected.note_client(address, at)
+            runs_known = self._zone.suspects.near_count
+            if self._take_work(message, at):
+                self._collected.add_work(message.host, data)
+                is_calm = all(row[4] in CALM_SIGNS for row in message.outcomes)
+                has_runs = self._zone.suspects.near_count > runs_known
+                self._ways.send_soon(has_runs or not is_calm)
+        elif isinstance(message, Bundle):
+            self._take_bundle(message, address, at)
+        elif isinstance(message, Packed):
+            self._take_bundle(unpack_bundle(message), address, at)
+        elif isinstance(message, Records):
+            self._readers.take_records(message, at)
+        elif isinstance(message, Far):
+            self._take_far(message, address, at)
+        elif isinstance(message, Load):
+            self._take_load(message, address, at)
+        elif isinstance(message, Members):
+            self._learn(message.addresses, at)
+            self._others.strangers.learn(message.strangers, at)
+        else:
+            self._take_hello(message, address, at)
+
+    def _take_work(self, work, at):
+        """Take a host's work, and return whether it was news."""
+        if work.host == self._settings.id:
+            self._take_echo(work, at)
+            return False
+        if not is_address(work.address):
+            return False
+        # Only news counts as a word of the host: a hub that wakes from a freeze passes
+        # on what its clients said seconds ago.
+        if not self._zone.take(news_of(work), at):
+            return False
+        self._neighbours.hear(work.address, at)
+        self._take_runs(work.runs, True, at)
+        self._zone.quotas.take_near(work.host, work.life, work.quotas, at)
+        if work.beat is not None:
+            self._take_beat(work.beat, work.address, at)
+        return True
+
+    def _take_echo(self, work, at):
+        """Take what a hub passes on of this host's own."""
+        sent_at = self._ways.echo_of(work)
+        if sent_at is not None:
+            self._neighbours.take_echo(sent_at, at)
+
+    def _take_beat(self, beat, address, at):
+        self._neighbours.describe(address, beat.link, beat.contact)
+        self._learn(beat.members, at)
+        self._others.strangers.learn(beat.strangers, at)
+        self._readers.take_beat(beat, at)
+
+    def _take_bundle(self, bundle, address, at):
+        """Take what a hub tells, and pass it on to hosts that tell this one."""
+        self._neighbours.hear(address, at)
+        self._neighbours.hear_hub(address, at)
+        self._zone.quotas.hear_hub(at)
+        works = [
+            raw
+            for raw, work in _decode_each(bundle.works, decode_work, address)
+            if self._take_work(work, at)
+        ]
+        fars = [
+            raw
+            for raw, far in _decode_each(bundle.fars, decode_far, address)
+            if self._take_far_news(far, at)
+        ]
+        sums = far_sums_of(bundle)
+        if sums is not None and not self._picked_itself():
+            self._zone.take_far_sums(sums, at)
+        if not self._picked_itself():
+            for asked in bundle.asked:
+                self._take_asked(asked.centre, asked.hosts, asked.rows, at)
+        if (works or fars) and self._collected.clients(at):
+            self._collected.add_from_hub(works, fars)
+            self._ways.send_soon(is_urgent=False)
+
+    def _take_asked(self, centre, hosts, rows, at):
+        """Take what workspaces asked of another data centre."""
+        if centre != self._settings.centre:
+            self._zone.quotas.take_far(centre, Heads(*hosts), rows, at)
+
+    def _take_far_news(self, far, at):
+        """Take news of another data centre, and return whether it was any."""
+        has_runs = self._take_runs(far.runs, False, at)
+        return self._zone.take_far(far_news_of(far), at) or has_runs
+
+    def _take_runs(self, rows, is_near, at):
+        """Take what became of targets under requests; return whether it was news."""
+        suspects = self._zone.suspects
+        news = [suspects.note(RunNote(*row), at, is_near=is_near) for row in rows]
+        return any(news)
+
+    def _take_far(self, far, address, at):
+        """Take news from elsewhere, and pass it on."""
+        if not far.is_passed_on:
+            self._others.note_hub(far.centre, address, at)
+        is_news = self._take_far_news(far, at)
+        is_for_hub, far.is_passed_on = not far.is_passed_on, True
+        if self._ways.is_hub(at):
+            if is_news:
+                self._collected.add_far(encode(far))
+                # What was seen elsewhere says less of a target than what is seen here,
+                # and four other data centres tell far more of it: it can wait.
+                self._ways.send_soon(is_urgent=False)
+        elif is_for_hub:
+            self._ways.send(encode(far), self._neighbours.hub)
+
+    def _take_load(self, load, address, at):
+        """Take the work in flight elsewhere as the hub, or pass it on to the hub."""
+        if not load.is_passed_on:
+            self._others.note_hub(load.centre, address, at)
+        if self._picked_itself():
+            self._zone.take_far_load(far_load_of(load), at)
+            self._take_asked(load.centre, load.hosts, load.quotas, at)
+            self._collected.add_asked(load.centre, load.hosts, load.quotas)
+            if load.quotas and self._collected.clients(at):
+                self._ways.send_soon(is_urgent=False)
+        elif not load.is_passed_on:
+            load.is_passed_on = True
+            self._ways.send(encode(load), self._neighbours.hub)
+
+    def _take_hello(self, hello, address, at):
+        """Answer a host that looks for others of its data centre."""
+        strangers = self._others.strangers.some(at)
+        if hello.centre == self._settings.centre:
+            known = self._neighbours.addresses()
+            self._neighbours.name(address, at)
+        else:
+            known = self._others.strangers.of(hello.centre, at)
+            self._others.strangers.remember(hello.centre, address, at)
+            own = [*self._neighbours.addresses(), self._settings.peers]
+            strangers[self._settings.centre] = own[-STRANGERS_NAMED:]
+        known = [a for a in known if a != address]
+        self._ways.send(encode(Members(known[:NAMED_MOST], strangers)), address)
+
+    def _learn(self, addresses, at):
+        """Take hosts that were named; they stay only if they are heard."""
+        for address in addresses:
+            if is_address(address):
+                self._neighbours.name(address, at)
+
+
+def _decode_each(raws, decode_one, address):
+    """
+    Yield encoded messages with what they say, but for those that cannot be read.
+
+    One host of another release would else silence all that stand behind it.
+    """
+    for raw in raws:
+        try:
+            yield raw, decode_one(raw)
+        except msgspec.DecodeError as exc:
+            log.warning("unreadable", extra={"peer": address, "cause": str(exc)})
