A host answers what is left at the end of its grace

A scan that no target ever got, taken 1.9 s after SIGTERM, was closed without an answer 5.75 s after it: the host waited for its target until the grace was over. Now it is answered then, 503 or 502 by what is true. Test red before: the answer came after the grace.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -49,8 +49,10 @@
 # The balancer asks each second and turns away after two misses; with the time of a
 # slow answer, new connections come for up to three seconds more.
 LISTEN_ON = 3.2
-# Kept back from the grace for closing down.
+# Kept back from the grace for closing down, in seconds, and the part of it in which
+# what is left of requests is answered.
 GRACE_MARGIN = 0.3
+ANSWERED_WITHIN = 0.1
 LOOK_EVERY = 0.05
 
 
@@ -102,6 +104,7 @@
         )
         sender = Sender(self.knowledge, self.links, self.metrics, self.endings)
         relay = Relay(self.knowledge, sender, self.metrics, self.endings)
+        self._relay = relay
         self.front = Front(self.knowledge, relay, self.metrics)
         self._feeds = [
             Feed(
@@ -201,6 +204,9 @@
             self._callers.close_idle()
             await asyncio.sleep(LOOK_EVERY)
             is_quiet = not self.front.in_flight
+        if not is_quiet:
+            self._relay.end_all()
+            await asyncio.sleep(ANSWERED_WITHIN)
         await self.shut()
         log.info("end", extra={"in_flight": self.front.in_flight})
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -45,7 +45,7 @@
 
 
 STATUSES = {
-    Cause.LEAVING: (503, 503),
+    Cause.LEAVING: (503, 502),
     Cause.NO_CONFIGURATION: (503, 503),
     Cause.NO_ROUTE: (404, 404),
     Cause.UNKNOWN_KEY: (401, 401),
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -68,6 +68,17 @@
         self._sender = sender
         self._metrics = metrics
         self._endings = endings
+        self._runs = set()
+
+    def end_all(self):
+        """
+        Answer all requests that are under way, since the host ends.
+
+        A target that has not answered by then may never have got its request, and a
+        caller whose connection just closes learns nothing.
+        """
+        for run in self._runs:
+            run.end()
 
     async def run(self, ask):
         """
@@ -84,12 +95,14 @@
             # It counts neither for the service's retries nor for its state.
             return refusal
         self._knowledge.zone.note_request(ask.service, now())
+        self._runs.add(run)
         try:
             answer = await run.serve()
             is_served = isinstance(answer, Reply) and answer.status < 500
             self._knowledge.zone.note_end(ask.service, is_served, now())
             return answer
         finally:
+            self._runs.discard(run)
             run.cancel()
 
 
@@ -110,6 +123,7 @@
         self._hedge_at = 0.0
         self._last = None
         self._has_begun_rest = False
+        self._end = asyncio.get_running_loop().create_future()
 
     def hold_back(self):
         """Return the refusal of a request that ends its targets, None of others."""
@@ -119,6 +133,11 @@
         fields = {"key": self._suspicion.key, "lives": self._suspicion.lives}
         return self._refuse(Cause.HELD_BACK, held_for, **fields)
 
+    def end(self):
+        """Give the request up, with what is true of it by now."""
+        if not self._end.done():
+            self._end.set_result(None)
+
     def cancel(self):
         """Stop all sends that still run, by closing their connections."""
         for task in self._sends:
@@ -133,6 +152,8 @@
             return refusal
         while True:
             done = await self._wait()
+            if self._end in done:
+                return self._give_up(Cause.LEAVING)
             if not done:
                 if self._time_left() <= 0:
                     return self._give_up(Cause.TIME_OVER)
@@ -161,7 +182,9 @@
         if self._may_hedge():
             timeout = min(timeout, max(0.0, self._hedge_at - now()))
         done, _ = await asyncio.wait(
-            self._sends, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+            {*self._sends, self._end},
+            timeout=timeout,
+            return_when=asyncio.FIRST_COMPLETED,
         )
         return done
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -552,6 +552,31 @@
         idle_writer.close()
 
 
+@pytest.mark.parametrize("path, method", [("/up/a", "POST"), ("/look/a", "GET")])
+@in_loop
+async def test_a_host_answers_what_is_left_at_the_end_of_its_grace(path, method):
+    """
+    A scan is lost without a word because a host is restarted.
+
+    Its target never got it: the way there lost it. The host waited for an answer until
+    its grace was over, and closed the caller's connection.
+    """
+    async with Trial(services=("up", "look"), targets=2) as trial:
+        trial.store.put(OPERATOR, "config", configuration(2, timeout=9.0))
+        host = trial.hosts[0]
+        await until(lambda: host.knowledge.cfg.version == 2)
+        for service in ("up", "look"):
+            trial.set_mode(service, Mode.HANG)
+        asked = asyncio.ensure_future(trial.ask(path, "id-1", method, left=9000))
+        await asyncio.sleep(0.1)
+        began = now()
+        await host.leave()
+        status, _, _ = await asked
+        # It may have run, so nothing is promised.
+        assert status == 502
+        assert now() - began < host.settings.bounds.grace
+
+
 @in_loop
 async def test_a_leaving_host_takes_nothing_that_would_outlast_it(monkeypatch):
     """
