Whose a request is stays what it was when it came

Read over once more: whether keys are passed on was looked up after the body had been read. With a version without workspaces in between, a long upload's key went on to its target. What belongs together is one tuple, Owner.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -20,7 +20,7 @@
 from ..front.headers import HOP_BY_HOP
 from ..platform import wire
 from .clock import now
-from .outgoing import Ask, named_by_connection
+from .outgoing import Ask, Owner, named_by_connection
 from .refusals import Cause, Refusal, status_of
 
 log = logging.getLogger("front")
@@ -127,6 +127,8 @@
         workspace, refusal = self._identify(request, route, started)
         if refusal is not None:
             return refusal
+        # As of now: another version may come into force while the body is read.
+        owner = Owner(bool(cfg.workspaces), workspace)
         request_id = request.headers.get(wire.REQUEST_ID)
         if not request_id:
             return self._refuse(request, Cause.NO_REQUEST_ID)
@@ -140,7 +142,7 @@
         ruling = self._knowledge.admit(workspace, started)
         if not ruling.is_admitted:
             return self._refuse_over_limit(request, workspace, ruling)
-        answer = await self._take(request, route, workspace, request_id, started, limit)
+        answer = await self._take(request, route, owner, request_id, started, limit)
         if isinstance(answer, Refusal) and not answer.may_have_run:
             self._knowledge.zone.quotas.give_back(workspace, now())
         return answer
@@ -181,7 +183,7 @@
             return None, self._refuse(request, Cause.UNKNOWN_KEY, **fields)
         return None, self._refuse(request, Cause.KEYS_OUTDATED, KEYS_PAUSE, **fields)
 
-    async def _take(self, request, route, workspace, request_id, started, limit):
+    async def _take(self, request, route, owner, request_id, started, limit):
         """Read the body, or its first part, and run the request."""
         taken = 0
         deadline = started + limit
@@ -201,7 +203,7 @@
             if len(body) > self._knowledge.cfg.limits.body_bytes:
                 return self._refuse(request, Cause.BODY_TOO_LARGE)
             ask = self._make_ask(
-                request, route, workspace, request_id, started, deadline, body, is_whole
+                request, route, owner, request_id, started, deadline, body, is_whole
             )
             return await self._run(ask)
         except TimeoutError:
@@ -212,7 +214,7 @@
             self._held -= taken
 
     def _make_ask(
-        self, request, route, workspace, request_id, started, deadline, body, is_whole
+        self, request, route, owner, request_id, started, deadline, body, is_whole
     ):
         rest_most = self._knowledge.cfg.limits.body_bytes - len(body)
         service = choose_service(route, self._knowledge.rng)
@@ -229,9 +231,8 @@
             started,
             deadline,
             Caller(request),
-            bool(self._knowledge.cfg.workspaces),
-            workspace,
-            self._knowledge.urgency(service, route, workspace),
+            owner,
+            self._knowledge.urgency(service, route, owner.workspace),
         )
 
     async def _run(self, ask):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -23,6 +23,23 @@
 STOPPED_WITH_KEYS = STOPPED | {b"authorization", wire.WORKSPACE.lower().encode()}
 
 
+class Owner(NamedTuple):
+    """
+    Whose a request is.
+
+    `has_keys` tells whether the configuration had workspaces when the request came, and
+    `workspace` is that of the request, None for nobody's.
+    """
+
+    has_keys: bool = False
+    workspace: Workspace | None = None
+
+    @property
+    def name(self):
+        """The name of the workspace, None for nobody's."""
+        return self.workspace.name if self.workspace is not None else None
+
+
 class Ask(NamedTuple):
     """
     A request as the relay needs it.
@@ -30,9 +47,8 @@
     `body` is the whole body, or its first part if `rest` is an asynchronous iterator
     of the others. `length` is the body's length, or None if it is not known. Times
     are in seconds on the host's clock; `deadline` is when the caller gives up or the
-    route's time is over, whichever is earlier. `has_keys` tells whether the
-    configuration has workspaces, and `workspace` is that of the request, None for
-    nobody's. `urgency` is 1.0 for the most urgent requests of a service.
+    route's time is over, whichever is earlier. `urgency` is 1.0 for the most
+    urgent requests of a service.
     """
 
     id: bytes
@@ -47,8 +63,7 @@
     started: float
     deadline: float
     caller: Any
-    has_keys: bool = False
-    workspace: Workspace | None = None
+    owner: Owner = Owner()
     urgency: float = 1.0
 
 
@@ -59,18 +74,14 @@
     It takes some microseconds, and half a millisecond for a long body, so it is made
     only once something asks for it.
     """
-    headers = _shown_headers(ask) if ask.has_keys else ask.headers
-    return request_key(ask.method, ask.path, headers, ask.body, _workspace_name(ask))
-
-
-def _workspace_name(ask):
-    """Return the name of a request's workspace as bytes, empty if it has none."""
-    return ask.workspace.name.encode() if ask.workspace is not None else b""
+    headers = _shown_headers(ask) if ask.owner.has_keys else ask.headers
+    workspace = (ask.owner.name or "").encode()
+    return request_key(ask.method, ask.path, headers, ask.body, workspace)
 
 
 def _shown_headers(ask):
     """Return the headers that a target is shown as they came, in a list of pairs."""
-    stopped = STOPPED_WITH_KEYS if ask.has_keys else STOPPED
+    stopped = STOPPED_WITH_KEYS if ask.owner.has_keys else STOPPED
     named = named_by_connection(ask.headers)
     return [
         (name, value)
@@ -90,8 +101,8 @@
     """
     lines = [f"{ask.method} {ask.path} HTTP/1.1".encode("latin-1")]
     lines += [name + b": " + value for name, value in _shown_headers(ask)]
-    if ask.workspace is not None:
-        lines.append(f"{wire.WORKSPACE}: ".encode() + _workspace_name(ask))
+    if ask.owner.workspace is not None:
+        lines.append(f"{wire.WORKSPACE}: {ask.owner.name}".encode())
     lines.append(f"{wire.TIME_LEFT}: {max(1, int(time_left * 1000))}".encode())
     lines.append(f"{wire.TARGET_ID}: {target.id}".encode())
     if ask.length is None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -299,7 +299,7 @@
                 "route": ask.route.name,
                 "targets": self._attempt.targets,
                 "seconds": round(now() - ask.started, 4),
-                "workspace": ask.workspace.name if ask.workspace else None,
+                "workspace": ask.owner.name,
             },
         )
         self._metrics.answers.inc({"status": str(result.reply.status)})
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_keys_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_keys_test.py
@@ -118,6 +118,30 @@
         assert "authorization" not in headers
 
 
+@in_loop
+async def test_a_version_that_comes_while_a_body_is_read_passes_no_key_on():
+    """
+    A target is shown the key of a long upload.
+
+    A version without workspaces came into force between its head and its last byte, so
+    the headers went on as they were.
+    """
+    async with Trial(services=("up",)) as trial:
+        await _publish_and_wait(trial, 2)
+
+        async def parts():
+            yield b"x" * 100
+            trial.store.put(OPERATOR, "config", configuration(3))
+            await _in_force(trial, 3)
+            yield b"y" * 100
+
+        status, _, _ = await trial.ask("/up/a", "id-1", "POST", parts(), key="key-1")
+        headers = _seen(trial)["id-1"].headers
+        assert status == 200
+        assert headers["tenant"] == "notary"
+        assert "authorization" not in headers
+
+
 @in_loop
 async def test_without_workspaces_headers_pass_as_they_are():
     async with Trial(services=("look",)) as trial:
