--- a/packages/plumsaddle-core/plumsaddle_core/core/parts.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/parts.py
@@ -27,8 +27,5 @@
     WORK_TIMES = "work-times"
     # Requests under which targets have ended are held back.
     HOLDING_BACK = "holding-back"
-    # A workspace near its limit has a part of its requests let through, and not all
-    # while the fleet's sum leaves room.
-    THINNING = "thinning"
     # What hosts tell each other is bounded by their links.
     ALLOWANCE = "allowance"
--- a/packages/plumsaddle-core/plumsaddle_core/ops/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/quotas.py
@@ -92,15 +92,12 @@
       tolerance: The `Tolerance`.
       centres: How many data centres there are.
       rng: A `random.Random`.
-      has_thinning: Whether a workspace that runs low has a part of its requests let
-        through; without it, all until nothing is left as far as this host knows.
     """
 
-    def __init__(self, tolerance=None, centres=1, rng=random, has_thinning=True):
+    def __init__(self, tolerance=None, centres=1, rng=random):
         self._tolerance = tolerance or Tolerance()
         self._centres = max(1, centres)
         self._rng = rng
-        self._has_thinning = has_thinning
         self._started = None
         self._limits = {}
         self._known = {}
@@ -160,7 +157,8 @@
         known.meter.note_asked(1.0, now)
         part = self._part(tag, known, now)
         demand = self._demand(known, now)
-        is_admitted = self._draw(known.meter, part, demand, now)
+        chance = known.meter.chance(part, demand, now)
+        is_admitted = chance >= 1.0 or self._rng.random() < chance
         self._count(tag, known, 1.0, float(is_admitted), now)
         if is_admitted:
             return ADMITTED
@@ -173,13 +171,6 @@
             self._hearing.count_unheard(),
         )
 
-    def _draw(self, meter, part, demand, now):
-        """Return whether a request is let through."""
-        if not self._has_thinning:
-            return meter.left(now) >= 1.0
-        chance = meter.chance(part, demand, now)
-        return chance >= 1.0 or self._rng.random() < chance
-
     def _demand(self, known, now):
         """
         Return the requests a second that the hosts which are heard are asked.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -87,7 +87,6 @@
                 ),
                 len(settings.centres),
                 rng,
-                has_thinning=Part.THINNING not in settings.off,
             ),
         )
         self._answer_bytes = {}
