--- a/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/belief.py
@@ -19,12 +19,10 @@
 import math
 from typing import NamedTuple
 
-# Shares of failed requests in either state. Sound targets fail one request in eighty
-# and lose a few more to links; failing ones were seen between 0.4 and 0.9.
+# Shares of failed requests in either state; links lose a few of those of sound targets.
 FAILS_SOUND = 0.02
 FAILS_FAILING = 0.7
-# Mean seconds of a sound and of a failing spell, from the seconds for which trouble
-# lasted on recorded days.
+# Mean seconds of a sound and of a failing spell.
 SOUND_FOR = 22.0
 FAILING_FOR = 8.0
 USUAL = FAILING_FOR / (SOUND_FOR + FAILING_FOR)
@@ -34,9 +32,8 @@
 RARE_FAILING = 0.5
 # What one host's silence says of the target to all: a connection that was not opened,
 # or a request that hangs. Dead targets are met by every host that sends to them, and
-# three silences of any hosts weigh as much as a failure that was answered. With the
-# weight of a sure sign (200), targets that a fifth of the hosts could not reach were
-# taken for dead by all.
+# three silences of any hosts weigh as much as a failure that was answered. With more,
+# targets that some of the hosts cannot reach are taken for dead by all.
 SILENCE_MOST = 4.0
 # A connection that is not answered, for the path of the host that opened it.
 UNREACHABLE_RATIO = 100.0
--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -27,9 +27,8 @@
 TRIAL_FROM = 0.2
 TRIAL_BUSY = 0.25
 # What an open connection is worth, in shares of a request's value. A new one costs its
-# target a millisecond and a slot meanwhile. With forty hosts before twenty targets a
-# host meets each target less often than connections live; keeping to the few with open
-# ones saves most handshakes. It must stay below the difference between targets that
+# target a millisecond and a slot meanwhile, and a host meets each of many targets less
+# often than connections live. It must stay below the difference between targets that
 # fail and targets that do not.
 LINK_VALUE = 0.03
 # Cold targets take twice the usual time until they are warm.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -23,10 +23,8 @@
 # One request that fails by itself is no trouble, however few there were.
 UNSERVED_FEWEST = 2
 # The share of the expected sound capacity that is kept in use, beyond the share that an
-# installation asks for: what is sound is only believed. In the model a third of this
-# serves two or three more orders of a thousand and is as good for small services; with
-# 240 targets, of which most had failed lately, 8 of the 25 others got nothing for two
-# seconds.
+# installation asks for: what is sound is only believed, and the more targets have
+# failed lately, the further off that is.
 MARGIN = 0.15
 # Seconds without a request after which a target counts as unused. With the pause until
 # the next request of a data centre this stays below two seconds.
@@ -34,9 +32,8 @@
 # Targets that fail more likely than this are left alone. A lone failure is forgotten
 # that far within three seconds.
 TRIAL_FAILING_MOST = 0.6
-# Trials for one request of a host's. With ten requests or more for a target in two
-# seconds no trial is lost to this bound; with two or three, where each trial is a
-# notable part of all work, it keeps thirty of a thousand requests from being lost.
+# Trials for one request of a host's. Where targets get few requests, each trial is a
+# notable part of all work.
 TRIALS_PER_REQUEST = 1 / 16
 TRIALS_KEPT = 1.0
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
@@ -16,13 +16,10 @@
 TOLD_SHARE = 0.15
 # Datagrams a second that a host may send to tell of work. Each costs processor time at
 # both ends, so a hub of sixty hosts tells them ten times a second and one of twelve
-# fifty times. Until the next telling a data centre of sixty sends fourteen requests,
-# for some three hundred targets. Twice as many made each host's cost a tenth higher.
+# fifty times.
 TOLD_DATAGRAMS = 600.0
 # The same for news that makes a target look worse. Until it is told, the others send
-# work there: with failures told a tenth of a second late, a data centre of sixty lost
-# four to seven orders to each target that began to fail, and 14 instead of 7 of a
-# hundred in all. Some fourteen failures a second are told at once.
+# orders there that are lost.
 URGENT_DATAGRAMS = 2400.0
 # Seconds of the allowance that a quiet host may save up, and that a host with urgent
 # news may overdraw.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/times.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/times.py
@@ -23,7 +23,7 @@
 # The median before any answer was seen, in seconds; an ordinary request's work.
 USUAL_AT_FIRST = 0.3
 # What the share of stuck or refused sends starts from: one in ten, as if ten had been
-# seen. Ordinary routes fall below one in fifty within a minute.
+# seen.
 RARE_AT_FIRST = 1.0
 SEEN_AT_FIRST = 10.0
 
