--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_keys_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_keys_test.py
@@ -6,8 +6,10 @@
 import logging
 
 import pytest
+from returns.result import Failure
 
 from plumsaddle_hosts.edge import feed
+from plumsaddle_hosts.platform.store import StoreError
 
 from .store import Fault
 from .trial import OPERATOR, Trial, configuration, in_loop, until
@@ -250,6 +252,42 @@
             assert status == 401
 
 
+async def _turn_away(*args):
+    return Failure(StoreError.BUSY)
+
+
+@pytest.mark.parametrize("is_store_lost", [True, False])
+@in_loop
+async def test_a_host_that_lost_one_way_to_know_learns_of_keys_by_the_other(
+    is_store_lost,
+):
+    """
+    A leaked key opens files at one host of the fleet for as long as that is cut off.
+
+    The store turns this host away, and it hears of the version from the others; or it
+    hears none of the others, and asks the store itself.
+    """
+    async with Trial(services=("look",), hosts=4) as trial:
+        await _publish_and_wait(trial, 2)
+        await until(lambda: sum(host.store_gate.is_reader for host in trial.hosts) == 2)
+        await asyncio.sleep(feed.WAIT_MOST + feed.REST)
+        number = next(
+            n for n, host in enumerate(trial.hosts) if not host.store_gate.is_reader
+        )
+        host = trial.hosts[number]
+        if is_store_lost:
+            host.store.read = host.store.list_newest = _turn_away
+        else:
+            host.peers.close()
+        _publish(trial, 3, {"notary": ["key-2"]})
+        await asyncio.sleep(host.settings.bounds.apply)
+        answers = [
+            (await trial.ask("/look/a", f"id-{key}", host=number, key=key))[0]
+            for key in ("key-1", "key-2")
+        ]
+        assert answers == [401, 200]
+
+
 @in_loop
 async def test_a_host_that_starts_knows_only_the_keys_in_force():
     async with Trial(services=("look",)) as trial:
