--- a/packages/plumsaddle-core/plumsaddle_core/ops/hearing.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/hearing.py
@@ -22,21 +22,21 @@
 GONE_AFTER = 60.0
 
 
-class Heads(NamedTuple):
+class HostCount(NamedTuple):
     """How many hosts of a data centre are heard there, and how many are missing."""
 
     heard: int
-    unheard: int = 0
+    missing: int = 0
 
 
 class Source:
     """One other host of the data centre, or one other data centre."""
 
-    __slots__ = ("back_at", "heads", "heard_at", "is_silent", "life", "told")
+    __slots__ = ("back_at", "hosts", "heard_at", "is_silent", "life", "told")
 
-    def __init__(self, life, heads, now):
+    def __init__(self, life, hosts, now):
         self.life = life
-        self.heads = heads
+        self.hosts = hosts
         self.heard_at = now
         self.is_silent = False
         # When it was heard again after a silence.
@@ -58,35 +58,35 @@
         self._near = {}
         self._far = {}
         self._silent = {}
-        self._far_unheard = 0
+        self._far_missing = 0
 
     # What is heard.
 
     def hear_host(self, host, life, now):
         """Note that a host of this data centre was heard, and return its `Source`."""
-        return self._hear(self._near, host, life, Heads(1), now)
+        return self._hear(self._near, host, life, HostCount(1), now)
 
-    def hear_centre(self, centre, heads, now):
+    def hear_centre(self, centre, hosts, now):
         """Note what was told for another data centre, and return its `Source`."""
         source = self._far.get(centre)
-        former = source.heads.unheard if source is not None else 0
-        if former != heads.unheard:
-            self._far_unheard += heads.unheard - former
+        former = source.hosts.missing if source is not None else 0
+        if former != hosts.missing:
+            self._far_missing += hosts.missing - former
             self.revision += 1
-        return self._hear(self._far, centre, 0, heads, now)
+        return self._hear(self._far, centre, 0, hosts, now)
 
-    def _hear(self, sources, name, life, heads, now):
+    def _hear(self, sources, name, life, hosts, now):
         source = sources.get(name)
         if source is None or source.life != life:
             # What its former life let through has been counted.
-            source = sources[name] = Source(life, heads, now)
+            source = sources[name] = Source(life, hosts, now)
             self._end_silence(name)
         elif source.is_silent:
             source.is_silent = False
             source.back_at = now
             self._end_silence(name)
         source.heard_at = now
-        source.heads = heads
+        source.hosts = hosts
         self.hear_hub(now)
         return source
 
@@ -125,7 +125,7 @@
                     source.is_silent = True
                     self._silent[name] = source
                     self.revision += 1
-        self._far_unheard = sum(s.heads.unheard for s in self._far.values())
+        self._far_missing = sum(s.hosts.missing for s in self._far.values())
 
     def sources(self):
         """Return all sources that are known."""
@@ -138,24 +138,24 @@
     @property
     def is_whole(self):
         """Whether all hosts that are known are heard."""
-        return not (self.is_alone or self._silent or self._far_unheard)
+        return not (self.is_alone or self._silent or self._far_missing)
 
     @property
-    def far_unheard(self):
+    def far_missing(self):
         """How many hosts are missing in the data centres that are heard."""
-        return self._far_unheard
+        return self._far_missing
 
-    def near_heads(self):
-        """Return the `Heads` of this host's data centre."""
-        unheard = sum(1 for source in self._near.values() if source.is_silent)
-        return Heads(1 + len(self._near) - unheard, unheard)
+    def near_hosts(self):
+        """Return the `HostCount` of this host's data centre."""
+        missing = sum(1 for source in self._near.values() if source.is_silent)
+        return HostCount(1 + len(self._near) - missing, missing)
 
     def count(self):
         """Return how many hosts are known, this one included."""
-        return 1 + sum(sum(source.heads) for source in self.sources())
+        return 1 + sum(sum(source.hosts) for source in self.sources())
 
-    def count_unheard(self):
+    def count_missing(self):
         """Return how many hosts are known and not heard."""
         silent = self.silent()
-        missing = sum(s.heads.unheard for s in self.sources() if s not in silent)
-        return missing + sum(sum(source.heads) for source in silent)
+        elsewhere = sum(s.hosts.missing for s in self.sources() if s not in silent)
+        return elsewhere + sum(sum(source.hosts) for source in silent)
--- a/packages/plumsaddle-core/plumsaddle_core/ops/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/quotas.py
@@ -23,9 +23,9 @@
 from .meter import Meter, Tolerance, capacity_of
 from .sums import FADE, Sums, tag_of_workspace
 
-# The part of each limit that is dealt by heads, so that a host which was asked nothing
+# The part of each limit that is dealt equally, so that a host which was asked nothing
 # before it was cut off may serve a little.
-BY_HEADS = 0.1
+EQUAL_PART = 0.1
 # Looks, one a second, at what was asked that are kept. The oldest is from before any
 # silence that has just been noticed.
 LOOKS_KEPT = 3
@@ -168,7 +168,7 @@
             round(known.meter.left(now), 1),
             round(demand, 1),
             round(part, 3),
-            self._hearing.count_unheard(),
+            self._hearing.count_missing(),
         )
 
     def _demand(self, known, now):
@@ -253,9 +253,9 @@
                 del untold[tag]
         return [(tag, self._known[tag]) for tag in tags]
 
-    def heads(self):
-        """Return the `Heads` of this host's data centre, which others are told."""
-        return self._hearing.near_heads()
+    def hosts(self):
+        """Return the `HostCount` of this host's data centre, which others are told."""
+        return self._hearing.near_hosts()
 
     # What the others tell.
 
@@ -277,21 +277,23 @@
                 known.meter.note_asked(asked, now)
                 self._count_near(row[0], known, asked, admitted, now)
 
-    def take_far(self, centre, heads, rows, now):
+    def take_far(self, centre, hosts, rows, now):
         """
         Take what was told for a data centre; two hosts may speak for it at once.
 
         Args:
           centre: The `DataCentre`.
-          heads: Its `Heads`.
+          hosts: Its `HostCount`.
           rows: The `QuotaRow`s.
           now: The present, in seconds.
         """
-        source = self._hearing.hear_centre(centre, heads, now)
+        source = self._hearing.hear_centre(centre, hosts, now)
         for row in rows:
             known = self._find(row[0], now)
             if known is not None:
-                asked, admitted = source.told.take(row, source.back_at, now, True)
+                asked, admitted = source.told.take(
+                    row, source.back_at, now, is_partial=True
+                )
                 known.meter.note_asked(asked, now)
                 known.far.add(asked, admitted, now)
                 self._note_admitted(row[0], known, admitted, now)
@@ -338,15 +340,15 @@
         if hearing.is_whole:
             return 1.0
         own, everyone = known.looks[0] if known.looks else (0.0, 0.0)
-        heads = hearing.count()
-        by_heads = BY_HEADS * known.meter.rate * FADE / heads
-        whole = max(everyone, own) + by_heads * heads
+        hosts = hearing.count()
+        equal = EQUAL_PART * known.meter.rate * FADE / hosts
+        whole = max(everyone, own) + equal * hosts
         if hearing.is_alone:
-            return (own + by_heads) / whole
+            return (own + equal) / whole
         lost = sum(
-            source.told.asked(tag, source.heard_at) + by_heads * sum(source.heads)
+            source.told.asked(tag, source.heard_at) + equal * sum(source.hosts)
             for source in hearing.silent()
         )
         # Of hosts elsewhere that are missing, only the number is told.
-        lost += whole * hearing.far_unheard / heads
-        return max(own + by_heads, whole - lost) / whole
+        lost += whole * hearing.far_missing / hosts
+        return max(own + equal, whole - lost) / whole
--- a/packages/plumsaddle-core/plumsaddle_core/ops/quotas_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/quotas_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ..core.traffic import Workspace
-from .hearing import GONE_AFTER, Heads
+from .hearing import GONE_AFTER, HostCount
 from .meter import Decayed, Tolerance
 from .quotas import FORGET_AFTER, Quotas
 from .zone import Zone
@@ -143,7 +143,7 @@
         for speaker in (more, less):
             speaker._far_untold = dict.fromkeys(speaker._known, 1)
             rows = speaker.near_rows(START)
-            here.take_far("y", Heads(2), rows, START)
+            here.take_far("y", HostCount(2), rows, START)
     assert _ask(here, 50, START) >= 5
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/others.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/others.py
@@ -80,7 +80,7 @@
             self._life,
             self._load_number,
             self._zone.load(),
-            hosts=tuple(self._zone.quotas.heads()),
+            hosts=tuple(self._zone.quotas.hosts()),
             quotas=[tuple(row) for row in self._zone.quotas.near_rows(at)],
         )
         self._send_to_each(encode(load), at)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/taking.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/taking.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from plumsaddle_core.ops.hearing import Heads
+from plumsaddle_core.ops.hearing import HostCount
 from plumsaddle_core.ops.news import CALM_SIGNS
 from plumsaddle_core.ops.suspects import RunNote
 
@@ -178,7 +178,7 @@
     def _take_asked(self, centre, hosts, rows, at):
         """Take what workspaces asked of another data centre."""
         if centre != self._settings.centre:
-            self._zone.quotas.take_far(centre, Heads(*hosts), rows, at)
+            self._zone.quotas.take_far(centre, HostCount(*hosts), rows, at)
 
     def _take_far_news(self, far, at):
         """Take news of another data centre, and return whether it was any."""
--- a/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
@@ -369,11 +369,11 @@
         if not able or self.at < self._hub_until[centre]:
             return
         hub = self.hosts[able[0]].quotas
-        rows, heads = hub.near_rows(self.at), hub.heads()
+        rows, hosts = hub.near_rows(self.at), hub.hosts()
         self._rows += len(rows)
         for taker in every:
             if self._centre(taker) != centre and not self._is_lost(able[0], taker):
-                args = (taker, centre, heads, rows)
+                args = (taker, centre, hosts, rows)
                 self._push(FAR_DELAY, self._take_far, *args)
 
     def _greet(self, centre):
@@ -387,9 +387,9 @@
             if hub is not None and not self._is_lost(hub, taker):
                 self.hosts[taker].quotas.hear_hub(self.at)
 
-    def _take_far(self, taker, centre, heads, rows):
+    def _take_far(self, taker, centre, hosts, rows):
         if self._is_up[taker]:
-            self.hosts[taker].quotas.take_far(centre, heads, rows, self.at)
+            self.hosts[taker].quotas.take_far(centre, hosts, rows, self.at)
 
     def _lend(self):
         """Lend each host that is heard its part of the limit."""
