--- a/packages/plumsaddle-core/plumsaddle_core/ops/meter.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/meter.py
@@ -128,7 +128,17 @@
         return int(now / self._slot)
 
     def limit(self, rate, capacity):
-        """Set another limit; what was let through under the former one counts."""
+        """
+        Set another limit.
+
+        What was let through under a higher one counts by as much less as the limit is
+        lower. Else it would be more than the new one allows in a window, and everything
+        would be refused until that is over.
+        """
+        if 0 < rate < self.rate:
+            kept = rate / self.rate
+            self._slots = {n: kept * count for n, count in self._slots.items()}
+            self._used = sum(self._slots.values())
         self.rate = rate
         self.capacity = capacity
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/quotas_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/quotas_test.py
@@ -175,6 +175,24 @@
     assert admitted <= 2.0 * 10 + 2.0 + 4
 
 
+def test_a_lower_limit_lets_through_what_it_allows_from_the_first_second():
+    """
+    All requests of a workspace are refused for seconds after its limit was lowered.
+
+    What it had asked under the former limit was more than the new one allows in a
+    window, so nothing was left until that window was over.
+    """
+    (host,) = _hosts(1)
+    for step in range(60):
+        _ask(host, 2, START + 0.1 * step)
+    now = START + 6.0
+    host.configure([ONE._replace(rate=5.0, burst=5.0)], now)
+    first = sum(_ask(host, 2, now + 0.1 * step) for step in range(1, 21))
+    assert first >= 0.7 * 5.0 * 2
+    then = sum(_ask(host, 2, now + 0.1 * step) for step in range(21, 71))
+    assert then <= 5.0 * 5 + 5.0
+
+
 def test_a_workspace_that_is_gone_is_forgotten():
     (host,) = _hosts(1)
     host.ask(ONE, START)
