--- a/packages/plumsaddle-core/plumsaddle_core/ops/urgency.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/urgency.py
@@ -38,12 +38,16 @@
       routes: The `Route` tuples of a configuration.
       workspaces: Its `Workspace` tuples.
     Returns:
-      A dictionary of service to a list of `Rank`.
+      A dictionary of service to a list of `Rank`; empty without workspaces. Routes
+      alone seldom share a service, and to keep places free for the more urgent of two
+      that do costs the other one more than it brings.
     """
+    if not workspaces:
+        return {}
     firsts = {workspace.rank for workspace in workspaces}
     ranks = {}
     for route in routes:
-        own = {Rank(first, route.rank) for first in firsts or {route.rank}}
+        own = {Rank(first, route.rank) for first in firsts}
         if route.is_public:
             own.add(rank_of(route, None))
         for share in route.shares:
