--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
@@ -130,14 +130,23 @@
     found = []
     while len(found) < count:
         port = PORTS.randrange(*PORT_RANGE)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            if port not in GIVEN:
-                GIVEN.add(port)
-                found.append(port)
+        if port not in GIVEN and _is_free(port):
+            GIVEN.add(port)
+            found.append(port)
     return found
 
 
+def _is_free(port):
+    """Return whether nobody takes connections or datagrams at a port."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
 def call(url, value=None, method=None, timeout=5.0):
     """Ask one of the processes for a JSON value."""
     data = None if value is None else json.dumps(value).encode()
