--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -152,14 +152,15 @@
             return refusal
         while True:
             done = await self._wait()
-            if self._end in done:
+            if done == {self._end}:
                 return self._give_up(Cause.LEAVING)
             if not done:
                 if self._time_left() <= 0:
                     return self._give_up(Cause.TIME_OVER)
                 await self._hedge()
                 continue
-            for task in done:
+            # An answer that has just come is delivered, also at the host's end.
+            for task in done - {self._end}:
                 self._sends.discard(task)
                 result = task.result()
                 if result.fate is Fate.WHOLE:
