Log the rate limit that a target's answer names

A target that limits the requests a second from all hosts says so in its answers, and nothing in the logs showed which host was told what and when. The lines "answered" and "send failed" bear the value as it came, cut to 40 bytes, which tells a host that ignores the limit from one that applies it by itself or learns of it late. No decision changes.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -17,6 +17,7 @@
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 from plumsaddle_core.ops.urgency import patience
 
+from ..platform import wire
 from .clock import now
 from .refusals import Cause, Refusal
 from .sender import Sent
@@ -41,6 +42,9 @@
 HEDGE_FAILS_MOST = 0.25
 # Connections that fail to open before a request is given up; nothing was sent.
 UNREACHED_MOST = 3
+_RATE_LIMIT = wire.RATE_LIMIT.lower().encode()
+# Bytes of a named rate limit that a log line shows.
+LIMIT_SHOWN = 40
 
 
 class Result(NamedTuple):
@@ -301,6 +305,7 @@
                 "targets": self._attempt.targets,
                 "seconds": round(now() - ask.started, 4),
                 "workspace": ask.owner.name,
+                "limit": _named_limit(result.reply),
             },
         )
         self._metrics.answers.inc({"status": str(result.reply.status)})
@@ -413,6 +418,7 @@
                 "fate": sent.fate.value,
                 "status": sent.reply.status if sent.reply else None,
                 "seconds": round(seconds, 4),
+                "limit": _named_limit(sent.reply),
                 "key": self._suspicion.key if sent.fate is Fate.BROKEN else None,
                 # These tell a dead connection from a failing target.
                 "connection": sent.connection.kind,
@@ -425,6 +431,14 @@
         return self._sender.has_link(self._ask, life)
 
 
+def _named_limit(reply):
+    """Return the rate limit that a target's answer names as it came, or None."""
+    for name, value in reply.headers if reply is not None else ():
+        if name.lower() == _RATE_LIMIT:
+            return value[:LIMIT_SHOWN].decode("latin-1")
+    return None
+
+
 def _drop(reply):
     """Let go of an answer that came beside the one that was passed on."""
     if reply is not None and reply.rest is not None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -33,6 +33,8 @@
 SIGNATURE = "Response-Signature"
 NOT_RUN = "Not-Executed"
 RETRY_AFTER = "Retry-After"
+# The requests a second that a target takes from all hosts together, in its answers.
+RATE_LIMIT = "Server-Limit"
 # The name of the workspace that a request belongs to, as targets are told it.
 WORKSPACE = "Tenant"
 
