--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -88,6 +88,10 @@
         self._slots = asyncio.Semaphore(SLOTS)
         self.mode = Mode.GOOD
         self.idle_limit = 5
+        # The text of `Server-Limit` in each answer, None for no such header.
+        self.rate_limit = None
+        # When each request arrived, whatever became of it.
+        self.arrivals = []
         self.deadly = {}
         self.on_crash = None
         self.runs = Counter()
@@ -154,6 +158,7 @@
             return True
         body = await _read_body(reader, headers)
         self.seen.append(Seen(request_id, method, path, headers, body))
+        self.arrivals.append(asyncio.get_running_loop().time())
         if headers.get("target-instance", self.id) != self.id:
             writer.write(self._answer(request_id, 421, b"", "Instance-Id: other\r\n"))
             return True
@@ -250,6 +255,8 @@
         if is_framed:
             lines.append(f"Content-Length: {len(body)}")
             lines.append(f"Keep-Alive: timeout={self.idle_limit}")
+        if self.rate_limit is not None:
+            lines.append(f"Server-Limit: {self.rate_limit}")
         return ("\r\n".join(lines) + "\r\n" + more + "\r\n").encode() + body
 
 
