Limit requests to a target across all hosts when it names a rate

Callers saw nothing; a target in need, which names in its answers the requests a second that it takes from all hosts, kept receiving its usual load: 31 in four seconds where 21 are tolerated at 2.7 a second.

The class is a bound over all hosts together that each host must keep on its own knowledge.

A share is paced by a token bucket that starts empty. A request for which all targets are at their limits is refused at once with the time of the next token, spread.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -84,6 +84,11 @@
     return LifeId(f"{target_id}~{born & 0xFFFFFFFF:x}")
 
 
+def id_of_life(life):
+    """Return the id of the target that an incarnation's name belongs to."""
+    return TargetId(life.partition("~")[0])
+
+
 class Share(NamedTuple):
     """A service's part of a route's requests; weights need not add up to anything."""
 
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/__init__.py
@@ -0,0 +1,3 @@
+"""
+How much may be sent: rate limits that hold over all hosts together.
+"""
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/bucket.py
@@ -0,0 +1,51 @@
+"""
+A token bucket whose rate may change.
+"""
+
+
+class TokenBucket:
+    """
+    Tokens that accrue at a rate, up to a capacity.
+
+    It starts empty: a host that takes over a part of a rate limit does not know what
+    the former holder has just sent.
+
+    Args:
+      rate: Tokens a second.
+      capacity: The most tokens that it holds.
+      now: The present, in seconds.
+    """
+
+    __slots__ = ("_at", "_tokens", "capacity", "rate")
+
+    def __init__(self, rate, capacity, now):
+        self.rate = rate
+        self.capacity = capacity
+        self._tokens = 0.0
+        self._at = now
+
+    def tokens(self, now):
+        """Return how many tokens there are."""
+        accrued = self.rate * max(0.0, now - self._at)
+        return min(self.capacity, self._tokens + accrued)
+
+    def set_rate(self, rate, capacity, now):
+        """Change the rate and the capacity; tokens that fit are kept."""
+        self._tokens = min(capacity, self.tokens(now))
+        self._at = now
+        self.rate = rate
+        self.capacity = capacity
+
+    def acquire(self, now):
+        """Take a token; there may be a part of one too few."""
+        self._tokens = self.tokens(now) - 1.0
+        self._at = now
+
+    def release(self, now):
+        """Put back a token that was not used."""
+        self._tokens = min(self.capacity, self.tokens(now) + 1.0)
+        self._at = now
+
+    def wait(self, needed, now):
+        """Return the seconds until there are `needed` tokens."""
+        return max(0.0, needed - self.tokens(now)) / self.rate
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -18,6 +18,8 @@
 import math
 from collections import Counter, deque
 
+from ..limits.roster import Roster
+from ..limits.targets import TargetLimits
 from .belief import (
     FAILED_RATIO,
     PATH_SPELLS,
@@ -86,15 +88,19 @@
       started: When the host started, in seconds.
       has_paths: Whether silences count against this host's own path first.
       quotas: The `Quotas`; such without limits if None.
+      limits: The `TargetLimits`; those of a host that is the only one if None.
     """
 
-    def __init__(self, ratio, window, started, has_paths=True, quotas=None):
+    def __init__(
+        self, ratio, window, started, has_paths=True, quotas=None, limits=None
+    ):
         self.beliefs = {}
         self.paths = {}
         self._has_paths = has_paths
         self.times = RouteTimes()
         self.suspects = Suspects()
         self.quotas = Quotas() if quotas is None else quotas
+        self.limits = limits or TargetLimits(Roster("", started, has_seeds=False))
         self._ratio = ratio
         self._window = window
         self._started = started
@@ -151,6 +157,7 @@
     def note_request(self, service, now):
         """Count a request of this host's for a service."""
         self._count(service, Counts(requests=1), now)
+        self.limits.roster.note_own_demand(service, 1, now)
 
     def note_retry(self, service, now):
         """Count a further send of this host's for a service."""
@@ -230,10 +237,11 @@
             return False
         peer.number = news.number
         peer.heard_at = now
+        self.limits.roster.note_host(news.host, now)
         self._take_in_flight(peer, news.in_flight, now)
         self._most_heard = max(self._most_heard, self.hosts_heard())
         if news.counts:
-            self._take_counts(peer, news.counts, now)
+            self._take_counts(news.host, peer, news.counts, now)
         fresh = peer.inbox.fresh(news.outcomes) if news.outcomes else ()
         for outcome in fresh:
             if outcome.seconds < QUICK:
@@ -279,14 +287,17 @@
             self._belief(evidence.target).weigh(math.sqrt(evidence.ratio), now)
         return bool(fresh or news.used)
 
-    def _take_counts(self, peer, counts, now):
+    def _take_counts(self, host, peer, counts, now):
         """Add what a host has done since its last message; the first one is a base."""
         former, peer.counts = peer.counts, counts
         if former is None:
             return
         for service, now_counts in counts.items():
-            known = former.get(service, Counts())
-            self._add_counts(service, now_counts.minus(known), now)
+            added = now_counts.minus(former.get(service, Counts()))
+            self._add_counts(service, added, now)
+            if added.requests:
+                roster = self.limits.roster
+                roster.note_demand(host, service, added.requests, now)
 
     def _add_counts(self, service, counts, now):
         share = self._share(service)
@@ -390,6 +401,7 @@
         """Forget what is kept of lives of targets that are no longer listed."""
         self.beliefs = {key: b for key, b in self.beliefs.items() if key in known}
         self.paths = {key: b for key, b in self.paths.items() if key in known}
+        self.limits.named.evict(known)
         tags = {tag_of(key) for key in known}
         for tag in self._used_at.keys() - tags:
             del self._used_at[tag]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -13,6 +13,8 @@
 
 from plumsaddle_core.core.parts import Part
 from plumsaddle_core.core.traffic import Fate, TargetState
+from plumsaddle_core.limits.roster import Roster
+from plumsaddle_core.limits.targets import TargetLimits
 from plumsaddle_core.ops.choice import Candidate, Demand, Rule, choose_target
 from plumsaddle_core.ops.floor import Trials
 from plumsaddle_core.ops.meter import Tolerance
@@ -55,6 +57,13 @@
     Fate.BROKEN: Sign.FAILED,
     Fate.UNSIGNED: Sign.FAILED,
 }
+# What becomes of a request that its target has run to an answer.
+RUN_FATES = {Fate.WHOLE, Fate.FAILED, Fate.TIMED_OUT}
+
+
+def has_seeds(settings):
+    """Return whether a host's settings name other hosts."""
+    return bool(set(settings.seeds) - {settings.peers})
 
 
 class Knowledge:
@@ -88,8 +97,11 @@
                 len(settings.centres),
                 rng,
             ),
+            limits=TargetLimits(Roster(settings.id, now(), has_seeds(settings)), rng),
         )
         self._answer_bytes = {}
+        # Incarnations whose rate limit could not be read.
+        self._unreadable_limits = set()
         self._ranked = {}
         self._rates = {}
         self._trials = Trials()
@@ -171,7 +183,9 @@
         self.registry.drop(gone, at)
         for target_id in gone:
             log.info("unlisted", extra={"target": target_id})
-        self.zone.forget_targets(self.registry.lives())
+        lives = self.registry.lives()
+        self.zone.forget_targets(lives)
+        self._unreadable_limits &= lives
 
     def _take_entry(self, record, at):
         """Take one entry, whoever wrote it."""
@@ -228,7 +242,7 @@
 
     # What the relay asks.
 
-    def choose(self, service, demand, excluded, has_link, at):
+    def choose(self, service, demand, excluded, has_link, at, urgent=1.0):
         """
         Choose a target for a send.
 
@@ -241,10 +255,11 @@
           has_link: A function that tells whether there is an open connection to a life
             of a target.
           at: The present, in seconds.
+          urgent: The urgency of the request.
         Returns:
           A `Choice`, or None if there is no target.
         """
-        usable = self.registry.usable(service)
+        usable = self._within_limits(service, urgent, at)
         may_try = not excluded and Part.FLOOR_TRIALS not in self.settings.off
         trial = self._find_trial(service, usable, at) if may_try else None
         if trial is not None:
@@ -261,6 +276,30 @@
         every = [target for target in usable if target.id not in excluded]
         return self._choose_among(every, demand, has_link, at)
 
+    def _within_limits(self, service, urgent, at):
+        """Return the usable targets whose own rate limits leave room for a request."""
+        limits = self.zone.limits
+        usable = self.registry.usable(service)
+        centre, revision = self.settings.centre, self.registry.revision
+        return limits.admits(usable, centre, urgent, revision, at)
+
+    def limits_retry_after(self, service, urgent, at):
+        """
+        Return the seconds after which targets' rate limits may leave room, or None.
+
+        None means that it is not rate limits which leave a request without a target.
+        """
+        limits = self.zone.limits
+        usable = self.registry.usable(service)
+        if not any(limits.named.rate(target.life) is not None for target in usable):
+            return None
+        centre, revision = self.settings.centre, self.registry.revision
+        return limits.retry_after(usable, centre, urgent, revision, at)
+
+    def named_limit(self, target):
+        """Return the rate limit that a target names, or None."""
+        return self.zone.limits.named.rate(target.life)
+
     def _subset(self, service, usable, rate):
         """Return the targets of a service that this host keeps to."""
         if len(usable) <= SMALL:
@@ -268,10 +307,15 @@
         revision, ranked = self._ranked.get(service, (-1, None))
         if revision != self.registry.revision:
             settings = self.settings
-            ranked = rank_targets(usable, settings.id, settings.centre)
+            listed = self.registry.usable(service)
+            ranked = rank_targets(listed, settings.id, settings.centre)
             self._ranked[service] = (self.registry.revision, ranked)
         hosts = self.zone.hosts_heard()
-        return ranked.first(subset_size(len(ranked.near), hosts, rate))
+        subset = ranked.first(subset_size(len(ranked.near), hosts, rate))
+        if not self.zone.limits.named:
+            return subset
+        lives = {target.life for target in usable}
+        return [target for target in subset if target.life in lives]
 
     def _choose_among(self, targets, demand, has_link, at):
         candidates = [self._weigh(target, has_link, at) for target in targets]
@@ -352,6 +396,7 @@
     def start(self, target):
         """Count a send that starts."""
         self.zone.start(target.life, now())
+        self.zone.limits.acquire(target, now())
         self._tell(is_urgent=False)
 
     def end(self, target):
@@ -359,6 +404,54 @@
         self.zone.end(target.life)
         self._tell(is_urgent=False)
 
+    def release(self, target):
+        """Take back a send that did not reach its target."""
+        self.zone.limits.release(target, now())
+
+    def note_named_limit(self, target, headers, fate, sent_at, request_id):
+        """
+        Take the rate limit that an answer names, or that it names none.
+
+        Args:
+          target: The `Target` that the request was sent to.
+          headers: The answer's headers.
+          fate: The `Fate` of the send, or None if it was abandoned.
+          sent_at: When the request was sent, in seconds.
+          request_id: The request's id, as bytes.
+        """
+        if fate is Fate.WRONG_TARGET:
+            return
+        named = wire.decode_rate_limit(headers)
+        if isinstance(named, Failure):
+            self._log_unreadable_limit(target, named.failure(), request_id)
+            return
+        rate = named.unwrap()
+        if rate is None and fate not in RUN_FATES:
+            # What rejects a request need not know of the limit.
+            return
+        limits = self.zone.limits.named
+        former = limits.rate(target.life)
+        if limits.observe(target.life, rate, sent_at, now()):
+            log.info(
+                "rate limit",
+                extra={
+                    "target": target.id,
+                    "rate": rate,
+                    "former": former,
+                    "request": request_id.decode("latin-1"),
+                },
+            )
+            self._tell(is_urgent=True)
+
+    def _log_unreadable_limit(self, target, text, request_id):
+        """Log a rate limit that cannot be read, once for each incarnation."""
+        if target.life in self._unreadable_limits:
+            return
+        self._unreadable_limits.add(target.life)
+        request = request_id.decode("latin-1")
+        extra = {"target": target.id, "text": text, "request": request}
+        log.warning("unreadable rate limit", extra=extra)
+
     def note(self, target, route, fate, seconds):
         """Take the fate of a send, or of one that is unanswered for too long."""
         if fate is Fate.NOT_RUN and not self._has_room(target):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -31,6 +31,8 @@
 QuotaFields = tuple[Count, Count, Count]
 # A request's key, a life of a target, and whether that ended under it.
 RunRow = tuple[str, str, bool]
+# A target's incarnation, a version, and the rate limit that it names, as `LimitRow`.
+LimitFields = tuple[str, Count, Annotated[float, msgspec.Meta(ge=-1.0, le=1e9)]]
 
 
 class Hello(msgspec.Struct, array_like=True, tag="h"):
@@ -71,7 +73,8 @@
     A host's work in flight, by tag of target, and its last outcomes.
 
     `address` is the host's own, since a hub passes its message on. `runs` are what
-    became of targets under requests, as `RunNote`, and `quotas` what workspaces asked.
+    became of targets under requests, as `RunNote`, `quotas` what workspaces asked, and
+    `limits` the rate limits that targets name, as `LimitRow`.
     """
 
     host: str
@@ -84,6 +87,7 @@
     beat: Beat | None = None
     runs: list[RunRow] = []
     quotas: list[QuotaFields] = []
+    limits: list[LimitFields] = []
 
 
 class Asked(msgspec.Struct, array_like=True):
@@ -141,6 +145,7 @@
     used: list[int]
     is_passed_on: bool = False
     runs: list[RunRow] = []
+    limits: list[LimitFields] = []
 
 
 class Load(msgspec.Struct, array_like=True, tag="l"):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/others.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/others.py
@@ -10,6 +10,8 @@
 # The address that spoke for another data centre last is taken for its hub this long
 # (seconds); it speaks ten times a second.
 HUB_KNOWN_FOR = 1.0
+# Rate limits of targets that are told again each second, others each time.
+LIMITS_REPEATED = 20
 
 
 class OtherCentres:
@@ -39,7 +41,8 @@
     def has_urgent_news(self):
         """Whether something was seen here that makes a target or a request worse."""
         has_runs = self._zone.suspects.near_count != self._runs_told
-        return has_runs or self._zone.evidence.has_untold
+        has_limits = self._zone.limits.named.has_far_pending
+        return has_runs or has_limits or self._zone.evidence.has_untold
 
     def note_hub(self, centre, address, at):
         """Note which host has spoken for another data centre."""
@@ -63,11 +66,21 @@
         ]
         if Part.FAR_EVIDENCE in settings.off:
             evidence = []
-        if evidence or used or runs:
+        limits = self._limit_rows(is_periodic=bool(used))
+        if evidence or used or runs or limits:
             far = Far(settings.id, self._life, settings.centre, evidence, used)
             far.runs = runs
+            far.limits = limits
             self._send_to_each(encode(far), at)
 
+    def _limit_rows(self, is_periodic):
+        """Return targets' rate limits to tell: what changed, and at times others."""
+        named = self._zone.limits.named
+        rows = named.far_rows()
+        if is_periodic:
+            rows += named.repeated_rows(LIMITS_REPEATED)
+        return [tuple(row) for row in rows]
+
     def tell_load(self, at):
         """Tell what the hosts of this data centre have in flight."""
         settings = self._settings
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -29,6 +29,7 @@
 from ..utils.addresses import split_address
 from .bundles import Collected
 from .clock import now
+from .knowledge import has_seeds
 from .messages import (
     Beat,
     Bundle,
@@ -221,6 +222,9 @@
             self._send_work(at, self._make_beat(at))
         self._readers.update(self._may_act_alone(at), at)
         if self._picked_itself():
+            if self._collected.clients(at):
+                # Its clients hear it directly.
+                self._zone.limits.roster.note_reached(at)
             if self._may_act_alone(at):
                 self._others.tell_load(at)
         elif not self._collected.clients(at):
@@ -249,8 +253,8 @@
         takes itself for the first: 293 hosts would all read the store and speak to the
         other data centres ten times a second.
         """
-        has_seeds = bool(set(self._settings.seeds) - {self._settings.peers})
-        return not has_seeds or at - self._started >= START_ALONE_FOR
+        is_old = at - self._started >= START_ALONE_FOR
+        return is_old or not has_seeds(self._settings)
 
     def _picked_itself(self):
         """Whether this host is the hub as far as it knows."""
@@ -305,8 +309,17 @@
             beat,
             [tuple(note) for note in self._zone.suspects.own_news(at)],
             [tuple(row) for row in self._zone.quotas.own_rows(at)],
+            [tuple(row) for row in self._limit_rows(beat)],
         )
 
+    def _limit_rows(self, beat):
+        """Return targets' rate limits to tell: what changed, and a hub some of all."""
+        named = self._zone.limits.named
+        rows = named.near_rows()
+        if beat is not None and self._picked_itself():
+            rows += named.repeated_rows()
+        return rows
+
     def _send_bundle(self, at):
         """Tell all hosts what this one was told as a hub."""
         if self._picked_itself() and self._others.has_urgent_news:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -34,6 +34,7 @@
     TIME_OVER = "time-over"
     CALLER_GONE = "caller-gone"
     HELD_BACK = "held-back"
+    TARGETS_LIMITED = "targets-limited"
 
 
 class Refusal(NamedTuple):
@@ -67,6 +68,7 @@
     Cause.TIME_OVER: (503, 504),
     Cause.CALLER_GONE: (503, 502),
     Cause.HELD_BACK: (503, 502),
+    Cause.TARGETS_LIMITED: (503, 502),
 }
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -17,7 +17,6 @@
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 from plumsaddle_core.ops.urgency import patience
 
-from ..platform import wire
 from .clock import now
 from .refusals import Cause, Refusal
 from .sender import Sent
@@ -42,9 +41,6 @@
 HEDGE_FAILS_MOST = 0.25
 # Connections that fail to open before a request is given up; nothing was sent.
 UNREACHED_MOST = 3
-_RATE_LIMIT = wire.RATE_LIMIT.lower().encode()
-# Bytes of a named rate limit that a log line shows.
-LIMIT_SHOWN = 40
 
 
 class Result(NamedTuple):
@@ -305,7 +301,6 @@
                 "targets": self._attempt.targets,
                 "seconds": round(now() - ask.started, 4),
                 "workspace": ask.owner.name,
-                "limit": _named_limit(result.reply),
             },
         )
         self._metrics.answers.inc({"status": str(result.reply.status)})
@@ -331,12 +326,12 @@
         )
         excluded = self._excluded | set(self._attempt.targets)
         choice = self._knowledge.choose(
-            ask.service, demand, excluded, self._has_link, at
+            ask.service, demand, excluded, self._has_link, at, ask.urgency
         )
         if retry_cause == SLOW and not _is_worth_hedging(choice):
             return None
         if choice is None:
-            return self._refuse(Cause.NO_TARGET)
+            return self._refuse_without_target(at)
         if _has_no_room(choice, demand, ask.urgency) and self._attempt.may_promise():
             return self._refuse(Cause.NO_ROOM)
         target = choice.candidate.target
@@ -355,6 +350,7 @@
                 "near": choice.candidate.is_near,
                 "expected": round(choice.expected, 3),
                 "entry_age": round(at - target.read_at, 1),
+                "limit": self._knowledge.named_limit(target),
                 "version": self._knowledge.cfg.version,
             },
         )
@@ -365,6 +361,14 @@
         self._sends.add(task)
         return None
 
+    def _refuse_without_target(self, at):
+        """Return the refusal of a request for which no target may be chosen."""
+        ask = self._ask
+        wait = self._knowledge.limits_retry_after(ask.service, ask.urgency, at)
+        if wait is None:
+            return self._refuse(Cause.NO_TARGET)
+        return self._refuse(Cause.TARGETS_LIMITED, wait, retry_after=round(wait, 3))
+
     async def _send(self, choice):
         """Send to the target of a `Choice` and return the `Result`."""
         target = choice.candidate.target
@@ -383,6 +387,7 @@
             self._knowledge.end(target)
             if fate in NOT_SENT:
                 self._attempt.take_back(target.id)
+                self._knowledge.release(target)
             else:
                 self._attempt.note_fate(fate)
             if fate is Fate.ABANDONED and seconds > _slow_after(HEDGE_FACTOR, choice):
@@ -418,7 +423,6 @@
                 "fate": sent.fate.value,
                 "status": sent.reply.status if sent.reply else None,
                 "seconds": round(seconds, 4),
-                "limit": _named_limit(sent.reply),
                 "key": self._suspicion.key if sent.fate is Fate.BROKEN else None,
                 # These tell a dead connection from a failing target.
                 "connection": sent.connection.kind,
@@ -431,14 +435,6 @@
         return self._sender.has_link(self._ask, life)
 
 
-def _named_limit(reply):
-    """Return the rate limit that a target's answer names as it came, or None."""
-    for name, value in reply.headers if reply is not None else ():
-        if name.lower() == _RATE_LIMIT:
-            return value[:LIMIT_SHOWN].decode("latin-1")
-    return None
-
-
 def _drop(reply):
     """Let go of an answer that came beside the one that was passed on."""
     if reply is not None and reply.rest is not None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -104,7 +104,8 @@
 
     async def _talk(self, ask, target, link, suspicion):
         """Send on a connection, read the answer, and return a fate and a reply."""
-        exchange = link.begin(make_head(ask, target, ask.deadline - now()), ask.id)
+        sent_at = now()
+        exchange = link.begin(make_head(ask, target, ask.deadline - sent_at), ask.id)
         fate = None
         is_done = False
         try:
@@ -123,6 +124,9 @@
             return fate, reply
         finally:
             suspicion.note_send(target, exchange, fate)
+            if exchange.has_head:
+                headers = exchange.headers
+                self._knowledge.note_named_limit(target, headers, fate, sent_at, ask.id)
             if not is_done:
                 self._links.put_back(target.life, link)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/taking.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/taking.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from plumsaddle_core.core.traffic import id_of_life
+from plumsaddle_core.limits.named import LimitRow
 from plumsaddle_core.ops.hearing import HostCount
 from plumsaddle_core.ops.news import CALM_SIGNS
 from plumsaddle_core.ops.suspects import RunNote
@@ -99,11 +101,13 @@
         if isinstance(message, Work):
             self._collected.note_client(address, at)
             runs_known = self._zone.suspects.near_count
+            limits_known = self._zone.limits.named.revision
             if self._take_work(message, at):
                 self._collected.add_work(message.host, data)
                 is_calm = all(row[4] in CALM_SIGNS for row in message.outcomes)
                 has_runs = self._zone.suspects.near_count > runs_known
-                self._ways.send_soon(has_runs or not is_calm)
+                has_limits = self._zone.limits.named.revision != limits_known
+                self._ways.send_soon(has_runs or has_limits or not is_calm)
         elif isinstance(message, Bundle):
             self._take_bundle(message, address, at)
         elif isinstance(message, Packed):
@@ -133,6 +137,7 @@
             return False
         self._neighbours.hear(work.address, at)
         self._take_runs(work.runs, True, at)
+        self._take_limits(work.limits, work.host, True, at)
         self._zone.quotas.take_near(work.host, work.life, work.quotas, at)
         if work.beat is not None:
             self._take_beat(work.beat, work.address, at)
@@ -143,6 +148,7 @@
         sent_at = self._ways.echo_of(work)
         if sent_at is not None:
             self._neighbours.take_echo(sent_at, at)
+            self._zone.limits.roster.note_reached(sent_at)
 
     def _take_beat(self, beat, address, at):
         self._neighbours.describe(address, beat.link, beat.contact)
@@ -183,7 +189,8 @@
     def _take_far_news(self, far, at):
         """Take news of another data centre, and return whether it was any."""
         has_runs = self._take_runs(far.runs, False, at)
-        return self._zone.take_far(far_news_of(far), at) or has_runs
+        has_limits = self._take_limits(far.limits, far.host, False, at)
+        return self._zone.take_far(far_news_of(far), at) or has_runs or has_limits
 
     def _take_runs(self, rows, is_near, at):
         """Take what became of targets under requests; return whether it was news."""
@@ -191,6 +198,20 @@
         news = [suspects.note(RunNote(*row), at, is_near=is_near) for row in rows]
         return any(news)
 
+    def _take_limits(self, rows, host, is_near, at):
+        """Take rate limits that targets named to others; return whether any is new."""
+        limits = self._zone.limits.named
+        has_news = False
+        for row in map(LimitRow._make, rows):
+            former = limits.rate(row.life)
+            if not limits.merge(row, is_near, at):
+                continue
+            has_news = True
+            rate = limits.rate(row.life)
+            extra = {"target": id_of_life(row.life), "rate": rate, "former": former}
+            log.info("rate limit", extra={**extra, "peer": host})
+        return has_news
+
     def _take_far(self, far, address, at):
         """Take news from elsewhere, and pass it on."""
         if not far.is_passed_on:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -5,6 +5,8 @@
 comment where the platform's name for it misleads.
 """
 
+import re
+
 import msgspec
 from returns.result import Failure, Success
 
@@ -49,6 +51,8 @@
 SLOTS_MOST = 100_000
 WARM_UP_MOST_MS = 86_400_000
 BORN_MOST = 2**53
+# Bytes of an unreadable rate limit that a log line shows.
+RATE_LIMIT_SHOWN = 40
 STATES = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 
 
@@ -128,6 +132,32 @@
     return None
 
 
+_RATE_LIMIT_NAME = RATE_LIMIT.lower().encode()
+_decode_rate = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
+
+
+def decode_rate_limit(headers):
+    """
+    Decode the rate limit that an answer names.
+
+    Of several the lowest counts. What is no plain decimal number is not guessed at: a
+    mistake of the target's could shut it out, or lift its limit.
+
+    Args:
+      headers: Pairs of bytes as they came.
+    Returns:
+      A `Success` of requests a second, or of None if the answer names none; a `Failure`
+      of the start of the text if there is only such that cannot be read.
+    """
+    named = [value for name, value in headers if name.lower() == _RATE_LIMIT_NAME]
+    if not named:
+        return Success(None)
+    rates = [float(text) for text in named if _decode_rate(text)]
+    if not rates:
+        return Failure(named[0][:RATE_LIMIT_SHOWN].decode("latin-1"))
+    return Success(min(rates))
+
+
 def decode_configuration(data):
     """
     Decode a version of the operators' configuration.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
@@ -29,6 +29,7 @@
     UNREACHED = "unreached"
     HELD_BACK = "held-back"
     OVER_LIMIT = "over-limit"
+    TARGETS_LIMITED = "targets-limited"
     UNKNOWN_KEY = "unknown-key"
     TOO_SLOW = "too-slow"
     NO_ROOM = "no-room"
@@ -39,6 +40,7 @@
 BY_CAUSE = {
     "held-back": Loss.HELD_BACK,
     "over-limit": Loss.OVER_LIMIT,
+    "targets-limited": Loss.TARGETS_LIMITED,
     "unknown-key": Loss.UNKNOWN_KEY,
 }
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
@@ -4,7 +4,10 @@
 
 import asyncio
 
-from .trial import Trial, in_loop
+import pytest
+
+from .trial import Trial, in_loop, until
+from .worker import Mode
 
 WINDOW = 4.0
 # Seconds after which a named limit must hold.
@@ -53,3 +56,151 @@
         most = most_in_window(limited.arrivals, named_at + KNOWN_AFTER)
         assert most <= tolerated(1.4)
         assert {status for status, _, _ in answers} == {200}
+
+
+@in_loop
+async def test_a_named_rate_limit_holds_over_data_centres():
+    """Guards against data centres that each send as much as a target takes."""
+    centres = ("x", "y", "z")
+    async with Trial(("look",), targets=3, hosts=6, centres=centres) as trial:
+        pressing = asyncio.ensure_future(press(trial, 2.0 + KNOWN_AFTER + WINDOW, 0.02))
+        limited, named_at = await limit_busiest(trial, "2.3")
+        answers = await pressing
+        most = most_in_window(limited.arrivals, named_at + KNOWN_AFTER)
+        assert most <= tolerated(2.3)
+        assert {status for status, _, _ in answers} == {200}
+
+
+async def name_at_all(trial, limit):
+    """Let all targets name a limit, and wait until all hosts know of all."""
+    for worker in trial.workers.values():
+        worker.rate_limit = limit
+    named = [host.knowledge.zone.limits.named for host in trial.hosts]
+    number = 0
+    while any(len(limits) < len(trial.workers) for limits in named):
+        number += 1
+        assert number < 400
+        host = number % len(trial.hosts)
+        await trial.ask("/look/a", f"early-{limit}-{number}", host=host)
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("path", ["/look/a", "/act/a", "/up/a"])
+@in_loop
+async def test_requests_beyond_all_limits_are_rejected_at_once(path):
+    """Guards against callers that wait until their time is over for a place."""
+    service = path.split("/")[1]
+    method = "GET" if service == "look" else "POST"
+    async with Trial((service,), targets=2, hosts=2) as trial:
+        for worker in trial.workers.values():
+            worker.rate_limit = "1"
+        loop = asyncio.get_running_loop()
+        statuses, slowest, pauses = [], 0.0, []
+        for number in range(400):
+            begun = loop.time()
+            host = number % 2
+            status, headers, _ = await trial.ask(path, f"r-{number}", method, host=host)
+            statuses.append(status)
+            if status == 503:
+                slowest = max(slowest, loop.time() - begun)
+                pauses.append(float(headers["Retry-After"]))
+            await asyncio.sleep(0.015)
+        assert {200, 503} == set(statuses)
+        assert slowest < 0.25
+        assert all(0.0 < pause <= 10.0 for pause in pauses)
+        assert len({round(pause, 1) for pause in pauses}) > 5
+        # What was promised not to have run has not.
+        ran = sum(sum(w.runs.values()) for w in trial.workers.values())
+        assert ran == statuses.count(200)
+
+
+@in_loop
+async def test_a_limit_that_ended_no_longer_holds():
+    """Guards against a target that is left alone after it has recovered."""
+    async with Trial(("look",), targets=2, hosts=3) as trial:
+        await name_at_all(trial, "2")
+        await asyncio.sleep(2.0)
+        for worker in trial.workers.values():
+            worker.rate_limit = None
+        await press(trial, 2.0, 0.02)
+        named = [host.knowledge.zone.limits.named for host in trial.hosts]
+        await until(lambda: not any(named), 2.0)
+        answers = await press(trial, 1.0, 0.02)
+        assert {status for status, _, _ in answers} == {200}
+
+
+@in_loop
+async def test_a_late_host_learns_the_limits_before_it_sends():
+    """Guards against a host that has just started and spends a limit once more."""
+    async with Trial(("look",), targets=2, hosts=2) as trial:
+        await name_at_all(trial, "0.5")
+        late = await trial.add_host(2)
+        limits = late.knowledge.zone.limits.named
+        await until(lambda: late.knowledge.is_complete and len(limits) == 2, 4.0)
+        before = sum(len(worker.arrivals) for worker in trial.workers.values())
+        for number in range(40):
+            await trial.ask("/look/a", f"late-{number}", host=2)
+        after = sum(len(worker.arrivals) for worker in trial.workers.values())
+        assert after - before <= 2
+
+
+@pytest.mark.parametrize(
+    "text", ["nan", "inf", "-1", "", "2,3", "1e9", "9" * 400, "0x1", "\u00b2"]
+)
+@in_loop
+async def test_a_limit_that_cannot_be_read_changes_nothing(text, caplog):
+    """Guards against a target shut out, or a host stopped, by a mistake in a header."""
+    caplog.set_level("INFO")
+    async with Trial(("look",), targets=1) as trial:
+        trial.workers["look-0"].rate_limit = text
+        for number in range(10):
+            status, _, _ = await trial.ask("/look/a", f"odd-{number}")
+            assert status == 200
+        lines = [r for r in caplog.records if r.message == "unreadable rate limit"]
+        assert len(lines) == 1
+        assert len(lines[0].text) <= 40
+
+
+@pytest.mark.parametrize("mode", [Mode.SHED, Mode.ERRORS, Mode.CUT])
+@in_loop
+async def test_a_limit_is_read_from_failed_answers_too(mode):
+    """Guards against a limit that goes unread while its target rejects or fails."""
+    async with Trial(("look",), targets=1) as trial:
+        trial.workers["look-0"].rate_limit = "0.5"
+        trial.set_mode("look", mode)
+        await trial.ask("/look/a", "one")
+        limits = trial.hosts[0].knowledge.zone.limits.named
+        assert len(limits) == 1
+
+
+@in_loop
+async def test_a_rejection_without_a_limit_does_not_end_it():
+    """Guards against a limit that comes and goes with each rejected request."""
+    async with Trial(("look",), targets=1) as trial:
+        worker = trial.workers["look-0"]
+        worker.rate_limit = "20"
+        await trial.ask("/look/a", "one")
+        worker.rate_limit = None
+        trial.set_mode("look", Mode.SHED)
+        for number in range(3):
+            await trial.ask("/look/a", f"rejected-{number}")
+            await asyncio.sleep(0.2)
+        limits = trial.hosts[0].knowledge.zone.limits.named
+        assert len(worker.arrivals) >= 2
+        assert len(limits) == 1
+
+
+@in_loop
+async def test_a_refusal_leads_to_the_targets_limits(caplog):
+    """Guards against a refused request of which no log line tells why."""
+    caplog.set_level("INFO")
+    async with Trial(("look",), targets=1) as trial:
+        trial.workers["look-0"].rate_limit = "0.5"
+        await trial.ask("/look/a", "one")
+        status, headers, _ = await trial.ask("/look/a", "two")
+        assert status == 503
+        learned = next(r for r in caplog.records if r.message == "rate limit")
+        assert (learned.target, learned.rate, learned.request) == ("look-0", 0.5, "one")
+        refused = next(r for r in caplog.records if r.message == "refused")
+        assert (refused.request, refused.cause) == ("two", "targets-limited")
+        assert float(headers["Retry-After"]) == pytest.approx(refused.retry_after, 0.01)
