Let a request wait for a target's next token where no other target would do

Ruled out: a larger bucket (burst on each host), more hosts for each target. A request waits only if no target is a good choice at once, for at most half of the time that its objective leaves and a second, the less urgent shorter. While it waits nothing is sent: it is refused truly if its host ends, and a target that leaves or a caller that goes is noticed before the send.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/bucket.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/bucket.py
@@ -37,7 +37,7 @@
         self.capacity = capacity
 
     def acquire(self, now):
-        """Take a token; there may be a part of one too few."""
+        """Take a token, or reserve the next one that accrues."""
         self._tokens = self.tokens(now) - 1.0
         self._at = now
 
@@ -46,6 +46,6 @@
         self._tokens = min(self.capacity, self.tokens(now) + 1.0)
         self._at = now
 
-    def wait(self, needed, now):
-        """Return the seconds until there are `needed` tokens."""
-        return max(0.0, needed - self.tokens(now)) / self.rate
+    def wait(self, now):
+        """Return the seconds until there is a token that is not reserved."""
+        return max(0.0, 1.0 - self.tokens(now)) / self.rate
--- a/packages/plumsaddle-core/plumsaddle_core/limits/shares.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/shares.py
@@ -6,8 +6,8 @@
 the demand. A host may send to the targets beside it, at the rate of the overlap. The
 shares of a target add up to its limit, few hosts have a share in it, and every host has
 one in some target while the rates allow for one request a second and host; below that,
-fewer hosts take part. All hosts compute the same layout from what they know of each
-other, so no counting and no permission passes between them.
+fewer hosts take part, some at least. All hosts compute the same layout from what they
+know of each other, so no counting and no permission passes between them.
 """
 
 import functools
@@ -20,6 +20,9 @@
 # Seconds of the limits that allow for one request of each host that takes part.
 # Each of them may hold a token, so it bounds the burst.
 SPACING = 1.0
+# Hosts that take part however low the limits are: one alone seldom receives as many
+# requests as a limit allows.
+HOSTS_LEAST = 4
 # The part of the demand that counts as spread equally, so that a host whose callers
 # have just come has a share.
 EQUAL_PART = 0.1
@@ -71,7 +74,7 @@
     mean = sum(demand for _, demand in hosts) / len(hosts)
     equal = EQUAL_PART * mean if mean else 1.0
     weights = {host: demand + equal for host, demand in hosts}
-    most = max(1, int(total * SPACING))
+    most = max(HOSTS_LEAST, int(total * SPACING))
     if len(weights) <= most:
         return weights
     picked = sorted(weights, key=lambda host: _score(host, weights[host]))[:most]
--- a/packages/plumsaddle-core/plumsaddle_core/limits/targets.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/targets.py
@@ -4,8 +4,9 @@
 Only hosts of a target's own data centre send to it while it names a limit; others have
 targets of their own, and what hosts know of each other passes between data centres too
 slowly to share a rate of some requests a second. Each host paces its share by a token
-bucket. A target is sent a request now and then even at a limit of zero: nothing else
-would show that the limit has ended.
+bucket, and where no other target would do, a request may wait for its next token. A
+target is sent a request now and then even at a limit of zero: nothing else would show
+that the limit has ended.
 """
 
 import random
@@ -19,10 +20,12 @@
 # Seconds between two looks at the demand that shares follow.
 SHARES_EVERY = 1.0
 # Tokens of a bucket at least, and the seconds of a share that it holds.
-CAPACITY_LEAST = 1.5
+CAPACITY_LEAST = 1.0
 CAPACITY_FOR = 0.5
-# Tokens that the least urgent request of a service leaves to more urgent ones.
-RESERVED = 0.5
+# The most seconds that the most urgent request waits for a token, and the most of the
+# time that its objective leaves beside its work. The least urgent one does not wait.
+WAIT_MOST = 1.0
+WAIT_PART = 0.5
 # The longest time after which a refused caller is told to return, in seconds.
 RETRY_AFTER_MOST = 10.0
 
@@ -54,14 +57,14 @@
         self._rng = rng
         self._services = {}
 
-    def admits(self, targets, centre, urgency, revision, now):
+    def admits(self, targets, centre, longest, revision, now):
         """
-        Return the targets to which a request may be sent now.
+        Return the targets to which a request may be sent in time.
 
         Args:
           targets: The usable `Target`s of one service.
           centre: The host's data centre.
-          urgency: How urgent the request is for its service, from 0.0 to 1.0.
+          longest: The most seconds that the request may wait for a token.
           revision: Grows with each change of what is listed.
           now: The present, in seconds.
         """
@@ -71,16 +74,22 @@
         if not any(named.rate(target.life) is not None for target in targets):
             return targets
         buckets = self._service(targets, centre, revision, now).buckets
-        needed = _needed(urgency)
         return [
             target
             for target in targets
             if named.rate(target.life) is None
-            or (target.life in buckets and buckets[target.life].tokens(now) >= needed)
+            or (target.life in buckets and buckets[target.life].wait(now) <= longest)
         ]
 
+    def wait(self, target, now):
+        """Return the seconds until a request may be sent to an admitted target."""
+        if self.named.rate(target.life) is None:
+            return 0.0
+        bucket = self._bucket(target)
+        return bucket.wait(now) if bucket is not None else 0.0
+
     def acquire(self, target, now):
-        """Count a request that is sent to a target."""
+        """Count a request that is sent to a target, or will be after its wait."""
         bucket = self._bucket(target)
         if bucket is not None:
             bucket.acquire(now)
@@ -91,7 +100,7 @@
         if bucket is not None:
             bucket.release(now)
 
-    def retry_after(self, targets, centre, urgency, revision, now):
+    def retry_after(self, targets, centre, revision, now):
         """
         Return the seconds after which a refused caller may find room.
 
@@ -101,8 +110,7 @@
         Args: as for `admits`.
         """
         service = self._service(targets, centre, revision, now)
-        needed = _needed(urgency)
-        waits = [bucket.wait(needed, now) for bucket in service.buckets.values()]
+        waits = [bucket.wait(now) for bucket in service.buckets.values()]
         rate = max(service.total, RATE_LEAST)
         demands = self.roster.demands(targets[0].service, now)
         excess = sum(host.demand for host in demands) / rate
@@ -142,9 +150,16 @@
         return service
 
 
-def _needed(urgency):
-    """Return how many tokens there must be for a request."""
-    return 1.0 + RESERVED * (1.0 - urgency)
+def longest_wait(demand, urgency):
+    """
+    Return the most seconds that a request may wait for a token.
+
+    Args:
+      demand: The request's `Demand`.
+      urgency: How urgent it is for its service, from 0.0 to 1.0.
+    """
+    spare = max(0.0, demand.objective_left - demand.usual)
+    return urgency * min(WAIT_MOST, WAIT_PART * spare)
 
 
 def _pour(buckets, shares, now):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -58,7 +58,8 @@
     """
     A usable target and what is known of it now.
 
-    `is_counted` tells whether `in_flight` holds the work of its own data centre.
+    `is_counted` tells whether `in_flight` holds the work of its own data centre, and
+    `wait` is how long, in seconds, its own rate limit delays a request.
     """
 
     target: Target
@@ -68,6 +69,7 @@
     is_near: bool
     has_link: bool = False
     is_counted: bool = True
+    wait: float = 0.0
 
 
 class Demand(NamedTuple):
@@ -90,7 +92,7 @@
     The chosen candidate, its value, and the time it is expected to take.
 
     `load` is how many times longer than on an idle, warm target, and `rule` tells what
-    chose it.
+    chose it. `expected` is counted from when the request is sent, after any wait.
     """
 
     candidate: Candidate
@@ -116,7 +118,7 @@
     for candidate in candidates:
         load = load_of(candidate)
         expected = demand.usual * load
-        value = send_value(candidate, demand, expected)
+        value = send_value(candidate, demand, candidate.wait + expected)
         key = (value, rng.random())
         if best is None or key > best_key:
             best, best_key = Choice(candidate, value, expected, load), key
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -61,6 +61,11 @@
 RUN_FATES = {Fate.WHOLE, Fate.FAILED, Fate.TIMED_OUT}
 
 
+def _is_good(choice):
+    """Return whether a choice is as good as one among more targets likely is."""
+    return choice is not None and choice.value >= WIDEN_BELOW
+
+
 def has_seeds(settings):
     """Return whether a host's settings name other hosts."""
     return bool(set(settings.seeds) - {settings.peers})
@@ -242,7 +247,7 @@
 
     # What the relay asks.
 
-    def choose(self, service, demand, excluded, has_link, at, urgent=1.0):
+    def choose(self, service, demand, excluded, has_link, at, longest=0.0):
         """
         Choose a target for a send.
 
@@ -255,11 +260,23 @@
           has_link: A function that tells whether there is an open connection to a life
             of a target.
           at: The present, in seconds.
-          urgent: The urgency of the request.
+          longest: The most seconds that the request may wait for a target whose own
+            rate limit delays it, if there is no other good choice.
         Returns:
           A `Choice`, or None if there is no target.
         """
-        usable = self._within_limits(service, urgent, at)
+        usable = self._within_limits(service, 0.0, at)
+        choice = self._choose_usable(service, usable, demand, excluded, has_link, at)
+        if longest <= 0.0 or not self.zone.limits.named or _is_good(choice):
+            return choice
+        delayed = self._within_limits(service, longest, at)
+        if len(delayed) == len(usable):
+            return choice
+        every = [target for target in delayed if target.id not in excluded]
+        return self._choose_among(every, demand, has_link, at)
+
+    def _choose_usable(self, service, usable, demand, excluded, has_link, at):
+        """Choose among targets to which a request may be sent at once."""
         may_try = not excluded and Part.FLOOR_TRIALS not in self.settings.off
         trial = self._find_trial(service, usable, at) if may_try else None
         if trial is not None:
@@ -270,20 +287,19 @@
         subset = self._subset(service, usable, rate)
         kept_to = [target for target in subset if target.id not in excluded]
         choice = self._choose_among(kept_to, demand, has_link, at)
-        is_good = choice is not None and choice.value >= WIDEN_BELOW
-        if is_good or len(subset) == len(usable):
+        if _is_good(choice) or len(subset) == len(usable):
             return choice
         every = [target for target in usable if target.id not in excluded]
         return self._choose_among(every, demand, has_link, at)
 
-    def _within_limits(self, service, urgent, at):
-        """Return the usable targets whose own rate limits leave room for a request."""
+    def _within_limits(self, service, longest, at):
+        """Return the usable targets whose own rate limits leave room in time."""
         limits = self.zone.limits
         usable = self.registry.usable(service)
         centre, revision = self.settings.centre, self.registry.revision
-        return limits.admits(usable, centre, urgent, revision, at)
+        return limits.admits(usable, centre, longest, revision, at)
 
-    def limits_retry_after(self, service, urgent, at):
+    def limits_retry_after(self, service, at):
         """
         Return the seconds after which targets' rate limits may leave room, or None.
 
@@ -294,7 +310,7 @@
         if not any(limits.named.rate(target.life) is not None for target in usable):
             return None
         centre, revision = self.settings.centre, self.registry.revision
-        return limits.retry_after(usable, centre, urgent, revision, at)
+        return limits.retry_after(usable, centre, revision, at)
 
     def named_limit(self, target):
         """Return the rate limit that a target names, or None."""
@@ -351,6 +367,7 @@
             is_near,
             Part.OPEN_CONNECTIONS not in self.settings.off and has_link(target.life),
             is_near or self.zone.knows_load(target.centre, at),
+            self.zone.limits.wait(target, at),
         )
 
     def demand(self, route, service, started, deadline, kilobytes, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -14,6 +14,7 @@
 
 from plumsaddle_core.core.parts import Part
 from plumsaddle_core.core.traffic import Fate, Reply
+from plumsaddle_core.limits.targets import longest_wait
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 from plumsaddle_core.ops.urgency import patience
 
@@ -325,8 +326,9 @@
             ask.route, ask.service, ask.started, ask.deadline, kilobytes, at
         )
         excluded = self._excluded | set(self._attempt.targets)
+        longest = 0.0 if retry_cause == SLOW else longest_wait(demand, ask.urgency)
         choice = self._knowledge.choose(
-            ask.service, demand, excluded, self._has_link, at, ask.urgency
+            ask.service, demand, excluded, self._has_link, at, longest
         )
         if retry_cause == SLOW and not _is_worth_hedging(choice):
             return None
@@ -351,20 +353,44 @@
                 "expected": round(choice.expected, 3),
                 "entry_age": round(at - target.read_at, 1),
                 "limit": self._knowledge.named_limit(target),
+                "wait": round(choice.candidate.wait, 3),
                 "version": self._knowledge.cfg.version,
             },
         )
         self._knowledge.start(target)
-        self._attempt.note_send(target.id)
-        self._hedge_at = at + _slow_after(HEDGE_FACTOR, choice)
-        task = asyncio.get_running_loop().create_task(self._send(choice))
-        self._sends.add(task)
+        wait = choice.candidate.wait
+        self._hedge_at = at + wait + _slow_after(HEDGE_FACTOR, choice)
+        if wait:
+            sending = self._send_later(choice)
+        else:
+            self._attempt.note_send(target.id)
+            sending = self._send(choice)
+        self._sends.add(asyncio.get_running_loop().create_task(sending))
         return None
 
+    async def _send_later(self, choice):
+        """
+        Send to a target once its rate limit allows it, and return the `Result`.
+
+        Until then nothing is sent, so a request that is given up meanwhile may be told
+        that it has not run.
+        """
+        target = choice.candidate.target
+        is_sent = False
+        try:
+            await asyncio.sleep(choice.candidate.wait)
+            is_sent = True
+        finally:
+            if not is_sent:
+                self._knowledge.end(target)
+                self._knowledge.release(target)
+        self._attempt.note_send(target.id)
+        return await self._send(choice)
+
     def _refuse_without_target(self, at):
         """Return the refusal of a request for which no target may be chosen."""
         ask = self._ask
-        wait = self._knowledge.limits_retry_after(ask.service, ask.urgency, at)
+        wait = self._knowledge.limits_retry_after(ask.service, at)
         if wait is None:
             return self._refuse(Cause.NO_TARGET)
         return self._refuse(Cause.TARGETS_LIMITED, wait, retry_after=round(wait, 3))
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
@@ -204,3 +204,64 @@
         refused = next(r for r in caplog.records if r.message == "refused")
         assert (refused.request, refused.cause) == ("two", "targets-limited")
         assert float(headers["Retry-After"]) == pytest.approx(refused.retry_after, 0.01)
+
+
+@in_loop
+async def test_a_request_waits_for_its_turn_when_no_other_target_would_do():
+    """Guards against requests refused although a target has room in a moment."""
+    async with Trial(("look",), targets=1) as trial:
+        trial.workers["look-0"].rate_limit = "5"
+        await trial.ask("/look/a", "first")
+        pressing = [press(trial, 3.0, 0.25), press(trial, 3.0, 1.0)]
+        answers = [
+            answer for sent in await asyncio.gather(*pressing) for answer in sent
+        ]
+        assert {status for status, _, _ in answers} == {200}
+        arrivals = trial.workers["look-0"].arrivals[1:]
+        assert all(b - a > 0.15 for a, b in zip(arrivals, arrivals[2:], strict=False))
+
+
+async def ask_delayed(trial, method="POST"):
+    """Let a request wait for a token of its only target; return its pending answer."""
+    trial.workers["act-0"].rate_limit = "3"
+    await trial.ask("/act/a", "first", method)
+    answer = asyncio.ensure_future(trial.ask("/act/a", "delayed", method))
+    await asyncio.sleep(0.05)
+    assert not answer.done()
+    return answer
+
+
+@in_loop
+async def test_a_delayed_request_does_not_go_to_a_target_that_leaves():
+    """Guards against work sent to a leaving target that was chosen before."""
+    async with Trial(("act",), targets=1) as trial:
+        answer = await ask_delayed(trial)
+        trial.register(trial.workers["act-0"], "draining")
+        assert (await answer)[0] == 503
+        assert trial.workers["act-0"].runs["delayed"] == 0
+
+
+@in_loop
+async def test_a_delayed_request_is_truly_not_run_when_its_host_ends():
+    """Guards against an order that is promised not to run and is sent afterwards."""
+    async with Trial(("act",), targets=1) as trial:
+        answer = await ask_delayed(trial)
+        host = trial.hosts[0]
+        host._relay.end_all()
+        assert (await answer)[0] == 503
+        await asyncio.sleep(1.2)
+        worker = trial.workers["act-0"]
+        assert worker.runs["delayed"] == 0
+        # Neither its place nor its token is lost.
+        assert not host.knowledge.zone.own_in_flight()
+        assert (await trial.ask("/act/a", "next", "POST"))[0] == 200
+
+
+@in_loop
+async def test_a_delayed_request_is_not_sent_for_a_caller_that_has_gone():
+    """Guards against requests that outlive their callers in a host."""
+    async with Trial(("act",), targets=1) as trial:
+        answer = await ask_delayed(trial)
+        answer.cancel()
+        await asyncio.sleep(1.2)
+        assert trial.workers["act-0"].runs["delayed"] == 0
