Each host repeats some of the named rate limits, not only the hub

A host that starts and is picked as the hub never learned the limits that the others knew: changes are told twice and only the hub told them again. The test with a late host that becomes the hub guards against it.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/named.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/named.py
@@ -12,7 +12,6 @@
 """
 
 import math
-from collections import deque
 from typing import NamedTuple
 
 from ..core.ids import LifeId
@@ -62,7 +61,6 @@
         self._limited = {}
         self._near_pending = {}
         self._far_pending = {}
-        self._rotation = deque()
 
     def __len__(self):
         return len(self._limited)
@@ -130,7 +128,6 @@
         entry = self._entries.get(row.life)
         if entry is None:
             entry = self._entries[row.life] = _Entry()
-            self._rotation.append(row.life)
         if entry.rate == NO_LIMIT:
             entry.since = now
         entry.version, entry.rate, entry.known_at = row.version, row.rate, now
@@ -154,14 +151,19 @@
         """Return the `LimitRow`s for a message to other data centres."""
         return self._take(self._far_pending)
 
-    def repeated_rows(self, most=ROWS_MOST):
+    def repeated_rows(self, most, rng):
         """
-        Return some of all entries, others each time.
+        Return some of all entries, drawn anew each time.
 
         Hosts that have just started, or have missed a message, learn from these.
+
+        Args:
+          most: How many at most.
+          rng: A `random.Random`.
         """
-        lives = [self._rotation[i] for i in range(min(most, len(self._rotation)))]
-        self._rotation.rotate(-most)
+        lives = list(self._entries)
+        if len(lives) > most:
+            lives = rng.sample(lives, most)
         return [self._row(life) for life in lives]
 
     def _take(self, pending):
@@ -185,7 +187,6 @@
             del self._entries[life]
             for kept in (self._limited, self._near_pending, self._far_pending):
                 kept.pop(life, None)
-        self._rotation = deque(life for life in self._rotation if life not in gone)
         self.revision += 1
 
 
--- a/packages/plumsaddle-core/plumsaddle_core/limits/named_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/named_test.py
@@ -2,6 +2,8 @@
 The limits that targets name, replicated among hosts.
 """
 
+import random
+
 from hypothesis import given, strategies as st
 
 from .named import NO_LIMIT, ROWS_MOST, LimitRow, NamedLimits
@@ -57,7 +59,7 @@
     assert one.near_rows()
     assert one.near_rows()
     assert not one.near_rows()
-    for row in hub.repeated_rows():
+    for row in hub.repeated_rows(ROWS_MOST, random):
         assert not one.merge(row, True, 3.0)
     _exchange([one, hub], 3.0)
     assert hub.rate("t") is None
@@ -71,16 +73,17 @@
     limits.evict({"t~2"})
     assert not limits
     assert not limits.near_rows()
-    assert not limits.repeated_rows()
+    assert not limits.repeated_rows(ROWS_MOST, random)
 
 
-def test_changes_go_out_twice_and_repeats_go_round():
+def test_changes_go_out_twice_and_all_are_repeated():
     limits = NamedLimits()
     for number in range(ROWS_MOST + 5):
         limits.observe(f"t-{number}", 1.0, sent_at=0.0, now=1.0)
     told = [row.life for _ in range(4) for row in limits.near_rows()]
     assert sorted(told) == sorted([f"t-{n}" for n in range(ROWS_MOST + 5)] * 2)
-    repeated = limits.repeated_rows() + limits.repeated_rows()
+    rng = random.Random(1)
+    repeated = [row for _ in range(9) for row in limits.repeated_rows(ROWS_MOST, rng)]
     assert len({row.life for row in repeated}) == ROWS_MOST + 5
 
 
@@ -118,7 +121,7 @@
     # Each tells all of its entries in the end, as hubs do.
     for _ in range(2):
         for teller in hosts:
-            for row in teller.repeated_rows():
+            for row in teller.repeated_rows(ROWS_MOST, rng):
                 for host in hosts:
                     host.merge(row, True, 100.0)
     assert len({host.rate("t") for host in hosts}) == 1
--- a/packages/plumsaddle-core/plumsaddle_core/ops/neighbours.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/neighbours.py
@@ -164,7 +164,7 @@
             if self._known[address].avoided_until <= now
         }
         links[self._address] = self._link
-        best = min(links, key=lambda a: (-links[a], _place("hub", a)))
+        best = min(links, key=lambda a: (-links[a], hub_order(a)))
         picked = None if best == self._address else best
         if picked == self._hub:
             return False
@@ -226,6 +226,11 @@
         ]
 
 
+def hub_order(address):
+    """Return what orders hosts with equal links; the lowest is the hub."""
+    return _place("hub", address)
+
+
 @functools.lru_cache(maxsize=4096)
 def _place(part, address):
     """Return a host's place in the order for a part, the same at all hosts."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from plumsaddle_core.core.parts import Part
+from plumsaddle_core.limits.named import ROWS_MOST
 from plumsaddle_core.ops.neighbours import Neighbours
 from plumsaddle_core.ops.pacing import Allowances
 
@@ -67,6 +68,9 @@
 # A host that has others to ask does no part for its data centre before this age, in
 # seconds.
 START_ALONE_FOR = 1.5
+# Rate limits of targets that a heartbeat of a host that is no hub tells again. The hub
+# may have just started and know none.
+LIMITS_REPEATED = 2
 # Messages to the hub that are remembered until it passes them on; a host sends some ten
 # a second.
 ECHOES_AWAITED = 64
@@ -313,11 +317,12 @@
         )
 
     def _limit_rows(self, beat):
-        """Return targets' rate limits to tell: what changed, and a hub some of all."""
+        """Return targets' rate limits to tell: what changed, and at times others."""
         named = self._zone.limits.named
         rows = named.near_rows()
-        if beat is not None and self._picked_itself():
-            rows += named.repeated_rows()
+        if beat is not None:
+            most = ROWS_MOST if self._picked_itself() else LIMITS_REPEATED
+            rows += named.repeated_rows(most, self._rng)
         return rows
 
     def _send_bundle(self, at):
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from .trial import Trial, in_loop, until
+from plumsaddle_core.ops.neighbours import hub_order
+
+from .trial import Trial, free_port, in_loop, until
 from .worker import Mode
 
 WINDOW = 4.0
@@ -144,6 +146,25 @@
         assert after - before <= 2
 
 
+@in_loop
+async def test_a_late_host_that_becomes_the_hub_learns_the_limits():
+    """Guards against limits that are told again by the hub alone, to all but itself."""
+    async with Trial(("look",), targets=2, hosts=2) as trial:
+        await name_at_all(trial, "0.5")
+        former = [host.settings.peers for host in trial.hosts]
+        port = next(
+            port
+            for port in iter(free_port, None)
+            if hub_order(f"127.0.0.1:{port}") < min(map(hub_order, former))
+        )
+        late = await trial.add_host(2, peers_port=port)
+        limits = late.knowledge.zone.limits.named
+        await until(lambda: late.knowledge.is_complete and len(limits) == 2, 4.0)
+        neighbours = [host.peers._neighbours for host in trial.hosts]
+        hubs = {None, late.settings.peers}
+        await until(lambda: {known.hub for known in neighbours} == hubs)
+
+
 @pytest.mark.parametrize(
     "text", ["nan", "inf", "-1", "", "2,3", "1e9", "9" * 400, "0x1", "\u00b2"]
 )
--- a/packages/plumsaddle-standins/plumsaddle_standins/limit_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/limit_model.py
@@ -267,8 +267,7 @@
         rows = []
         if self.way == "shared":
             rows = host.limits.named.near_rows()
-            if host.number == 0:
-                rows += host.limits.named.repeated_rows()
+            rows += host.limits.named.repeated_rows(1, self.rng)
         counts, host.untold = getattr(host, "untold", 0), 0
         sent, host.unsummed = getattr(host, "unsummed", {}), {}
         at = self.at
