--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
@@ -16,6 +16,10 @@
         self.beliefs = []
         self.failures = Counter()
         self.listings = set()
+        # The rate limits that it named, None for one that ended, and on whose word.
+        self.limits = set()
+        self.limit_hosts = set()
+        self.waits = []
 
 
 def tell_standing(events, target):
@@ -28,7 +32,9 @@
     Returns:
       Texts, with times in seconds from the target's first line: how many sends began
       and from how many hosts, the least and greatest probability of failing that they
-      were given, and the failures by kind. The list is empty if no line names it.
+      were given, the rate limits that hosts learned it names, how many hosts did, the
+      longest wait for a token, and the failures by kind. The list is empty if no line
+      names it.
     """
     own = [event for event in events if event.fields.get("target") == target]
     seconds = defaultdict(_Second)
@@ -86,10 +92,14 @@
     if event.message == "sent":
         second.hosts.add(event.host)
         second.beliefs.append(fields["fails"])
+        second.waits.append(fields.get("wait", 0.0))
     elif event.message == "send failed":
         second.failures[fields["fate"]] += 1
     elif event.message == "stuck":
         second.failures["stuck"] += 1
+    elif event.message == "rate limit":
+        second.limits.add(fields["rate"])
+        second.limit_hosts.add(event.host)
     elif event.message in LISTINGS:
         second.listings.add(fields.get("state", event.message))
 
@@ -102,5 +112,10 @@
         least, most = min(second.beliefs), max(second.beliefs)
         parts.append(f"sends={len(second.beliefs)} hosts={len(second.hosts)}")
         parts.append(f"fails={least:.2f}..{most:.2f}")
+    if any(second.waits):
+        parts.append(f"wait={max(second.waits):.2f}")
+    if second.limits:
+        limits = sorted("none" if x is None else f"{x:g}" for x in second.limits)
+        parts.append(f"limit={','.join(limits)} learned-by={len(second.limit_hosts)}")
     parts += [f"{kind}={count}" for kind, count in sorted(second.failures.items())]
     return " ".join(parts)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
@@ -38,6 +38,23 @@
     assert tell_standing(EVENTS, "none") == []
 
 
+def test_a_targets_rate_limit_is_told_by_second():
+    """Guards against a limited target that operators cannot tell from an idle one."""
+    events = read_events(
+        [
+            _line(100.0, "rate limit", target="t1", rate=2.3, former=None, request="a"),
+            _line(100.1, "rate limit", "h2", target="t1", rate=2.3, peer="h1"),
+            _line(101.0, "sent", target="t1", fails=0.1, limit=2.3, wait=0.25),
+            _line(104.0, "rate limit", target="t1", rate=None, former=2.3),
+        ]
+    )
+    assert tell_standing(events, "t1") == [
+        "+0 s limit=2.3 learned-by=2",
+        "+1 s sends=1 hosts=1 fails=0.10..0.10 wait=0.25",
+        "+4 s limit=none learned-by=1",
+    ]
+
+
 def test_a_day_is_counted_by_second():
     day = sum_up_day(EVENTS)
     assert day.answers == {"200": [0, 1, 0, 0, 0]}
