Keep the rate limit of a target whose entry lapses for a minute

While the platform's store is away entries lapse of targets that are alive. Hosts dropped their limits with the entries, and each would have sent to them freely once they were listed again, until the next answer.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/named.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/named.py
@@ -22,6 +22,8 @@
 SENDS_PER_CHANGE = 2
 # Entries of one message at most; the others follow with the next one.
 ROWS_MOST = 40
+# Seconds after which the entry of an incarnation that is no longer listed is dropped.
+UNLISTED_FOR = 60.0
 
 
 class LimitRow(NamedTuple):
@@ -61,6 +63,8 @@
         self._limited = {}
         self._near_pending = {}
         self._far_pending = {}
+        # Since when incarnations with an entry have not been listed.
+        self._unlisted = {}
 
     def __len__(self):
         return len(self._limited)
@@ -178,16 +182,23 @@
         entry = self._entries[life]
         return LimitRow(life, entry.version, entry.rate)
 
-    def evict(self, listed):
-        """Drop the entries of incarnations that are no longer listed."""
-        gone = self._entries.keys() - listed
-        if not gone:
-            return
+    def evict(self, listed, now):
+        """
+        Drop the entries of incarnations that have not been listed for a while.
+
+        While the platform's store is away entries lapse of targets that are alive, and
+        these still have their limits when they are listed again.
+        """
+        unlisted = self._entries.keys() - listed
+        since = {life: self._unlisted.get(life, now) for life in unlisted}
+        gone = [life for life, at in since.items() if now - at >= UNLISTED_FOR]
         for life in gone:
+            del since[life]
             del self._entries[life]
             for kept in (self._limited, self._near_pending, self._far_pending):
                 kept.pop(life, None)
-        self.revision += 1
+            self.revision += 1
+        self._unlisted = since
 
 
 def _is_stricter(rate, other):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -397,11 +397,11 @@
         """Return the probability that a target is in its failing state."""
         return self.beliefs.get(target_id, _UNKNOWN).failing(now)
 
-    def forget_targets(self, known):
+    def forget_targets(self, known, now):
         """Forget what is kept of lives of targets that are no longer listed."""
         self.beliefs = {key: b for key, b in self.beliefs.items() if key in known}
         self.paths = {key: b for key, b in self.paths.items() if key in known}
-        self.limits.named.evict(known)
+        self.limits.named.evict(known, now)
         tags = {tag_of(key) for key in known}
         for tag in self._used_at.keys() - tags:
             del self._used_at[tag]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -189,7 +189,7 @@
         for target_id in gone:
             log.info("unlisted", extra={"target": target_id})
         lives = self.registry.lives()
-        self.zone.forget_targets(lives)
+        self.zone.forget_targets(lives, at)
         self._unreadable_limits &= lives
 
     def _take_entry(self, record, at):
