Do not blame a target that rejects requests beyond its own rate limit

A rejection with free slots counts against a target, since one that rejects although it has room draws the work of all. A target with a rate limit rejects for another reason: five rejections raised the probability that it fails from 0.12 to 0.64, and hosts would have left it out. The test failed before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -473,6 +473,9 @@
         """Take the fate of a send, or of one that is unanswered for too long."""
         if fate is Fate.NOT_RUN and not self._has_room(target):
             return
+        if fate is Fate.NOT_RUN and self.named_limit(target) is not None:
+            # It rejects what is beyond its limit, and is no worse for that.
+            return
         self._note(target, route, SIGNS.get(fate), seconds)
 
     def _has_room(self, target):
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
@@ -211,6 +211,25 @@
         assert len(limits) == 1
 
 
+@in_loop
+async def test_a_target_that_rejects_beyond_its_limit_is_not_blamed():
+    """Guards against limited targets that are taken for failing ones."""
+    async with Trial(("look",), targets=1) as trial:
+        worker = trial.workers["look-0"]
+        worker.rate_limit = "20"
+        await trial.ask("/look/a", "one")
+        trial.set_mode("look", Mode.SHED)
+        zone = trial.hosts[0].knowledge.zone
+        (life,) = trial.hosts[0].knowledge.registry.lives()
+        before = zone.fails(life, asyncio.get_running_loop().time())
+        for number in range(5):
+            await trial.ask("/look/a", f"rejected-{number}")
+            await asyncio.sleep(0.1)
+        assert len(worker.arrivals) >= 4
+        after = zone.fails(life, asyncio.get_running_loop().time())
+        assert after == pytest.approx(before, abs=0.05)
+
+
 @in_loop
 async def test_a_refusal_leads_to_the_targets_limits(caplog):
     """Guards against a refused request of which no log line tells why."""
