Part the rate limits of targets from the host's knowledge

HostSettings tells whether other hosts are named. One behaviour changes: a request that keeps the floor goes out as chosen, and is not weighed again against targets for which it would have to wait.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -196,6 +196,11 @@
     link: float | None = None
     off: frozenset[Part] = frozenset()
 
+    @property
+    def has_seeds(self):
+        """Whether other hosts are named, so that this one need not be the only one."""
+        return bool(set(self.seeds) - {self.peers})
+
 
 class Fate(enum.Enum):
     """What became of one send, as far as this host can know."""
--- a/packages/plumsaddle-core/plumsaddle_core/limits/targets.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/targets.py
@@ -117,11 +117,6 @@
         wait = min(waits, default=1.0 / rate) + excess * self._rng.random()
         return min(RETRY_AFTER_MOST, wait)
 
-    def share(self, target):
-        """Return the requests a second that this host may send to a target."""
-        bucket = self._bucket(target)
-        return bucket.rate if bucket is not None else 0.0
-
     def _bucket(self, target):
         service = self._services.get(target.service)
         return service.buckets.get(target.life) if service is not None else None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -40,6 +40,7 @@
 
 from ..platform import wire
 from .clock import now
+from .limits import RateLimits
 
 log = logging.getLogger("knowledge")
 # The size of an answer before one was seen, in bytes, and the part by which each one
@@ -57,8 +58,6 @@
     Fate.BROKEN: Sign.FAILED,
     Fate.UNSIGNED: Sign.FAILED,
 }
-# What becomes of a request that its target has run to an answer.
-RUN_FATES = {Fate.WHOLE, Fate.FAILED, Fate.TIMED_OUT}
 
 
 def _is_good(choice):
@@ -66,9 +65,10 @@
     return choice is not None and choice.value >= WIDEN_BELOW
 
 
-def has_seeds(settings):
-    """Return whether a host's settings name other hosts."""
-    return bool(set(settings.seeds) - {settings.peers})
+def _is_final(choice):
+    """Return whether no target for which a request has to wait need be weighed."""
+    is_trial = choice is not None and choice.rule is Rule.FLOOR_TRIAL
+    return is_trial or _is_good(choice)
 
 
 class Knowledge:
@@ -102,11 +102,10 @@
                 len(settings.centres),
                 rng,
             ),
-            limits=TargetLimits(Roster(settings.id, now(), has_seeds(settings)), rng),
+            limits=TargetLimits(Roster(settings.id, now(), settings.has_seeds), rng),
         )
         self._answer_bytes = {}
-        # Incarnations whose rate limit could not be read.
-        self._unreadable_limits = set()
+        self.limits = RateLimits(settings, self.zone.limits, self.registry, self._tell)
         self._ranked = {}
         self._rates = {}
         self._trials = Trials()
@@ -190,7 +189,7 @@
             log.info("unlisted", extra={"target": target_id})
         lives = self.registry.lives()
         self.zone.forget_targets(lives, at)
-        self._unreadable_limits &= lives
+        self.limits.evict(lives)
 
     def _take_entry(self, record, at):
         """Take one entry, whoever wrote it."""
@@ -265,11 +264,11 @@
         Returns:
           A `Choice`, or None if there is no target.
         """
-        usable = self._within_limits(service, 0.0, at)
+        usable = self.limits.within(service, 0.0, at)
         choice = self._choose_usable(service, usable, demand, excluded, has_link, at)
-        if longest <= 0.0 or not self.zone.limits.named or _is_good(choice):
+        if longest <= 0.0 or not self.limits.are_any or _is_final(choice):
             return choice
-        delayed = self._within_limits(service, longest, at)
+        delayed = self.limits.within(service, longest, at)
         if len(delayed) == len(usable):
             return choice
         every = [target for target in delayed if target.id not in excluded]
@@ -292,30 +291,6 @@
         every = [target for target in usable if target.id not in excluded]
         return self._choose_among(every, demand, has_link, at)
 
-    def _within_limits(self, service, longest, at):
-        """Return the usable targets whose own rate limits leave room in time."""
-        limits = self.zone.limits
-        usable = self.registry.usable(service)
-        centre, revision = self.settings.centre, self.registry.revision
-        return limits.admits(usable, centre, longest, revision, at)
-
-    def limits_retry_after(self, service, at):
-        """
-        Return the seconds after which targets' rate limits may leave room, or None.
-
-        None means that it is not rate limits which leave a request without a target.
-        """
-        limits = self.zone.limits
-        usable = self.registry.usable(service)
-        if not any(limits.named.rate(target.life) is not None for target in usable):
-            return None
-        centre, revision = self.settings.centre, self.registry.revision
-        return limits.retry_after(usable, centre, revision, at)
-
-    def named_limit(self, target):
-        """Return the rate limit that a target names, or None."""
-        return self.zone.limits.named.rate(target.life)
-
     def _subset(self, service, usable, rate):
         """Return the targets of a service that this host keeps to."""
         if len(usable) <= SMALL:
@@ -328,7 +303,7 @@
             self._ranked[service] = (self.registry.revision, ranked)
         hosts = self.zone.hosts_heard()
         subset = ranked.first(subset_size(len(ranked.near), hosts, rate))
-        if not self.zone.limits.named:
+        if not self.limits.are_any:
             return subset
         lives = {target.life for target in usable}
         return [target for target in subset if target.life in lives]
@@ -367,7 +342,7 @@
             is_near,
             Part.OPEN_CONNECTIONS not in self.settings.off and has_link(target.life),
             is_near or self.zone.knows_load(target.centre, at),
-            self.zone.limits.wait(target, at),
+            self.limits.wait(target, at),
         )
 
     def demand(self, route, service, started, deadline, kilobytes, at):
@@ -413,7 +388,7 @@
     def start(self, target):
         """Count a send that starts."""
         self.zone.start(target.life, now())
-        self.zone.limits.acquire(target, now())
+        self.limits.acquire(target, now())
         self._tell(is_urgent=False)
 
     def end(self, target):
@@ -421,59 +396,11 @@
         self.zone.end(target.life)
         self._tell(is_urgent=False)
 
-    def release(self, target):
-        """Take back a send that did not reach its target."""
-        self.zone.limits.release(target, now())
-
-    def note_named_limit(self, target, headers, fate, sent_at, request_id):
-        """
-        Take the rate limit that an answer names, or that it names none.
-
-        Args:
-          target: The `Target` that the request was sent to.
-          headers: The answer's headers.
-          fate: The `Fate` of the send, or None if it was abandoned.
-          sent_at: When the request was sent, in seconds.
-          request_id: The request's id, as bytes.
-        """
-        if fate is Fate.WRONG_TARGET:
-            return
-        named = wire.decode_rate_limit(headers)
-        if isinstance(named, Failure):
-            self._log_unreadable_limit(target, named.failure(), request_id)
-            return
-        rate = named.unwrap()
-        if rate is None and fate not in RUN_FATES:
-            # What rejects a request need not know of the limit.
-            return
-        limits = self.zone.limits.named
-        former = limits.rate(target.life)
-        if limits.observe(target.life, rate, sent_at, now()):
-            log.info(
-                "rate limit",
-                extra={
-                    "target": target.id,
-                    "rate": rate,
-                    "former": former,
-                    "request": request_id.decode("latin-1"),
-                },
-            )
-            self._tell(is_urgent=True)
-
-    def _log_unreadable_limit(self, target, text, request_id):
-        """Log a rate limit that cannot be read, once for each incarnation."""
-        if target.life in self._unreadable_limits:
-            return
-        self._unreadable_limits.add(target.life)
-        request = request_id.decode("latin-1")
-        extra = {"target": target.id, "text": text, "request": request}
-        log.warning("unreadable rate limit", extra=extra)
-
     def note(self, target, route, fate, seconds):
         """Take the fate of a send, or of one that is unanswered for too long."""
         if fate is Fate.NOT_RUN and not self._has_room(target):
             return
-        if fate is Fate.NOT_RUN and self.named_limit(target) is not None:
+        if fate is Fate.NOT_RUN and self.limits.rate(target) is not None:
             # It rejects what is beyond its limit, and is no worse for that.
             return
         self._note(target, route, SIGNS.get(fate), seconds)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -30,7 +30,6 @@
 from ..utils.addresses import split_address
 from .bundles import Collected
 from .clock import now
-from .knowledge import has_seeds
 from .messages import (
     Beat,
     Bundle,
@@ -258,7 +257,7 @@
         other data centres ten times a second.
         """
         is_old = at - self._started >= START_ALONE_FOR
-        return is_old or not has_seeds(self._settings)
+        return is_old or not self._settings.has_seeds
 
     def _picked_itself(self):
         """Whether this host is the hub as far as it knows."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -352,7 +352,7 @@
                 "near": choice.candidate.is_near,
                 "expected": round(choice.expected, 3),
                 "entry_age": round(at - target.read_at, 1),
-                "limit": self._knowledge.named_limit(target),
+                "limit": self._knowledge.limits.rate(target),
                 "wait": round(choice.candidate.wait, 3),
                 "version": self._knowledge.cfg.version,
             },
@@ -383,14 +383,14 @@
         finally:
             if not is_sent:
                 self._knowledge.end(target)
-                self._knowledge.release(target)
+                self._knowledge.limits.release(target)
         self._attempt.note_send(target.id)
         return await self._send(choice)
 
     def _refuse_without_target(self, at):
         """Return the refusal of a request for which no target may be chosen."""
         ask = self._ask
-        wait = self._knowledge.limits_retry_after(ask.service, at)
+        wait = self._knowledge.limits.retry_after(ask.service, at)
         if wait is None:
             return self._refuse(Cause.NO_TARGET)
         return self._refuse(Cause.TARGETS_LIMITED, wait, retry_after=round(wait, 3))
@@ -413,7 +413,7 @@
             self._knowledge.end(target)
             if fate in NOT_SENT:
                 self._attempt.take_back(target.id)
-                self._knowledge.release(target)
+                self._knowledge.limits.release(target)
             else:
                 self._attempt.note_fate(fate)
             if fate is Fate.ABANDONED and seconds > _slow_after(HEDGE_FACTOR, choice):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -125,8 +125,9 @@
         finally:
             suspicion.note_send(target, exchange, fate)
             if exchange.has_head:
-                headers = exchange.headers
-                self._knowledge.note_named_limit(target, headers, fate, sent_at, ask.id)
+                self._knowledge.limits.note_answer(
+                    target, exchange.headers, fate, sent_at, ask.id
+                )
             if not is_done:
                 self._links.put_back(target.life, link)
 
