Move rate limits of workspaces beside those of targets, in the field's terms

core/limits holds what decides how much may be sent: quotas, meter, sums, liveness (hearing before) from ops/, and the limits of targets. acquire, release, merge_local, merge_remote, note_hub and QuotaDecision replace ask, give_back, take_near, take_far, hear_hub and Ruling; log fields are unchanged. No behaviour changes; tests have the same assertions.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -1,25 +1,26 @@
 """
-The limits of workspaces, kept by all hosts together.
-
-Each host counts by workspace what it was asked and what it let through, and tells the
-others in sums that fade (`sums`). Hosts of a data centre hear of each request; another
-data centre is told sums over all hosts of one, and only those of workspaces that come
-near their limit. Nothing is kept of workspaces that ask nothing.
-
-A host that falls silent may be dead, or cut off and at work (`hearing`). So its part of
-each limit is left to it: the part of what it was asked before, and a little for being
-there. It reckons in the same way, from what it heard last, so the parts add up to the
-limit. They are those of before the silence, whatever is asked since: if each side went
-by what it is asked now, a workspace that turns hot would have most of its limit on
-both. What the silent hosts let through is taken to be as much for their part as what is
-seen, and so what they tell when they are heard again has been counted.
+Rate limits of workspaces, kept by all hosts together.
+
+Each host counts by workspace what was requested and admitted and gossips decaying sums
+(`sums`). Hosts of a data centre report each request to each other; another data centre
+receives sums over all hosts of one, and only those of workspaces near their limit. Idle
+workspaces hold no state.
+
+An unreachable host may have crashed or may be partitioned and still serving
+(`liveness`), so its share of each limit stays reserved: the share of what was requested
+from it before, and a little that is dealt equally. It computes the same from what it
+received last, so the shares add up to the limit. They are those of before the
+partition, whatever is requested since: if each side went by its own present demand, a
+workspace that turns hot would have most of its limit on both sides. What unreachable
+hosts admit is assumed to be proportional to what is seen, and so what they report once
+they are reachable again has been counted.
 """
 
 import random
 from collections import deque
 from typing import NamedTuple
 
-from .hearing import ALONE_AFTER, Hearing
+from .liveness import ISOLATED_AFTER, Liveness
 from .meter import Meter, Tolerance, capacity_of
 from .sums import FADE, Sums, tag_of_workspace
 
@@ -41,13 +42,13 @@
 FORGET_AFTER = 15.0
 
 
-class Ruling(NamedTuple):
+class QuotaDecision(NamedTuple):
     """
     Whether a request is within its workspace's limit.
 
-    `pause` is when to come back, in seconds. The others say what it was ruled by: the
-    requests left, the fleet's demand a second, the part of the limit for the hosts that
-    are heard, and how many are not.
+    `pause` is when to return, in seconds. The others are the inputs: the requests left,
+    the fleet's demand a second, the share of the limit for the reachable hosts, and how
+    many hosts are unreachable.
     """
 
     is_admitted: bool
@@ -58,7 +59,7 @@
     silent: int = 0
 
 
-ADMITTED = Ruling(True)
+ADMITTED = QuotaDecision(True)
 
 
 class _Known:
@@ -104,7 +105,7 @@
         self._used_at = {}
         self._untold = {}
         self._far_untold = {}
-        self._hearing = Hearing()
+        self._liveness = Liveness()
 
     def configure(self, workspaces, now):
         """
@@ -138,7 +139,7 @@
 
     # This host's own requests.
 
-    def ask(self, workspace, now):
+    def acquire(self, workspace, now):
         """
         Rule on a request, and count it.
 
@@ -146,7 +147,7 @@
           workspace: The `Workspace`, or None for nobody's.
           now: The present, in seconds.
         Returns:
-          A `Ruling`.
+          A `QuotaDecision`.
         """
         if workspace is None or workspace.rate <= 0:
             return ADMITTED
@@ -162,13 +163,13 @@
         self._count(tag, known, 1.0, float(is_admitted), now)
         if is_admitted:
             return ADMITTED
-        return Ruling(
+        return QuotaDecision(
             False,
             known.meter.pause(demand, self._rng.random(), now),
             round(known.meter.left(now), 1),
             round(demand, 1),
             round(part, 3),
-            self._hearing.count_missing(),
+            self._liveness.count_missing(),
         )
 
     def _demand(self, known, now):
@@ -177,11 +178,11 @@
 
         A host by itself sees few of them, so it takes the longer average.
         """
-        if self._hearing.is_alone:
+        if self._liveness.is_isolated:
             return known.own.asked(now) / FADE
         return known.meter.demand(now)
 
-    def give_back(self, workspace, now):
+    def release(self, workspace, now):
         """Take it that a request which was let through has not run, and never will."""
         if workspace is None or workspace.rate <= 0:
             return
@@ -204,7 +205,7 @@
     def _forget(self, tag):
         for kept in (self._known, self._used_at, self._untold, self._far_untold):
             kept.pop(tag, None)
-        for source in self._hearing.sources():
+        for source in self._liveness.sources():
             source.told.forget(tag)
 
     def _count(self, tag, known, asked, admitted, now):
@@ -255,11 +256,11 @@
 
     def hosts(self):
         """Return the `HostCount` of this host's data centre, which others are told."""
-        return self._hearing.near_hosts()
+        return self._liveness.local_hosts()
 
     # What the others tell.
 
-    def take_near(self, host, life, rows, now):
+    def merge_local(self, host, life, rows, now):
         """
         Take a message of a host of this data centre; it need not hold rows.
 
@@ -269,7 +270,7 @@
           rows: The `QuotaRow`s.
           now: The present, in seconds.
         """
-        source = self._hearing.hear_host(host, life, now)
+        source = self._liveness.note_host(host, life, now)
         for row in rows:
             known = self._find(row[0], now)
             if known is not None:
@@ -278,7 +279,7 @@
                 known.meter.note_told(asked, admitted, is_known, now)
                 self._count_near(row[0], known, asked, admitted, now)
 
-    def take_far(self, centre, hosts, rows, now):
+    def merge_remote(self, centre, hosts, rows, now):
         """
         Take what was told for a data centre; two hosts may speak for it at once.
 
@@ -288,7 +289,7 @@
           rows: The `QuotaRow`s.
           now: The present, in seconds.
         """
-        source = self._hearing.hear_centre(centre, hosts, now)
+        source = self._liveness.note_centre(centre, hosts, now)
         for row in rows:
             known = self._find(row[0], now)
             if known is not None:
@@ -300,14 +301,14 @@
                 known.far.add(asked, admitted, now)
                 self._note_admitted(row[0], known, admitted, now)
 
-    def hear_hub(self, now):
+    def note_hub(self, now):
         """Take it that something was heard, if only that the hub is there."""
-        self._hearing.hear_hub(now)
+        self._liveness.note_hub(now)
 
     def tick(self, now):
         """Look once a second at who is heard, and forget what is over."""
-        self._hearing.tick(now)
-        if self._hearing.is_whole:
+        self._liveness.tick(now)
+        if self._liveness.is_whole:
             for known in self._known.values():
                 known.look(now)
         idle = [tag for tag, at in self._used_at.items() if now - at > FORGET_AFTER]
@@ -318,9 +319,9 @@
 
     def _part(self, tag, known, now):
         """Return the part of a limit that belongs to the hosts that are heard."""
-        self._hearing.look(now)
-        if known.revision != self._hearing.revision:
-            known.revision = self._hearing.revision
+        self._liveness.check(now)
+        if known.revision != self._liveness.revision:
+            known.revision = self._liveness.revision
             former, known.part = known.part, self._work_out_part(tag, known)
             self._count_missed(known, former - known.part, now)
         return known.part
@@ -331,27 +332,27 @@
             return
         meter = known.meter
         demand = meter.demand(now)
-        let_through = demand * ALONE_AFTER
-        if not self._hearing.is_alone:
+        let_through = demand * ISOLATED_AFTER
+        if not self._liveness.is_isolated:
             # From then on they knew that they were by themselves.
-            by_themselves = max(0.0, self._hearing.missed_for - ALONE_AFTER)
+            by_themselves = max(0.0, self._liveness.unreachable_for - ISOLATED_AFTER)
             let_through += min(meter.rate, demand) * by_themselves
         meter.note_admitted(part * let_through, now)
 
     def _work_out_part(self, tag, known):
-        hearing = self._hearing
-        if hearing.is_whole:
+        liveness = self._liveness
+        if liveness.is_whole:
             return 1.0
         own, everyone = known.looks[0] if known.looks else (0.0, 0.0)
-        hosts = hearing.count()
+        hosts = liveness.count()
         equal = EQUAL_PART * known.meter.rate * FADE / hosts
         whole = max(everyone, own) + equal * hosts
-        if hearing.is_alone:
+        if liveness.is_isolated:
             return (own + equal) / whole
         lost = sum(
             source.told.asked(tag, source.heard_at) + equal * sum(source.hosts)
-            for source in hearing.silent()
+            for source in liveness.unreachable()
         )
         # Of hosts elsewhere that are missing, only the number is told.
-        lost += whole * hearing.far_missing / hosts
+        lost += whole * liveness.far_missing / hosts
         return max(own + equal, whole - lost) / whole
--- a/packages/plumsaddle-core/plumsaddle_core/ops/quotas_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas_test.py
@@ -7,10 +7,10 @@
 import pytest
 
 from ..core.traffic import Workspace
-from .hearing import GONE_AFTER, HostCount
+from ..ops.zone import Zone
+from .liveness import GONE_AFTER, HostCount
 from .meter import Decayed, Tolerance
 from .quotas import FORGET_AFTER, Quotas
-from .zone import Zone
 
 EXACT = Tolerance(5.0, 0.0, 0.0)
 ONE = Workspace("one", (), rate=20.0, burst=20.0)
@@ -27,21 +27,21 @@
         for number in range(count):
             if number != own:
                 # They have heard of each other a while ago.
-                host.take_near(f"host-{number}", 1, [], START - 10.0)
-                host.take_near(f"host-{number}", 1, [], START)
+                host.merge_local(f"host-{number}", 1, [], START - 10.0)
+                host.merge_local(f"host-{number}", 1, [], START)
     return hosts
 
 
 def _tell(sender, name, takers, now, life=1):
     rows = sender.own_rows(now)
     for taker in takers:
-        taker.take_near(name, life, rows, now)
+        taker.merge_local(name, life, rows, now)
     return rows
 
 
 def _ask(host, count, now, workspace=ONE):
     """Return how many of some requests were let through."""
-    return sum(host.ask(workspace, now).is_admitted for _ in range(count))
+    return sum(host.acquire(workspace, now).is_admitted for _ in range(count))
 
 
 def test_a_sum_fades():
@@ -97,13 +97,13 @@
     _ask(first, 8, START)
     rows = first.own_rows(START)
     for _ in range(5):
-        second.take_near("host-0", 1, rows, START)
+        second.merge_local("host-0", 1, rows, START)
     assert 9 <= _ask(second, 50, START) <= 12
 
 
 def test_a_lost_message_is_made_up_for_by_the_next_one():
     first, second = _hosts(2)
-    second.take_near("host-0", 1, [], START)
+    second.merge_local("host-0", 1, [], START)
     _ask(first, 10, START)
     first.own_rows(START)
     first.own_rows(START)
@@ -143,7 +143,7 @@
         for speaker in (more, less):
             speaker._far_untold = dict.fromkeys(speaker._known, 1)
             rows = speaker.near_rows(START)
-            here.take_far("y", HostCount(2), rows, START)
+            here.merge_remote("y", HostCount(2), rows, START)
     assert _ask(here, 50, START) >= 5
 
 
@@ -162,14 +162,14 @@
 def test_a_request_that_did_not_run_is_given_back():
     (host,) = _hosts(1)
     for _ in range(100):
-        assert host.ask(ONE, START).is_admitted
-        host.give_back(ONE, START)
+        assert host.acquire(ONE, START).is_admitted
+        host.release(ONE, START)
     assert host.own_rows(START)[0].admitted == 0
 
 
 def test_a_lower_limit_binds_at_once():
     (host,) = _hosts(1)
-    host.ask(ONE, START)
+    host.acquire(ONE, START)
     host.configure([ONE._replace(rate=2.0, burst=2.0)], START)
     admitted = sum(_ask(host, 2, START + 0.1 * step) for step in range(100))
     assert admitted <= 2.0 * 10 + 2.0 + 4
@@ -195,21 +195,21 @@
 
 def test_a_workspace_that_is_gone_is_forgotten():
     (host,) = _hosts(1)
-    host.ask(ONE, START)
+    host.acquire(ONE, START)
     host.configure([], START)
     assert not host.kept
-    assert host.ask(ONE, START).is_admitted
+    assert host.acquire(ONE, START).is_admitted
 
 
 def test_workspaces_that_ask_nothing_are_forgotten():
     """Memory grows with each workspace that ever asked."""
     first, second = _hosts(2)
-    first.ask(ONE, START)
+    first.acquire(ONE, START)
     _tell(first, "host-0", [second], START)
     for host in (first, second):
         host.tick(START + FORGET_AFTER + 1.0)
         assert not host.kept
-    assert not any(len(source.told) for source in second._hearing.sources())
+    assert not any(len(source.told) for source in second._liveness.sources())
 
 
 def _play_cut(asked, seconds, workspace=ONE):
@@ -264,10 +264,10 @@
             _tell(host, f"host-{number}", [second if host is first else first], now)
         first.tick(now)
     for second_ in range(int(GONE_AFTER) + 3):
-        first.hear_hub(now + second_)
+        first.note_hub(now + second_)
         first.tick(now + second_)
-    ruling = [first.ask(ONE, now + second_) for _ in range(100)][-1]
-    assert (ruling.part, ruling.silent) == (1.0, 0)
+    decision = [first.acquire(ONE, now + second_) for _ in range(100)][-1]
+    assert (decision.part, decision.silent) == (1.0, 0)
 
 
 def test_a_refusal_says_when_there_is_room():
@@ -276,9 +276,9 @@
     """
     (host,) = _hosts(1)
     pauses = [
-        ruling.pause
-        for ruling in (host.ask(ONE, START) for _ in range(200))
-        if not ruling.is_admitted
+        decision.pause
+        for decision in (host.acquire(ONE, START) for _ in range(200))
+        if not decision.is_admitted
     ]
     assert 0.04 < min(pauses) < max(pauses) <= 5.0
     assert max(pauses) - min(pauses) > 0.3
--- a/packages/plumsaddle-core/plumsaddle_core/limits/roster.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/roster.py
@@ -8,7 +8,7 @@
 
 import math
 
-from ..ops.meter import Decayed
+from .meter import Decayed
 from .shares import HostDemand
 
 # Seconds without a message after which a host's share goes to the others.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/zone.py
@@ -18,6 +18,7 @@
 import math
 from collections import Counter, deque
 
+from ..limits.quotas import Quotas
 from ..limits.roster import Roster
 from ..limits.targets import TargetLimits
 from .belief import (
@@ -33,7 +34,6 @@
 from .elsewhere import Elsewhere
 from .floor import Results
 from .news import Counts, Evidence, Inbox, Outbox, OutcomeNote, Sign, tag_of
-from .quotas import Quotas
 from .share import RetryShare
 from .suspects import Suspects
 from .times import RouteTimes
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -139,26 +139,26 @@
         if length is not None and length > cfg.limits.body_bytes:
             return self._refuse(request, Cause.BODY_TOO_LARGE)
         self._metrics.requests.inc({"kind": route.kind.value})
-        ruling = self._knowledge.admit(workspace, started)
-        if not ruling.is_admitted:
-            return self._refuse_over_limit(request, workspace, ruling)
+        decision = self._knowledge.admit(workspace, started)
+        if not decision.is_admitted:
+            return self._refuse_over_limit(request, workspace, decision)
         answer = await self._take(request, route, owner, request_id, started, limit)
         if isinstance(answer, Refusal) and not answer.may_have_run:
-            self._knowledge.zone.quotas.give_back(workspace, now())
+            self._knowledge.zone.quotas.release(workspace, now())
         return answer
 
-    def _refuse_over_limit(self, request, workspace, ruling):
+    def _refuse_over_limit(self, request, workspace, decision):
         return self._refuse(
             request,
             Cause.OVER_LIMIT,
-            ruling.pause,
+            decision.pause,
             workspace=workspace.name,
             rate=workspace.rate,
             burst=workspace.burst,
-            left=ruling.left,
-            demand=ruling.demand,
-            part=ruling.part,
-            silent=ruling.silent,
+            left=decision.left,
+            demand=decision.demand,
+            part=decision.part,
+            silent=decision.silent,
         )
 
     def _identify(self, request, route, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/knowledge.py
@@ -13,13 +13,13 @@
 
 from plumsaddle_core.core.parts import Part
 from plumsaddle_core.core.traffic import Fate, TargetState
+from plumsaddle_core.limits.meter import Tolerance
+from plumsaddle_core.limits.quotas import Quotas
 from plumsaddle_core.limits.roster import Roster
 from plumsaddle_core.limits.targets import TargetLimits
 from plumsaddle_core.ops.choice import Candidate, Demand, Rule, choose_target
 from plumsaddle_core.ops.floor import Trials
-from plumsaddle_core.ops.meter import Tolerance
 from plumsaddle_core.ops.news import CALM_SIGNS, Sign
-from plumsaddle_core.ops.quotas import Quotas
 from plumsaddle_core.ops.registry import Registry
 from plumsaddle_core.ops.subset import (
     SMALL,
@@ -227,18 +227,18 @@
 
     def admit(self, workspace, at):
         """
-        Return the `Ruling` on a request of a workspace, and count it.
+        Return the `QuotaDecision` on a request of a workspace, and count it.
 
         Args:
           workspace: The `Workspace`, or None for nobody's.
           at: The present, in seconds.
         """
-        ruling = self.zone.quotas.ask(workspace, at)
-        if not ruling.is_admitted:
+        decision = self.zone.quotas.acquire(workspace, at)
+        if not decision.is_admitted:
             # What was refused counts for the fleet's demand and is told too; what is
             # let through is told with its send.
             self._tell(is_urgent=False)
-        return ruling
+        return decision
 
     def urgency(self, service, route, workspace):
         """Return how urgent a request is for its service, from 0.0 to 1.0."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/taking.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/taking.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from plumsaddle_core.core.traffic import id_of_life
+from plumsaddle_core.limits.liveness import HostCount
 from plumsaddle_core.limits.named import LimitRow
-from plumsaddle_core.ops.hearing import HostCount
 from plumsaddle_core.ops.news import CALM_SIGNS
 from plumsaddle_core.ops.suspects import RunNote
 
@@ -138,7 +138,7 @@
         self._neighbours.hear(work.address, at)
         self._take_runs(work.runs, True, at)
         self._take_limits(work.limits, work.host, True, at)
-        self._zone.quotas.take_near(work.host, work.life, work.quotas, at)
+        self._zone.quotas.merge_local(work.host, work.life, work.quotas, at)
         if work.beat is not None:
             self._take_beat(work.beat, work.address, at)
         return True
@@ -160,7 +160,7 @@
         """Take what a hub tells, and pass it on to hosts that tell this one."""
         self._neighbours.hear(address, at)
         self._neighbours.hear_hub(address, at)
-        self._zone.quotas.hear_hub(at)
+        self._zone.quotas.note_hub(at)
         works = [
             raw
             for raw, work in _decode_each(bundle.works, decode_work, address)
@@ -184,7 +184,7 @@
     def _take_asked(self, centre, hosts, rows, at):
         """Take what workspaces asked of another data centre."""
         if centre != self._settings.centre:
-            self._zone.quotas.take_far(centre, HostCount(*hosts), rows, at)
+            self._zone.quotas.merge_remote(centre, HostCount(*hosts), rows, at)
 
     def _take_far_news(self, far, at):
         """Take news of another data centre, and return whether it was any."""
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_quota_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_quota_test.py
@@ -110,11 +110,11 @@
         await _publish(trial)
         await _press(trial, 3.0, 0.02)
         hosts = trial.hosts
-        rulings = [
-            host.knowledge.zone.quotas.ask(
+        decisions = [
+            host.knowledge.zone.quotas.acquire(
                 host.knowledge.cfg.workspaces[0], host.store_gate._answered_at
             )
             for host in hosts
         ]
         # Of some 60 there is little left, as each of the four knows.
-        assert all(ruling.left < 20 for ruling in rulings), rulings
+        assert all(decision.left < 20 for decision in decisions), decisions
--- a/packages/plumsaddle-standins/plumsaddle_standins/limit_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/limit_model.py
@@ -26,9 +26,9 @@
 
 from plumsaddle_core.core.traffic import Target, TargetState
 from plumsaddle_core.limits.bucket import TokenBucket
+from plumsaddle_core.limits.meter import Meter
 from plumsaddle_core.limits.roster import Roster
 from plumsaddle_core.limits.targets import TargetLimits
-from plumsaddle_core.ops.meter import Meter
 
 WINDOW = 4.0
 # Seconds between two messages of a host to all others, and how long one is under way.
--- a/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
@@ -6,7 +6,7 @@
 delays, and some messages are lost. Hosts are cut off, each by itself, and serve on; are
 killed together and forget; and limits change. Compared are four ways:
 
-- thinned: `ops/quotas.py`;
+- thinned: `limits/quotas.py`;
 - sum: let through while the fleet's sum, as far as it is known, leaves room;
 - lent: each second a part of the limit by what each host was asked, for two seconds;
 - equal: each host has the same part of the limit for ever.
@@ -21,9 +21,9 @@
 from typing import NamedTuple
 
 from plumsaddle_core.core.traffic import Workspace
-from plumsaddle_core.ops.meter import Meter, Tolerance, capacity_of
-from plumsaddle_core.ops.quotas import Quotas
-from plumsaddle_core.ops.sums import tag_of_workspace
+from plumsaddle_core.limits.meter import Meter, Tolerance, capacity_of
+from plumsaddle_core.limits.quotas import Quotas
+from plumsaddle_core.limits.sums import tag_of_workspace
 
 NAME = "one"
 CENTRES = ("x", "y", "z")
@@ -99,7 +99,7 @@
         self.quotas.configure([model.workspace], model.at)
 
     def ask(self, model):
-        return self.quotas.ask(model.workspace, model.at).is_admitted
+        return self.quotas.acquire(model.workspace, model.at).is_admitted
 
     def configure(self, model):
         self.quotas.configure([model.workspace], model.at)
@@ -356,7 +356,7 @@
     def _take_near(self, taker, number, life, rows):
         if self._is_up[taker]:
             quotas = self.hosts[taker].quotas
-            quotas.take_near(f"host-{number}", life, rows, self.at)
+            quotas.merge_local(f"host-{number}", life, rows, self.at)
 
     def _tell_far(self, centre):
         self._push(FAR_EVERY, self._tell_far, centre)
@@ -387,11 +387,11 @@
         hub = next((n for n in every if self._is_up[n] and n not in self._cut), None)
         for taker in every:
             if hub is not None and not self._is_lost(hub, taker):
-                self.hosts[taker].quotas.hear_hub(self.at)
+                self.hosts[taker].quotas.note_hub(self.at)
 
     def _take_far(self, taker, centre, hosts, rows):
         if self._is_up[taker]:
-            self.hosts[taker].quotas.take_far(centre, hosts, rows, self.at)
+            self.hosts[taker].quotas.merge_remote(centre, hosts, rows, self.at)
 
     def _lend(self):
         """Lend each host that is heard its part of the limit."""
--- a/packages/plumsaddle-standins/plumsaddle_standins/workspace_slopes.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/workspace_slopes.py
@@ -6,7 +6,7 @@
 import time
 
 from plumsaddle_core.core.traffic import Workspace
-from plumsaddle_core.ops.quotas import Quotas
+from plumsaddle_core.limits.quotas import Quotas
 from plumsaddle_core.ops.workspaces import digest_of, index_keys, read_key
 from plumsaddle_hosts.platform.wire import decode_configuration
 
@@ -63,7 +63,7 @@
     spent = time.process_time()
     for turn, pairs in enumerate(headers):
         now = turn / 92.0
-        quotas.ask(index[digest_of(read_key(pairs))], now)
+        quotas.acquire(index[digest_of(read_key(pairs))], now)
         if turn % 9 == 0:
             rows += len(quotas.own_rows(now))
         if turn % 92 == 0:
