--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
@@ -283,6 +283,20 @@
         assert trial.workers["act-0"].runs["delayed"] == 0
 
 
+@in_loop
+async def test_a_delayed_request_is_not_sent_once_its_share_has_moved():
+    """Guards against tokens spent by a host that has lost its share meanwhile."""
+    async with Trial(("act",), targets=1) as trial:
+        answer = await ask_delayed(trial)
+        host = trial.hosts[0]
+        host.knowledge.zone.limits.roster.may_send = lambda now: False
+        status, headers, _ = await answer
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0.0
+        assert trial.workers["act-0"].runs["delayed"] == 0
+        assert not host.knowledge.zone.own_in_flight()
+
+
 @in_loop
 async def test_a_delayed_request_is_truly_not_run_when_its_host_ends():
     """Guards against an order that is promised not to run and is sent afterwards."""
