--- a/Makefile
+++ b/Makefile
@@ -29,14 +29,14 @@
 demo: setup
 	$(BIN)/python -m plumsaddle_standins.demo
 
-# make lab PATTERN=gray SECONDS=15 SEED=1 OUT=gray.png
+# make lab PATTERN=gray SECONDS=15 SEED=1 OUT=gray.png LIMIT=3
 PATTERN ?= random
 SECONDS ?= 15
 SEED ?= 1
 OUT ?= lab.png
 lab: setup
 	$(BIN)/python -m plumsaddle_standins.lab $(PATTERN) --seconds $(SECONDS) \
-		--seed $(SEED) --out $(OUT)
+		--seed $(SEED) --out $(OUT) $(if $(LIMIT),--limit $(LIMIT))
 
 # make crashes HOSTS=40 SEED=1 RUNS=50
 HOSTS ?= 40
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -3,6 +3,7 @@
 
     python -m plumsaddle_standins.lab gray --seconds 15 --out gray.png
     python -m plumsaddle_standins.lab random --seed 3
+    python -m plumsaddle_standins.lab random --limit 3
 
 Hosts are real processes; the store, the targets and the callers are stand-ins in this
 one. The last line counts what callers saw, and the exit code is 1 if a promise was
@@ -32,6 +33,9 @@
 WORK = 0.15
 RATE = 60.0
 SECONDS = 15.0
+# Seconds after which a rate limit that a target names must hold, and in which windows.
+LIMIT_HOLDS_AFTER = 3.0
+LIMIT_WINDOW = 4.0
 # When the fault begins and how long it lasts, as shares of the run.
 BEGINS, LASTS = 0.3, 0.3
 START_WITHIN = 10.0
@@ -180,10 +184,33 @@
     await asyncio.gather(*running)
 
 
-async def play(pattern, seconds, seed, rate, folder):
+def name_limits(trial, limit):
+    """Let half of the targets name a rate limit; return the time and them."""
+    limited = [w for service in SERVICES for w in trial.of(service)[: TARGETS // 2]]
+    for worker in limited:
+        worker.rate_limit = f"{limit:g}"
+    return asyncio.get_running_loop().time(), limited
+
+
+def find_exceeded(limit, named_at, limited):
+    """Return the targets that received more than their limit tolerates, as texts."""
+    tolerated = 1.5 * limit * LIMIT_WINDOW + 5
+    lines = []
+    for worker in limited:
+        late = [at for at in worker.arrivals if at >= named_at + LIMIT_HOLDS_AFTER]
+        most = max(
+            (sum(at <= x < at + LIMIT_WINDOW for x in late) for at in late), default=0
+        )
+        if most > tolerated:
+            lines.append(f"{worker.id}: {most} requests, {tolerated:g} are tolerated")
+    return lines
+
+
+async def play(pattern, seconds, seed, rate, folder, limit=None):
     """
     Play one pattern.
 
+    Args: as for `run`; `folder` is for settings and logs.
     Returns:
       A list of `Ended`, and the broken promises as texts.
     """
@@ -206,6 +233,8 @@
                 lab.callers = callers = Callers(hosts, rate, random.Random(seed + 1))
                 reviving = asyncio.create_task(_revive(hosts))
                 faults = asyncio.create_task(_disturb(lab, pattern, seconds))
+                if limit is not None:
+                    limits = name_limits(trial, limit)
                 await callers.run(seconds)
                 await faults
                 reviving.cancel()
@@ -214,7 +243,10 @@
                     if host.is_running:
                         host.signal(signal.SIGCONT)
                         await host.kill()
-        return callers.ended, find_broken(callers.ended, trial.workers.values())
+        broken = find_broken(callers.ended, trial.workers.values())
+        if limit is not None:
+            broken += find_exceeded(limit, *limits)
+        return callers.ended, broken
 
 
 async def _wait_until_ready(hosts, session):
@@ -256,7 +288,7 @@
     return "refused" if end.status in PROMISES else "failed"
 
 
-def run(pattern="calm", seconds=SECONDS, seed=1, rate=RATE, out=None):
+def run(pattern="calm", seconds=SECONDS, seed=1, rate=RATE, out=None, limit=None):
     """
     Play a pattern and tell what callers saw.
 
@@ -266,12 +298,14 @@
       seed: What is drawn at random.
       rate: Requests a second.
       out: The path of a picture, if one is wanted.
+      limit: The requests a second that half of the targets name as their limit.
     """
     if pattern not in PATTERNS and pattern != "random":
         print(f"The patterns are: random, {', '.join(PATTERNS)}.", file=sys.stderr)
         sys.exit(2)
     with tempfile.TemporaryDirectory() as folder:
-        ended, broken = asyncio.run(play(pattern, seconds, seed, rate, Path(folder)))
+        playing = play(pattern, seconds, seed, rate, Path(folder), limit)
+        ended, broken = asyncio.run(playing)
     if out is not None:
         from .lab_picture import draw_load
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -41,6 +41,15 @@
     assert field[200] >= 6 * 0.3 * 40 * 0.8
 
 
+def test_rate_limits_of_targets_hold_while_faults_overlap(tmp_path):
+    """Guards against hosts that exceed a target's limit when some of them restart."""
+    playing = play("random", 9.0, SEED, 40.0, tmp_path, limit=3.0)
+    ended, broken = asyncio.run(playing)
+    assert not broken
+    whole = sum(1 for end in ended if end.status == 200)
+    assert whole > 0.7 * len(ended)
+
+
 def test_the_check_finds_what_breaks_a_promise():
     worker = WorkerStandin("act-0", "act")
     worker.runs.update({"twice": 2, "ran": 1, "unsent": 1, "again": 2, "half": 1})
