--- a/packages/plumsaddle-standins/plumsaddle_standins/limit_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/limit_model.py
@@ -102,6 +102,9 @@
         self.limits = TargetLimits(Roster(self.name, model.at), model.rng)
         self.meters = {}
         self.buckets = {}
+        # Requests from callers, and sends by target, that others have not been told.
+        self.untold = 0
+        self.unsummed = {}
 
 
 class LimitModel:
@@ -285,8 +288,8 @@
         if self.way == "shared":
             rows = host.limits.named.near_rows()
             rows += host.limits.named.repeated_rows(1, self.rng)
-        counts, host.untold = getattr(host, "untold", 0), 0
-        sent, host.unsummed = getattr(host, "unsummed", {}), {}
+        counts, host.untold = host.untold, 0
+        sent, host.unsummed = host.unsummed, {}
         at = self.at
         if host.number in self._cut:
             return
@@ -316,7 +319,7 @@
             meter.note_admitted(count, self.at)
 
     def _note_request(self, host):
-        host.untold = getattr(host, "untold", 0) + 1
+        host.untold += 1
         host.limits.roster.note_own_demand("s", 1, self.at)
 
 
@@ -377,9 +380,7 @@
 
 def _take_summed(model, host, number):
     _meter(model, host, number).note_admitted(1.0, model.at)
-    unsummed = getattr(host, "unsummed", {})
-    unsummed[number] = unsummed.get(number, 0) + 1
-    host.unsummed = unsummed
+    host.unsummed[number] = host.unsummed.get(number, 0) + 1
 
 
 def _ranked(model, host, number):
