Lab test of a hot workspace: check the limit by windows, refusals only if it was hot

In six seconds the limit allows 210, so the callers, slowed by the machine, were not hot. New and always checked: no five seconds hold more than the limit tolerates. The share of refusals is checked as before whenever 1.4 times the limit was asked, as on an idle machine.

--- a/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import Counter
 
-from .callers import Ended, find_broken
+from .callers import HOT_LIMIT, Ended, find_broken
 from .lab import play, tell
 from .worker import WorkerStandin
 
@@ -37,7 +37,12 @@
     archive = [end for end in ended if end.workspace == "archive"]
     assert sum(end.status == 200 for end in archive) >= 0.97 * len(archive)
     field = Counter(end.status for end in ended if end.workspace == "field")
-    assert field[429] > 0.3 * field.total()
+    served = [e.started for e in ended if e.workspace == "field" and e.status == 200]
+    in_window = [sum(begin <= at < begin + 5.0 for at in served) for begin in served]
+    assert max(in_window) <= (5.0 * HOT_LIMIT + HOT_LIMIT) * 1.1 + 20
+    # On a busy machine the callers may ask no more than the limit allows.
+    if field.total() >= 1.4 * (6.0 * HOT_LIMIT + HOT_LIMIT):
+        assert field[429] > 0.3 * field.total()
     assert field[200] >= 6 * 0.3 * 40 * 0.8
 
 
