--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -274,9 +274,7 @@
         for row in rows:
             known = self._find(row[0], now)
             if known is not None:
-                is_known = row[0] in source.told
-                asked, admitted = source.told.take(row, source.back_at, now)
-                known.meter.note_told(asked, admitted, is_known, now)
+                asked, admitted = _merge_row(known, source, row, now)
                 self._count_near(row[0], known, asked, admitted, now)
 
     def merge_remote(self, centre, hosts, rows, now):
@@ -293,11 +291,7 @@
         for row in rows:
             known = self._find(row[0], now)
             if known is not None:
-                is_known = row[0] in source.told
-                asked, admitted = source.told.take(
-                    row, source.back_at, now, is_partial=True
-                )
-                known.meter.note_told(asked, admitted, is_known, now)
+                asked, admitted = _merge_row(known, source, row, now, is_partial=True)
                 known.far.add(asked, admitted, now)
                 self._note_admitted(row[0], known, admitted, now)
 
@@ -356,3 +350,16 @@
         # Of hosts elsewhere that are missing, only the number is told.
         lost += whole * liveness.far_missing / hosts
         return max(own + equal, whole - lost) / whole
+
+
+def _merge_row(known, source, row, now, is_partial=False):
+    """
+    Take a `QuotaRow` of a source into a workspace's meter.
+
+    Returns:
+      What was asked and let through since the source's last row.
+    """
+    is_known = row[0] in source.told
+    asked, admitted = source.told.take(row, source.back_at, now, is_partial)
+    known.meter.note_told(asked, admitted, is_known, now)
+    return asked, admitted
--- a/packages/plumsaddle-core/plumsaddle_core/limits/roster.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/roster.py
@@ -67,11 +67,10 @@
 
     def note_host(self, host, now):
         """Note that another host was heard."""
-        self._evict(now)
-        if not self._members:
+        if now - self._heard_at > MEMBER_FOR:
             self._joined_at = now
         member = self._members.get(host)
-        if member is None:
+        if member is None or now - member.heard_at > MEMBER_FOR:
             member = self._members[host] = _Member()
         elif now - member.heard_at > UNREACHABLE_AFTER:
             member.resume(now)
@@ -91,7 +90,8 @@
         """Note that a message sent at a moment has reached the other hosts."""
         self._reached_at = max(self._reached_at, sent_at)
 
-    def _evict(self, now):
+    def evict(self, now):
+        """Drop hosts whose share has gone to the others."""
         if any(now - m.heard_at > MEMBER_FOR for m in self._members.values()):
             self._members = {
                 host: member
@@ -101,7 +101,7 @@
 
     def may_send(self, now):
         """Return whether this host may use its shares."""
-        self._evict(now)
+        self.evict(now)
         if self._members:
             has_joined = now - self._joined_at >= JOIN_FOR
             return has_joined and now - self._reached_at < LEASE
