--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_quota_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_quota_test.py
@@ -7,6 +7,7 @@
 import pytest
 
 from .trial import OPERATOR, Trial, configuration, in_loop, until
+from .windows import most_in_window
 from .worker import Mode
 
 LIMITED = {"api_keys": ["key-1"], "rate_per_s": 10, "burst": 10, "priority": 0}
@@ -60,8 +61,7 @@
         answered = zip(pressed, times, strict=True)
         ran = [at for (status, _), at in answered if status == 200]
         # Five seconds of the rate and the burst, a tenth more, and twenty.
-        in_window = [sum(begin <= at < begin + 5.0 for at in ran) for begin in ran]
-        assert max(in_window) <= (5 * 10 + 10) * 1.1 + 20
+        assert most_in_window(ran, 5.0) <= (5 * 10 + 10) * 1.1 + 20
         assert len(ran) >= 5 * 10
         assert {status for status, _ in calm} == {200}
         pauses = {h["Retry-After"] for status, h in pressed if status == 429}
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
@@ -10,26 +10,9 @@
 from plumsaddle_hosts.edge.clock import now
 
 from .trial import Trial, free_port, in_loop, until
+from .windows import LIMIT_HOLDS_AFTER, LIMIT_WINDOW, most_in_window, tolerated
 from .worker import Mode
 
-WINDOW = 4.0
-# Seconds after which a named limit must hold.
-KNOWN_AFTER = 3.0
-
-
-def tolerated(rate):
-    """Return how many requests a window may hold at a limit of so many a second."""
-    return 1.5 * rate * WINDOW + 5
-
-
-def most_in_window(arrivals, since):
-    """Return the most arrivals in any window that begins at a moment or later."""
-    late = [at for at in arrivals if at >= since]
-    return max(
-        (sum(1 for other in late if at <= other < at + WINDOW) for at in late),
-        default=0,
-    )
-
 
 async def press(trial, seconds, every, path="/look/a"):
     """Send to all hosts by turns and return the answers in order."""
@@ -53,10 +36,14 @@
 async def test_a_named_rate_limit_holds_over_all_hosts():
     """Guards against hosts that ignore, or apply each by itself, a target's limit."""
     async with Trial(("look",), targets=5, hosts=6) as trial:
-        pressing = asyncio.ensure_future(press(trial, 2.0 + KNOWN_AFTER + WINDOW, 0.02))
+        pressing = asyncio.ensure_future(
+            press(trial, 2.0 + LIMIT_HOLDS_AFTER + LIMIT_WINDOW, 0.02)
+        )
         limited, named_at = await limit_busiest(trial, "1.4")
         answers = await pressing
-        most = most_in_window(limited.arrivals, named_at + KNOWN_AFTER)
+        most = most_in_window(
+            limited.arrivals, LIMIT_WINDOW, named_at + LIMIT_HOLDS_AFTER
+        )
         assert most <= tolerated(1.4)
         assert {status for status, _, _ in answers} == {200}
 
@@ -66,10 +53,14 @@
     """Guards against data centres that each send as much as a target takes."""
     centres = ("x", "y", "z")
     async with Trial(("look",), targets=3, hosts=6, centres=centres) as trial:
-        pressing = asyncio.ensure_future(press(trial, 2.0 + KNOWN_AFTER + WINDOW, 0.02))
+        pressing = asyncio.ensure_future(
+            press(trial, 2.0 + LIMIT_HOLDS_AFTER + LIMIT_WINDOW, 0.02)
+        )
         limited, named_at = await limit_busiest(trial, "2.3")
         answers = await pressing
-        most = most_in_window(limited.arrivals, named_at + KNOWN_AFTER)
+        most = most_in_window(
+            limited.arrivals, LIMIT_WINDOW, named_at + LIMIT_HOLDS_AFTER
+        )
         assert most <= tolerated(2.3)
         assert {status for status, _, _ in answers} == {200}
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -24,6 +24,7 @@
 from .host_process import HostProcess
 from .store import Fault
 from .trial import OPERATOR, Trial, configuration
+from .windows import LIMIT_HOLDS_AFTER, LIMIT_WINDOW, most_in_window, tolerated
 from .worker import Mode
 
 HOSTS = 3
@@ -33,9 +34,6 @@
 WORK = 0.15
 RATE = 60.0
 SECONDS = 15.0
-# Seconds after which a rate limit that a target names must hold, and in which windows.
-LIMIT_HOLDS_AFTER = 3.0
-LIMIT_WINDOW = 4.0
 # When the fault begins and how long it lasts, as shares of the run.
 BEGINS, LASTS = 0.3, 0.3
 START_WITHIN = 10.0
@@ -194,15 +192,12 @@
 
 def find_exceeded(limit, named_at, limited):
     """Return the targets that received more than their limit tolerates, as texts."""
-    tolerated = 1.5 * limit * LIMIT_WINDOW + 5
+    allowed, since = tolerated(limit), named_at + LIMIT_HOLDS_AFTER
     lines = []
     for worker in limited:
-        late = [at for at in worker.arrivals if at >= named_at + LIMIT_HOLDS_AFTER]
-        most = max(
-            (sum(at <= x < at + LIMIT_WINDOW for x in late) for at in late), default=0
-        )
-        if most > tolerated:
-            lines.append(f"{worker.id}: {most} requests, {tolerated:g} are tolerated")
+        most = most_in_window(worker.arrivals, LIMIT_WINDOW, since)
+        if most > allowed:
+            lines.append(f"{worker.id}: {most} requests, {allowed:g} are tolerated")
     return lines
 
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -7,6 +7,7 @@
 
 from .callers import HOT_LIMIT, Ended, find_broken
 from .lab import play, tell
+from .windows import most_in_window
 from .worker import WorkerStandin
 
 SECONDS = 5.0
@@ -38,8 +39,7 @@
     assert sum(end.status == 200 for end in archive) >= 0.97 * len(archive)
     field = Counter(end.status for end in ended if end.workspace == "field")
     served = [e.started for e in ended if e.workspace == "field" and e.status == 200]
-    in_window = [sum(begin <= at < begin + 5.0 for at in served) for begin in served]
-    assert max(in_window) <= (5.0 * HOT_LIMIT + HOT_LIMIT) * 1.1 + 20
+    assert most_in_window(served, 5.0) <= (5.0 * HOT_LIMIT + HOT_LIMIT) * 1.1 + 20
     # On a busy machine the callers may ask no more than the limit allows.
     if field.total() >= 1.4 * (6.0 * HOT_LIMIT + HOT_LIMIT):
         assert field[429] > 0.3 * field.total()
--- a/packages/plumsaddle-standins/plumsaddle_standins/limit_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/limit_model.py
@@ -31,7 +31,8 @@
 from plumsaddle_core.limits.roster import Roster
 from plumsaddle_core.limits.targets import TargetLimits
 
-WINDOW = 4.0
+from .windows import LIMIT_HOLDS_AFTER, LIMIT_WINDOW, most_in_window, tolerated
+
 # Seconds between two messages of a host to all others, and how long one is under way.
 GOSSIP_EVERY = 0.25
 DELAY = (0.02, 0.3)
@@ -41,7 +42,7 @@
 ROUND_TRIP = 0.003
 # Seconds after which the limits are named, from which they must hold, and the end.
 NAMED_AT = 12.0
-HELD_FROM = NAMED_AT + 3.0
+HELD_FROM = NAMED_AT + LIMIT_HOLDS_AFTER
 END = HELD_FROM + 24.0
 # What befalls the fleet begins, and ends.
 FAULT_AT = HELD_FROM + 4.0
@@ -183,13 +184,8 @@
 
     def _worst(self, times):
         """Return the most arrivals in a window as a part of what is tolerated."""
-        late = [at for at in times if at >= HELD_FROM]
-        first, most = 0, 0
-        for last, at in enumerate(late):
-            while late[first] <= at - WINDOW:
-                first += 1
-            most = max(most, last - first + 1)
-        return most / (1.5 * self.case.rate * WINDOW + 5)
+        most = most_in_window(times, LIMIT_WINDOW, HELD_FROM)
+        return most / tolerated(self.case.rate)
 
     # What happens.
 
@@ -356,9 +352,9 @@
     meter = host.meters.get(number)
     if meter is None:
         rate = model.rates[number]
-        capacity = rate * WINDOW + 1.0
+        capacity = rate * LIMIT_WINDOW + 1.0
         at = model.at
-        meter = host.meters[number] = Meter(rate, capacity, WINDOW, at, at)
+        meter = host.meters[number] = Meter(rate, capacity, LIMIT_WINDOW, at, at)
     return meter
 
 
@@ -369,7 +365,7 @@
             allowed.append(number)
             continue
         meter = _meter(model, host, number)
-        meter.limit(model.rates[number], model.rates[number] * WINDOW + 1.0)
+        meter.limit(model.rates[number], model.rates[number] * LIMIT_WINDOW + 1.0)
         # Each request could go to any target.
         meter.note_asked(1.0 / model.case.targets, model.at)
         chance = meter.chance(1.0, meter.demand(model.at), model.at)
