Record and log what targets say of themselves in their responses

Nothing is decided by it yet.

The head of each response is decoded once, in platform/wire.py (rate limit, draining, Retry-After of a 503, idle timeout), when it arrives and whatever becomes of the request, and recorded in edge/notices.py: 'draining notice', 'rest notice' with the seconds, 'unreadable notice' for any header that cannot be decoded. 'explain TARGET' shows the first two by second.

Two effects on rate limits: a limit, or its absence, counts from the head on, so that a response without a limit whose body breaks ends it as well; and 'unreadable rate limit' is now 'unreadable notice' with the header's name, which its test compares too.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -201,6 +201,30 @@
         return bool(set(self.seeds) - {self.peer_address})
 
 
+class NoticeError(NamedTuple):
+    """A header that could not be decoded, and the start of its value."""
+
+    header: str
+    text: str
+
+
+class TargetNotices(NamedTuple):
+    """
+    What a target says about itself in the head of a response.
+
+    `rate_limit` is the requests per second that it accepts from all hosts together.
+    `retry_after` is the seconds for which it wants no requests from this host, and
+    `idle_timeout` the seconds after which it closes an idle connection. A target that
+    is draining is about to exit.
+    """
+
+    rate_limit: float | None = None
+    is_draining: bool = False
+    retry_after: float | None = None
+    idle_timeout: float | None = None
+    errors: tuple[NoticeError, ...] = ()
+
+
 class SendOutcome(enum.Enum):
     """The result of sending a request to one target, as far as this host knows."""
 
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/availability_test.py
@@ -0,0 +1,50 @@
+"""
+What targets have said of their own availability.
+"""
+
+from hypothesis import given, strategies as st
+
+from .availability import UNLISTED_TIMEOUT, Availability
+
+
+def test_a_draining_target_stays_marked_while_the_registry_forgets_it():
+    """Guards against a mark lost with an entry that lapses and comes back."""
+    availability = Availability()
+    assert availability.note_draining("t1")
+    assert not availability.note_draining("t1")
+    availability.evict(set(), 10.0)
+    availability.evict({"t1"}, 10.0 + UNLISTED_TIMEOUT - 1.0)
+    availability.evict(set(), 200.0)
+    assert availability.is_draining("t1")
+    availability.evict(set(), 200.0 + UNLISTED_TIMEOUT)
+    assert not availability.is_draining("t1")
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.0, 5.0), st.floats(0.0, 9.0)), max_size=9),
+    st.floats(0.0, 60.0),
+)
+def test_a_rest_ends_with_the_latest_end_that_was_named(notices, later):
+    """Guards against a shorter rest that ends a longer one."""
+    availability = Availability()
+    at, end = 0.0, 0.0
+    for pause, seconds in notices:
+        at += pause
+        end = max(end, at + seconds)
+        availability.note_rest("t1", seconds, at)
+        availability.evict({"t1"}, at)
+        assert availability.rest("t1", at) == max(0.0, end - at)
+    assert availability.rest("t1", at + later) == max(0.0, end - (at + later))
+
+
+def test_state_is_bounded_by_the_listed_targets():
+    """Guards against memory that grows with the targets that have come and gone."""
+    availability = Availability()
+    for number in range(500):
+        availability.note_draining(f"t{number}")
+        availability.note_rest(f"t{number}", 1e9, 0.0)
+    availability.evict({"t1"}, 1.0)
+    availability.evict({"t1"}, 1.0 + UNLISTED_TIMEOUT)
+    sizes = map(len, (availability._draining, availability._rests_until))
+    assert set(sizes) == {1}
+    assert not availability._unlisted_since
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -17,6 +17,7 @@
 from plumsaddle_core.limits.meter import Tolerance
 from plumsaddle_core.limits.quotas import Quotas
 from plumsaddle_core.limits.targets import TargetLimits
+from plumsaddle_core.ops.availability import Availability
 from plumsaddle_core.ops.choice import (
     Candidate,
     ChoiceRule,
@@ -46,6 +47,7 @@
 from ..platform import wire
 from .clock import now
 from .limits import RateLimits
+from .notices import NoticeRecorder
 
 log = logging.getLogger("knowledge")
 # The assumed size of a route's responses before one was received, in bytes.
@@ -115,6 +117,8 @@
         self.limits = RateLimits(
             settings, self.shared.limits, self.registry, self._notify
         )
+        self.availability = Availability()
+        self.notices = NoticeRecorder(self.availability, self.limits)
         self._target_orders = {}
         self._rates = {}
         self._trials = Trials()
@@ -210,7 +214,7 @@
             log.info("unlisted", extra={"target": target_id})
         incarnations = self.registry.incarnations()
         self.shared.evict_targets(incarnations, at)
-        self.limits.evict(incarnations)
+        self.notices.evict(incarnations, at)
 
     def _apply_entry(self, record, at):
         """Apply one entry, which may be invalid."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/limits.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/limits.py
@@ -1,18 +1,14 @@
 """
 The rate limits of targets on a host of the platform.
 
-Reads the limits from the responses of targets, logs changes, and applies the limits of
-the core to the listed targets.
+Logs changes of the limits, and applies the limits of the core to the listed targets.
 """
 
 import logging
 import math
 
-from returns.result import Failure
-
 from plumsaddle_core.core.traffic import SendOutcome
 
-from ..platform import wire
 from .clock import now
 
 log = logging.getLogger("limits")
@@ -36,8 +32,6 @@
         self._limits = limits
         self._registry = registry
         self._notify = notify
-        # Incarnations that advertise a malformed limit.
-        self._unreadable = set()
 
     @property
     def has_any(self):
@@ -90,24 +84,17 @@
         """Undo `acquire` for a request that did not reach its target."""
         self._limits.release(target, now())
 
-    def note_response(self, target, headers, outcome, sent_at, request_id):
+    def note_head(self, target, rate, outcome, sent_at, request_id):
         """
-        Record the limit that a response advertises, or the absence of one.
+        Record the limit that a response states, or the absence of one.
 
         Args:
           target: The `Target` that the request was sent to.
-          headers: The headers of the response.
-          outcome: The `SendOutcome` of the send, or None if it was abandoned.
+          rate: The limit in requests per second, or None.
+          outcome: The `SendOutcome` according to the response's head.
           sent_at: When the request was sent, in seconds.
           request_id: The request's id, as bytes.
         """
-        if outcome is SendOutcome.WRONG_TARGET:
-            return
-        decoded = wire.decode_rate_limit(headers)
-        if isinstance(decoded, Failure):
-            self._log_unreadable(target, decoded.failure(), request_id)
-            return
-        rate = decoded.unwrap()
         if rate is None and outcome not in RUN_OUTCOMES:
             # A rejection need not come from the code that advertises the limit.
             return
@@ -117,16 +104,3 @@
             extra = {"target": target.id, "rate": rate, "former": previous}
             log.info("rate limit", extra={**extra, "request": request})
             self._notify(is_urgent=True)
-
-    def _log_unreadable(self, target, text, request_id):
-        """Log a malformed limit, once for each incarnation."""
-        if target.incarnation in self._unreadable:
-            return
-        self._unreadable.add(target.incarnation)
-        request = request_id.decode("latin-1")
-        extra = {"target": target.id, "text": text, "request": request}
-        log.warning("unreadable rate limit", extra=extra)
-
-    def evict(self, listed):
-        """Remove the state of incarnations that are no longer listed."""
-        self._unreadable &= listed
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -112,7 +112,9 @@
         """Send on a connection and return the outcome and the `Reply` or None."""
         sent_at = now()
         exchange = connection.start_exchange(
-            make_head(request, target, request.deadline - sent_at), request.id
+            make_head(request, target, request.deadline - sent_at),
+            request.id,
+            lambda head: self._knowledge.notices.note_head(target, head, sent_at),
         )
         outcome = None
         is_streaming = False
@@ -134,10 +136,6 @@
             return outcome, reply
         finally:
             suspect_check.note_outcome(target, exchange, outcome)
-            if exchange.has_head:
-                self._knowledge.limits.note_response(
-                    target, exchange.headers, outcome, sent_at, request.id
-                )
             if not is_streaming:
                 self._pool.release(target.incarnation, connection)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -18,8 +18,9 @@
 
 import httptools
 
-from plumsaddle_core.core.traffic import SendOutcome
+from plumsaddle_core.core.traffic import SendOutcome, TargetNotices
 
+from ..platform import wire
 from ..utils.addresses import split_address
 from .clock import now
 
@@ -50,13 +51,16 @@
     One request on a connection, and as much of its response as has arrived.
 
     `body` holds the bytes that were received and not yet consumed. `outcome` is None
-    until the response is complete (`SendOutcome.SUCCEEDED`) or has failed.
+    until the response is complete (`SendOutcome.SUCCEEDED`) or has failed. `on_head` is
+    called with the `Exchange` once the status and all headers have arrived.
     """
 
-    def __init__(self, request_id):
+    def __init__(self, request_id, on_head=None):
         self.request_id = request_id
         self.status = 0
         self.headers = []
+        self.notices = TargetNotices()
+        self._on_head = on_head
         self.body = bytearray()
         self.outcome = None
         self._waiter = None
@@ -66,6 +70,12 @@
         """Whether the status and all headers have arrived."""
         return self.status != 0
 
+    def report_head(self):
+        """Call `on_head` if the head has arrived and was not reported yet."""
+        if self.has_head and self._on_head is not None:
+            on_head, self._on_head = self._on_head, None
+            on_head(self)
+
     def wake(self):
         """Wake the task in `wait`, if there is one."""
         if self._waiter is not None and not self._waiter.done():
@@ -127,18 +137,19 @@
         is_fresh = at - self.last_used_at < min(self.idle_timeout, max_idle)
         return not (self.is_closed or self._must_close) and is_fresh
 
-    def start_exchange(self, head, request_id):
+    def start_exchange(self, head, request_id, on_head=None):
         """
         Send a request's head, along with its body if that was read completely.
 
         Args:
           head: The bytes to send.
           request_id: The id that the response must echo, as bytes.
+          on_head: As for `Exchange`.
         Returns:
           The `Exchange`.
         """
         assert self.exchange is None, "a connection carries one request at a time"
-        self.exchange = Exchange(request_id)
+        self.exchange = Exchange(request_id, on_head)
         self.transport.write(head)
         return self.exchange
 
@@ -210,8 +221,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self._must_close = True
+            exchange.report_head()
             exchange.finish(SendOutcome.BROKEN)
             return
+        exchange.report_head()
         if len(exchange.body) > MAX_READ_AHEAD and exchange.outcome is None:
             self.transport.pause_reading()
         exchange.wake()
@@ -256,7 +269,8 @@
         if not self._ignores_response:
             exchange.status = status
             exchange.headers = self._headers
-            self._update_idle_timeout()
+            exchange.notices = wire.decode_notices(status, self._headers)
+            self._update_idle_timeout(exchange.notices.idle_timeout)
 
     def on_body(self, data):
         if not self._ignores_response:
@@ -268,15 +282,10 @@
         if not self._ignores_response:
             self.exchange.finish(SendOutcome.SUCCEEDED)
 
-    def _update_idle_timeout(self):
-        """Apply the timeout of the target's `Keep-Alive` header."""
-        keep_alive = _find_header(self._headers, b"keep-alive")
-        if keep_alive is None:
-            return
-        for parameter in keep_alive.split(b","):
-            name, _, value = parameter.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
-                self.idle_timeout = max(0.0, int(value) - IDLE_TIMEOUT_MARGIN)
+    def _update_idle_timeout(self, seconds):
+        """Apply the idle timeout that the target stated, if any."""
+        if seconds is not None:
+            self.idle_timeout = max(0.0, seconds - IDLE_TIMEOUT_MARGIN)
 
 
 async def connect(address, timeout, on_closed):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -16,25 +16,28 @@
 
 def classify_head(exchange, rest):
     """Return the outcome according to status and headers, and the `Reply`."""
-    headers = {name.lower(): value for name, value in exchange.headers}
     body = bytes(exchange.body)
     exchange.body.clear()
     reply = Reply(exchange.status, exchange.headers, body, rest)
+    return outcome_of_head(exchange), reply
+
+
+def outcome_of_head(exchange):
+    """Return the `SendOutcome` according to status and headers."""
+    names = {name.lower() for name, _ in exchange.headers}
     if exchange.status == 421:
-        return SendOutcome.WRONG_TARGET, reply
-    if wire.NOT_RUN.lower().encode() in headers:
-        return SendOutcome.NOT_RUN, reply
+        return SendOutcome.WRONG_TARGET
+    if wire.NOT_RUN.lower().encode() in names:
+        return SendOutcome.NOT_RUN
     if 200 <= exchange.status < 300:
-        is_signed = wire.SIGNATURE.lower().encode() in headers
-        is_plain = b"content-encoding" not in headers
-        return (
-            SendOutcome.SUCCEEDED if is_signed and is_plain else SendOutcome.UNSIGNED
-        ), reply
+        is_signed = wire.SIGNATURE.lower().encode() in names
+        is_plain = b"content-encoding" not in names
+        return SendOutcome.SUCCEEDED if is_signed and is_plain else SendOutcome.UNSIGNED
     if exchange.status == 504:
-        return SendOutcome.TIMED_OUT, reply
+        return SendOutcome.TIMED_OUT
     if exchange.status >= 500 or exchange.status in (408, 429):
-        return SendOutcome.FAILED, reply
-    return SendOutcome.SUCCEEDED, reply
+        return SendOutcome.FAILED
+    return SendOutcome.SUCCEEDED
 
 
 class ReplyRest:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -13,10 +13,12 @@
 from plumsaddle_core.core.traffic import (
     Configuration,
     Limits,
+    NoticeError,
     RequestKind,
     Route,
     Share,
     Target,
+    TargetNotices,
     TargetState,
     Workspace,
 )
@@ -35,9 +37,11 @@
 SIGNATURE = "Response-Signature"
 NOT_RUN = "Not-Executed"
 RETRY_AFTER = "Retry-After"
-# A response header: the requests per second that a target accepts from all hosts
-# together.
+# Response headers: the requests per second that a target accepts from all hosts
+# together, and "1" if the target is about to exit.
 RATE_LIMIT = "Server-Limit"
+DRAINING = "Server-Leaving"
+KEEP_ALIVE = "Keep-Alive"
 # A header of requests to targets: the name of the request's workspace.
 WORKSPACE = "Tenant"
 
@@ -55,8 +59,8 @@
 MAX_SLOTS = 100_000
 MAX_WARMUP_MS = 86_400_000
 MAX_STARTED_AT_MS = 2**53
-# Bytes of a malformed rate limit that are logged.
-MAX_LOGGED_RATE_LIMIT = 40
+# Bytes of a malformed header that are logged.
+MAX_LOGGED_VALUE = 40
 STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 
 
@@ -135,30 +139,67 @@
     return None
 
 
-_RATE_LIMIT_NAME = RATE_LIMIT.lower().encode()
-_decode_rate = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
+_match_decimal = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
+_NOTICE_HEADERS = {
+    name.lower().encode() for name in (RATE_LIMIT, DRAINING, RETRY_AFTER, KEEP_ALIVE)
+}
+_FLAGS = {b"1": True, b"0": False}
+_NO_NOTICES = TargetNotices()
 
 
-def decode_rate_limit(headers):
+def decode_notices(status, headers):
     """
-    Decode the rate limit in the headers of a response.
+    Decode what a target says about itself in the head of a response.
 
-    The lowest of several applies. Anything but a plain decimal number is ignored,
-    because a wrong guess could block the target or lift its limit.
+    Anything but a plain decimal number is rejected, because a wrong guess could block
+    the target or lift its limit. Of several values the most restrictive one applies.
 
     Args:
+      status: The response's status.
       headers: Pairs of name and value, as bytes.
     Returns:
-      A `Success` of requests per second, or of None without such a header; a
-      `Failure` of the start of the value if none can be decoded.
+      The `TargetNotices`.
     """
-    named = [value for name, value in headers if name.lower() == _RATE_LIMIT_NAME]
+    named = {}
+    for name, value in headers:
+        lower = name.lower()
+        if lower in _NOTICE_HEADERS:
+            named.setdefault(lower, []).append(value.strip())
     if not named:
-        return Success(None)
-    rates = [float(text) for text in named if _decode_rate(text)]
-    if not rates:
-        return Failure(named[0][:MAX_LOGGED_RATE_LIMIT].decode("latin-1"))
-    return Success(min(rates))
+        return _NO_NOTICES
+    errors = []
+
+    def decode(name, decode_value, choose):
+        values = named.get(name.lower().encode(), ())
+        decoded = [d for d in map(decode_value, values) if d is not None]
+        if values and not decoded:
+            text = values[0][:MAX_LOGGED_VALUE].decode("latin-1")
+            errors.append(NoticeError(name, text))
+        return choose(decoded) if decoded else None
+
+    return TargetNotices(
+        decode(RATE_LIMIT, _decode_decimal, min),
+        decode(DRAINING, _FLAGS.get, max) or False,
+        # Other statuses may be about the resource and not about the target.
+        decode(RETRY_AFTER, _decode_decimal, max) if status == 503 else None,
+        _decode_idle_timeout(named),
+        tuple(errors),
+    )
+
+
+def _decode_decimal(value):
+    return float(value) if _match_decimal(value) else None
+
+
+def _decode_idle_timeout(named):
+    """Return the timeout in `Keep-Alive` headers in seconds, or None."""
+    timeouts = []
+    for value in named.get(KEEP_ALIVE.lower().encode(), ()):
+        for parameter in value.split(b","):
+            name, _, text = parameter.strip().partition(b"=")
+            if name.lower() == b"timeout" and text.isdigit():
+                timeouts.append(int(text))
+    return min(timeouts, default=None)
 
 
 def decode_configuration(data):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
@@ -8,7 +8,7 @@
 from hypothesis import example, given, settings, strategies as st
 from returns.result import Failure, Success
 
-from plumsaddle_core.core.traffic import TargetState
+from plumsaddle_core.core.traffic import NoticeError, TargetNotices, TargetState
 
 from . import wire
 from .nodefile import check_host_settings
@@ -187,3 +187,51 @@
     assert page.next_offset == 14
     assert page.records[2].key == "i-1"
     assert page.records[2].value == valid
+
+
+def test_the_notices_of_a_target_are_decoded():
+    headers = [
+        (b"Server-Limit", b"2.5"),
+        (b"SERVER-LEAVING", b"1"),
+        (b"retry-after", b"0.75"),
+        (b"Keep-Alive", b"max=9, timeout=4"),
+    ]
+    expected = TargetNotices(2.5, True, 0.75, 4)
+    assert wire.decode_notices(503, headers) == expected
+    assert wire.decode_notices(200, headers) == expected._replace(retry_after=None)
+    assert wire.decode_notices(200, []) == TargetNotices()
+
+
+def test_the_most_restrictive_of_several_notices_applies():
+    """Guards against a second header that lifts what the first one asks for."""
+    headers = [
+        (b"Server-Limit", b"9"),
+        (b"Server-Limit", b"2"),
+        (b"Server-Leaving", b"1"),
+        (b"Server-Leaving", b"0"),
+        (b"Retry-After", b"1"),
+        (b"Retry-After", b"3"),
+        (b"Retry-After", b"soon"),
+    ]
+    assert wire.decode_notices(503, headers) == TargetNotices(2.0, True, 3.0)
+
+
+@pytest.mark.parametrize("header", [wire.RATE_LIMIT, wire.DRAINING, wire.RETRY_AFTER])
+@pytest.mark.parametrize(
+    "text",
+    [b"", b"nan", b"-1", b"1e3", b"0x1", b"\xb2", b"2,3", b"yes", b"9" * 400]
+    + [b"Thu, 03 Dec 2026 12:00:00 GMT"],
+)
+def test_a_malformed_notice_is_reported_and_changes_nothing(header, text):
+    """Guards against a target shut out by a mistake in a header."""
+    notices = wire.decode_notices(503, [(header.encode(), text)])
+    error = NoticeError(header, text[:40].decode("latin-1"))
+    assert notices == TargetNotices(errors=(error,))
+
+
+@given(st.integers(100, 599), st.lists(st.tuples(st.binary(), st.binary())))
+def test_decoding_notices_never_raises(status, headers):
+    """Guards against a connection lost to a header that nobody foresaw."""
+    names = [wire.RATE_LIMIT, wire.DRAINING, wire.RETRY_AFTER, wire.KEEP_ALIVE]
+    named = [(names[len(name) % len(names)].encode(), value) for name, value in headers]
+    wire.decode_notices(status, headers + named)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
@@ -20,6 +20,9 @@
         self.limits = set()
         self.limit_hosts = set()
         self.waits = []
+        # Hosts to which it said that it is draining, and the rests that it asked for.
+        self.drain_hosts = set()
+        self.rests = []
 
 
 def tell_standing(events, target):
@@ -33,8 +36,9 @@
       Texts, with times in seconds from the target's first line: how many sends began
       and from how many hosts, the least and greatest probability of failing that they
       were given, the rate limits that hosts learned it names, how many hosts did, the
-      longest wait for a token, and the failures by kind. The list is empty if no line
-      names it.
+      longest wait for a token, how many hosts it told that it is draining, the
+      longest rest that it asked for and how often, and the failures by kind. The list
+      is empty if no line names it.
     """
     own = [event for event in events if event.fields.get("target") == target]
     seconds = defaultdict(_Second)
@@ -100,6 +104,10 @@
     elif event.message == "rate limit":
         second.limits.add(fields["rate"])
         second.limit_hosts.add(event.host)
+    elif event.message == "draining notice":
+        second.drain_hosts.add(event.host)
+    elif event.message == "rest notice":
+        second.rests.append(fields["seconds"])
     elif event.message in LISTINGS:
         second.listings.add(fields.get("state", event.message))
 
@@ -117,5 +125,9 @@
     if second.limits:
         limits = sorted("none" if x is None else f"{x:g}" for x in second.limits)
         parts.append(f"limit={','.join(limits)} learned-by={len(second.limit_hosts)}")
+    if second.drain_hosts:
+        parts.append(f"draining-told={len(second.drain_hosts)}")
+    if second.rests:
+        parts.append(f"rest={max(second.rests):g} rests={len(second.rests)}")
     parts += [f"{kind}={count}" for kind, count in sorted(second.failures.items())]
     return " ".join(parts)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
@@ -55,6 +55,21 @@
     ]
 
 
+def test_a_targets_notices_are_told_by_second():
+    """Guards against a target that closed itself and looks like a forgotten one."""
+    events = read_events(
+        [
+            _line(100.0, "rest notice", target="t1", seconds=3.0, request="a"),
+            _line(100.1, "rest notice", "h2", target="t1", seconds=1.5, request="b"),
+            _line(104.0, "draining notice", target="t1", request="c"),
+        ]
+    )
+    assert tell_standing(events, "t1") == [
+        "+0 s rest=3 rests=2",
+        "+4 s draining-told=1",
+    ]
+
+
 def test_a_day_is_counted_by_second():
     day = sum_up_day(EVENTS)
     assert day.answers == {"200": [0, 1, 0, 0, 0]}
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_rate_limit_test.py
@@ -170,8 +170,9 @@
         for number in range(10):
             status, _, _ = await trial.ask("/look/a", f"odd-{number}")
             assert status == 200
-        lines = [r for r in caplog.records if r.message == "unreadable rate limit"]
+        lines = [r for r in caplog.records if r.message == "unreadable notice"]
         assert len(lines) == 1
+        assert lines[0].header == "Server-Limit"
         assert len(lines[0].text) <= 40
 
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 import enum
 import json
 import random
@@ -67,6 +68,20 @@
     path: str
     headers: dict
     body: bytes
+    at: float
+
+
+class Notice(NamedTuple):
+    """
+    What an answer said of the stand-in itself.
+
+    `rest` is the seconds for which it wants nothing from the host that it answered;
+    None if the answer says that it is draining.
+    """
+
+    at: float
+    request_id: str
+    rest: float | None
 
 
 class WorkerStandin:
@@ -90,6 +105,11 @@
         self.idle_limit = 5
         # The text of `Server-Limit` in each answer, None for no such header.
         self.rate_limit = None
+        # Whether each answer says that it is draining, and the text of `Retry-After`
+        # in each rejection, None for no such header.
+        self.is_draining = False
+        self.rest = None
+        self.notices = []
         # When each request arrived, whatever became of it.
         self.arrivals = []
         self.deadly = {}
@@ -157,8 +177,9 @@
             await _read_body(reader, headers)
             return True
         body = await _read_body(reader, headers)
-        self.seen.append(Seen(request_id, method, path, headers, body))
-        self.arrivals.append(asyncio.get_running_loop().time())
+        at = asyncio.get_running_loop().time()
+        self.seen.append(Seen(request_id, method, path, headers, body, at))
+        self.arrivals.append(at)
         if headers.get("target-instance", self.id) != self.id:
             writer.write(self._answer(request_id, 421, b"", "Instance-Id: other\r\n"))
             return True
@@ -179,8 +200,7 @@
     async def _work(self, request_id, reader, writer):
         mode = self.mode
         if mode is Mode.SHED:
-            writer.write(self._answer(request_id, 503, b"", "Not-Executed: 1\r\n"))
-            return True
+            return await self._reject(request_id, writer)
         self.runs[request_id] += 1
         if mode is Mode.ERRORS:
             writer.write(self._answer(request_id, 500, b"failed"))
@@ -200,6 +220,21 @@
         self.done[request_id] += 1
         return await self._reply(request_id, writer, mode)
 
+    async def _reject(self, request_id, writer):
+        """Reject a request, and return whether the connection goes on."""
+        more = "Not-Executed: 1\r\n"
+        if self.rest is not None:
+            more += f"Retry-After: {self.rest}\r\n"
+            self._note(request_id, self.rest)
+        writer.write(self._answer(request_id, 503, b"", more))
+        return True
+
+    def _note(self, request_id, rest):
+        at = asyncio.get_running_loop().time()
+        with contextlib.suppress(ValueError):
+            rest = rest if rest is None else float(rest)
+            self.notices.append(Notice(at, request_id, rest))
+
     async def _take_time(self, request_id, reader, seconds):
         """Work, and return whether the caller was still there at the end."""
         gone = asyncio.ensure_future(reader.read(1))
@@ -257,6 +292,9 @@
             lines.append(f"Keep-Alive: timeout={self.idle_limit}")
         if self.rate_limit is not None:
             lines.append(f"Server-Limit: {self.rate_limit}")
+        if self.is_draining:
+            lines.append("Server-Leaving: 1")
+            self._note(request_id, None)
         return ("\r\n".join(lines) + "\r\n" + more + "\r\n").encode() + body
 
 
