Send nothing to a target that has said that it is draining

What callers saw: nothing yet, the target still served.

Ruled out by the logs: requests chosen before the notice and sent after it (2 ms between choice and arrival), and a notice that ended one connection only.

The host now marks the incarnation when the head of any of its answers carries the notice, whatever becomes of the request, and neither the registry, a lapse nor a later answer takes the mark back. Target selection leaves it out. If no other target would do, it may still be used until drain_ms after the notice, since it still serves: callers of a service whose targets all leave are served until their successors are there. Each send passes one check last, HostState.may_send, which now holds the registry's state, the notice and the share of a rate limit together, so that what was chosen before the notice is not sent after it.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
@@ -1,31 +1,44 @@
 """
 What targets have said of their own availability to one host.
 
-A target that announces that it is draining never takes new requests again in this
-incarnation. A target that rejects a request may ask this host to send nothing for some
-seconds. Both hold whatever the registry lists, which is late while the platform's store
-is unavailable.
+A target that announces that it is draining gets no more requests in this incarnation.
+For a short grace period it still serves those for which there is no other target. A
+target that rejects a request may ask this host to send nothing for some seconds. Both
+hold whatever the registry lists, which is late while the platform's store is
+unavailable.
 """
 
 # Seconds after which the state of an incarnation that is no longer listed is dropped.
 # Entries of live targets may lapse while the store is unavailable.
-UNLISTED_TIMEOUT = 60.0
+UNLISTED_TIMEOUT = 600.0
 
 
 class Availability:
-    """The targets that have closed themselves to one host, by incarnation."""
+    """
+    The targets that have closed themselves to one host, by incarnation.
 
-    def __init__(self):
-        self._draining = set()
+    Args:
+      drain_grace: Seconds for which a draining target may still be sent requests.
+    """
+
+    def __init__(self, drain_grace):
+        self._drain_grace = drain_grace
+        # When each draining target's announcement became known.
+        self._draining = {}
         self._rests_until = {}
         # Since when incarnations with an entry have been unlisted.
         self._unlisted_since = {}
 
-    def note_draining(self, incarnation):
+    @property
+    def has_draining(self):
+        """Whether any target has announced that it is draining."""
+        return bool(self._draining)
+
+    def note_draining(self, incarnation, now):
         """Record that a target is draining, and return whether that is new."""
         if incarnation in self._draining:
             return False
-        self._draining.add(incarnation)
+        self._draining[incarnation] = now
         return True
 
     def note_rest(self, incarnation, seconds, now):
@@ -45,6 +58,11 @@
         """Return whether a target has announced that it is draining."""
         return incarnation in self._draining
 
+    def may_send(self, incarnation, now):
+        """Return whether a target may be sent a request, if need be."""
+        announced_at = self._draining.get(incarnation)
+        return announced_at is None or now < announced_at + self._drain_grace
+
     def rest(self, incarnation, now):
         """Return the seconds for which a target still wants no requests."""
         return max(0.0, self._rests_until.get(incarnation, 0.0) - now)
@@ -53,11 +71,11 @@
         """Drop ended rests, and the state of incarnations unlisted for a while."""
         rests = self._rests_until.items()
         self._rests_until = {key: until for key, until in rests if until > now}
-        unlisted = (self._draining | self._rests_until.keys()) - listed
+        unlisted = (self._draining.keys() | self._rests_until.keys()) - listed
         since = {key: self._unlisted_since.get(key, now) for key in unlisted}
         expired = {key for key, at in since.items() if now - at >= UNLISTED_TIMEOUT}
-        self._draining -= expired
         for key in expired:
             del since[key]
+            self._draining.pop(key, None)
             self._rests_until.pop(key, None)
         self._unlisted_since = since
--- a/packages/plumsaddle-core/plumsaddle_core/ops/availability_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/availability_test.py
@@ -9,24 +9,35 @@
 
 def test_a_draining_target_stays_marked_while_the_registry_forgets_it():
     """Guards against a mark lost with an entry that lapses and comes back."""
-    availability = Availability()
-    assert availability.note_draining("t1")
-    assert not availability.note_draining("t1")
+    availability = Availability(2.0)
+    assert availability.note_draining("t1", 0.0)
+    assert not availability.note_draining("t1", 1.0)
     availability.evict(set(), 10.0)
     availability.evict({"t1"}, 10.0 + UNLISTED_TIMEOUT - 1.0)
-    availability.evict(set(), 200.0)
+    availability.evict(set(), 2000.0)
     assert availability.is_draining("t1")
-    availability.evict(set(), 200.0 + UNLISTED_TIMEOUT)
+    availability.evict(set(), 2000.0 + UNLISTED_TIMEOUT)
     assert not availability.is_draining("t1")
 
 
+def test_a_draining_target_closes_after_its_grace_period():
+    """Guards against a later notice, or a passing lapse, that opens a target again."""
+    availability = Availability(2.0)
+    assert availability.may_send("t1", 0.0)
+    availability.note_draining("t1", 1.0)
+    availability.note_draining("t1", 2.5)
+    assert availability.may_send("t1", 2.9)
+    for at in (3.0, 4.0, 1e6):
+        assert not availability.may_send("t1", at)
+
+
 @given(
     st.lists(st.tuples(st.floats(0.0, 5.0), st.floats(0.0, 9.0)), max_size=9),
     st.floats(0.0, 60.0),
 )
 def test_a_rest_ends_with_the_latest_end_that_was_named(notices, later):
     """Guards against a shorter rest that ends a longer one."""
-    availability = Availability()
+    availability = Availability(2.0)
     at, end = 0.0, 0.0
     for pause, seconds in notices:
         at += pause
@@ -39,9 +50,9 @@
 
 def test_state_is_bounded_by_the_listed_targets():
     """Guards against memory that grows with the targets that have come and gone."""
-    availability = Availability()
+    availability = Availability(2.0)
     for number in range(500):
-        availability.note_draining(f"t{number}")
+        availability.note_draining(f"t{number}", 0.0)
         availability.note_rest(f"t{number}", 1e9, 0.0)
     availability.evict({"t1"}, 1.0)
     availability.evict({"t1"}, 1.0 + UNLISTED_TIMEOUT)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -117,7 +117,7 @@
         self.limits = RateLimits(
             settings, self.shared.limits, self.registry, self._notify
         )
-        self.availability = Availability()
+        self.availability = Availability(bounds.leaving)
         self.notices = NoticeRecorder(self.availability, self.limits)
         self._target_orders = {}
         self._rates = {}
@@ -293,18 +293,42 @@
         Returns:
           A `Choice`, or None if there is no target.
         """
-        usable = self.limits.admissible(service, 0.0, at)
+        usable = self._admissible(service, 0.0, at)
         choice = self._choose_usable(
             service, usable, profile, excluded, has_connection, at
         )
-        if max_wait <= 0.0 or not self.limits.has_any or _is_final(choice):
+        if not self._has_restrictions or _is_final(choice):
             return choice
-        delayed = self.limits.admissible(service, max_wait, at)
-        if len(delayed) == len(usable):
+        others = self._admissible(service, max_wait, at, may_drain=True)
+        if len(others) == len(usable):
             return choice
-        candidates = [target for target in delayed if target.id not in excluded]
+        candidates = [target for target in others if target.id not in excluded]
         return self._choose_among(candidates, profile, has_connection, at)
 
+    @property
+    def _has_restrictions(self):
+        """Whether any target restricts the requests that it takes."""
+        return self.limits.has_any or self.availability.has_draining
+
+    def _admissible(self, service, max_wait, at, may_drain=False):
+        """
+        Return the targets of a service that may be sent a request within `max_wait`.
+
+        With `may_drain`, these include draining targets in their grace period.
+        """
+        # All hosts must compute the shares of limits from the same targets, so the
+        # draining ones, which each host learns at its own time, are left out later.
+        targets = self.limits.admissible(service, max_wait, at)
+        availability = self.availability
+        if not availability.has_draining:
+            return targets
+        return [
+            target
+            for target in targets
+            if not availability.is_draining(target.incarnation)
+            or (may_drain and availability.may_send(target.incarnation, at))
+        ]
+
     def _choose_usable(self, service, usable, profile, excluded, has_connection, at):
         """Choose among targets to which a request may be sent immediately."""
         may_send_trial = (
@@ -336,7 +360,7 @@
             self._target_orders[service] = (self.registry.revision, order)
         hosts = self.shared.live_host_count()
         subset = order.subset(subset_size(len(order.local), hosts, rate))
-        if not self.limits.has_any:
+        if not self._has_restrictions:
             return subset
         incarnations = {target.incarnation for target in usable}
         return [target for target in subset if target.incarnation in incarnations]
@@ -401,7 +425,25 @@
         )
 
     def is_usable(self, target):
-        """Return whether a target with this incarnation may still get requests."""
+        """Return whether an incarnation of a target is listed and not draining."""
+        return self._is_ready(target) and not self.availability.is_draining(
+            target.incarnation
+        )
+
+    def may_send(self, target, at):
+        """
+        Return whether a request may be sent to an incarnation of a target now.
+
+        Every send must pass this check last: the target may have been chosen before its
+        state changed.
+        """
+        return (
+            self._is_ready(target)
+            and self.availability.may_send(target.incarnation, at)
+            and (not self.limits.has_any or self.limits.may_send(target, at))
+        )
+
+    def _is_ready(self, target):
         listed = self.registry.targets.get(target.id)
         if listed is None or listed.incarnation != target.incarnation:
             return False
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
@@ -50,7 +50,7 @@
             "request": exchange.request_id.decode("latin-1"),
         }
         incarnation = target.incarnation
-        if notices.is_draining and self._availability.note_draining(incarnation):
+        if notices.is_draining and self._availability.note_draining(incarnation, at):
             log.info("draining notice", extra=fields)
         seconds = notices.retry_after
         if seconds is not None and self._availability.note_rest(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -397,15 +397,15 @@
         The attempt records the send only after the wait, so a request refused earlier
         is known not to have run. The host may lose its share of the limit meanwhile.
         """
-        target, limits = choice.candidate.target, self._knowledge.limits
+        target = choice.candidate.target
         may_send = False
         try:
             await asyncio.sleep(choice.candidate.wait)
-            may_send = limits.may_send(target, now())
+            may_send = self._knowledge.may_send(target, now())
         finally:
             if not may_send:
                 self._knowledge.note_send_end(target)
-                limits.release(target)
+                self._knowledge.limits.release(target)
         if not may_send:
             return CompletedSend(
                 target, SendOutcome.UNSENT, None, choice.candidate.wait
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -100,7 +100,7 @@
         idle = 0.0 if is_new else round(at - connection.last_used_at, 3)
         info = ConnectionInfo("new" if is_new else "kept", age, idle)
         is_too_late = request.deadline <= at or request.caller.is_gone()
-        if is_too_late or not self._knowledge.is_usable(target):
+        if is_too_late or not self._knowledge.may_send(target, at):
             self._pool.release_unused(target.incarnation, connection)
             return SendResult(SendOutcome.UNSENT, None, info)
         outcome, reply = await self._exchange(
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
@@ -3,12 +3,14 @@
 """
 
 import asyncio
+import contextlib
 
+import aiohttp
 import pytest
 
 from .notices_check import find_ignored_notices
 from .store import Fault
-from .trial import Trial, in_loop
+from .trial import TARGETS, Trial, in_loop, until
 from .worker import Mode
 
 METHODS = {"look": "GET", "act": "POST", "up": "POST"}
@@ -79,3 +81,122 @@
         await press(trial, "/act/a", 3.0)
         assert remote.notices
         assert not find_all_ignored(trial)
+
+
+async def learn_of_draining(trial, service):
+    """Let the first target of a service drain and say so in one answer; return it."""
+    leaving = trial.workers[f"{service}-0"]
+    others = [worker for worker in trial.of(service) if worker is not leaving]
+    for worker in others:
+        trial.register(worker, "draining")
+    targets = trial.hosts[0].knowledge.registry.usable
+    await until(lambda: len(targets(service)) == 1)
+    leaving.is_draining = True
+    with contextlib.suppress(aiohttp.ClientPayloadError):
+        await trial.ask(f"/{service}/a", "told", METHODS[service])
+    for worker in others:
+        trial.register(worker)
+    await until(lambda: len(targets(service)) == len(others) + 1)
+    return leaving
+
+
+@pytest.mark.parametrize(
+    "mode",
+    [Mode.GOOD, Mode.SHED, Mode.ERRORS, Mode.FALSE_BUSY, Mode.UNSIGNED]
+    + [Mode.CUT, Mode.LONG, Mode.LONG_CUT, Mode.UNFRAMED, Mode.TWICE, Mode.EARLY],
+)
+@in_loop
+async def test_one_answer_of_any_kind_tells_of_draining(mode):
+    """Guards against a notice that goes unread while its target rejects or fails."""
+    async with Trial(("look",), leaving=0.0) as trial:
+        trial.workers["look-0"].mode = mode
+        leaving = await learn_of_draining(trial, "look")
+        before = len(leaving.arrivals)
+        await press(trial, "/look/a", 0.5)
+        assert before == len(leaving.arrivals)
+
+
+@in_loop
+async def test_a_notice_counts_before_the_whole_answer_is_there():
+    """Guards against requests sent while an answer with a notice trickles in."""
+    async with Trial(("look",), leaving=0.0, targets=1) as trial:
+        worker = trial.workers["look-0"]
+        worker.is_draining, worker.mode = True, Mode.HEAD_ONLY
+        pending = asyncio.ensure_future(trial.ask("/look/a", "first"))
+        await until(lambda: worker.notices)
+        await asyncio.sleep(0.05)
+        assert not pending.done()
+        assert (await trial.ask("/look/a", "second"))[0] == 503
+        assert len(worker.arrivals) == 1
+        pending.cancel()
+
+
+@in_loop
+async def test_only_a_new_incarnation_ends_a_draining_notice():
+    """Guards against a late entry or a lapse that puts a leaving target back to use."""
+    async with Trial(("act",), leaving=0.0) as trial:
+        leaving = await learn_of_draining(trial, "act")
+        before = len(leaving.arrivals)
+        registry = trial.hosts[0].knowledge.registry
+        trial.register(leaving)
+        trial.unregister(leaving)
+        await until(lambda: len(registry.usable("act")) == 1)
+        trial.register(leaving)
+        await until(lambda: len(registry.usable("act")) == 2)
+        await press(trial, "/act/a", 0.5)
+        assert before == len(leaving.arrivals)
+        leaving.is_draining = False
+        trial.store.put(TARGETS, leaving.id, leaving.entry(born=1796256009000))
+        restarted = leaving.id
+        await until(lambda: registry.targets[restarted].started_at == 1796256009000)
+        for worker in trial.of("act"):
+            worker.work = 0.1
+        await press(trial, "/act/a", 0.5)
+        assert before < len(leaving.arrivals)
+
+
+@in_loop
+async def test_the_last_target_serves_through_its_grace_period():
+    """Guards against callers refused although a draining target would serve them."""
+    async with Trial(("act",), targets=1, leaving=1.0) as trial:
+        worker = trial.workers["act-0"]
+        worker.is_draining = True
+        begun = asyncio.get_running_loop().time()
+        statuses = []
+        for number in range(80):
+            status, headers, _ = await trial.ask("/act/a", f"r-{number}", "POST")
+            statuses.append((asyncio.get_running_loop().time() - begun, status))
+            if status == 503:
+                assert float(headers["Retry-After"]) > 0.0
+            await asyncio.sleep(0.01)
+        assert {status for at, status in statuses if at < 0.9} == {200}
+        assert {status for at, status in statuses if at > 1.3} == {503}
+        last = worker.arrivals[-1] - worker.notices[0].at
+        assert last < 1.05
+
+
+@in_loop
+async def test_a_delayed_request_is_not_sent_after_a_notice():
+    """Guards against a request chosen before a notice and sent after it."""
+    async with Trial(("act",), targets=1, leaving=0.15) as trial:
+        worker = trial.workers["act-0"]
+        worker.rate_limit, worker.is_draining = "3", True
+        await trial.ask("/act/a", "first", "POST")
+        answer = asyncio.ensure_future(trial.ask("/act/a", "delayed", "POST"))
+        await asyncio.sleep(0.05)
+        assert not answer.done()
+        status, headers, _ = await answer
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0.0
+        assert worker.runs["delayed"] == 0
+        assert not trial.hosts[0].knowledge.shared.own_in_flight()
+
+
+@in_loop
+async def test_an_operator_sees_who_was_told_of_draining(caplog):
+    """Guards against a target without requests of which no log line tells why."""
+    caplog.set_level("INFO")
+    async with Trial(("look",), leaving=0.0) as trial:
+        await learn_of_draining(trial, "look")
+        (line,) = [r for r in caplog.records if r.message == "draining notice"]
+        assert (line.target, line.request) == ("look-0", "told")
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -43,6 +43,7 @@
     EARLY = "early"
     CLOSE_IDLE = "close-idle"
     FALSE_BUSY = "false-busy"
+    HEAD_ONLY = "head-only"
 
 
 # Requests that a stand-in works on at once.
@@ -257,6 +258,10 @@
         if mode is Mode.LONG_CUT:
             writer.write(whole[:-100000])
             return False
+        if mode is Mode.HEAD_ONLY:
+            writer.write(whole[: -len(BODY)])
+            await writer.drain()
+            await asyncio.sleep(FOR_EVER)
         if mode is Mode.CUT:
             writer.write(whole[:-5])
             return False
