Send nothing to a target that has asked this host for a rest

What callers saw: retries.

Cause: nobody read the Retry-After of a target. Rejections moved the failure estimate only, and those by targets of another data centre not even that. Same class as the draining notice. Ruled out by the logs: requests chosen before the rejection and sent after it (choices 0.5 to 1.2 s after it), and load that only moved on from host to host (eight hosts sent two to four).

Each rejection with Retry-After opens a rest of that target towards this host, from the moment in which its head arrives. A later one lengthens it; nothing shortens it, and a mistake cannot exceed ten minutes. Target selection leaves resting targets out, and the last check of each send includes the rest. If no other target would do, a request may wait for the end of a rest as for a token of a rate limit; otherwise it is refused at once as 'targets-resting', with the time until the first rest ends and a random spread in Retry-After. Every other refusal's Retry-After covers the rest as well. The failure estimate is as it was: a rejection by a target with free slots still counts, since one that rejects everything must not be tried again by each host in turn.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
@@ -8,9 +8,13 @@
 unavailable.
 """
 
+import math
+
 # Seconds after which the state of an incarnation that is no longer listed is dropped.
 # Entries of live targets may lapse while the store is unavailable.
 UNLISTED_TIMEOUT = 600.0
+# The longest rest in seconds, so that no mistake of a target shuts it out for good.
+MAX_REST = 600.0
 
 
 class Availability:
@@ -30,9 +34,9 @@
         self._unlisted_since = {}
 
     @property
-    def has_draining(self):
-        """Whether any target has announced that it is draining."""
-        return bool(self._draining)
+    def has_any(self):
+        """Whether any target may have closed itself."""
+        return bool(self._draining or self._rests_until)
 
     def note_draining(self, incarnation, now):
         """Record that a target is draining, and return whether that is new."""
@@ -48,7 +52,7 @@
         Returns:
           Whether it rests longer than was known.
         """
-        until = now + seconds
+        until = now + min(MAX_REST, seconds)
         if until <= max(now, self._rests_until.get(incarnation, 0.0)):
             return False
         self._rests_until[incarnation] = until
@@ -58,19 +62,30 @@
         """Return whether a target has announced that it is draining."""
         return incarnation in self._draining
 
-    def may_send(self, incarnation, now):
-        """Return whether a target may be sent a request, if need be."""
-        announced_at = self._draining.get(incarnation)
-        return announced_at is None or now < announced_at + self._drain_grace
+    def is_open(self, incarnation, max_wait, now):
+        """Return whether a target takes requests that are sent within `max_wait`."""
+        is_resting = self.rest(incarnation, now) > max_wait
+        return not (self.is_draining(incarnation) or is_resting)
+
+    def may_send(self, incarnation, max_wait, now):
+        """Return the same as `is_open`, but True in the grace period of draining."""
+        rest = self.rest(incarnation, now)
+        announced_at = self._draining.get(incarnation, math.inf)
+        return rest <= max_wait and now + rest < announced_at + self._drain_grace
 
     def rest(self, incarnation, now):
         """Return the seconds for which a target still wants no requests."""
         return max(0.0, self._rests_until.get(incarnation, 0.0) - now)
 
+    def end_rests(self, now):
+        """Drop the rests that have ended, and return their incarnations."""
+        ended = [key for key, until in self._rests_until.items() if until <= now]
+        for key in ended:
+            del self._rests_until[key]
+        return ended
+
     def evict(self, listed, now):
-        """Drop ended rests, and the state of incarnations unlisted for a while."""
-        rests = self._rests_until.items()
-        self._rests_until = {key: until for key, until in rests if until > now}
+        """Drop the state of incarnations that have been unlisted for a while."""
         unlisted = (self._draining.keys() | self._rests_until.keys()) - listed
         since = {key: self._unlisted_since.get(key, now) for key in unlisted}
         expired = {key for key, at in since.items() if now - at >= UNLISTED_TIMEOUT}
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -308,7 +308,7 @@
     @property
     def _has_restrictions(self):
         """Whether any target restricts the requests that it takes."""
-        return self.limits.has_any or self.availability.has_draining
+        return self.limits.has_any or self.availability.has_any
 
     def _admissible(self, service, max_wait, at, may_drain=False):
         """
@@ -320,15 +320,26 @@
         # draining ones, which each host learns at its own time, are left out later.
         targets = self.limits.admissible(service, max_wait, at)
         availability = self.availability
-        if not availability.has_draining:
+        if not availability.has_any:
             return targets
+        is_admissible = availability.may_send if may_drain else availability.is_open
         return [
             target
             for target in targets
-            if not availability.is_draining(target.incarnation)
-            or (may_drain and availability.may_send(target.incarnation, at))
+            if is_admissible(target.incarnation, max_wait, at)
         ]
 
+    def rest(self, service, at):
+        """Return the seconds until the first target of a service ends its rest."""
+        if not self.availability.has_any:
+            return 0.0
+        rests = [
+            self.availability.rest(target.incarnation, at)
+            for target in self.registry.usable(service)
+            if not self.availability.is_draining(target.incarnation)
+        ]
+        return min(rests, default=0.0)
+
     def _choose_usable(self, service, usable, profile, excluded, has_connection, at):
         """Choose among targets to which a request may be sent immediately."""
         may_send_trial = (
@@ -400,7 +411,10 @@
             Feature.OPEN_CONNECTIONS not in self.settings.disabled_features
             and has_connection(target.incarnation),
             is_local or self.shared.knows_remote_load(target.data_centre, at),
-            self.limits.wait(target, at),
+            max(
+                self.limits.wait(target, at),
+                self.availability.rest(target.incarnation, at),
+            ),
         )
 
     def request_profile(self, route, service, started, deadline, kilobytes, at):
@@ -439,7 +453,7 @@
         """
         return (
             self._is_ready(target)
-            and self.availability.may_send(target.incarnation, at)
+            and self.availability.may_send(target.incarnation, 0.0, at)
             and (not self.limits.has_any or self.limits.may_send(target, at))
         )
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -231,6 +231,7 @@
         while True:
             at = now()
             self.knowledge.expire(at)
+            self.knowledge.notices.tick(at)
             self.pool.close_expired(self.knowledge.registry.incarnations())
             self.crash_detector.tick(at)
             self.stored_suspects.evict_expired(at)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
@@ -7,7 +7,7 @@
 
 import logging
 
-from plumsaddle_core.core.traffic import SendOutcome
+from plumsaddle_core.core.traffic import SendOutcome, target_id_of
 
 from ..platform import wire
 from .clock import now
@@ -71,6 +71,11 @@
             self._logged_errors.add(key)
             log.warning("unreadable notice", extra={**fields, **error._asdict()})
 
+    def tick(self, at):
+        """Log the rests that have ended."""
+        for incarnation in self._availability.end_rests(at):
+            log.info("rest ended", extra={"target": target_id_of(incarnation)})
+
     def evict(self, listed, at):
         """Drop the state of incarnations that are no longer listed."""
         self._availability.evict(listed, at)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -296,9 +296,14 @@
         return Refusal(cause, not self._attempt.is_known_not_run(), retry_delay)
 
     def _retry_after(self):
-        """Return the seconds after which capacity is likely to be available."""
-        typical = self._typical_duration()
-        return typical * self._knowledge.rng.uniform(0.5, 1.5)
+        """
+        Return the seconds after which capacity is likely to be available.
+
+        This is never before a target of the service ends its rest, and spread so that
+        callers refused together don't return together.
+        """
+        spread = self._typical_duration() * self._knowledge.rng.uniform(0.5, 1.5)
+        return self._knowledge.rest(self._request.service, now()) + spread
 
     def _log_response(self, completed):
         request = self._request
@@ -415,13 +420,20 @@
 
     def _refuse_without_target(self, at):
         """Return the refusal of a request for which no target is available."""
-        request = self._request
-        wait = self._knowledge.limits.retry_after(request.service, at)
-        if wait is None:
-            return self._refuse(RefusalCause.NO_TARGET)
-        return self._refuse(
-            RefusalCause.TARGETS_LIMITED, wait, retry_after=round(wait, 3)
-        )
+        service = self._request.service
+        rest = self._knowledge.rest(service, at)
+        limits_wait = self._knowledge.limits.retry_after(service, at)
+        if limits_wait is not None:
+            wait = max(limits_wait, rest)
+            return self._refuse(
+                RefusalCause.TARGETS_LIMITED, wait, retry_after=round(wait, 3)
+            )
+        if rest:
+            wait = self._retry_after()
+            return self._refuse(
+                RefusalCause.TARGETS_RESTING, wait, retry_after=round(wait, 3)
+            )
+        return self._refuse(RefusalCause.NO_TARGET)
 
     async def _send(self, choice):
         """Send to the target of a `Choice` and return the `CompletedSend`."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
@@ -202,6 +202,13 @@
     assert wire.decode_notices(200, []) == TargetNotices()
 
 
+@pytest.mark.parametrize("name", [b"Server-Limit", b"SERVER-LIMIT", b"server-limit"])
+@pytest.mark.parametrize("value", [b" 2.3 ", b"2.3\t", b"2.3"])
+def test_white_space_and_case_do_not_hide_a_notice(name, value):
+    """Guards against a target without a limit since its header is padded."""
+    assert wire.decode_notices(200, [(name, value)]).rate_limit == 2.3
+
+
 def test_the_most_restrictive_of_several_notices_applies():
     """Guards against a second header that lifts what the first one asks for."""
     headers = [
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
@@ -8,6 +8,8 @@
 import aiohttp
 import pytest
 
+from plumsaddle_hosts.edge.clock import now
+
 from .notices_check import find_ignored_notices
 from .store import Fault
 from .trial import TARGETS, Trial, in_loop, until
@@ -200,3 +202,116 @@
         await learn_of_draining(trial, "look")
         (line,) = [r for r in caplog.records if r.message == "draining notice"]
         assert (line.target, line.request) == ("look-0", "told")
+
+
+@pytest.mark.parametrize("mode", [Mode.SHED, Mode.FALSE_BUSY])
+@in_loop
+async def test_requests_are_refused_at_once_while_all_targets_rest(mode):
+    """Guards against callers that wait, or press targets, until the rest is over."""
+    async with Trial(("act",), targets=2) as trial:
+        for worker in trial.of("act"):
+            worker.mode, worker.rest = mode, "3.0"
+        loop = asyncio.get_running_loop()
+        for number in range(10):
+            await trial.ask("/act/a", f"early-{number}", "POST")
+        begun, waits, slowest = loop.time(), [], 0.0
+        ends = [worker.notices[0].at + 3.0 for worker in trial.of("act")]
+        for number in range(40):
+            at = loop.time()
+            status, headers, _ = await trial.ask("/act/a", f"r-{number}", "POST")
+            slowest = max(slowest, loop.time() - at)
+            assert status == 503
+            retry_after = float(headers["Retry-After"])
+            assert min(ends) - at - 0.05 < retry_after < min(ends) - at + 1.0
+            waits.append(retry_after - (min(ends) - at))
+        assert loop.time() - begun < 2.0
+        assert slowest < 0.25
+        assert max(waits) - min(waits) > 0.01
+        assert all(len(worker.arrivals) <= 2 for worker in trial.of("act"))
+
+
+@in_loop
+async def test_a_request_waits_for_the_end_of_a_short_rest():
+    """Guards against requests refused although a target has room in a moment."""
+    async with Trial(("act",), targets=1) as trial:
+        worker = trial.workers["act-0"]
+        worker.mode, worker.rest = Mode.SHED, "0.4"
+        await trial.ask("/act/a", "rejected", "POST")
+        worker.mode = Mode.GOOD
+        status, _, _ = await trial.ask("/act/a", "delayed", "POST")
+        assert status == 200
+        assert worker.arrivals[1] - worker.notices[0].at >= 0.4
+
+
+@in_loop
+async def test_a_success_does_not_end_a_rest():
+    """Guards against a rest cut short by an answer that was under way."""
+    async with Trial(("look",), targets=1) as trial:
+        worker = trial.workers["look-0"]
+        worker.work, worker.rest = 0.3, "2.0"
+        earlier = asyncio.ensure_future(trial.ask("/look/a", "earlier"))
+        await until(lambda: worker.arrivals)
+        worker.mode = Mode.SHED
+        await trial.ask("/look/a", "rejected")
+        assert (await earlier)[0] == 200
+        worker.mode = Mode.GOOD
+        assert (await trial.ask("/look/a", "next"))[0] == 503
+        assert len(worker.arrivals) == 2
+
+
+@in_loop
+async def test_a_delayed_request_is_not_sent_into_a_rest():
+    """Guards against a request chosen before a rest began and sent during it."""
+    async with Trial(("act",), targets=1) as trial:
+        worker = trial.workers["act-0"]
+        worker.rate_limit = "3"
+        await trial.ask("/act/a", "first", "POST")
+        answer = asyncio.ensure_future(trial.ask("/act/a", "delayed", "POST"))
+        await asyncio.sleep(0.05)
+        assert not answer.done()
+        knowledge = trial.hosts[0].knowledge
+        (incarnation,) = knowledge.registry.incarnations()
+        knowledge.availability.note_rest(incarnation, 2.0, now())
+        status, headers, _ = await answer
+        assert status == 503
+        assert float(headers["Retry-After"]) > 1.0
+        assert worker.runs["delayed"] == 0
+        assert not knowledge.shared.own_in_flight()
+
+
+@pytest.mark.parametrize(
+    "text", ["nan", "inf", "-1", "0", "", "2,3", "0x1", "Thu, 03 Dec 2026 12:00:00 GMT"]
+)
+@in_loop
+async def test_a_rest_that_cannot_be_read_changes_nothing(text, caplog):
+    """Guards against a target shut out, or a host stopped, by a mistake in a header."""
+    caplog.set_level("INFO")
+    async with Trial(("look",), targets=1) as trial:
+        worker = trial.workers["look-0"]
+        worker.mode, worker.rest = Mode.SHED, text
+        for number in range(3):
+            await trial.ask("/look/a", f"odd-{number}")
+        worker.mode = Mode.GOOD
+        assert (await trial.ask("/look/a", "next"))[0] == 200
+        unreadable = [r for r in caplog.records if r.message == "unreadable notice"]
+        assert len(unreadable) == (text != "0")
+
+
+@in_loop
+async def test_a_refusal_leads_to_the_targets_rest(caplog):
+    """Guards against a refused request of which no log line tells why."""
+    caplog.set_level("INFO")
+    async with Trial(("look",), targets=1) as trial:
+        worker = trial.workers["look-0"]
+        worker.mode, worker.rest = Mode.SHED, "2.5"
+        await trial.ask("/look/a", "one")
+        worker.mode = Mode.GOOD
+        _, headers, _ = await trial.ask("/look/a", "two")
+        told = next(r for r in caplog.records if r.message == "rest notice")
+        assert (told.target, told.seconds, told.request) == ("look-0", 2.5, "one")
+        refused = [r for r in caplog.records if r.message == "refused"][-1]
+        assert (refused.request, refused.cause) == ("two", "targets-resting")
+        assert float(headers["Retry-After"]) == pytest.approx(refused.retry_after, 0.01)
+        await asyncio.sleep(2.0)
+        await until(lambda: any(r.message == "rest ended" for r in caplog.records))
+        assert (await trial.ask("/look/a", "three"))[0] == 200
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -207,7 +207,8 @@
             writer.write(self._answer(request_id, 500, b"failed"))
             return True
         if mode is Mode.FALSE_BUSY:
-            writer.write(self._answer(request_id, 503, b"busy, after it ran"))
+            more = self._rest_header(request_id)
+            writer.write(self._answer(request_id, 503, b"busy, after it ran", more))
             return True
         if mode is Mode.RESET:
             _reset(writer)
@@ -223,13 +224,16 @@
 
     async def _reject(self, request_id, writer):
         """Reject a request, and return whether the connection goes on."""
-        more = "Not-Executed: 1\r\n"
-        if self.rest is not None:
-            more += f"Retry-After: {self.rest}\r\n"
-            self._note(request_id, self.rest)
+        more = "Not-Executed: 1\r\n" + self._rest_header(request_id)
         writer.write(self._answer(request_id, 503, b"", more))
         return True
 
+    def _rest_header(self, request_id):
+        if self.rest is None:
+            return ""
+        self._note(request_id, self.rest)
+        return f"Retry-After: {self.rest}\r\n"
+
     def _note(self, request_id, rest):
         at = asyncio.get_running_loop().time()
         with contextlib.suppress(ValueError):
