Gossip which targets have said that they are draining

Cause: a draining notice reached only the host whose answer carried it.

Draining is final for an incarnation, so the marks are a grow-only set: each new one is sent in two messages to the hub and through it to all hosts, and to the other data centres; heartbeats repeat a sample, so that late hosts and hosts that missed messages learn of it. Marks of unlisted targets are not repeated, else hosts that evict at different times would send them back to each other without end.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 
 .PHONY: setup format lint test demo lab crashes measure floor telling quotas limits \
-	slopes generate
+	notices slopes generate
 
 setup: $(VENV)/ready
 
@@ -60,6 +60,9 @@
 limits: setup
 	$(BIN)/python -m plumsaddle_standins.limit_model
 
+notices: setup
+	$(BIN)/python -m plumsaddle_standins.notice_model
+
 slopes: setup
 	$(BIN)/python -m plumsaddle_standins.slopes
 
--- a/packages/plumsaddle-core/plumsaddle_core/limits/advertised.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/advertised.py
@@ -15,13 +15,10 @@
 from typing import NamedTuple
 
 from ..core.ids import TargetIncarnation
+from ..utils.pending import PendingKeys, sample_keys
 
 # The rate of an entry whose target no longer advertises a limit.
 NO_LIMIT = -1.0
-# Messages in which a changed entry is sent, since datagrams may be lost.
-SENDS_PER_CHANGE = 2
-# Maximum entries per message; the others are sent with the next one.
-MAX_ROWS = 40
 # Seconds after which the entry of an incarnation that is no longer listed is dropped.
 UNLISTED_TIMEOUT = 60.0
 
@@ -61,8 +58,8 @@
         self.revision = 0
         self._entries = {}
         self._limited = {}
-        self._local_pending = {}
-        self._remote_pending = {}
+        self._local_pending = PendingKeys()
+        self._remote_pending = PendingKeys()
         # Since when incarnations with an entry have been unlisted.
         self._unlisted_since = {}
 
@@ -98,9 +95,8 @@
             return False
         version = 1 if entry is None else entry.version + 1
         self._apply(LimitRow(incarnation, version, advertised), now)
-        self._local_pending[incarnation] = self._remote_pending[incarnation] = (
-            SENDS_PER_CHANGE
-        )
+        self._local_pending.add(incarnation)
+        self._remote_pending.add(incarnation)
         return True
 
     def merge(self, row, is_local, now):
@@ -123,11 +119,11 @@
             if not is_same or _is_stricter(entry.rate, row.rate):
                 # The sender has missed an entry: repair it.
                 pending = self._local_pending if is_local else self._remote_pending
-                pending[row.incarnation] = SENDS_PER_CHANGE
+                pending.add(row.incarnation)
                 return False
         self._apply(row, now)
         if is_local:
-            self._remote_pending[row.incarnation] = SENDS_PER_CHANGE
+            self._remote_pending.add(row.incarnation)
         return True
 
     def _apply(self, row, now):
@@ -158,31 +154,11 @@
         return self._take_pending(self._remote_pending)
 
     def anti_entropy_rows(self, max_rows, rng):
-        """
-        Return a random sample of all entries, for anti-entropy.
-
-        It brings hosts up to date that have just started or missed messages.
-
-        Args:
-          max_rows: The maximum number of entries.
-          rng: A `random.Random`.
-        """
-        incarnations = list(self._entries)
-        if len(incarnations) > max_rows:
-            incarnations = rng.sample(incarnations, max_rows)
-        return [self._row(incarnation) for incarnation in incarnations]
+        """Return a random sample of at most `max_rows` entries, for anti-entropy."""
+        return [self._row(key) for key in sample_keys(self._entries, max_rows, rng)]
 
     def _take_pending(self, pending):
-        incarnations = list(pending)[:MAX_ROWS]
-        for incarnation in incarnations:
-            pending[incarnation] -= 1
-            if not pending[incarnation]:
-                del pending[incarnation]
-        return [
-            self._row(incarnation)
-            for incarnation in incarnations
-            if incarnation in self._entries
-        ]
+        return [self._row(key) for key in pending.take() if key in self._entries]
 
     def _row(self, incarnation):
         entry = self._entries[incarnation]
@@ -208,8 +184,9 @@
         for incarnation in expired:
             del since[incarnation]
             del self._entries[incarnation]
-            for entries in (self._limited, self._local_pending, self._remote_pending):
-                entries.pop(incarnation, None)
+            self._limited.pop(incarnation, None)
+            self._local_pending.discard(incarnation)
+            self._remote_pending.discard(incarnation)
             self.revision += 1
         self._unlisted_since = since
 
--- a/packages/plumsaddle-core/plumsaddle_core/limits/advertised_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/advertised_test.py
@@ -6,7 +6,8 @@
 
 from hypothesis import given, strategies as st
 
-from .advertised import MAX_ROWS, NO_LIMIT, UNLISTED_TIMEOUT, AdvertisedLimits, LimitRow
+from ..utils.pending import MAX_ROWS
+from .advertised import NO_LIMIT, UNLISTED_TIMEOUT, AdvertisedLimits, LimitRow
 
 
 def _gossip_until_idle(hosts, now):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
@@ -6,10 +6,15 @@
 target that rejects a request may ask this host to send nothing for some seconds. Both
 hold whatever the registry lists, which is late while the platform's store is
 unavailable.
+
+Draining is final, so hosts gossip it as a grow-only set. A rest is between one target
+and one host: shared among hosts it would empty the target and fill its neighbours.
 """
 
 import math
 
+from ..utils.pending import PendingKeys, sample_keys
+
 # Seconds after which the state of an incarnation that is no longer listed is dropped.
 # Entries of live targets may lapse while the store is unavailable.
 UNLISTED_TIMEOUT = 600.0
@@ -19,7 +24,7 @@
 
 class Availability:
     """
-    The targets that have closed themselves to one host, by incarnation.
+    The targets that have closed themselves, as known to one host, by incarnation.
 
     Args:
       drain_grace: Seconds for which a draining target may still be sent requests.
@@ -30,6 +35,8 @@
         # When each draining target's announcement became known.
         self._draining = {}
         self._rests_until = {}
+        self._local_pending = PendingKeys()
+        self._remote_pending = PendingKeys()
         # Since when incarnations with an entry have been unlisted.
         self._unlisted_since = {}
 
@@ -38,11 +45,35 @@
         """Whether any target may have closed itself."""
         return bool(self._draining or self._rests_until)
 
+    @property
+    def draining_count(self):
+        """How many targets have announced that they are draining."""
+        return len(self._draining)
+
     def note_draining(self, incarnation, now):
-        """Record that a target is draining, and return whether that is new."""
+        """Record a target's own announcement, and return whether it is new."""
+        return self.merge_draining(incarnation, True, now, is_own=True)
+
+    def merge_draining(self, incarnation, is_local, now, is_own=False):
+        """
+        Record an announcement that another host received.
+
+        Args:
+          incarnation: The draining target's incarnation.
+          is_local: Whether a host of this data centre reported it; then this data
+            centre forwards it to the others.
+          now: The current time in seconds.
+          is_own: Whether this host received it, and so has to report it.
+        Returns:
+          Whether it is new.
+        """
         if incarnation in self._draining:
             return False
         self._draining[incarnation] = now
+        if is_own:
+            self._local_pending.add(incarnation)
+        if is_local:
+            self._remote_pending.add(incarnation)
         return True
 
     def note_rest(self, incarnation, seconds, now):
@@ -77,6 +108,29 @@
         """Return the seconds for which a target still wants no requests."""
         return max(0.0, self._rests_until.get(incarnation, 0.0) - now)
 
+    @property
+    def has_remote_pending(self):
+        """Whether announcements remain to be sent to other data centres."""
+        return bool(self._remote_pending)
+
+    def local_rows(self):
+        """Return the incarnations for a message to the hosts of the data centre."""
+        return self._local_pending.take()
+
+    def remote_rows(self):
+        """Return the incarnations for a message to other data centres."""
+        return self._remote_pending.take()
+
+    def anti_entropy_rows(self, max_rows, rng):
+        """
+        Return a random sample of at most `max_rows` listed incarnations that drain.
+
+        Unlisted ones are not repeated: hosts drop them at different times, and would
+        send them back to each other without end.
+        """
+        listed = self._draining.keys() - self._unlisted_since.keys()
+        return sample_keys(sorted(listed), max_rows, rng)
+
     def end_rests(self, now):
         """Drop the rests that have ended, and return their incarnations."""
         ended = [key for key, until in self._rests_until.items() if until <= now]
@@ -92,5 +146,7 @@
         for key in expired:
             del since[key]
             self._draining.pop(key, None)
+            self._local_pending.discard(key)
+            self._remote_pending.discard(key)
             self._rests_until.pop(key, None)
         self._unlisted_since = since
--- a/packages/plumsaddle-core/plumsaddle_core/ops/availability_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/availability_test.py
@@ -2,6 +2,8 @@
 What targets have said of their own availability.
 """
 
+import random
+
 from hypothesis import given, strategies as st
 
 from .availability import MAX_REST, UNLISTED_TIMEOUT, Availability
@@ -65,6 +67,51 @@
     assert not availability.has_any
 
 
+@given(st.randoms(use_true_random=False), st.integers(1, 60))
+def test_hosts_converge_on_draining_targets_over_lossy_messages(rng, count):
+    """Guards against announcements that a host misses for ever."""
+    hosts = [Availability(2.0) for _ in range(3)]
+    for number in range(count):
+        rng.choice(hosts).note_draining(f"t{number}", 0.0)
+    for _ in range(400):
+        sender = rng.choice(hosts)
+        rows = sender.local_rows() + sender.anti_entropy_rows(2, rng)
+        for host in hosts:
+            if rng.random() < 0.8:
+                for row in rows:
+                    host.merge_draining(row, True, 1.0)
+        if all(host.draining_count == count for host in hosts):
+            break
+    assert all(host.draining_count == count for host in hosts)
+
+
+def test_an_announcement_is_sent_once_to_other_data_centres():
+    """Guards against data centres that send each other the same marks for ever."""
+    hub, remote_hub = Availability(2.0), Availability(2.0)
+    hub.note_draining("t1", 0.0)
+    sent = [row for _ in range(9) for row in hub.remote_rows()]
+    assert set(sent) == {"t1"}
+    assert remote_hub.merge_draining("t1", False, 1.0)
+    assert not remote_hub.merge_draining("t1", False, 1.1)
+    assert not remote_hub.has_remote_pending
+    assert not remote_hub.local_rows()
+
+
+def test_hosts_do_not_repeat_marks_of_unlisted_targets():
+    """Guards against marks that hosts send back to each other without end."""
+    first, second = Availability(2.0), Availability(2.0)
+    first.note_draining("t1", 0.0)
+    for at in range(0, 1300, 10):
+        for host, other in ((first, second), (second, first)):
+            for row in host.local_rows() + host.anti_entropy_rows(9, random):
+                other.merge_draining(row, True, float(at))
+        # They evict at different times.
+        first.evict({"t1"} if at < 20 else set(), float(at))
+        second.evict({"t1"} if at < 50 else set(), float(at) + 5.0)
+    assert not first.has_any
+    assert not second.has_any
+
+
 def test_state_is_bounded_by_the_listed_targets():
     """Guards against memory that grows with the targets that have come and gone."""
     availability = Availability(2.0)
--- a/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
@@ -20,6 +20,7 @@
 from ..limits.membership import Membership
 from ..limits.quotas import Quotas
 from ..limits.targets import TargetLimits
+from .availability import Availability
 from .data_centre_retry_budget import DataCentreRetryBudget
 from .failure_estimator import (
     FAILURE_LIKELIHOOD_RATIO,
@@ -98,6 +99,7 @@
         own network path first.
       quotas: The `Quotas`, or None for no quotas.
       limits: The `TargetLimits`, or None for those of a single host.
+      availability: The `Availability`, or None for one without a grace period.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         has_path_evidence=True,
         quotas=None,
         limits=None,
+        availability=None,
     ):
         self.target_estimators = {}
         self.path_estimators = {}
@@ -118,6 +121,7 @@
         self.limits = limits or TargetLimits(
             Membership("", started_at, has_seeds=False)
         )
+        self.availability = availability or Availability(drain_grace=0.0)
         self._retry_ratio = ratio
         self._retry_window = window
         self._started_at = started_at
@@ -445,6 +449,7 @@
             key: b for key, b in self.path_estimators.items() if key in listed
         }
         self.limits.advertised.evict(listed, now)
+        self.availability.evict(listed, now)
         tags = {target_tag(key) for key in listed}
         for tag in self._last_used_at.keys() - tags:
             del self._last_used_at[tag]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -112,13 +112,14 @@
             limits=TargetLimits(
                 Membership(settings.id, now(), settings.has_seeds), rng
             ),
+            availability=Availability(bounds.leaving),
         )
+        self.availability = self.shared.availability
         self._response_bytes = {}
         self.limits = RateLimits(
             settings, self.shared.limits, self.registry, self._notify
         )
-        self.availability = Availability(bounds.leaving)
-        self.notices = NoticeRecorder(self.availability, self.limits)
+        self.notices = NoticeRecorder(self.availability, self.limits, self._notify)
         self._target_orders = {}
         self._rates = {}
         self._trials = Trials()
@@ -214,7 +215,7 @@
             log.info("unlisted", extra={"target": target_id})
         incarnations = self.registry.incarnations()
         self.shared.evict_targets(incarnations, at)
-        self.notices.evict(incarnations, at)
+        self.notices.evict(incarnations)
 
     def _apply_entry(self, record, at):
         """Apply one entry, which may be invalid."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
@@ -102,7 +102,7 @@
         if isinstance(message, HostUpdate):
             self._buffer.note_client(address, at)
             known_run_records = self._shared.suspects.local_record_count
-            known_limits = self._shared.limits.advertised.revision
+            known_notices = self._notice_counts()
             if self._apply_host_update(message, at):
                 self._buffer.add_host_update(message.host, data)
                 is_deferrable = all(
@@ -111,9 +111,9 @@
                 has_run_records = (
                     self._shared.suspects.local_record_count > known_run_records
                 )
-                has_limits = self._shared.limits.advertised.revision != known_limits
+                has_notices = self._notice_counts() != known_notices
                 self._callbacks.schedule_send(
-                    has_run_records or has_limits or not is_deferrable
+                    has_run_records or has_notices or not is_deferrable
                 )
         elif isinstance(message, Bundle):
             self._handle_bundle(message, address, at)
@@ -131,6 +131,11 @@
         else:
             self._handle_hello(message, address, at)
 
+    def _notice_counts(self):
+        """Return values that change with each new notice of a target."""
+        shared = self._shared
+        return shared.limits.advertised.revision, shared.availability.draining_count
+
     def _apply_host_update(self, update, at):
         """Apply a host's update, and return whether it was new."""
         if update.host == self._settings.id:
@@ -145,6 +150,7 @@
         self._peer_table.note_message(update.address, at)
         self._add_run_records(update.run_records, True, at)
         self._merge_limits(update.limits, update.host, True, at)
+        self._merge_draining(update.draining, update.host, True, at)
         self._shared.quotas.merge_local(
             update.host, update.incarnation, update.quotas, at
         )
@@ -207,10 +213,12 @@
         """Apply an update of another data centre; return whether any of it was new."""
         has_run_records = self._add_run_records(update.run_records, False, at)
         has_limits = self._merge_limits(update.limits, update.host, False, at)
+        has_draining = self._merge_draining(update.draining, update.host, False, at)
         return (
             self._shared.apply_remote_update(to_remote_update(update), at)
             or has_run_records
             or has_limits
+            or has_draining
         )
 
     def _add_run_records(self, rows, is_local, at):
@@ -237,6 +245,16 @@
             log.info("rate limit", extra={**extra, "peer": host})
         return has_new
 
+    def _merge_draining(self, incarnations, host, is_local, at):
+        """Merge draining notices, and return whether any was new."""
+        has_new = False
+        for incarnation in incarnations:
+            if self._shared.availability.merge_draining(incarnation, is_local, at):
+                has_new = True
+                extra = {"target": target_id_of(incarnation), "peer": host}
+                log.info("draining notice", extra=extra)
+        return has_new
+
     def _handle_data_centre_update(self, update, address, at):
         """Apply an update of another data centre, and forward it."""
         if not update.is_forwarded:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -73,7 +73,8 @@
     A host's requests in flight by tag of target, and its latest outcomes.
 
     `address` is the host's own, since hubs forward updates. `run_records`, `quotas` and
-    `limits` hold the fields of `RunRecord`, `QuotaRow` and `LimitRow`.
+    `limits` hold the fields of `RunRecord`, `QuotaRow` and `LimitRow`, and `draining`
+    the incarnations of targets that have announced that they are draining.
     """
 
     host: str
@@ -87,6 +88,7 @@
     run_records: list[RunFields] = []
     quotas: list[QuotaFields] = []
     limits: list[LimitFields] = []
+    draining: list[str] = []
 
 
 class DataCentreQuotas(msgspec.Struct, array_like=True):
@@ -135,7 +137,11 @@
 
 
 class DataCentreUpdate(msgspec.Struct, array_like=True, tag="f"):
-    """An update for other data centres, forwarded once in each of them."""
+    """
+    An update for other data centres, forwarded once in each of them.
+
+    Its last three fields are as in `HostUpdate`.
+    """
 
     host: str
     incarnation: Count
@@ -145,6 +151,7 @@
     is_forwarded: bool = False
     run_records: list[RunFields] = []
     limits: list[LimitFields] = []
+    draining: list[str] = []
 
 
 class DataCentreLoad(msgspec.Struct, array_like=True, tag="l"):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
@@ -23,9 +23,11 @@
     Args:
       availability: The `Availability` of the targets.
       limits: The `RateLimits`.
+      notify: Called with `is_urgent` when there is an update for other hosts.
     """
 
-    def __init__(self, availability, limits):
+    def __init__(self, availability, limits, notify):
+        self._notify = notify
         self._availability = availability
         self._limits = limits
         # Pairs of incarnation and header of which an error was logged.
@@ -52,6 +54,7 @@
         incarnation = target.incarnation
         if notices.is_draining and self._availability.note_draining(incarnation, at):
             log.info("draining notice", extra=fields)
+            self._notify(is_urgent=True)
         seconds = notices.retry_after
         if seconds is not None and self._availability.note_rest(
             incarnation, seconds, at
@@ -76,7 +79,6 @@
         for incarnation in self._availability.end_rests(at):
             log.info("rest ended", extra={"target": target_id_of(incarnation)})
 
-    def evict(self, listed, at):
+    def evict(self, listed):
         """Drop the state of incarnations that are no longer listed."""
-        self._availability.evict(listed, at)
         self._logged_errors = {key for key in self._logged_errors if key[0] in listed}
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -22,9 +22,9 @@
 import msgspec
 
 from plumsaddle_core.core.features import Feature
-from plumsaddle_core.limits.advertised import MAX_ROWS
 from plumsaddle_core.ops.pacing import SendPacer
 from plumsaddle_core.ops.peer_table import PeerTable
+from plumsaddle_core.utils.pending import MAX_ROWS
 
 from ..utils.addresses import split_address
 from .bundles import BundleBuffer
@@ -65,8 +65,8 @@
 # A host with seeds does not act on behalf of its data centre for this long (seconds)
 # after its start.
 DISCOVERY_PERIOD = 1.5
-# Rate limits of targets that a heartbeat to the hub repeats, as the hub may have
-# restarted.
+# Notices of targets, of each kind, that a heartbeat to the hub repeats, as the hub may
+# have restarted.
 ANTI_ENTROPY_ROWS = 2
 # Updates to the hub whose send times are kept until the hub sends them back. A host
 # sends some ten per second.
@@ -312,6 +312,7 @@
         if heartbeat is not None or at - self._counts_sent_at >= COUNTS_INTERVAL:
             self._counts_sent_at = at
             counts = self._shared.own_counts()
+        advertised = self._shared.limits.advertised
         return HostUpdate(
             self._settings.id,
             self._settings.peer_address,
@@ -323,16 +324,22 @@
             heartbeat,
             [tuple(record) for record in self._shared.suspects.own_records(at)],
             [tuple(row) for row in self._shared.quotas.local_rows(at)],
-            [tuple(row) for row in self._limit_rows(heartbeat)],
+            [tuple(row) for row in self._notice_rows(advertised, heartbeat)],
+            self._notice_rows(self._shared.availability, heartbeat),
         )
 
-    def _limit_rows(self, heartbeat):
-        """Return the rate limits to send: changed ones, and periodically others."""
-        advertised = self._shared.limits.advertised
-        rows = advertised.local_rows()
+    def _notice_rows(self, notices, heartbeat):
+        """
+        Return the notices of targets to send: changed ones, and periodically others.
+
+        Args:
+          notices: The `AdvertisedLimits` or the `Availability`.
+          heartbeat: The `Heartbeat` of the message, or None.
+        """
+        rows = notices.local_rows()
         if heartbeat is not None:
             count = MAX_ROWS if self._is_hub() else ANTI_ENTROPY_ROWS
-            rows += advertised.anti_entropy_rows(count, self._rng)
+            rows += notices.anti_entropy_rows(count, self._rng)
         return rows
 
     def _send_bundle(self, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
@@ -10,7 +10,7 @@
 # The host of another data centre that sent last is taken for its hub for this long
 # (seconds). Hubs send ten times a second.
 REMOTE_HUB_TTL = 1.0
-# Rate limits of targets that are sent again each second, drawn at random.
+# Notices of targets, of each kind, that are sent again each second, drawn at random.
 REMOTE_ANTI_ENTROPY_ROWS = 20
 
 
@@ -39,12 +39,15 @@
 
     @property
     def has_urgent_update(self):
-        """Whether crashes, rate limits or failure evidence are waiting to be sent."""
+        """Whether crashes, notices or failure evidence are waiting to be sent."""
         has_run_records = (
             self._shared.suspects.local_record_count != self._sent_record_count
         )
-        has_limits = self._shared.limits.advertised.has_remote_pending
-        return has_run_records or has_limits or self._shared.evidence.has_unsent
+        has_notices = (
+            self._shared.limits.advertised.has_remote_pending
+            or self._shared.availability.has_remote_pending
+        )
+        return has_run_records or has_notices or self._shared.evidence.has_unsent
 
     def note_remote_hub(self, data_centre, address, at):
         """Record which host has sent on behalf of another data centre."""
@@ -53,7 +56,7 @@
 
     def send_update(self, used_tags, at):
         """
-        Send pending evidence, run records and rate limits, and the tags in use.
+        Send pending evidence, run records and notices, and the tags in use.
 
         Args:
           used_tags: Tags of targets in use; empty except in the periodic update.
@@ -69,8 +72,10 @@
         ]
         if Feature.REMOTE_EVIDENCE in settings.disabled_features:
             evidence = []
-        limits = self._limit_rows(is_periodic=bool(used_tags))
-        if evidence or used_tags or run_records or limits:
+        shared, is_periodic = self._shared, bool(used_tags)
+        limits = self._notice_rows(shared.limits.advertised, is_periodic)
+        draining = self._notice_rows(shared.availability, is_periodic)
+        if evidence or used_tags or run_records or limits or draining:
             update = DataCentreUpdate(
                 settings.id,
                 self._incarnation,
@@ -79,16 +84,16 @@
                 used_tags,
             )
             update.run_records = run_records
-            update.limits = limits
+            update.limits = [tuple(row) for row in limits]
+            update.draining = draining
             self._send_to_data_centres(encode(update), at)
 
-    def _limit_rows(self, is_periodic):
-        """Return the rate limits to send: changed ones, and periodically others."""
-        advertised = self._shared.limits.advertised
-        rows = advertised.remote_rows()
+    def _notice_rows(self, notices, is_periodic):
+        """Return the notices to send: changed ones, and periodically others."""
+        rows = notices.remote_rows()
         if is_periodic:
-            rows += advertised.anti_entropy_rows(REMOTE_ANTI_ENTROPY_ROWS, self._rng)
-        return [tuple(row) for row in rows]
+            rows += notices.anti_entropy_rows(REMOTE_ANTI_ENTROPY_ROWS, self._rng)
+        return rows
 
     def send_load(self, at):
         """Send the data centre's requests in flight, host count and quotas."""
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
@@ -194,6 +194,58 @@
         assert not trial.hosts[0].knowledge.shared.own_in_flight()
 
 
+@pytest.mark.parametrize("centres", [("x",), ("x", "y")])
+@in_loop
+async def test_hosts_that_were_not_told_hear_of_draining(centres):
+    """Guards against requests lost when a target exits that some hosts still use."""
+    async with Trial(
+        ("act",), targets=2, hosts=4, centres=centres, leaving=0.0
+    ) as trial:
+        trial.store.fault = Fault.SILENT
+        leaving = trial.workers["act-0"]
+        leaving.is_draining = True
+        number = 0
+        while not leaving.notices:
+            number += 1
+            await trial.ask("/act/a", f"early-{number}", "POST")
+        incarnation = trial.hosts[0].knowledge.registry.targets["act-0"].incarnation
+        marks = [host.knowledge.availability for host in trial.hosts]
+        await until(lambda: all(m.is_draining(incarnation) for m in marks), 1.0)
+        before = len(leaving.arrivals)
+        answers = await press(trial, "/act/a", 1.0)
+        assert before == len(leaving.arrivals)
+        assert {status for status, _, _ in answers} == {200}
+
+
+@in_loop
+async def test_a_late_host_hears_of_draining():
+    """Guards against a host that has just started and wakes a leaving target."""
+    async with Trial(("act",), targets=2, hosts=2, leaving=0.0) as trial:
+        leaving = await learn_of_draining(trial, "act")
+        incarnation = trial.hosts[0].knowledge.registry.targets["act-0"].incarnation
+        late = await trial.add_host(2)
+        marks = late.knowledge.availability
+        await until(lambda: late.knowledge.is_complete, 4.0)
+        await until(lambda: marks.is_draining(incarnation), 4.0)
+        before = len(leaving.arrivals)
+        for number in range(20):
+            await trial.ask("/act/a", f"late-{number}", "POST", host=2)
+        assert before == len(leaving.arrivals)
+
+
+@in_loop
+async def test_a_rest_binds_only_the_host_that_was_asked():
+    """Guards against a rest that empties a target and fills its neighbours."""
+    async with Trial(("act",), targets=1, hosts=2) as trial:
+        worker = trial.workers["act-0"]
+        worker.mode, worker.rest = Mode.SHED, "3.0"
+        await trial.ask("/act/a", "rejected", "POST")
+        worker.mode = Mode.GOOD
+        await asyncio.sleep(0.5)
+        assert (await trial.ask("/act/a", "same", "POST"))[0] == 503
+        assert (await trial.ask("/act/a", "other", "POST", host=1))[0] == 200
+
+
 @in_loop
 async def test_an_operator_sees_who_was_told_of_draining(caplog):
     """Guards against a target without requests of which no log line tells why."""
