Do not repeat rate limits of targets that are no longer listed

Cause: hosts drop the entry of an exited target a minute after its listing, each at its own time, and the heartbeat of one that still has it gives it back to one that has dropped it; so such entries never end and messages and memory grow with the targets that have come and gone. Found while the same gossip was written for draining notices. The test failed before: the entry was alive 250 s after both hosts had unlisted it.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/advertised.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/advertised.py
@@ -154,8 +154,14 @@
         return self._take_pending(self._remote_pending)
 
     def anti_entropy_rows(self, max_rows, rng):
-        """Return a random sample of at most `max_rows` entries, for anti-entropy."""
-        return [self._row(key) for key in sample_keys(self._entries, max_rows, rng)]
+        """
+        Return a random sample of at most `max_rows` entries of listed targets.
+
+        Others are not repeated: hosts drop them at different times, and would send them
+        back to each other without end.
+        """
+        listed = sorted(self._entries.keys() - self._unlisted_since.keys())
+        return [self._row(key) for key in sample_keys(listed, max_rows, rng)]
 
     def _take_pending(self, pending):
         return [self._row(key) for key in pending.take() if key in self._entries]
--- a/packages/plumsaddle-core/plumsaddle_core/limits/advertised_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/advertised_test.py
@@ -145,3 +145,19 @@
     limits.observe("t", 2.0, sent_at=0.0, now=1.0)
     limits.observe("t", None, sent_at=2.0, now=3.0)
     assert limits.local_rows() == [LimitRow("t", 2, NO_LIMIT)]
+
+
+def test_hosts_do_not_repeat_limits_of_unlisted_targets():
+    """Guards against entries that hosts send back to each other without end."""
+    first, second = AdvertisedLimits(), AdvertisedLimits()
+    first.observe("t1", 2.0, 0.0, 0.0)
+    for at in range(0, 300, 5):
+        for host, other in ((first, second), (second, first)):
+            for row in host.local_rows() + host.anti_entropy_rows(9, random):
+                other.merge(row, True, float(at))
+        # They evict at different times.
+        first.evict({"t1"} if at < 20 else set(), float(at))
+        second.evict({"t1"} if at < 50 else set(), at + 2.5)
+    assert not first.anti_entropy_rows(9, random)
+    assert not first and not second
+    assert not first._entries and not second._entries
