Read X-Target-State from shed answers too

In plumsaddle's own interface, an answer with a shed status became a failed attempt before its headers were read, so a leaving target that was full went on receiving requests until it answered one with another status. The test failed before for status 429 (and for padded values).

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
@@ -72,6 +72,7 @@
         # The caller went away; that says nothing about the target.
         state.end_try(running, FailureKind.CALLER, loop.time())
         raise
+    _note_state(host, member.target, result)
     result = _find_shed(result, service)
     _end(host, state, running, result, loop.time())
     if isinstance(result, Success) and result.unwrap().rest is not None:
@@ -81,6 +82,14 @@
     return result
 
 
+def _note_state(host, target, result):
+    """Note that a target drains, if its answer says so, whatever its status."""
+    if isinstance(result, Success):
+        text = result.unwrap().headers.get(TARGET_STATE, "")
+        if text.strip().lower() in LEAVING_STATES:
+            host.note_leaving(target.key)
+
+
 def _find_shed(result, service):
     """Turn an answer by which the target says "not run" into a trouble."""
     if isinstance(result, Success):
@@ -103,8 +112,6 @@
         return
     answer = result.unwrap()
     host.metrics.tries.inc({"result": "answer"})
-    if answer.headers.get(TARGET_STATE, "").lower() in LEAVING_STATES:
-        host.note_leaving(target.key)
     if answer.rest is not None:
         return
     is_error = answer.status in SERVER_ERRORS
