Let targets of the lab drain and ask for rests beside its faults

'make lab NOTICES=1' lets targets say at random moments that they drain, while the registry lists them as ready, and reject with a rest; a host that was started, frozen or sent a signal since is excused. A short run is part of the tests.

--- a/packages/plumsaddle-standins/plumsaddle_standins/callers.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/callers.py
@@ -82,6 +82,10 @@
         # Requests a second of the hot workspace on top.
         self.more = 0.0
         self.ended = []
+        # By request id, the host's name that it was sent to, and the target's id that
+        # answered it.
+        self.sent_to = {}
+        self.answered_by = {}
 
     async def run(self, seconds):
         """Send for some seconds, and wait for the last answers."""
@@ -116,6 +120,7 @@
         path, method, _ = self._rng.choices(KINDS, [kind[2] for kind in KINDS])[0]
         host = self._rng.choice(self._ready)
         request_id = f"r-{number}"
+        self.sent_to[request_id] = host.name
         started = self._at()
         status, is_whole = None, False
         headers = {
@@ -134,6 +139,8 @@
             ) as resp:
                 is_whole = _is_whole(resp, await resp.read(), request_id)
                 status = resp.status
+                signature = resp.headers.get("Response-Signature", "")
+                self.answered_by[request_id] = signature.rpartition(".")[0]
         except (aiohttp.ClientError, TimeoutError):
             # The request's end is unknown to its caller, and counts as that.
             pass
@@ -149,13 +156,14 @@
     return resp.status == 200 and body == BODY and signature.endswith("." + request_id)
 
 
-def find_broken(ended, workers):
+def find_broken(ended, workers, closed=()):
     """
     Return what breaks a promise, as texts.
 
     Args:
       ended: A list of `Ended`.
       workers: The `WorkerStandin` objects, which counted what they ran.
+      closed: The `Record`s of incarnations that ended before.
     """
     runs = Counter()
     for worker in workers:
@@ -171,7 +179,7 @@
             broken.append(f"{end.id}: answered {end.status}, and has run")
         if end.status == 200 and not end.is_whole:
             broken.append(f"{end.id}: a success that is not its target's whole answer")
-    return broken + _find_misnamed(ended, workers)
+    return broken + _find_misnamed(ended, (*workers, *closed))
 
 
 def _find_misnamed(ended, workers):
--- a/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
@@ -56,6 +56,8 @@
         }
         self.write_settings()
         self.process = None
+        # When the process was started or sent a signal, on the loop's clock.
+        self.disturbed_at = []
         self._starting = asyncio.Lock()
         self.is_wanted = False
 
@@ -70,6 +72,7 @@
         async with self._starting:
             if self.is_running:
                 return
+            self._note_disturbance()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -94,8 +97,16 @@
     def signal(self, number):
         """Send the process a signal, if it runs."""
         if self.is_running:
+            self._note_disturbance()
             self.process.send_signal(number)
 
+    def _note_disturbance(self):
+        self.disturbed_at.append(asyncio.get_running_loop().time())
+
+    def was_disturbed(self, since, until):
+        """Return whether it was started or sent a signal between two times."""
+        return any(since <= at <= until for at in self.disturbed_at)
+
     async def restart(self):
         """Ask the process to end, wait until it has, and start it again."""
         self.is_wanted = False
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -4,6 +4,7 @@
     python -m plumsaddle_standins.lab gray --seconds 15 --out gray.png
     python -m plumsaddle_standins.lab random --seed 3
     python -m plumsaddle_standins.lab random --limit 3
+    python -m plumsaddle_standins.lab random --notices
 
 Hosts are real processes; the store, the targets and the callers are stand-ins in this
 one. The last line counts what callers saw, and the exit code is 1 if a promise was
@@ -22,6 +23,7 @@
 
 from .callers import HOT, PROMISES, WORKSPACES, Callers, find_broken
 from .host_process import HostProcess
+from .notices_check import find_ignored_notices
 from .store import Fault
 from .trial import OPERATOR, Trial, configuration
 from .windows import LIMIT_HOLDS_AFTER, LIMIT_WINDOW, most_in_window, tolerated
@@ -40,6 +42,9 @@
 RANDOM_PAUSE = 1.0
 # Seconds until a process that ended by itself is started again.
 REVIVE_EVERY = 0.5
+# Mean seconds between two notices of targets, and how long a target drains.
+NOTICE_PAUSE = 1.0
+DRAIN_SECONDS = (2.5, 5.0)
 
 
 class Lab:
@@ -201,7 +206,67 @@
     return lines
 
 
-async def play(pattern, seconds, seed, rate, folder, limit=None):
+async def give_notices(trial, seconds, rng):
+    """
+    Let targets drain, and others reject with a rest, at random moments that overlap.
+
+    The registry does not tell who drains. A target that has drained for some seconds
+    starts again under its id.
+    """
+    end = asyncio.get_running_loop().time() + seconds
+    running = []
+    while asyncio.get_running_loop().time() < end:
+        worker = rng.choice(list(trial.workers.values()))
+        notice = rng.choice((_drain_for_a_while, _reject_for_a_while))
+        running.append(asyncio.create_task(notice(trial, worker, rng)))
+        await asyncio.sleep(rng.expovariate(1 / NOTICE_PAUSE))
+    await asyncio.gather(*running)
+
+
+async def _drain_for_a_while(trial, worker, rng):
+    if worker.is_draining:
+        return
+    worker.is_draining = True
+    await asyncio.sleep(rng.uniform(*DRAIN_SECONDS))
+    # All that is kept of it belongs to its previous incarnation.
+    trial.closed.append(worker.take_record())
+    worker.is_draining = False
+    worker.born += 1
+    trial.register(worker)
+
+
+async def _reject_for_a_while(trial, worker, rng):
+    if worker.mode is not Mode.GOOD:
+        return
+    worker.mode, worker.rest = Mode.SHED, f"{rng.uniform(0.6, 3.0):.2f}"
+    await asyncio.sleep(rng.uniform(0.2, 3.0))
+    worker.mode, worker.rest = Mode.GOOD, None
+
+
+def find_ignored(trial, hosts, callers):
+    """Return the requests that reached targets against their notices, as texts."""
+    by_name = {host.name: host for host in hosts}
+
+    def is_excused(name, since, until):
+        return name is None or by_name[name].was_disturbed(since, until)
+
+    lines = []
+    for worker in (*trial.closed, *trial.workers.values()):
+
+        def is_told(notice, target_id=worker.id):
+            is_rest = notice.rest is not None
+            return is_rest or callers.answered_by.get(notice.request_id) == target_id
+
+        lines += find_ignored_notices(
+            worker,
+            callers.sent_to.get,
+            is_excused,
+            is_told,
+        )
+    return lines
+
+
+async def play(pattern, seconds, seed, rate, folder, limit=None, has_notices=False):
     """
     Play one pattern.
 
@@ -230,17 +295,26 @@
                 faults = asyncio.create_task(_disturb(lab, pattern, seconds))
                 if limit is not None:
                     limits = name_limits(trial, limit)
+                if has_notices:
+                    notice_rng = random.Random(seed + 2)
+                    noticing = asyncio.create_task(
+                        give_notices(trial, seconds, notice_rng)
+                    )
                 await callers.run(seconds)
                 await faults
+                if has_notices:
+                    await noticing
                 reviving.cancel()
             finally:
                 for host in hosts:
                     if host.is_running:
                         host.signal(signal.SIGCONT)
                         await host.kill()
-        broken = find_broken(callers.ended, trial.workers.values())
+        broken = find_broken(callers.ended, trial.workers.values(), trial.closed)
         if limit is not None:
             broken += find_exceeded(limit, *limits)
+        if has_notices:
+            broken += find_ignored(trial, hosts, callers)
         return callers.ended, broken
 
 
@@ -283,7 +357,15 @@
     return "refused" if end.status in PROMISES else "failed"
 
 
-def run(pattern="calm", seconds=SECONDS, seed=1, rate=RATE, out=None, limit=None):
+def run(
+    pattern="calm",
+    seconds=SECONDS,
+    seed=1,
+    rate=RATE,
+    out=None,
+    limit=None,
+    notices=False,
+):
     """
     Play a pattern and tell what callers saw.
 
@@ -294,12 +376,13 @@
       rate: Requests a second.
       out: The path of a picture, if one is wanted.
       limit: The requests a second that half of the targets name as their limit.
+      notices: Whether targets drain, and reject with a rest, beside the pattern.
     """
     if pattern not in PATTERNS and pattern != "random":
         print(f"The patterns are: random, {', '.join(PATTERNS)}.", file=sys.stderr)
         sys.exit(2)
     with tempfile.TemporaryDirectory() as folder:
-        playing = play(pattern, seconds, seed, rate, Path(folder), limit)
+        playing = play(pattern, seconds, seed, rate, Path(folder), limit, notices)
         ended, broken = asyncio.run(playing)
     if out is not None:
         from .lab_picture import draw_load
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -55,6 +55,15 @@
     assert whole > 0.7 * len(ended)
 
 
+def test_notices_of_targets_hold_while_faults_overlap(tmp_path):
+    """Guards against hosts that act against a notice when other things go wrong."""
+    playing = play("random", 9.0, SEED, 40.0, tmp_path, has_notices=True)
+    ended, broken = asyncio.run(playing)
+    assert not broken
+    whole = sum(1 for end in ended if end.status == 200)
+    assert whole > 0.6 * len(ended)
+
+
 def test_the_check_finds_what_breaks_a_promise():
     worker = WorkerStandin("act-0", "act")
     worker.runs.update({"twice": 2, "ran": 1, "unsent": 1, "again": 2, "half": 1})
--- a/packages/plumsaddle-standins/plumsaddle_standins/notices_check.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/notices_check.py
@@ -15,7 +15,11 @@
     return False
 
 
-def find_ignored_notices(worker, host_of, is_excused=_never):
+def _always(notice):
+    return True
+
+
+def find_ignored_notices(worker, host_of, is_excused=_never, is_told=_always):
     """
     Return the requests that reached a target against its notices, as texts.
 
@@ -25,9 +29,10 @@
         request's id.
       is_excused: A function that returns whether a host was restarted, frozen or cut
         off between two times.
+      is_told: A function that returns whether a `Notice` has reached its host.
     """
     lines = []
-    for notice in worker.notices:
+    for notice in filter(is_told, worker.notices):
         host = host_of(notice.request_id)
         drains = notice.rest is None
         begin = notice.at + (DRAIN_HOLDS_AFTER if drains else REST_HOLDS_AFTER)
--- a/packages/plumsaddle-standins/plumsaddle_standins/trial.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -127,6 +127,8 @@
         # These and all that took the place of one.
         self.every_worker = list(self.workers.values())
         self.crashes = []
+        # The `Record`s of incarnations that targets have ended.
+        self.closed = []
         self.hosts = []
         self._count = hosts
         self._bounds = Bounds(
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -85,6 +85,14 @@
     rest: float | None
 
 
+class Record(NamedTuple):
+    """What an incarnation of a stand-in received and said of itself."""
+
+    id: str
+    notices: list
+    seen: list
+
+
 class WorkerStandin:
     """
     One stand-in target.
@@ -104,6 +112,8 @@
         self._slots = asyncio.Semaphore(SLOTS)
         self.mode = Mode.GOOD
         self.idle_limit = 5
+        # The start of this incarnation as a Unix time in milliseconds.
+        self.born = 1796256000000
         # The text of `Server-Limit` in each answer, None for no such header.
         self.rate_limit = None
         # Whether each answer says that it is draining, and the text of `Retry-After`
@@ -136,7 +146,13 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def entry(self, state="ready", warm_up=0, born=1796256000000):
+    def take_record(self):
+        """Return what was received and said, as a `Record`, and forget it."""
+        record = Record(self.id, self.notices, self.seen)
+        self.notices, self.seen = [], []
+        return record
+
+    def entry(self, state="ready", warm_up=0, born=None):
         """Return the bytes of the registry's entry."""
         return json.dumps(
             {
@@ -148,7 +164,7 @@
                 "state": state,
                 "warmup_left_ms": warm_up,
                 "sequence": 1,
-                "born": born,
+                "born": self.born if born is None else born,
             }
         ).encode()
 
