Refuse requests at once while all targets rest, and do not let them wait

Callers learn at once, and when to return.

The test of it failed before: one request each 20 ms became a burst at the end of the rest. The millisecond's margin for early timers goes with the wait.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
@@ -93,16 +93,14 @@
         """Return whether a target has announced that it is draining."""
         return incarnation in self._draining
 
-    def is_open(self, incarnation, max_wait, now):
-        """Return whether a target takes requests that are sent within `max_wait`."""
-        is_resting = self.rest(incarnation, now) > max_wait
-        return not (self.is_draining(incarnation) or is_resting)
+    def is_open(self, incarnation, now):
+        """Return whether a target neither drains nor rests."""
+        return not (self.is_draining(incarnation) or self.rest(incarnation, now))
 
-    def may_send(self, incarnation, max_wait, now):
+    def may_send(self, incarnation, now):
         """Return the same as `is_open`, but True in the grace period of draining."""
-        rest = self.rest(incarnation, now)
-        announced_at = self._draining.get(incarnation, math.inf)
-        return rest <= max_wait and now + rest < announced_at + self._drain_grace
+        closes_at = self._draining.get(incarnation, math.inf) + self._drain_grace
+        return now < closes_at and not self.rest(incarnation, now)
 
     def rest(self, incarnation, now):
         """Return the seconds for which a target still wants no requests."""
--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -58,7 +58,7 @@
 
     `failure_probability` is that of a send to it. `is_load_known` tells whether
     `in_flight` includes the requests of the target's own data centre. `wait` is the
-    delay in seconds that the target's rate limit or rest imposes on a request.
+    delay in seconds that the target's rate limit imposes on a request.
     """
 
     target: Target
@@ -91,7 +91,7 @@
     """
     The chosen candidate with its score and expected duration.
 
-    `expected_duration` is counted from the send, after any such delay.
+    `expected_duration` is counted from the send, after any rate limit delay.
     `slowdown` is its ratio to the duration on an idle, warm target.
     """
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -324,11 +324,7 @@
         if not availability.has_any:
             return targets
         is_admissible = availability.may_send if may_drain else availability.is_open
-        return [
-            target
-            for target in targets
-            if is_admissible(target.incarnation, max_wait, at)
-        ]
+        return [target for target in targets if is_admissible(target.incarnation, at)]
 
     def rest(self, service, at):
         """Return the seconds until the first target of a service ends its rest."""
@@ -412,10 +408,7 @@
             Feature.OPEN_CONNECTIONS not in self.settings.disabled_features
             and has_connection(target.incarnation),
             is_local or self.shared.knows_remote_load(target.data_centre, at),
-            max(
-                self.limits.wait(target, at),
-                self.availability.rest(target.incarnation, at),
-            ),
+            self.limits.wait(target, at),
         )
 
     def request_profile(self, route, service, started, deadline, kilobytes, at):
@@ -454,7 +447,7 @@
         """
         return (
             self._is_ready(target)
-            and self.availability.may_send(target.incarnation, 0.0, at)
+            and self.availability.may_send(target.incarnation, at)
             and (not self.limits.has_any or self.limits.may_send(target, at))
         )
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -38,8 +38,6 @@
 RETRY_CAUSE_SLOW = "slow"
 # Maximum estimated failure probability of the target of a hedge.
 MAX_HEDGE_FAILURE_PROBABILITY = 0.25
-# Seconds added to a wait, as timers may fire slightly early.
-TIMER_MARGIN = 0.001
 # Number of sends without a byte written after which a request is refused.
 MAX_UNREACHABLE = 3
 
@@ -399,7 +397,7 @@
 
     async def _send_after_wait(self, choice):
         """
-        Send to a target once it takes requests again, and return the `CompletedSend`.
+        Send to a target once its rate limit allows it, and return the `CompletedSend`.
 
         The attempt records the send only after the wait, so a request refused earlier
         is known not to have run. The target may close itself meanwhile, and the host
@@ -408,7 +406,7 @@
         target = choice.candidate.target
         may_send = False
         try:
-            await asyncio.sleep(choice.candidate.wait + TIMER_MARGIN)
+            await asyncio.sleep(choice.candidate.wait)
             may_send = self._knowledge.may_send(target, now())
         finally:
             if not may_send:
