--- a/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
@@ -3,12 +3,13 @@
 
 A target that announces that it is draining gets no more requests in this incarnation.
 For a short grace period it still serves those for which there is no other target. A
-target that rejects a request may ask this host to send nothing for some seconds. Both
+target that rejects a request may ask this host to back off for some seconds. Both
 hold whatever the registry lists, which is late while the platform's store is
 unavailable.
 
-Draining is final, so hosts gossip it as a grow-only set. A rest is between one target
-and one host: shared among hosts it would empty the target and fill its neighbours.
+Draining is final, so hosts gossip it as a grow-only set. A backoff is between one
+target and one host: shared among hosts it would empty the target and fill its
+neighbours.
 """
 
 import math
@@ -18,8 +19,8 @@
 # Seconds after which the state of an incarnation that is no longer listed is dropped.
 # Entries of live targets may lapse while the store is unavailable.
 UNLISTED_TIMEOUT = 600.0
-# The longest rest in seconds, so that no mistake of a target shuts it out for good.
-MAX_REST = 600.0
+# The longest backoff in seconds, so that no mistake of a target shuts it out for good.
+MAX_BACKOFF = 600.0
 
 
 class Availability:
@@ -34,7 +35,7 @@
         self._drain_grace = drain_grace
         # When each draining target's announcement became known.
         self._draining = {}
-        self._rests_until = {}
+        self._backoff_until = {}
         self._local_pending = PendingKeys()
         self._remote_pending = PendingKeys()
         # Since when incarnations with an entry have been unlisted.
@@ -43,7 +44,7 @@
     @property
     def has_any(self):
         """Whether any target may have closed itself."""
-        return bool(self._draining or self._rests_until)
+        return bool(self._draining or self._backoff_until)
 
     @property
     def draining_count(self):
@@ -76,17 +77,17 @@
             self._remote_pending.add(incarnation)
         return True
 
-    def note_rest(self, incarnation, seconds, now):
+    def note_backoff(self, incarnation, seconds, now):
         """
         Record that a target wants no requests from this host for some seconds.
 
         Returns:
-          Whether it rests longer than was known.
+          Whether it is longer than was known.
         """
-        until = now + min(MAX_REST, seconds)
-        if until <= max(now, self._rests_until.get(incarnation, 0.0)):
+        until = now + min(MAX_BACKOFF, seconds)
+        if until <= max(now, self._backoff_until.get(incarnation, 0.0)):
             return False
-        self._rests_until[incarnation] = until
+        self._backoff_until[incarnation] = until
         return True
 
     def is_draining(self, incarnation):
@@ -94,17 +95,17 @@
         return incarnation in self._draining
 
     def is_open(self, incarnation, now):
-        """Return whether a target neither drains nor rests."""
-        return not (self.is_draining(incarnation) or self.rest(incarnation, now))
+        """Return whether a target neither drains nor has asked for a backoff."""
+        return not (self.is_draining(incarnation) or self.backoff(incarnation, now))
 
     def may_send(self, incarnation, now):
         """Return the same as `is_open`, but True in the grace period of draining."""
         closes_at = self._draining.get(incarnation, math.inf) + self._drain_grace
-        return now < closes_at and not self.rest(incarnation, now)
+        return now < closes_at and not self.backoff(incarnation, now)
 
-    def rest(self, incarnation, now):
+    def backoff(self, incarnation, now):
         """Return the seconds for which a target still wants no requests."""
-        return max(0.0, self._rests_until.get(incarnation, 0.0) - now)
+        return max(0.0, self._backoff_until.get(incarnation, 0.0) - now)
 
     @property
     def has_remote_pending(self):
@@ -129,16 +130,16 @@
         listed = self._draining.keys() - self._unlisted_since.keys()
         return sample_keys(sorted(listed), max_rows, rng)
 
-    def end_rests(self, now):
-        """Drop the rests that have ended, and return their incarnations."""
-        ended = [key for key, until in self._rests_until.items() if until <= now]
+    def end_backoffs(self, now):
+        """Drop the backoffs that have ended, and return their incarnations."""
+        ended = [key for key, until in self._backoff_until.items() if until <= now]
         for key in ended:
-            del self._rests_until[key]
+            del self._backoff_until[key]
         return ended
 
     def evict(self, listed, now):
         """Drop the state of incarnations that have been unlisted for a while."""
-        unlisted = (self._draining.keys() | self._rests_until.keys()) - listed
+        unlisted = (self._draining.keys() | self._backoff_until.keys()) - listed
         since = {key: self._unlisted_since.get(key, now) for key in unlisted}
         expired = {key for key, at in since.items() if now - at >= UNLISTED_TIMEOUT}
         for key in expired:
@@ -146,5 +147,5 @@
             self._draining.pop(key, None)
             self._local_pending.discard(key)
             self._remote_pending.discard(key)
-            self._rests_until.pop(key, None)
+            self._backoff_until.pop(key, None)
         self._unlisted_since = since
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -326,16 +326,16 @@
         is_admissible = availability.may_send if may_drain else availability.is_open
         return [target for target in targets if is_admissible(target.incarnation, at)]
 
-    def rest(self, service, at):
-        """Return the seconds until the first target of a service ends its rest."""
+    def backoff(self, service, at):
+        """Return the seconds until the first target of a service ends its backoff."""
         if not self.availability.has_any:
             return 0.0
-        rests = [
-            self.availability.rest(target.incarnation, at)
+        backoffs = [
+            self.availability.backoff(target.incarnation, at)
             for target in self.registry.usable(service)
             if not self.availability.is_draining(target.incarnation)
         ]
-        return min(rests, default=0.0)
+        return min(backoffs, default=0.0)
 
     def _choose_usable(self, service, usable, profile, excluded, has_connection, at):
         """Choose among targets to which a request may be sent immediately."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
@@ -56,10 +56,10 @@
             log.info("draining notice", extra=fields)
             self._notify(is_urgent=True)
         seconds = notices.retry_after
-        if seconds is not None and self._availability.note_rest(
+        if seconds is not None and self._availability.note_backoff(
             incarnation, seconds, at
         ):
-            log.info("rest notice", extra={**fields, "seconds": seconds})
+            log.info("backoff notice", extra={**fields, "seconds": seconds})
         for error in notices.errors:
             self._log_error(incarnation, error, fields)
         if all(error.header != wire.RATE_LIMIT for error in notices.errors):
@@ -75,9 +75,9 @@
             log.warning("unreadable notice", extra={**fields, **error._asdict()})
 
     def tick(self, at):
-        """Log the rests that have ended."""
-        for incarnation in self._availability.end_rests(at):
-            log.info("rest ended", extra={"target": target_id_of(incarnation)})
+        """Log the backoffs that have ended."""
+        for incarnation in self._availability.end_backoffs(at):
+            log.info("backoff ended", extra={"target": target_id_of(incarnation)})
 
     def evict(self, listed):
         """Drop the state of incarnations that are no longer listed."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -35,7 +35,7 @@
     CALLER_GONE = "caller-gone"
     HELD = "held-back"
     TARGETS_LIMITED = "targets-limited"
-    TARGETS_RESTING = "targets-resting"
+    BACKING_OFF = "backing-off"
 
 
 class Refusal(NamedTuple):
@@ -70,7 +70,7 @@
     RefusalCause.CALLER_GONE: (503, 502),
     RefusalCause.HELD: (503, 502),
     RefusalCause.TARGETS_LIMITED: (503, 502),
-    RefusalCause.TARGETS_RESTING: (503, 502),
+    RefusalCause.BACKING_OFF: (503, 502),
 }
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -299,11 +299,11 @@
         """
         Return the seconds after which capacity is likely to be available.
 
-        This is never before a target of the service ends its rest, and spread so that
+        This is never before a target's backoff ends, and spread so that
         callers refused together don't return together.
         """
         spread = self._typical_duration() * self._knowledge.rng.uniform(0.5, 1.5)
-        return self._knowledge.rest(self._request.service, now()) + spread
+        return self._knowledge.backoff(self._request.service, now()) + spread
 
     def _log_response(self, completed):
         request = self._request
@@ -422,17 +422,17 @@
     def _refuse_without_target(self, at):
         """Return the refusal of a request for which no target is available."""
         service = self._request.service
-        rest = self._knowledge.rest(service, at)
+        backoff = self._knowledge.backoff(service, at)
         limits_wait = self._knowledge.limits.retry_after(service, at)
         if limits_wait is not None:
-            wait = max(limits_wait, rest)
+            wait = max(limits_wait, backoff)
             return self._refuse(
                 RefusalCause.TARGETS_LIMITED, wait, retry_after=round(wait, 3)
             )
-        if rest:
+        if backoff:
             wait = self._retry_after()
             return self._refuse(
-                RefusalCause.TARGETS_RESTING, wait, retry_after=round(wait, 3)
+                RefusalCause.BACKING_OFF, wait, retry_after=round(wait, 3)
             )
         return self._refuse(RefusalCause.NO_TARGET)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
@@ -30,7 +30,7 @@
     HELD_BACK = "held-back"
     OVER_LIMIT = "over-limit"
     TARGETS_LIMITED = "targets-limited"
-    TARGETS_RESTING = "targets-resting"
+    BACKING_OFF = "backing-off"
     UNKNOWN_KEY = "unknown-key"
     TOO_SLOW = "too-slow"
     NO_ROOM = "no-room"
@@ -42,7 +42,7 @@
     "held-back": Loss.HELD_BACK,
     "over-limit": Loss.OVER_LIMIT,
     "targets-limited": Loss.TARGETS_LIMITED,
-    "targets-resting": Loss.TARGETS_RESTING,
+    "backing-off": Loss.BACKING_OFF,
     "unknown-key": Loss.UNKNOWN_KEY,
 }
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
@@ -20,9 +20,9 @@
         self.limits = set()
         self.limit_hosts = set()
         self.waits = []
-        # Hosts to which it said that it is draining, and the rests that it asked for.
+        # Hosts that learned that it is draining, and the backoffs that it asked for.
         self.drain_hosts = set()
-        self.rests = []
+        self.backoffs = []
 
 
 def tell_standing(events, target):
@@ -37,8 +37,8 @@
       and from how many hosts, the least and greatest probability of failing that they
       were given, the rate limits that hosts learned it names, how many hosts did, the
       longest wait for a token, how many hosts it told that it is draining, the
-      longest rest that it asked for and how often, and the failures by kind. The list
-      is empty if no line names it.
+      longest backoff that it asked for and how often, and the failures by kind. The
+      list is empty if no line names it.
     """
     own = [event for event in events if event.fields.get("target") == target]
     seconds = defaultdict(_Second)
@@ -106,8 +106,8 @@
         second.limit_hosts.add(event.host)
     elif event.message == "draining notice":
         second.drain_hosts.add(event.host)
-    elif event.message == "rest notice":
-        second.rests.append(fields["seconds"])
+    elif event.message == "backoff notice":
+        second.backoffs.append(fields["seconds"])
     elif event.message in LISTINGS:
         second.listings.add(fields.get("state", event.message))
 
@@ -127,7 +127,8 @@
         parts.append(f"limit={','.join(limits)} learned-by={len(second.limit_hosts)}")
     if second.drain_hosts:
         parts.append(f"draining-told={len(second.drain_hosts)}")
-    if second.rests:
-        parts.append(f"rest={max(second.rests):g} rests={len(second.rests)}")
+    if second.backoffs:
+        longest = max(second.backoffs)
+        parts.append(f"backoff={longest:g} backoffs={len(second.backoffs)}")
     parts += [f"{kind}={count}" for kind, count in sorted(second.failures.items())]
     return " ".join(parts)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
@@ -59,13 +59,13 @@
     """Guards against a target that closed itself and looks like a forgotten one."""
     events = read_events(
         [
-            _line(100.0, "rest notice", target="t1", seconds=3.0, request="a"),
-            _line(100.1, "rest notice", "h2", target="t1", seconds=1.5, request="b"),
+            _line(100.0, "backoff notice", target="t1", seconds=3.0, request="a"),
+            _line(100.1, "backoff notice", "h2", target="t1", seconds=1.5, request="b"),
             _line(104.0, "draining notice", target="t1", request="c"),
         ]
     )
     assert tell_standing(events, "t1") == [
-        "+0 s rest=3 rests=2",
+        "+0 s backoff=3 backoffs=2",
         "+4 s draining-told=1",
     ]
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
@@ -64,23 +64,23 @@
 
 @pytest.mark.parametrize("service", METHODS)
 @in_loop
-async def test_no_request_disturbs_a_target_that_asked_for_rest(service):
+async def test_no_request_reaches_a_target_during_its_backoff(service):
     """Guards against hosts that go on pressing a target that has named a pause."""
     async with Trial((service,), targets=1) as trial:
         worker = trial.workers[f"{service}-0"]
-        worker.mode, worker.rest = Mode.SHED, "2.5"
+        worker.mode, worker.backoff = Mode.SHED, "2.5"
         await press(trial, f"/{service}/a", 3.0)
         assert worker.notices
         assert not find_all_ignored(trial)
 
 
 @in_loop
-async def test_a_target_of_another_data_centre_gets_its_rest():
+async def test_a_backoff_holds_for_a_target_of_another_data_centre():
     """Guards against rejections that count for hosts beside the target alone."""
     async with Trial(("act",), targets=2, centres=("x", "y")) as trial:
         trial.workers["act-0"].work = 0.2
         remote = trial.workers["act-1"]
-        remote.mode, remote.rest = Mode.SHED, "2.5"
+        remote.mode, remote.backoff = Mode.SHED, "2.5"
         await press(trial, "/act/a", 3.0)
         assert remote.notices
         assert not find_all_ignored(trial)
@@ -235,11 +235,11 @@
 
 
 @in_loop
-async def test_a_rest_binds_only_the_host_that_was_asked():
-    """Guards against a rest that empties a target and fills its neighbours."""
+async def test_a_backoff_binds_only_the_host_that_was_asked():
+    """Guards against a backoff that empties a target and fills its neighbours."""
     async with Trial(("act",), targets=1, hosts=2) as trial:
         worker = trial.workers["act-0"]
-        worker.mode, worker.rest = Mode.SHED, "3.0"
+        worker.mode, worker.backoff = Mode.SHED, "3.0"
         await trial.ask("/act/a", "rejected", "POST")
         worker.mode = Mode.GOOD
         await asyncio.sleep(0.5)
@@ -259,11 +259,13 @@
 
 @pytest.mark.parametrize("mode", [Mode.SHED, Mode.FALSE_BUSY])
 @in_loop
-async def test_requests_are_refused_at_once_while_all_targets_rest(mode):
-    """Guards against callers that wait, or press targets, until the rest is over."""
+async def test_requests_are_refused_at_once_while_this_host_backs_off_from_all_targets(
+    mode,
+):
+    """Guards against callers that wait, or press targets, until the backoff is over."""
     async with Trial(("act",), targets=2) as trial:
         for worker in trial.of("act"):
-            worker.mode, worker.rest = mode, "3.0"
+            worker.mode, worker.backoff = mode, "3.0"
         loop = asyncio.get_running_loop()
         for number in range(10):
             await trial.ask("/act/a", f"early-{number}", "POST")
@@ -284,11 +286,11 @@
 
 
 @in_loop
-async def test_requests_are_not_saved_up_for_the_end_of_a_rest():
-    """Guards against a target that gets all requests of its rest in one moment."""
+async def test_requests_are_not_saved_up_for_the_end_of_a_backoff():
+    """Guards against a target that gets all requests of its backoff in one moment."""
     async with Trial(("act",), targets=1) as trial:
         worker = trial.workers["act-0"]
-        worker.mode, worker.rest, worker.work = Mode.SHED, "0.5", 0.1
+        worker.mode, worker.backoff, worker.work = Mode.SHED, "0.5", 0.1
         await trial.ask("/act/a", "rejected", "POST")
         worker.mode = Mode.GOOD
         answers = await press(trial, "/act/a", 1.0)
@@ -298,11 +300,11 @@
 
 
 @in_loop
-async def test_a_success_does_not_end_a_rest():
-    """Guards against a rest cut short by an answer that was under way."""
+async def test_a_success_does_not_end_a_backoff():
+    """Guards against a backoff cut short by an answer that was under way."""
     async with Trial(("look",), targets=1) as trial:
         worker = trial.workers["look-0"]
-        worker.work, worker.rest = 0.3, "2.0"
+        worker.work, worker.backoff = 0.3, "2.0"
         earlier = asyncio.ensure_future(trial.ask("/look/a", "earlier"))
         await until(lambda: worker.arrivals)
         worker.mode = Mode.SHED
@@ -314,8 +316,8 @@
 
 
 @in_loop
-async def test_a_delayed_request_is_not_sent_into_a_rest():
-    """Guards against a request chosen before a rest began and sent during it."""
+async def test_a_delayed_request_is_not_sent_during_a_backoff():
+    """Guards against a request chosen before a backoff began and sent during it."""
     async with Trial(("act",), targets=1) as trial:
         worker = trial.workers["act-0"]
         worker.rate_limit = "3"
@@ -325,7 +327,7 @@
         assert not answer.done()
         knowledge = trial.hosts[0].knowledge
         (incarnation,) = knowledge.registry.incarnations()
-        knowledge.availability.note_rest(incarnation, 2.0, now())
+        knowledge.availability.note_backoff(incarnation, 2.0, now())
         status, headers, _ = await answer
         assert status == 503
         assert float(headers["Retry-After"]) > 1.0
@@ -337,12 +339,12 @@
     "text", ["nan", "inf", "-1", "0", "", "2,3", "0x1", "Thu, 03 Dec 2026 12:00:00 GMT"]
 )
 @in_loop
-async def test_a_rest_that_cannot_be_read_changes_nothing(text, caplog):
+async def test_a_backoff_that_cannot_be_read_changes_nothing(text, caplog):
     """Guards against a target shut out, or a host stopped, by a mistake in a header."""
     caplog.set_level("INFO")
     async with Trial(("look",), targets=1) as trial:
         worker = trial.workers["look-0"]
-        worker.mode, worker.rest = Mode.SHED, text
+        worker.mode, worker.backoff = Mode.SHED, text
         for number in range(3):
             await trial.ask("/look/a", f"odd-{number}")
         worker.mode = Mode.GOOD
@@ -352,20 +354,20 @@
 
 
 @in_loop
-async def test_a_refusal_leads_to_the_targets_rest(caplog):
+async def test_a_refusal_leads_to_the_targets_backoff(caplog):
     """Guards against a refused request of which no log line tells why."""
     caplog.set_level("INFO")
     async with Trial(("look",), targets=1) as trial:
         worker = trial.workers["look-0"]
-        worker.mode, worker.rest = Mode.SHED, "2.5"
+        worker.mode, worker.backoff = Mode.SHED, "2.5"
         await trial.ask("/look/a", "one")
         worker.mode = Mode.GOOD
         _, headers, _ = await trial.ask("/look/a", "two")
-        told = next(r for r in caplog.records if r.message == "rest notice")
+        told = next(r for r in caplog.records if r.message == "backoff notice")
         assert (told.target, told.seconds, told.request) == ("look-0", 2.5, "one")
         refused = [r for r in caplog.records if r.message == "refused"][-1]
-        assert (refused.request, refused.cause) == ("two", "targets-resting")
+        assert (refused.request, refused.cause) == ("two", "backing-off")
         assert float(headers["Retry-After"]) == pytest.approx(refused.retry_after, 0.01)
         await asyncio.sleep(2.0)
-        await until(lambda: any(r.message == "rest ended" for r in caplog.records))
+        await until(lambda: any(r.message == "backoff ended" for r in caplog.records))
         assert (await trial.ask("/look/a", "three"))[0] == 200
--- a/packages/plumsaddle-standins/plumsaddle_standins/notice_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/notice_model.py
@@ -5,17 +5,17 @@
 each to the target of their data centre that seems least busy, or else to one of another
 data centre. What is under way at targets is known with the delay of the hosts' gossip.
 
-Two tables compare ways to act on a draining notice and on a rest:
+Two tables compare ways to act on a draining notice and on a backoff:
 
 - none: nobody reads the notice;
 - alone: each host keeps to what it was told itself (`ops/availability.py`);
 - gossiped: a host also keeps to what was told to others, with the delays of gossip;
 - at once (of draining): as gossiped, without the grace period in which a draining
   target is used if there is no other;
-- jittered (of rests): as alone, and each rest is longer by up to a third, at random;
-- waits (of rests): as alone, and a request for which all targets rest waits up to a
-  second for the first one, where it is refused at once otherwise;
-- one waits (of rests): the same, but only one request of a host for each target.
+- jittered (of backoffs): as alone, and each is longer by up to a third, at random;
+- waits (of backoffs): as alone, and a request that finds only such targets waits up to
+  a second for the first one, where it is refused at once otherwise;
+- one waits (of backoffs): the same, but only one request of a host for each target.
 """
 
 import heapq
@@ -25,7 +25,7 @@
 
 from plumsaddle_core.ops.availability import Availability
 
-from .notices_check import DRAIN_HOLDS_AFTER, REST_HOLDS_AFTER, TOLERATED_IN_REST
+from .notices_check import BACKOFF_HOLDS_AFTER, DRAIN_HOLDS_AFTER, TOLERATED_IN_BACKOFF
 
 WARM_UP = 5.0
 END = 20.0
@@ -34,7 +34,7 @@
 NEAR_DELAY = (0.02, 0.3)
 FAR_DELAY = (0.1, 0.6)
 NETWORK_DELAY = 0.002
-# Seconds that a request takes, and that it may wait for the end of a rest.
+# Seconds that a request takes, and that it may wait for the end of a backoff.
 WORK = 0.4
 WAIT = 1.0
 SLOTS = 4
@@ -54,8 +54,8 @@
     seconds. From `WARM_UP` on the part `draining` of the targets drains for
     `drains_for` seconds and exits; the registry does not tell. `successors` is the
     part of these that is replaced by a new target a second after it began to drain.
-    Full targets reject with a rest of `rest` seconds, and the part `rejecting` rejects
-    everything from `WARM_UP` on for ten seconds.
+    Full targets reject and ask for a backoff of so many seconds, and the part
+    `rejecting` rejects everything from `WARM_UP` on for ten seconds.
     """
 
     hosts: int = 40
@@ -66,7 +66,7 @@
     draining: float = 0.0
     drains_for: float = 8.0
     successors: float = 0.0
-    rest: float = 3.0
+    backoff: float = 3.0
     rejecting: float = 0.0
 
 
@@ -98,8 +98,8 @@
         self.is_draining = self.has_exited = False
         self.told_at = {}
         self.first_told_at = None
-        # Rests by host: when they were asked for, and what came since.
-        self.rests = {}
+        # Backoffs by host: when they were asked for, and what came since.
+        self.backoffs = {}
 
 
 class _Host:
@@ -108,7 +108,7 @@
         self.centre = centre
         self.availability = Availability(grace)
         self.credit = 10.0
-        # Targets for the end of whose rest a request waits.
+        # Targets for the end of whose backoff a request waits.
         self.awaited = set()
         self.own = {}
 
@@ -237,17 +237,17 @@
         last_resorts = [t for t in usable if self._may_send(host, t)]
         if last_resorts:
             return self._pick(host, last_resorts), 0.0
-        rests = [
-            (host.availability.rest(t.name, self.at), t)
+        backoffs = [
+            (host.availability.backoff(t.name, self.at), t)
             for t in usable
             if not host.availability.is_draining(t.name)
         ]
-        rest, target = min(rests, key=lambda pair: pair[0], default=(WAIT, None))
+        backoff, target = min(backoffs, key=lambda pair: pair[0], default=(WAIT, None))
         may_wait = self.way == "waits" or (
             self.way == ONE_WAITS and target not in host.awaited
         )
-        if may_wait and not tried and rest < WAIT:
-            return target, rest + 0.001
+        if may_wait and not tried and backoff < WAIT:
+            return target, backoff + 0.001
         return None, 0.0
 
     def _pick(self, host, targets):
@@ -272,7 +272,7 @@
             host.own[target] -= 1
             if not target.has_exited:
                 self.rejected += self.at >= WARM_UP
-                self._ask_for_rest(host, target)
+                self._ask_for_backoff(host, target)
             self._retry(host, target, tried, begun)
             return
         target.in_flight += 1
@@ -287,12 +287,12 @@
         first = target.first_told_at
         if first is not None and self.at > first + DRAIN_HOLDS_AFTER:
             self.exposed += 1
-        asked_at, count = target.rests.get(host, (None, 0))
+        asked_at, count = target.backoffs.get(host, (None, 0))
         if asked_at is not None and (
-            asked_at + REST_HOLDS_AFTER < self.at < asked_at + self.case.rest
+            asked_at + BACKOFF_HOLDS_AFTER < self.at < asked_at + self.case.backoff
         ):
-            target.rests[host] = asked_at, count + 1
-            self.broken += count + 1 > TOLERATED_IN_REST
+            target.backoffs[host] = asked_at, count + 1
+            self.broken += count + 1 > TOLERATED_IN_BACKOFF
 
     def _retry(self, host, target, tried, begun):
         if len(tried) + 1 < ATTEMPTS and host.credit >= 1.0:
@@ -312,18 +312,18 @@
 
     # Notices.
 
-    def _ask_for_rest(self, host, target):
-        if target.rests.get(host, (-99.0, 0))[0] + self.case.rest < self.at:
-            target.rests[host] = self.at, 0
-        seconds = self.case.rest
+    def _ask_for_backoff(self, host, target):
+        if target.backoffs.get(host, (-99.0, 0))[0] + self.case.backoff < self.at:
+            target.backoffs[host] = self.at, 0
+        seconds = self.case.backoff
         if not seconds:
             return
         if self.way == "jittered":
             seconds *= self.rng.uniform(1.0, 1.0 + JITTER)
-        host.availability.note_rest(target.name, seconds, self.at)
+        host.availability.note_backoff(target.name, seconds, self.at)
         if self.way == "gossiped":
             until = self.at + seconds
-            self._gossip(host, self._merge_rest, target, until)
+            self._gossip(host, self._merge_backoff, target, until)
 
     def _tell_draining(self, host, target):
         if host not in target.told_at:
@@ -345,9 +345,9 @@
         self.rows += 1
         host.availability.note_draining(target.name, self.at)
 
-    def _merge_rest(self, host, target, until):
+    def _merge_backoff(self, host, target, until):
         self.rows += 1
-        host.availability.note_rest(target.name, max(0.0, until - self.at), self.at)
+        host.availability.note_backoff(target.name, max(0.0, until - self.at), self.at)
 
 
 SIZES = {
@@ -361,28 +361,28 @@
     "all drain, with successors": {"draining": 1.0, "successors": 1.0},
     "a third drains and exits after 1 s": {"draining": 0.33, "drains_for": 1.0},
 }
-REST_CASES = {
+BACKOFF_CASES = {
     "a tenth rejects everything": {"rejecting": 0.1},
     "all reject everything": {"rejecting": 1.0},
     "a peak of 1.3 times the slots": {"load": 0.6, "peak": 1.3},
     "a peak of 2 times the slots": {"load": 0.6, "peak": 2.0},
-    "the same, rests of half a second": {"load": 0.6, "peak": 2.0, "rest": 0.5},
+    "the same, backoffs of half a second": {"load": 0.6, "peak": 2.0, "backoff": 0.5},
     "few targets, a peak of 2 times": {"targets": 3, "load": 0.6, "peak": 2.0},
-    "the same, half a second": {"targets": 3, "load": 0.6, "peak": 2.0, "rest": 0.5},
+    "the same, half a second": {"targets": 3, "load": 0.6, "peak": 2.0, "backoff": 0.5},
 }
 
 
 DRAIN_WAYS = ("none", "alone", "gossiped", AT_ONCE)
-REST_WAYS = ("none", "alone", "gossiped", "jittered", "waits", ONE_WAITS)
+BACKOFF_WAYS = ("none", "alone", "gossiped", "jittered", "waits", ONE_WAITS)
 SEEDS = range(1, 4)
 
 
 def main():
     """Print the tables, with means over the seeds."""
     print("draining: broken, served, refused, lost, exposed, rows")
-    _print(DRAIN_CASES, DRAIN_WAYS, {"rest": 0.0}, _tell_draining)
-    print("rest: broken, served, refused, rejections a second, rows")
-    _print(REST_CASES, REST_WAYS, {}, _tell_rest)
+    _print(DRAIN_CASES, DRAIN_WAYS, {"backoff": 0.0}, _tell_draining)
+    print("backoff: broken, served, refused, rejections a second, rows")
+    _print(BACKOFF_CASES, BACKOFF_WAYS, {}, _tell_backoff)
 
 
 def _print(cases, ways, fixed, tell):
@@ -407,7 +407,7 @@
     )
 
 
-def _tell_rest(out):
+def _tell_backoff(out):
     return (
         f"{out.broken:.0f}, {out.served:.3f}, {out.refused:.3f}, "
         f"{out.rejected:.0f}, {out.rows:.0f}"
--- a/packages/plumsaddle-standins/plumsaddle_standins/notice_model_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/notice_model_test.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import HealthCheck, Phase, given, settings, strategies as st
 
-from .notice_model import DRAIN_CASES, REST_CASES, SIZES, Case, NoticeModel
+from .notice_model import BACKOFF_CASES, DRAIN_CASES, SIZES, Case, NoticeModel
 
 SMALL = SIZES["40 hosts"]
 
@@ -21,7 +21,7 @@
         draining=st.sampled_from([0.0, 0.34, 1.0]),
         drains_for=st.sampled_from([1.0, 8.0]),
         successors=st.sampled_from([0.0, 1.0]),
-        rest=st.sampled_from([0.6, 3.0]),
+        backoff=st.sampled_from([0.6, 3.0]),
         rejecting=st.sampled_from([0.0, 0.34, 1.0]),
     )
 
@@ -44,16 +44,16 @@
 
 def test_hosts_that_read_no_notice_break_both_rules():
     """Guards against a model that would call any way safe."""
-    drain = SMALL._replace(rest=0.0, **DRAIN_CASES["a third drains"])
+    drain = SMALL._replace(backoff=0.0, **DRAIN_CASES["a third drains"])
     assert NoticeModel(drain, "none").run().broken > 0
-    rest = SMALL._replace(**REST_CASES["a peak of 2 times the slots"])
-    assert NoticeModel(rest, "none").run().broken > 0
+    backoff = SMALL._replace(**BACKOFF_CASES["a peak of 2 times the slots"])
+    assert NoticeModel(backoff, "none").run().broken > 0
 
 
 @pytest.mark.parametrize("name", DRAIN_CASES)
 def test_gossiped_notices_empty_a_target_before_it_exits(name):
     """Guards against requests lost at a target that some hosts still use."""
-    case = SMALL._replace(rest=0.0, **DRAIN_CASES[name])
+    case = SMALL._replace(backoff=0.0, **DRAIN_CASES[name])
     alone, gossiped = (NoticeModel(case, w).run() for w in ("alone", "gossiped"))
     assert gossiped.lost <= max(1, alone.lost)
     assert gossiped.exposed == 0
--- a/packages/plumsaddle-standins/plumsaddle_standins/notices_check.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/notices_check.py
@@ -5,10 +5,10 @@
 # Seconds after a draining notice from which no request of the host that got it may
 # reach the target.
 DRAIN_HOLDS_AFTER = 2.0
-# Seconds after a rejection from which its rest holds, and the requests of the rejected
-# host that may reach the target until the rest ends.
-REST_HOLDS_AFTER = 0.5
-TOLERATED_IN_REST = 2
+# Seconds after a rejection from which its backoff holds, and the requests of the
+# rejected host that may reach the target until the backoff ends.
+BACKOFF_HOLDS_AFTER = 0.5
+TOLERATED_IN_BACKOFF = 2
 
 
 def _never(host, since, until):
@@ -34,9 +34,9 @@
     lines = []
     for notice in filter(is_told, worker.notices):
         host = host_of(notice.request_id)
-        drains = notice.rest is None
-        begin = notice.at + (DRAIN_HOLDS_AFTER if drains else REST_HOLDS_AFTER)
-        end = float("inf") if drains else notice.at + notice.rest
+        drains = notice.backoff is None
+        begin = notice.at + (DRAIN_HOLDS_AFTER if drains else BACKOFF_HOLDS_AFTER)
+        end = float("inf") if drains else notice.at + notice.backoff
         late = [
             seen
             for seen in worker.seen
@@ -44,7 +44,7 @@
             and host_of(seen.id) == host
             and not is_excused(host, notice.at, seen.at)
         ]
-        if len(late) > (0 if drains else TOLERATED_IN_REST):
-            said = "drains" if drains else f"rests {notice.rest:g} s"
+        if len(late) > (0 if drains else TOLERATED_IN_BACKOFF):
+            said = "drains" if drains else f"asked for {notice.backoff:g} s"
             lines.append(f"{worker.id} {said}, and {host} sent {len(late)} requests")
     return lines
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -76,13 +76,13 @@
     """
     What an answer said of the stand-in itself.
 
-    `rest` is the seconds for which it wants nothing from the host that it answered;
+    `backoff` is the seconds for which it wants nothing from the host that it answered;
     None if the answer says that it is draining.
     """
 
     at: float
     request_id: str
-    rest: float | None
+    backoff: float | None
 
 
 class Record(NamedTuple):
@@ -119,7 +119,7 @@
         # Whether each answer says that it is draining, and the text of `Retry-After`
         # in each rejection, None for no such header.
         self.is_draining = False
-        self.rest = None
+        self.backoff = None
         self.notices = []
         # When each request arrived, whatever became of it.
         self.arrivals = []
@@ -223,7 +223,7 @@
             writer.write(self._answer(request_id, 500, b"failed"))
             return True
         if mode is Mode.FALSE_BUSY:
-            more = self._rest_header(request_id)
+            more = self._retry_after_header(request_id)
             writer.write(self._answer(request_id, 503, b"busy, after it ran", more))
             return True
         if mode is Mode.RESET:
@@ -240,21 +240,21 @@
 
     async def _reject(self, request_id, writer):
         """Reject a request, and return whether the connection goes on."""
-        more = "Not-Executed: 1\r\n" + self._rest_header(request_id)
+        more = "Not-Executed: 1\r\n" + self._retry_after_header(request_id)
         writer.write(self._answer(request_id, 503, b"", more))
         return True
 
-    def _rest_header(self, request_id):
-        if self.rest is None:
+    def _retry_after_header(self, request_id):
+        if self.backoff is None:
             return ""
-        self._note(request_id, self.rest)
-        return f"Retry-After: {self.rest}\r\n"
+        self._note(request_id, self.backoff)
+        return f"Retry-After: {self.backoff}\r\n"
 
-    def _note(self, request_id, rest):
+    def _note(self, request_id, backoff):
         at = asyncio.get_running_loop().time()
         with contextlib.suppress(ValueError):
-            rest = rest if rest is None else float(rest)
-            self.notices.append(Notice(at, request_id, rest))
+            backoff = backoff if backoff is None else float(backoff)
+            self.notices.append(Notice(at, request_id, backoff))
 
     async def _take_time(self, request_id, reader, seconds):
         """Work, and return whether the caller was still there at the end."""
