--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -6,6 +6,8 @@
 """
 
 import re
+from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 from returns.result import Failure, Success
@@ -140,13 +142,50 @@
 
 
 _match_decimal = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
-_NOTICE_HEADERS = {
-    name.lower().encode() for name in (RATE_LIMIT, DRAINING, RETRY_AFTER, KEEP_ALIVE)
-}
 _FLAGS = {b"1": True, b"0": False}
 _NO_NOTICES = TargetNotices()
 
 
+def _decode_decimal(text):
+    return float(text) if _match_decimal(text) else None
+
+
+def _decode_keep_alive(text):
+    """Return the timeout of a `Keep-Alive` header in seconds, or None."""
+    for parameter in text.split(b","):
+        name, _, value = parameter.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return float(value)
+    return None
+
+
+class _NoticeHeader(NamedTuple):
+    """
+    How a header is decoded into a field of `TargetNotices`.
+
+    `decode` returns None for a text of another form, and `choose` the more restrictive
+    one of two values.
+    """
+
+    name: str
+    field: str
+    decode: Callable
+    choose: Callable
+    is_required_form: bool = True
+
+
+_NOTICE_HEADERS = {
+    header.name.lower().encode(): header
+    for header in (
+        _NoticeHeader(RATE_LIMIT, "rate_limit", _decode_decimal, min),
+        _NoticeHeader(DRAINING, "is_draining", _FLAGS.get, max),
+        _NoticeHeader(RETRY_AFTER, "retry_after", _decode_decimal, max),
+        # It may have other parameters only.
+        _NoticeHeader(KEEP_ALIVE, "idle_timeout", _decode_keep_alive, min, False),
+    )
+}
+
+
 def decode_notices(status, headers):
     """
     Decode what a target says about itself in the head of a response.
@@ -160,46 +199,27 @@
     Returns:
       The `TargetNotices`.
     """
-    named = {}
-    for name, value in headers:
-        lower = name.lower()
-        if lower in _NOTICE_HEADERS:
-            named.setdefault(lower, []).append(value.strip())
-    if not named:
+    fields, malformed = {}, {}
+    for name, text in headers:
+        header = _NOTICE_HEADERS.get(name.lower())
+        # With other statuses `Retry-After` may be about the resource, not the target.
+        if header is None or (header.name == RETRY_AFTER and status != 503):
+            continue
+        value = header.decode(text.strip())
+        if value is None:
+            malformed.setdefault(header, text.strip())
+        elif header.field in fields:
+            fields[header.field] = header.choose(fields[header.field], value)
+        else:
+            fields[header.field] = value
+    if not fields and not malformed:
         return _NO_NOTICES
-    errors = []
-
-    def decode(name, decode_value, choose):
-        values = named.get(name.lower().encode(), ())
-        decoded = [d for d in map(decode_value, values) if d is not None]
-        if values and not decoded:
-            text = values[0][:MAX_LOGGED_VALUE].decode("latin-1")
-            errors.append(NoticeError(name, text))
-        return choose(decoded) if decoded else None
-
-    return TargetNotices(
-        decode(RATE_LIMIT, _decode_decimal, min),
-        decode(DRAINING, _FLAGS.get, max) or False,
-        # Other statuses may be about the resource and not about the target.
-        decode(RETRY_AFTER, _decode_decimal, max) if status == 503 else None,
-        _decode_idle_timeout(named),
-        tuple(errors),
+    errors = tuple(
+        NoticeError(header.name, text[:MAX_LOGGED_VALUE].decode("latin-1"))
+        for header, text in malformed.items()
+        if header.is_required_form and header.field not in fields
     )
-
-
-def _decode_decimal(value):
-    return float(value) if _match_decimal(value) else None
-
-
-def _decode_idle_timeout(named):
-    """Return the timeout in `Keep-Alive` headers in seconds, or None."""
-    timeouts = []
-    for value in named.get(KEEP_ALIVE.lower().encode(), ()):
-        for parameter in value.split(b","):
-            name, _, text = parameter.strip().partition(b"=")
-            if name.lower() == b"timeout" and text.isdigit():
-                timeouts.append(int(text))
-    return min(timeouts, default=None)
+    return TargetNotices(errors=errors, **fields)
 
 
 def decode_configuration(data):
