--- a/packages/plumsaddle-standins/plumsaddle_standins/notice_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/notice_model.py
@@ -29,6 +29,8 @@
 
 WARM_UP = 5.0
 END = 20.0
+# Seconds of a peak, and for which targets reject everything.
+FAULT_SECONDS = 10.0
 # Seconds between two looks of a host at what is under way, and the delays of gossip.
 SAMPLE_EVERY = 0.15
 NEAR_DELAY = (0.02, 0.3)
@@ -41,6 +43,8 @@
 QUEUE = 2
 ATTEMPTS = 2
 RETRY_RATIO = 0.2
+START_RETRIES = 10.0
+MAX_RETRIES = 20.0
 JITTER = 1 / 3
 ONE_WAITS = "one waits"
 AT_ONCE = "gossiped, at once"
@@ -50,12 +54,12 @@
     """
     What happens to a fleet.
 
-    `load` is the demand as a part of the targets' slots, and `peak` that during ten
-    seconds. From `WARM_UP` on the part `draining` of the targets drains for
+    `load` is the demand as a part of the targets' slots, and `peak` that during
+    `FAULT_SECONDS`. From `WARM_UP` on the part `draining` of the targets drains for
     `drains_for` seconds and exits; the registry does not tell. `successors` is the
     part of these that is replaced by a new target a second after it began to drain.
     Full targets reject and ask for a backoff of so many seconds, and the part
-    `rejecting` rejects everything from `WARM_UP` on for ten seconds.
+    `rejecting` rejects everything for `FAULT_SECONDS`.
     """
 
     hosts: int = 40
@@ -107,7 +111,7 @@
         self.number = number
         self.centre = centre
         self.availability = Availability(grace)
-        self.credit = 10.0
+        self.retries_left = START_RETRIES
         # Targets for the end of whose backoff a request waits.
         self.awaited = set()
         self.own = {}
@@ -148,11 +152,7 @@
             self._push(WARM_UP, self._drain, target)
             if number < round(case.successors * len(drains)):
                 self._push(WARM_UP + 1.0, self._succeed, target)
-        self._rejecting = set(
-            self.targets[: round(case.rejecting * case.targets)]
-            if case.rejecting
-            else ()
-        )
+        self._rejecting = set(self.targets[: round(case.rejecting * case.targets)])
 
     def _push(self, at, call, *args):
         heapq.heappush(self._events, (at, next(self._order), call, args))
@@ -197,7 +197,7 @@
     # Requests.
 
     def _demand(self):
-        in_peak = self.case.peak and WARM_UP <= self.at < WARM_UP + 10.0
+        in_peak = self.case.peak and WARM_UP <= self.at < WARM_UP + FAULT_SECONDS
         part = self.case.peak if in_peak else self.case.load
         return part * self.case.targets * SLOTS / WORK
 
@@ -205,7 +205,7 @@
         rate = self._demand() * host.share
         self._push(self.at + self.rng.expovariate(rate), self._request, host)
         self.asked += self.at >= WARM_UP
-        host.credit = min(20.0, host.credit + RETRY_RATIO)
+        host.retries_left = min(MAX_RETRIES, host.retries_left + RETRY_RATIO)
         self._try(host, (), self.at)
 
     def _try(self, host, tried, begun):
@@ -267,7 +267,9 @@
     def _arrive(self, host, target, tried, begun):
         self._check(host, target)
         is_full = target.in_flight >= SLOTS + QUEUE
-        is_gray = target in self._rejecting and WARM_UP <= self.at < WARM_UP + 10.0
+        is_gray = (
+            target in self._rejecting and WARM_UP <= self.at < WARM_UP + FAULT_SECONDS
+        )
         if target.has_exited or is_full or is_gray:
             host.own[target] -= 1
             if not target.has_exited:
@@ -295,8 +297,8 @@
             self.broken += count + 1 > TOLERATED_IN_BACKOFF
 
     def _retry(self, host, target, tried, begun):
-        if len(tried) + 1 < ATTEMPTS and host.credit >= 1.0:
-            host.credit -= 1.0
+        if len(tried) + 1 < ATTEMPTS and host.retries_left >= 1.0:
+            host.retries_left -= 1.0
             self._try(host, (*tried, target), begun)
         else:
             self.refused += begun >= WARM_UP
