--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -208,7 +208,7 @@
 
 async def give_notices(trial, seconds, rng):
     """
-    Let targets drain, and others reject with a rest, at random moments that overlap.
+    Let targets drain, and others ask for backoffs, at random moments that overlap.
 
     The registry does not tell who drains. A target that has drained for some seconds
     starts again under its id.
@@ -238,9 +238,9 @@
 async def _reject_for_a_while(trial, worker, rng):
     if worker.mode is not Mode.GOOD:
         return
-    worker.mode, worker.rest = Mode.SHED, f"{rng.uniform(0.6, 3.0):.2f}"
+    worker.mode, worker.backoff = Mode.SHED, f"{rng.uniform(0.6, 3.0):.2f}"
     await asyncio.sleep(rng.uniform(0.2, 3.0))
-    worker.mode, worker.rest = Mode.GOOD, None
+    worker.mode, worker.backoff = Mode.GOOD, None
 
 
 def find_ignored(trial, hosts, callers):
@@ -254,8 +254,8 @@
     for worker in (*trial.closed, *trial.workers.values()):
 
         def is_told(notice, target_id=worker.id):
-            is_rest = notice.rest is not None
-            return is_rest or callers.answered_by.get(notice.request_id) == target_id
+            is_backoff = notice.backoff is not None
+            return is_backoff or callers.answered_by.get(notice.request_id) == target_id
 
         lines += find_ignored_notices(
             worker,
@@ -376,7 +376,7 @@
       rate: Requests a second.
       out: The path of a picture, if one is wanted.
       limit: The requests a second that half of the targets name as their limit.
-      notices: Whether targets drain, and reject with a rest, beside the pattern.
+      notices: Whether targets drain, and ask for backoffs, beside the pattern.
     """
     if pattern not in PATTERNS and pattern != "random":
         print(f"The patterns are: random, {', '.join(PATTERNS)}.", file=sys.stderr)
