--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/notices.py
@@ -2,7 +2,7 @@
 Records what targets say about themselves in the heads of their responses.
 
 Each head is decoded once (`platform/wire.py`) and recorded here, whatever the outcome
-of the request. Each change is logged with the request whose response told it.
+of the request. Each change is logged with the request whose response carried it.
 """
 
 import logging
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
@@ -126,7 +126,7 @@
         limits = sorted("none" if x is None else f"{x:g}" for x in second.limits)
         parts.append(f"limit={','.join(limits)} learned-by={len(second.limit_hosts)}")
     if second.drain_hosts:
-        parts.append(f"draining-told={len(second.drain_hosts)}")
+        parts.append(f"draining-learned-by={len(second.drain_hosts)}")
     if second.backoffs:
         longest = max(second.backoffs)
         parts.append(f"backoff={longest:g} backoffs={len(second.backoffs)}")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing_test.py
@@ -66,7 +66,7 @@
     )
     assert tell_standing(events, "t1") == [
         "+0 s backoff=3 backoffs=2",
-        "+4 s draining-told=1",
+        "+4 s draining-learned-by=1",
     ]
 
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -253,7 +253,7 @@
     lines = []
     for worker in (*trial.closed, *trial.workers.values()):
 
-        def is_told(notice, target_id=worker.id):
+        def is_delivered(notice, target_id=worker.id):
             is_backoff = notice.backoff is not None
             return is_backoff or callers.answered_by.get(notice.request_id) == target_id
 
@@ -261,7 +261,7 @@
             worker,
             callers.sent_to.get,
             is_excused,
-            is_told,
+            is_delivered,
         )
     return lines
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/notice_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/notice_model.py
@@ -8,8 +8,8 @@
 Two tables compare ways to act on a draining notice and on a backoff:
 
 - none: nobody reads the notice;
-- alone: each host keeps to what it was told itself (`ops/availability.py`);
-- gossiped: a host also keeps to what was told to others, with the delays of gossip;
+- alone: each host keeps to the notices that it received (`ops/availability.py`);
+- gossiped: a host also keeps to those that others received, with gossip's delays;
 - at once (of draining): as gossiped, without the grace period in which a draining
   target is used if there is no other;
 - jittered (of backoffs): as alone, and each is longer by up to a third, at random;
@@ -56,7 +56,7 @@
 
     `load` is the demand as a part of the targets' slots, and `peak` that during
     `FAULT_SECONDS`. From `WARM_UP` on the part `draining` of the targets drains for
-    `drains_for` seconds and exits; the registry does not tell. `successors` is the
+    `drains_for` seconds and exits; the registry does not show it. `successors` is the
     part of these that is replaced by a new target a second after it began to drain.
     Full targets reject and ask for a backoff of so many seconds, and the part
     `rejecting` rejects everything for `FAULT_SECONDS`.
@@ -80,7 +80,7 @@
 
     `broken` counts the requests that broke the rule, `served` and `refused` are parts
     of all requests, `lost` counts requests at targets that exited, `exposed` those sent
-    to a draining target that some host had been told of two seconds before, `rejected`
+    to a draining target two seconds after the first host was informed, `rejected`
     rejections a second, and `rows` the marks that a host received.
     """
 
@@ -100,8 +100,8 @@
         self.in_flight = 0
         self.sampled = 0
         self.is_draining = self.has_exited = False
-        self.told_at = {}
-        self.first_told_at = None
+        self.informed_at = {}
+        self.first_informed_at = None
         # Backoffs by host: when they were asked for, and what came since.
         self.backoffs = {}
 
@@ -283,10 +283,10 @@
         self._push(self.at + seconds, self._answer, host, target, begun)
 
     def _check(self, host, target):
-        told_at = target.told_at.get(host)
-        if told_at is not None and self.at > told_at + DRAIN_HOLDS_AFTER:
+        informed_at = target.informed_at.get(host)
+        if informed_at is not None and self.at > informed_at + DRAIN_HOLDS_AFTER:
             self.broken += 1
-        first = target.first_told_at
+        first = target.first_informed_at
         if first is not None and self.at > first + DRAIN_HOLDS_AFTER:
             self.exposed += 1
         asked_at, count = target.backoffs.get(host, (None, 0))
@@ -310,7 +310,7 @@
         target.in_flight -= 1
         self.served += begun >= WARM_UP
         if target.is_draining:
-            self._tell_draining(host, target)
+            self._announce_draining(host, target)
 
     # Notices.
 
@@ -327,11 +327,11 @@
             until = self.at + seconds
             self._gossip(host, self._merge_backoff, target, until)
 
-    def _tell_draining(self, host, target):
-        if host not in target.told_at:
-            target.told_at[host] = self.at
-        if target.first_told_at is None:
-            target.first_told_at = self.at
+    def _announce_draining(self, host, target):
+        if host not in target.informed_at:
+            target.informed_at[host] = self.at
+        if target.first_informed_at is None:
+            target.first_informed_at = self.at
         is_new = host.availability.note_draining(target.name, self.at)
         if is_new and self.way in ("gossiped", AT_ONCE):
             self._gossip(host, self._merge_draining, target)
@@ -382,17 +382,17 @@
 def main():
     """Print the tables, with means over the seeds."""
     print("draining: broken, served, refused, lost, exposed, rows")
-    _print(DRAIN_CASES, DRAIN_WAYS, {"backoff": 0.0}, _tell_draining)
+    _print(DRAIN_CASES, DRAIN_WAYS, {"backoff": 0.0}, _format_draining)
     print("backoff: broken, served, refused, rejections a second, rows")
-    _print(BACKOFF_CASES, BACKOFF_WAYS, {}, _tell_backoff)
+    _print(BACKOFF_CASES, BACKOFF_WAYS, {}, _format_backoff)
 
 
-def _print(cases, ways, fixed, tell):
+def _print(cases, ways, fixed, format_outcome):
     print("| case | " + " | ".join(ways) + " |")
     for size, base in SIZES.items():
         for name, change in cases.items():
             case = base._replace(**fixed, **change)
-            cells = [tell(_mean_outcome(case, way)) for way in ways]
+            cells = [format_outcome(_mean_outcome(case, way)) for way in ways]
             print(f"| {size}, {name} | " + " | ".join(cells) + " |", flush=True)
 
 
@@ -402,14 +402,14 @@
     return Outcome(*means)
 
 
-def _tell_draining(out):
+def _format_draining(out):
     return (
         f"{out.broken:.0f}, {out.served:.3f}, {out.refused:.3f}, "
         f"{out.lost:.0f}, {out.exposed:.0f}, {out.rows:.0f}"
     )
 
 
-def _tell_backoff(out):
+def _format_backoff(out):
     return (
         f"{out.broken:.0f}, {out.served:.3f}, {out.refused:.3f}, "
         f"{out.rejected:.0f}, {out.rows:.0f}"
--- a/packages/plumsaddle-standins/plumsaddle_standins/notices_check.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/notices_check.py
@@ -1,5 +1,5 @@
 """
-Checks that hosts keep to what stand-in targets have told them of themselves.
+Checks that hosts keep to what stand-in targets have announced to them.
 """
 
 # Seconds after a draining notice from which no request of the host that got it may
@@ -19,7 +19,7 @@
     return True
 
 
-def find_ignored_notices(worker, host_of, is_excused=_never, is_told=_always):
+def find_ignored_notices(worker, host_of, is_excused=_never, is_delivered=_always):
     """
     Return the requests that reached a target against its notices, as texts.
 
@@ -29,10 +29,10 @@
         request's id.
       is_excused: A function that returns whether a host was restarted, frozen or cut
         off between two times.
-      is_told: A function that returns whether a `Notice` has reached its host.
+      is_delivered: A function that returns whether a `Notice` has reached its host.
     """
     lines = []
-    for notice in filter(is_told, worker.notices):
+    for notice in filter(is_delivered, worker.notices):
         host = host_of(notice.request_id)
         drains = notice.backoff is None
         begin = notice.at + (DRAIN_HOLDS_AFTER if drains else BACKOFF_HOLDS_AFTER)
