--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -164,14 +164,14 @@
     How a header is decoded into a field of `TargetNotices`.
 
     `decode` returns None for a text of another form, and `choose` the more restrictive
-    one of two values.
+    one of two values. `reports_malformed` tells whether such a text is an error.
     """
 
     name: str
     field: str
     decode: Callable
     choose: Callable
-    is_required_form: bool = True
+    reports_malformed: bool = True
 
 
 _NOTICE_HEADERS = {
@@ -190,8 +190,8 @@
     """
     Decode what a target says about itself in the head of a response.
 
-    Anything but a plain decimal number is rejected, because a wrong guess could block
-    the target or lift its limit. Of several values the most restrictive one applies.
+    Values of another form are rejected, because a wrong guess could block the target or
+    lift its limit. Of several values the most restrictive one applies.
 
     Args:
       status: The response's status.
@@ -217,7 +217,7 @@
     errors = tuple(
         NoticeError(header.name, text[:MAX_LOGGED_VALUE].decode("latin-1"))
         for header, text in malformed.items()
-        if header.is_required_form and header.field not in fields
+        if header.reports_malformed and header.field not in fields
     )
     return TargetNotices(errors=errors, **fields)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
@@ -11,8 +11,7 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
-# From this probability of failing a target was in doubt when it was chosen. One that
-# nothing is known of has about 0.2.
+# The failure probability from which a target was in doubt when it was chosen.
 DOUBT_FROM = 0.15
 UNKNOWN_SERVICE = "?"
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/standing.py
@@ -36,7 +36,7 @@
       Texts, with times in seconds from the target's first line: how many sends began
       and from how many hosts, the least and greatest probability of failing that they
       were given, the rate limits that hosts learned it names, how many hosts did, the
-      longest wait for a token, how many hosts it told that it is draining, the
+      longest wait for a token, how many hosts learned that it is draining, the
       longest backoff that it asked for and how often, and the failures by kind. The
       list is empty if no line names it.
     """
