Serve routes with large responses as a kind of their own

Both new deployments have routes of the kind download. The whole configuration was rejected for it, and no request was served. Downloads may be repeated; their duration depends on the caller, so it gives no evidence of health on the own interface. A kind that is unknown still makes a version invalid.

The model of attempt_test names the kinds that may be repeated itself; it stays as strict for orders and uploads.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -30,11 +30,13 @@
     IDEMPOTENT = "idempotent"
     ORDER = "order"
     UPLOAD = "upload"
+    # An idempotent request with a large response.
+    DOWNLOAD = "download"
 
     @property
     def is_idempotent(self):
         """Whether a request of this kind may run more than once."""
-        return self is RequestKind.IDEMPOTENT
+        return self in (RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD)
 
 
 class TargetState(enum.Enum):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/attempt_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/attempt_test.py
@@ -23,6 +23,7 @@
     SendOutcome.TIMED_OUT,
     SendOutcome.ABANDONED,
 ]
+REPEATABLE_KINDS = {RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD}
 
 
 class AttemptMachine(RuleBasedStateMachine):
@@ -83,7 +84,7 @@
 
     @invariant()
     def non_idempotent_request_is_resent_only_if_it_did_not_run(self):
-        if self.kind is not RequestKind.IDEMPOTENT and self._may_have_run():
+        if self.kind not in REPEATABLE_KINDS and self._may_have_run():
             assert not self.attempt.may_send()
 
     @invariant()
--- a/packages/plumsaddle-core/plumsaddle_core/ops/health_signals.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/health_signals.py
@@ -2,8 +2,8 @@
 Derives health signals from the result of an attempt, or from its age so far.
 
 Signals come from real requests, since health endpoints may answer while requests fail.
-Shed requests and disconnected callers give no signal. The duration of an upload depends
-on its caller, so it is ignored.
+Shed requests and disconnected callers give no signal. The duration of an upload or a
+download depends on its caller, so it is ignored.
 """
 
 from ..core.data import FailureKind, HealthSignal, RequestKind
@@ -17,6 +17,7 @@
     FailureKind.ERROR,
 }
 NEUTRAL_FAILURES = {FailureKind.SHED, FailureKind.CALLER}
+CALLER_PACED_KINDS = {RequestKind.UPLOAD, RequestKind.DOWNLOAD}
 
 
 def signal_of_result(kind, failure, seconds, latency):
@@ -54,7 +55,7 @@
       A `HealthSignal`, or None if the attempt gives none yet.
     """
     overdue_after = latency.overdue_after()
-    if kind is RequestKind.UPLOAD or overdue_after is None:
+    if kind in CALLER_PACED_KINDS or overdue_after is None:
         return None
     if seconds > overdue_after:
         return HealthSignal.FAILED
@@ -63,5 +64,5 @@
 
 def _is_slow(kind, seconds, latency):
     slow_after = latency.slow_after()
-    has_comparable_duration = kind is not RequestKind.UPLOAD
+    has_comparable_duration = kind not in CALLER_PACED_KINDS
     return has_comparable_duration and slow_after is not None and seconds > slow_after
--- a/packages/plumsaddle-core/plumsaddle_core/ops/pool.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pool.py
@@ -125,7 +125,7 @@
         if kind is RequestKind.ORDER and self._has_healthy():
             usable = [m for m in usable if m.health is HealthState.HEALTHY]
         usable = _prefer(usable, lambda member: not member.is_avoided)
-        if kind is RequestKind.IDEMPOTENT:
+        if kind.is_idempotent:
             trials = [m for m in usable if m.health is HealthState.TRIAL]
             if trials:
                 return rng.choice(trials)
@@ -202,7 +202,7 @@
         # A stalled target sheds its trials; without a pause each request would try it.
         is_pause_over = now - member.shed_at >= TRIAL_PAUSE
         is_idle = member.in_flight == 0
-        return kind is RequestKind.IDEMPOTENT and is_idle and is_pause_over
+        return kind.is_idempotent and is_idle and is_pause_over
     if now - member.shed_at < member.shed_pause():
         return False
     return member.in_flight < member.max_in_flight(now)
--- a/packages/plumsaddle-core/plumsaddle_core/parser/configuration.py
+++ b/packages/plumsaddle-core/plumsaddle_core/parser/configuration.py
@@ -7,7 +7,7 @@
 every host before it applies one.
 """
 
-from ..core.data import Configuration, RequestKind
+from ..core.data import Configuration
 from .text import parse_text
 
 
@@ -115,8 +115,12 @@
     probe path.
     """
     for position, service in enumerate(cfg.service):
-        kinds = {route.kind for route in cfg.route if route.service == service.name}
-        if RequestKind.IDEMPOTENT not in kinds and service.probe_path is None:
+        has_idempotent_route = any(
+            route.kind.is_idempotent
+            for route in cfg.route
+            if route.service == service.name
+        )
+        if not has_idempotent_route and service.probe_path is None:
             message = "probe_path is required for a service without an idempotent route"
             yield ("service", position, "name"), message
 
--- a/packages/plumsaddle-core/plumsaddle_core/parser/configuration_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/parser/configuration_test.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+from returns.result import Success
 
 from .configuration import check_configuration
 
@@ -85,3 +86,9 @@
 def test_service_without_idempotent_route_needs_probe_path():
     text = VALID.replace('"idempotent"', '"order"', 1)
     assert any("probe_path" in message for _, message in messages(text))
+
+
+# Guards against a check that rejects what the hosts can serve.
+def test_a_service_with_downloads_needs_no_probe_path():
+    text = VALID.replace('kind = "idempotent"', 'kind = "download"')
+    assert isinstance(check_configuration(text, "f"), Success)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/services.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/services.py
@@ -10,7 +10,11 @@
 from plumsaddle_core.core.data import FailureKind, HealthSignal, RequestKind
 from plumsaddle_core.ops.ejection import note_trial_result
 from plumsaddle_core.ops.evidence import Evidence
-from plumsaddle_core.ops.health_signals import signal_of_age, signal_of_result
+from plumsaddle_core.ops.health_signals import (
+    CALLER_PACED_KINDS,
+    signal_of_age,
+    signal_of_result,
+)
 from plumsaddle_core.ops.host_retry_budget import HostRetryBudget
 from plumsaddle_core.ops.latency import Latency
 from plumsaddle_core.ops.pool import Pool
@@ -81,7 +85,7 @@
         self.room.release(ended.member, trouble is FailureKind.SHED)
         seconds = now - ended.started
         latency = self.latencies[ended.kind]
-        if trouble is None and ended.kind is not RequestKind.UPLOAD:
+        if trouble is None and ended.kind not in CALLER_PACED_KINDS:
             latency.note_latency(seconds)
         sign = signal_of_result(ended.kind, trouble, seconds, latency)
         if sign is not None and sign is not ended.sign:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/waiting.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/waiting.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Success
 
-from plumsaddle_core.core.data import HealthState, RequestKind
+from plumsaddle_core.core.data import HealthState
 from plumsaddle_core.core.reasons import Reason, refuse
 from plumsaddle_core.ops.pool import SHED_PAUSE
 from plumsaddle_core.ops.queue import Queue
@@ -84,7 +84,7 @@
         """
         if not self.pool.is_contended(now):
             return False
-        return kind is not RequestKind.IDEMPOTENT or not self.pool.has_trial(now)
+        return not (kind.is_idempotent and self.pool.has_trial(now))
 
     async def _acquire_granted(self, deadline, tried):
         """Return a member whose slot the keeper granted, or None to go direct."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/plain.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/plain.py
@@ -55,7 +55,7 @@
     return headers
 
 
-async def run_idempotent(host, state, incoming, deadline):
+async def run_idempotent(host, state, incoming, deadline, kind=RequestKind.IDEMPOTENT):
     """
     Run an idempotent request.
 
@@ -64,6 +64,7 @@
       state: The `ServiceState`.
       incoming: The caller's `aiohttp.web.Request`.
       deadline: On the loop's clock.
+      kind: The `RequestKind` of its route.
     Returns:
       A `Success` of an `Answer`, or a `Failure` of a `Refusal`.
     """
@@ -71,7 +72,6 @@
     if isinstance(read, Failure):
         return read
     body = read.unwrap()
-    kind = RequestKind.IDEMPOTENT
     tried = ()
     unsent = 0
     is_sent = False
@@ -86,7 +86,7 @@
             headers_for_target(incoming, deadline),
             body or None,
             deadline,
-            overdue_at=_find_overdue(state, deadline, len(tried)),
+            overdue_at=_find_overdue(state, kind, deadline, len(tried)),
         )
         result = await run_try(host, state, member, kind, outgoing)
         if isinstance(result, Success):
@@ -102,12 +102,12 @@
         host.metrics.retries.inc({"reason": RETRY_WORDS[trouble.kind].value})
 
 
-def _find_overdue(state, deadline, tried):
+def _find_overdue(state, kind, deadline, tried):
     """Return when this try is to be given up for the next one, if there is one."""
     if tried + 1 >= min(TRIES_MOST, len(state.pool.members)):
         return None
     now = asyncio.get_running_loop().time()
-    return state.overdue_at(RequestKind.IDEMPOTENT, now, deadline)
+    return state.overdue_at(kind, now, deadline)
 
 
 def _refuse_late(slot, is_sent):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import logging
 import math
 
@@ -29,6 +30,7 @@
     RequestKind.IDEMPOTENT: run_idempotent,
     RequestKind.ORDER: run_order,
     RequestKind.UPLOAD: run_upload,
+    RequestKind.DOWNLOAD: functools.partial(run_idempotent, kind=RequestKind.DOWNLOAD),
 }
 DOT_SEGMENTS = {".", "..", "%2e", "%2e%2e", ".%2e", "%2e."}
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -56,6 +56,7 @@
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.ORDER,
     "upload": RequestKind.UPLOAD,
+    "download": RequestKind.DOWNLOAD,
 }
 # Larger values in a target's entry are rejected as errors.
 MAX_SLOTS = 100_000
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
@@ -8,7 +8,12 @@
 from hypothesis import example, given, settings, strategies as st
 from returns.result import Failure, Success
 
-from plumsaddle_core.core.traffic import NoticeError, TargetNotices, TargetState
+from plumsaddle_core.core.traffic import (
+    NoticeError,
+    RequestKind,
+    TargetNotices,
+    TargetState,
+)
 
 from . import wire
 from .nodefile import check_host_settings
@@ -151,6 +156,25 @@
 }
 
 
+def _encode_with_kind(kind):
+    text = json.loads(json.dumps(CONFIGURATION))
+    text["resources"][0]["spec"]["route_type"] = kind
+    return json.dumps(text).encode()
+
+
+# Guards against serving nothing since one route has large responses.
+def test_a_configuration_with_downloads_is_decoded():
+    cfg = wire.decode_configuration(_encode_with_kind("download"))
+    assert cfg is not None
+    assert cfg.routes[0].kind is RequestKind.DOWNLOAD
+    assert cfg.routes[0].kind.is_idempotent
+
+
+# Guards against repeating requests of a kind that may not be repeated.
+def test_an_unknown_kind_makes_a_configuration_invalid():
+    assert wire.decode_configuration(_encode_with_kind("stream")) is None
+
+
 @given(
     st.sampled_from(["version", "resources", 0, 1]),
     st.sampled_from(["entry_kind", "metadata", "spec", "host", "timeout_ms"]),
