Split target selection, sends and failure estimates into modules of their own

relay.py, host_state.py and shared_state.py were where all features met. Behaviour is unchanged: methods moved with their constants, attributes renamed where they became public. Tests follow the moved names.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/incarnation_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/incarnation_test.py
@@ -69,7 +69,7 @@
     assert shared.failure_probability(current.incarnation, 2.0) == before
     assert shared.in_flight(current.incarnation) == 0
     shared.evict_targets({current.incarnation}, 10.0)
-    assert previous.incarnation not in shared.target_estimators
+    assert previous.incarnation not in shared.health.target_estimators
 
 
 def test_the_registry_reports_a_restart_once():
--- a/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
@@ -22,21 +22,9 @@
 from ..limits.targets import TargetLimits
 from .availability import Availability
 from .data_centre_retry_budget import DataCentreRetryBudget
-from .failure_estimator import (
-    FAILURE_LIKELIHOOD_RATIO,
-    MAX_SILENCE_LIKELIHOOD_RATIO,
-    PATH_MODEL,
-    PATH_SUCCESS_LIKELIHOOD_RATIO,
-    SUCCESS_LIKELIHOOD_RATIO,
-    UNREACHABLE_LIKELIHOOD_RATIO,
-    FailureEstimator,
-    rare_outcome_likelihood_ratio,
-)
 from .floor import RecentResults
 from .peer_updates import (
     Counts,
-    Evidence,
-    HealthSignal,
     Inbox,
     Outbox,
     OutcomeRecord,
@@ -45,6 +33,7 @@
 from .remote_load import RemoteLoads
 from .route_times import RouteTimes
 from .suspects import SuspectRequests
+from .target_health import TargetHealth
 
 # Seconds without a message after which a host is evicted: three missed heartbeats.
 PEER_TIMEOUT = 3.5
@@ -61,13 +50,6 @@
 # Deduplication state of a host in another data centre is kept for this long (seconds),
 # which exceeds the longest delay of a message.
 REMOTE_HOST_TTL = 60.0
-# Signals without any response from the target: the network path may be the cause.
-NO_RESPONSE_SIGNALS = {HealthSignal.UNREACHABLE, HealthSignal.OVERDUE}
-# A path that is broken with at least this probability is not used for trials.
-BROKEN_PATH_THRESHOLD = 0.2
-# Outcomes that change the probability that the target is failing by at least this much
-# are sent to other data centres. A success of a healthy target changes it by less.
-MIN_SHIFT_TO_SHARE = 0.1
 # Sends shorter than this (seconds) may end before an in-flight table lists them.
 SHORT_SEND = 0.1
 
@@ -112,10 +94,9 @@
         limits=None,
         availability=None,
     ):
-        self.target_estimators = {}
-        self.path_estimators = {}
-        self._has_path_evidence = has_path_evidence
         self.times = RouteTimes()
+        self.evidence = Outbox()
+        self.health = TargetHealth(self.times, self.evidence, has_path_evidence)
         self.suspects = SuspectRequests()
         self.quotas = Quotas() if quotas is None else quotas
         self.limits = limits or TargetLimits(
@@ -137,9 +118,8 @@
         self._peers_in_flight = Counter()
         self._remote_inboxes = {}
         self._remote_loads = RemoteLoads()
-        # Pending for the own data centre, and for the other data centres.
+        # Pending for the own data centre; `evidence` is for the others.
         self.outcomes = Outbox()
-        self.evidence = Outbox()
 
     # Requests and sends of this host.
 
@@ -172,8 +152,7 @@
         number = self.outcomes.next_number
         outcome = OutcomeRecord(number, incarnation, service, route, signal, seconds)
         self.outcomes.add(outcome)
-        path_ratio = self._apply_outcome(outcome, now)
-        self._update_path(incarnation, path_ratio, now)
+        self.health.apply_own(outcome, now)
 
     def note_request(self, service, now):
         """Record a request to a service at this host."""
@@ -275,7 +254,7 @@
             if outcome.seconds < SHORT_SEND:
                 # It may have started and ended between two updates.
                 self._note_used(target_tag(outcome.target), now)
-            self._apply_outcome(outcome, now)
+            self.health.apply(outcome, now)
         return True
 
     def _replace_in_flight(self, peer, in_flight, now):
@@ -313,9 +292,7 @@
         unseen = inbox.unseen(update.evidence)
         for evidence in unseen:
             self._last_used_at[target_tag(evidence.target)] = now
-            # Some failures are visible from one data centre only, so remote evidence
-            # has half the weight of local evidence.
-            self._estimator(evidence.target).update(math.sqrt(evidence.ratio), now)
+            self.health.apply_remote(evidence, now)
         return bool(unseen or update.used)
 
     def _apply_counts(self, host, peer, counts, now):
@@ -421,96 +398,22 @@
 
     def failure_probability(self, incarnation, now):
         """Return the probability that a send from this host to a target fails."""
-        target_fails = self.target_estimators.get(
-            incarnation, _PRIOR
-        ).failure_probability(now)
-        path_fails = self.path_estimators.get(
-            incarnation, _PATH_PRIOR
-        ).failure_probability(now)
-        return 1.0 - (1.0 - target_fails) * (1.0 - path_fails)
-
-    def is_path_broken(self, incarnation, now):
-        """Return whether this host's network path to a target is probably broken."""
-        return (
-            self.path_estimators.get(incarnation, _PATH_PRIOR).failing_probability(now)
-            >= BROKEN_PATH_THRESHOLD
-        )
+        return self.health.failure_probability(incarnation, now)
 
     def failing_probability(self, incarnation, now):
         """Return the probability that a target is in its failing state."""
-        return self.target_estimators.get(incarnation, _PRIOR).failing_probability(now)
+        return self.health.failing_probability(incarnation, now)
+
+    def is_path_broken(self, incarnation, now):
+        """Return whether this host's network path to a target is probably broken."""
+        return self.health.is_path_broken(incarnation, now)
 
     def evict_targets(self, listed, now):
         """Evict the state of incarnations that are no longer listed."""
-        self.target_estimators = {
-            key: b for key, b in self.target_estimators.items() if key in listed
-        }
-        self.path_estimators = {
-            key: b for key, b in self.path_estimators.items() if key in listed
-        }
+        self.health.evict(listed)
         self.limits.advertised.evict(listed, now)
         self.availability.evict(listed, now)
         tags = {target_tag(key) for key in listed}
         for tag in self._last_used_at.keys() - tags:
             del self._last_used_at[tag]
             self._local_last_used_at.pop(tag, None)
-
-    def _estimator(self, incarnation):
-        estimator = self.target_estimators.get(incarnation)
-        if estimator is None:
-            estimator = self.target_estimators[incarnation] = FailureEstimator()
-        return estimator
-
-    def _apply_outcome(self, outcome, now):
-        """
-        Update the target's failure estimate with an outcome.
-
-        Returns:
-          The likelihood ratio for the path between the reporting host and the target.
-        """
-        ratio = self._likelihood_ratio(outcome)
-        path_ratio = PATH_SUCCESS_LIKELIHOOD_RATIO
-        if outcome.signal in NO_RESPONSE_SIGNALS and self._has_path_evidence:
-            path_ratio = ratio
-            ratio = min(MAX_SILENCE_LIKELIHOOD_RATIO, ratio)
-        if ratio != 1.0:
-            before = self.failing_probability(outcome.target, now)
-            self._estimator(outcome.target).update(ratio, now)
-            if (
-                abs(self.failing_probability(outcome.target, now) - before)
-                >= MIN_SHIFT_TO_SHARE
-            ):
-                number = self.evidence.next_number
-                self.evidence.add(Evidence(number, outcome.target, ratio))
-        return path_ratio
-
-    def _update_path(self, incarnation, ratio, now):
-        """Update the failure estimate of this host's path to a target."""
-        path = self.path_estimators.get(incarnation)
-        if path is None:
-            if ratio < 1.0 or not self._has_path_evidence:
-                return
-            path = self.path_estimators[incarnation] = FailureEstimator(PATH_MODEL)
-        path.update(ratio, now)
-
-    def _likelihood_ratio(self, outcome):
-        """Return the likelihood ratio of an outcome: failing to healthy target."""
-        if outcome.signal is HealthSignal.SUCCEEDED:
-            self.times.note_success(outcome.service, outcome.route, outcome.seconds)
-            return SUCCESS_LIKELIHOOD_RATIO
-        if outcome.signal is HealthSignal.SHED:
-            return rare_outcome_likelihood_ratio(self.times.note_shed(outcome.service))
-        if outcome.signal is HealthSignal.LATE:
-            self.times.note_late(outcome.service, outcome.route, outcome.seconds)
-            return 1.0
-        if outcome.signal is HealthSignal.OVERDUE:
-            return rare_outcome_likelihood_ratio(
-                self.times.note_overdue(outcome.service, outcome.route)
-            )
-        if outcome.signal is HealthSignal.FAILED:
-            return FAILURE_LIKELIHOOD_RATIO
-        return UNREACHABLE_LIKELIHOOD_RATIO
-
-
-_PRIOR = FailureEstimator()
-_PATH_PRIOR = FailureEstimator(PATH_MODEL)
--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/target_health.py
@@ -0,0 +1,149 @@
+"""
+Failure estimates of targets and of this host's network paths to them.
+
+Every outcome of a send, at this host or reported by another, updates the estimate of
+its target. A send without a response also updates the path of the host that made it,
+since the path may be the cause. Outcomes that change an estimate enough are queued for
+the other data centres.
+"""
+
+import math
+
+from .failure_estimator import (
+    FAILURE_LIKELIHOOD_RATIO,
+    MAX_SILENCE_LIKELIHOOD_RATIO,
+    PATH_MODEL,
+    PATH_SUCCESS_LIKELIHOOD_RATIO,
+    SUCCESS_LIKELIHOOD_RATIO,
+    UNREACHABLE_LIKELIHOOD_RATIO,
+    FailureEstimator,
+    rare_outcome_likelihood_ratio,
+)
+from .peer_updates import Evidence, HealthSignal
+
+# Signals without any response from the target: the network path may be the cause.
+NO_RESPONSE_SIGNALS = {HealthSignal.UNREACHABLE, HealthSignal.OVERDUE}
+# A path that is broken with at least this probability is not used for trials.
+BROKEN_PATH_THRESHOLD = 0.2
+# Outcomes that change the probability that the target is failing by at least this much
+# are sent to other data centres. A success of a healthy target changes it by less.
+MIN_SHIFT_TO_SHARE = 0.1
+
+
+class TargetHealth:
+    """
+    The failure estimates of one host.
+
+    Args:
+      times: The `RouteTimes`, which also learn from outcomes.
+      evidence: The `Outbox` for other data centres.
+      has_path_evidence: Whether sends without a response are attributed to this host's
+        own network path first.
+    """
+
+    def __init__(self, times, evidence, has_path_evidence=True):
+        self.target_estimators = {}
+        self.path_estimators = {}
+        self._times = times
+        self._evidence = evidence
+        self._has_path_evidence = has_path_evidence
+
+    def apply_own(self, outcome, now):
+        """Apply the `OutcomeRecord` of one of this host's sends."""
+        self._update_path(outcome.target, self.apply(outcome, now), now)
+
+    def apply_remote(self, evidence, now):
+        """Apply an `Evidence` from another data centre."""
+        # Some failures are visible from one data centre only, so remote evidence has
+        # half the weight of local evidence.
+        self._estimator(evidence.target).update(math.sqrt(evidence.ratio), now)
+
+    def evict(self, listed):
+        """Evict the estimates of incarnations that are no longer listed."""
+        self.target_estimators = {
+            key: b for key, b in self.target_estimators.items() if key in listed
+        }
+        self.path_estimators = {
+            key: b for key, b in self.path_estimators.items() if key in listed
+        }
+
+    def failure_probability(self, incarnation, now):
+        """Return the probability that a send from this host to a target fails."""
+        target_fails = self.target_estimators.get(
+            incarnation, _PRIOR
+        ).failure_probability(now)
+        path_fails = self.path_estimators.get(
+            incarnation, _PATH_PRIOR
+        ).failure_probability(now)
+        return 1.0 - (1.0 - target_fails) * (1.0 - path_fails)
+
+    def is_path_broken(self, incarnation, now):
+        """Return whether this host's network path to a target is probably broken."""
+        return (
+            self.path_estimators.get(incarnation, _PATH_PRIOR).failing_probability(now)
+            >= BROKEN_PATH_THRESHOLD
+        )
+
+    def failing_probability(self, incarnation, now):
+        """Return the probability that a target is in its failing state."""
+        return self.target_estimators.get(incarnation, _PRIOR).failing_probability(now)
+
+    def _estimator(self, incarnation):
+        estimator = self.target_estimators.get(incarnation)
+        if estimator is None:
+            estimator = self.target_estimators[incarnation] = FailureEstimator()
+        return estimator
+
+    def apply(self, outcome, now):
+        """
+        Update the target's failure estimate with an outcome.
+
+        Returns:
+          The likelihood ratio for the path between the reporting host and the target.
+        """
+        ratio = self._likelihood_ratio(outcome)
+        path_ratio = PATH_SUCCESS_LIKELIHOOD_RATIO
+        if outcome.signal in NO_RESPONSE_SIGNALS and self._has_path_evidence:
+            path_ratio = ratio
+            ratio = min(MAX_SILENCE_LIKELIHOOD_RATIO, ratio)
+        if ratio != 1.0:
+            before = self.failing_probability(outcome.target, now)
+            self._estimator(outcome.target).update(ratio, now)
+            if (
+                abs(self.failing_probability(outcome.target, now) - before)
+                >= MIN_SHIFT_TO_SHARE
+            ):
+                number = self._evidence.next_number
+                self._evidence.add(Evidence(number, outcome.target, ratio))
+        return path_ratio
+
+    def _update_path(self, incarnation, ratio, now):
+        """Update the failure estimate of this host's path to a target."""
+        path = self.path_estimators.get(incarnation)
+        if path is None:
+            if ratio < 1.0 or not self._has_path_evidence:
+                return
+            path = self.path_estimators[incarnation] = FailureEstimator(PATH_MODEL)
+        path.update(ratio, now)
+
+    def _likelihood_ratio(self, outcome):
+        """Return the likelihood ratio of an outcome: failing to healthy target."""
+        if outcome.signal is HealthSignal.SUCCEEDED:
+            self._times.note_success(outcome.service, outcome.route, outcome.seconds)
+            return SUCCESS_LIKELIHOOD_RATIO
+        if outcome.signal is HealthSignal.SHED:
+            return rare_outcome_likelihood_ratio(self._times.note_shed(outcome.service))
+        if outcome.signal is HealthSignal.LATE:
+            self._times.note_late(outcome.service, outcome.route, outcome.seconds)
+            return 1.0
+        if outcome.signal is HealthSignal.OVERDUE:
+            return rare_outcome_likelihood_ratio(
+                self._times.note_overdue(outcome.service, outcome.route)
+            )
+        if outcome.signal is HealthSignal.FAILED:
+            return FAILURE_LIKELIHOOD_RATIO
+        return UNREACHABLE_LIKELIHOOD_RATIO
+
+
+_PRIOR = FailureEstimator()
+_PATH_PRIOR = FailureEstimator(PATH_MODEL)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state_test.py
@@ -38,7 +38,7 @@
 
 
 def _choose(host_state, excluded=frozenset()):
-    choice = host_state.choose(
+    choice = host_state.selection.choose(
         "act", PROFILE, excluded, lambda incarnation: False, now()
     )
     return choice.candidate.target.id, choice.rule
@@ -48,14 +48,17 @@
     """Guards against using so many targets that connections are idle too long."""
     host_state = _host_state(200)
     host_state.shared.live_host_count = lambda: 45
-    host_state._rates["act"] = _SteadyRate()
+    host_state.selection._rates["act"] = _SteadyRate()
     assert len({_choose(host_state)[0] for _ in range(300)}) <= 48
 
 
 def test_host_leaves_its_subset_when_that_scores_badly():
     """Guards against failing requests because all targets of the subset fail."""
     host_state = _host_state(200)
-    subset = {target.id for target in host_state._subset("act", _usable(host_state), 1)}
+    subset = {
+        target.id
+        for target in host_state.selection._subset("act", _usable(host_state), 1)
+    }
     for target_id in subset:
         host_state.shared.note_outcome(
             target_id, "act", "r", HealthSignal.FAILED, 0.0, now()
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -0,0 +1,162 @@
+"""
+Runs the sends of one request, and reports their outcomes.
+
+A send may first wait for the rate limit of its target. It counts as in flight from the
+decision to send, so that other requests do not choose the same slot.
+"""
+
+import asyncio
+import logging
+from typing import Any, NamedTuple
+
+from plumsaddle_core.core.features import Feature
+from plumsaddle_core.core.traffic import Reply, SendOutcome
+from plumsaddle_core.ops.attempt import NOT_SENT
+
+from .clock import now
+from .sender import SendResult
+
+log = logging.getLogger("relay")
+# The multiple of its expected duration, including queueing at the target, after which
+# a send is overdue and counts as failed in the health of the target.
+OVERDUE_FACTOR = 3.0
+# The multiple of the expected duration after which an idempotent request is hedged.
+HEDGE_FACTOR = 2.2
+# Minimum seconds before a send counts as slow. Shorter delays may come from a busy
+# processor or a lost packet and say nothing about the target.
+MIN_SLOW_DURATION = 0.1
+
+
+class CompletedSend(NamedTuple):
+    """The outcome of one send to a target; `seconds` is its duration."""
+
+    target: Any
+    outcome: SendOutcome
+    reply: Reply | None
+    seconds: float
+
+
+class SendRunner:
+    """
+    The sends of one request.
+
+    `is_body_consumed` tells whether a streamed body was sent, which cannot be repeated.
+
+    Args:
+      request: The `ProxyRequest`.
+      knowledge: The `HostState`.
+      sender: The `Sender`.
+      attempt: The request's `Attempt`.
+      suspect_check: The request's `SuspectCheck`.
+    """
+
+    def __init__(self, request, knowledge, sender, attempt, suspect_check):
+        self.is_body_consumed = False
+        self._request = request
+        self._knowledge = knowledge
+        self._sender = sender
+        self._attempt = attempt
+        self._suspect_check = suspect_check
+
+    async def run_after_wait(self, choice):
+        """
+        Send to a target once its rate limit allows it, and return the `CompletedSend`.
+
+        The attempt records the send only after the wait, so a request refused earlier
+        is known not to have run. The target may close itself meanwhile, and the host
+        may lose its share of a rate limit.
+        """
+        target = choice.candidate.target
+        may_send = False
+        try:
+            await asyncio.sleep(choice.candidate.wait)
+            may_send = self._knowledge.may_send(target, now())
+        finally:
+            if not may_send:
+                self._knowledge.note_send_end(target)
+                self._knowledge.limits.release(target)
+        if not may_send:
+            return CompletedSend(
+                target, SendOutcome.UNSENT, None, choice.candidate.wait
+            )
+        self._attempt.note_send(target.id)
+        return await self.run(choice)
+
+    async def run(self, choice):
+        """Send to the target of a `Choice` and return the `CompletedSend`."""
+        target = choice.candidate.target
+        started_at = now()
+        sent = SendResult(SendOutcome.ABANDONED)
+        overdue_timer = asyncio.get_running_loop().call_later(
+            slow_threshold(OVERDUE_FACTOR, choice), self._note_overdue, choice
+        )
+        try:
+            sent = await self._sender.send(self._request, target, self._suspect_check)
+        finally:
+            fate, seconds = sent.outcome, now() - started_at
+            self.is_body_consumed = self.is_body_consumed or sent.is_body_consumed
+            is_overdue = overdue_timer.when() <= asyncio.get_running_loop().time()
+            overdue_timer.cancel()
+            self._knowledge.note_send_end(target)
+            if fate in NOT_SENT:
+                self._attempt.undo_send(target.id)
+                self._knowledge.limits.release(target)
+            else:
+                self._attempt.note_outcome(fate)
+            if fate is SendOutcome.ABANDONED and seconds > slow_threshold(
+                HEDGE_FACTOR, choice
+            ):
+                fate = SendOutcome.TIMED_OUT
+            includes_queueing = (
+                Feature.SERVICE_TIMES in self._knowledge.settings.disabled_features
+            )
+            service_time = seconds if includes_queueing else seconds / choice.slowdown
+            if not is_overdue:
+                self._knowledge.note_outcome(
+                    target, self._request.route, fate, service_time
+                )
+            elif fate is SendOutcome.SUCCEEDED:
+                self._knowledge.note_late_response(
+                    target, self._request.route, service_time
+                )
+        if fate is not SendOutcome.SUCCEEDED:
+            self._log_failure(target, sent._replace(outcome=fate), seconds)
+        return CompletedSend(target, fate, sent.reply, seconds)
+
+    def _note_overdue(self, choice):
+        target = choice.candidate.target
+        self._knowledge.note_outcome(
+            target, self._request.route, SendOutcome.TIMED_OUT, 0.0
+        )
+        log.info(
+            "stuck",
+            extra={
+                "request": self._request.id.decode("latin-1"),
+                "target": target.id,
+                "expected": round(choice.expected_duration, 3),
+            },
+        )
+
+    def _log_failure(self, target, sent, seconds):
+        log.info(
+            "send failed",
+            extra={
+                "request": self._request.id.decode("latin-1"),
+                "target": target.id,
+                "fate": sent.outcome.value,
+                "status": sent.reply.status if sent.reply else None,
+                "seconds": round(seconds, 4),
+                "key": self._suspect_check.key
+                if sent.outcome is SendOutcome.BROKEN
+                else None,
+                # Distinguishes a stale connection from a failing target.
+                "connection": sent.connection.kind,
+                "age": sent.connection.age,
+                "idle": sent.connection.idle,
+            },
+        )
+
+
+def slow_threshold(factor, choice):
+    """Return a multiple of the expected duration, at least `MIN_SLOW_DURATION`."""
+    return max(MIN_SLOW_DURATION, factor * choice.expected_duration)
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_lives_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_lives_test.py
@@ -73,7 +73,7 @@
         targets = trial.hosts[0].knowledge.registry.targets
         await until(lambda: targets[worker.id].started_at == BORN_AGAIN)
         assert shared.failure_probability(targets[worker.id].incarnation, now()) < 0.3
-        assert former not in shared.target_estimators
+        assert former not in shared.health.target_estimators
 
 
 @pytest.mark.parametrize(
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_test.py
@@ -275,7 +275,7 @@
         assert after - before == 5
         knowledge = trial.hosts[0].knowledge
         lives = [knowledge.registry.targets[w.id].incarnation for w in trial.of("look")]
-        assert all(life in knowledge.shared.target_estimators for life in lives)
+        assert all(life in knowledge.shared.health.target_estimators for life in lives)
         assert (
             max(knowledge.shared.failure_probability(life, now()) for life in lives)
             < 0.2
