--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -39,6 +39,19 @@
         return self in (RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD)
 
 
+class SchedulingMode(enum.Enum):
+    """
+    Whether hosts schedule requests, instead of sending each one as it comes.
+
+    With `AUTO` they do if the configuration in force has routes with large responses,
+    which keep slots for long and delay whatever waits behind them.
+    """
+
+    AUTO = "auto"
+    ON = "on"
+    OFF = "off"
+
+
 class TargetState(enum.Enum):
     """The state of a target according to the registry."""
 
@@ -156,6 +169,11 @@
     limits: Limits
     workspaces: tuple[Workspace, ...] = ()
 
+    @property
+    def has_downloads(self):
+        """Whether any route has large responses."""
+        return any(route.kind is RequestKind.DOWNLOAD for route in self.routes)
+
 
 class Bounds(NamedTuple):
     """
@@ -196,6 +214,7 @@
     bounds: Bounds
     link_rate: float | None = None
     disabled_features: frozenset[Feature] = frozenset()
+    scheduling: SchedulingMode = SchedulingMode.AUTO
 
     @property
     def has_seeds(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -12,7 +12,7 @@
 from returns.result import Failure
 
 from plumsaddle_core.core.features import Feature
-from plumsaddle_core.core.traffic import SendOutcome, TargetState
+from plumsaddle_core.core.traffic import SchedulingMode, SendOutcome, TargetState
 from plumsaddle_core.limits.membership import Membership
 from plumsaddle_core.limits.meter import Tolerance
 from plumsaddle_core.limits.quotas import Quotas
@@ -68,6 +68,7 @@
         self.settings = settings
         self.rng = rng
         self.cfg = None
+        self._has_downloads = False
         self.route_table = {}
         self.workspaces_by_key = {}
         self._priorities = {}
@@ -122,6 +123,14 @@
         """Whether both a configuration and the list of targets were received."""
         return self.cfg is not None and self.has_targets
 
+    @property
+    def is_scheduling(self):
+        """Whether requests are scheduled under the settings and configuration."""
+        mode = self.settings.scheduling
+        if mode is SchedulingMode.AUTO:
+            return self._has_downloads
+        return mode is SchedulingMode.ON
+
     # Called by the feeds.
 
     def apply_operator_records(self, page):
@@ -143,6 +152,7 @@
             )
             return
         self.cfg = cfg
+        self._has_downloads = cfg.has_downloads
         self.route_table = build_route_table(cfg.routes)
         self.workspaces_by_key, ambiguous = index_keys(cfg.workspaces)
         for digest in ambiguous:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state_test.py
@@ -2,6 +2,7 @@
 Tests of the choice among the targets of a large service.
 """
 
+import json
 import random
 
 import pytest
@@ -11,12 +12,14 @@
     Bounds,
     HostSettings,
     RequestKind,
+    SchedulingMode,
     Target,
     TargetState,
 )
 from plumsaddle_core.ops.choice import ChoiceRule, RequestProfile
 from plumsaddle_core.ops.peer_updates import HealthSignal
 
+from ..platform.store import KeyedRecord, Page
 from .clock import now
 from .host_state import HostState
 
@@ -97,3 +100,46 @@
         )
     chosen, rule = _choose(host_state)
     assert (chosen == "t3" and rule is ChoiceRule.FLOOR_TRIAL) is not is_path_broken
+
+
+@pytest.mark.parametrize(
+    ("mode", "has_downloads", "is_scheduling"),
+    [
+        (SchedulingMode.AUTO, False, False),
+        (SchedulingMode.AUTO, True, True),
+        (SchedulingMode.ON, False, True),
+        (SchedulingMode.OFF, True, False),
+    ],
+)
+def test_scheduling_follows_settings_and_configuration(
+    mode, has_downloads, is_scheduling
+):
+    """Guards against serving a deployment in a way that it has not asked for."""
+    host_state = _host_state(2)
+    host_state.settings = host_state.settings._replace(scheduling=mode)
+    kind = "download" if has_downloads else "safe"
+    host_state.apply_operator_records(Page([_configuration_record(kind)], 1))
+    assert host_state.is_scheduling is is_scheduling
+
+
+def _configuration_record(kind):
+    route = {
+        "host": "h.example",
+        "path_prefix": "/a/",
+        "route_type": kind,
+        "timeout_ms": 1000,
+        "target_latency_ms": 500,
+        "service": "act",
+    }
+    limits = {
+        "max_header_bytes": 1,
+        "max_body_bytes": 1,
+        "header_timeout_ms": 1,
+        "idle_timeout_ms": 1,
+    }
+    resources = [
+        {"entry_kind": "routes", "metadata": {"name": "r"}, "spec": route},
+        {"entry_kind": "limits", "metadata": {}, "spec": limits},
+    ]
+    text = json.dumps({"version": 1, "resources": resources})
+    return KeyedRecord(0, "config", text.encode())
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from plumsaddle_core.core.features import Feature
-from plumsaddle_core.core.traffic import Bounds, HostSettings
+from plumsaddle_core.core.traffic import Bounds, HostSettings, SchedulingMode
 
 from ..utils.addresses import is_address
 
@@ -79,6 +79,7 @@
         _check_bounds(fields.get("bounds", {}), errors),
         _check_link_rate(fields.get("link_mbps"), errors),
         _check_experiments(fields.get("experiments", {}), errors),
+        _check_scheduling(fields.get("scheduling", "auto"), errors),
     )
     return Failure(errors) if errors else Success(settings)
 
@@ -107,6 +108,15 @@
     return frozenset(known[name] for name in disabled if name in known)
 
 
+def _check_scheduling(value, errors):
+    """Return the `SchedulingMode` of its name."""
+    names = [mode.value for mode in SchedulingMode]
+    if value not in names:
+        errors.append(f"scheduling: {value!r} is not one of {', '.join(names)}")
+        return SchedulingMode.AUTO
+    return SchedulingMode(value)
+
+
 def _check_bounds(table, errors):
     """Return the `Bounds` of a table; missing fields keep their defaults."""
     if not isinstance(table, dict):
