Spend a retry budget whole when scheduling is on

Retries were denied from 0.8 of the limit on, a margin for retries that hosts have not heard of yet.

Ruled out: rejections follow neither the target nor its load (0.55 with nothing in flight, 0.53 with one request, 0.29 to 0.74 by target), so no choice avoids them.

Below a reserve, hosts now retry with a probability that falls with what is left.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/data_centre_retry_budget.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/data_centre_retry_budget.py
@@ -13,6 +13,8 @@
 
 from collections import deque
 
+from ..scheduling.retry_budget import RequestHistory, retry_probability
+
 # The fraction of the limit that is used. Arrivals at targets are counted a little later
 # than sends, and hosts send retries without knowing of each other's latest ones.
 SAFETY_FACTOR = 0.8
@@ -31,11 +33,13 @@
         self.ratio = ratio
         self.window = window
         self._requests = _SlidingSum()
+        self._history = RequestHistory(window)
         self._retries = _SlidingSum()
 
     def note_requests(self, count, now):
         """Count incoming requests for the service."""
         self._requests.add(count, now)
+        self._history.add(count, now)
 
     def note_retries(self, count, now):
         """Count retries that were sent."""
@@ -57,6 +61,16 @@
             <= (self.ratio * requests + extra) * SAFETY_FACTOR * usable_fraction
         )
 
+    def retry_probability(self, extra, now, usable_fraction=1.0):
+        """
+        Return the probability with which to send a retry, to use the budget whole.
+
+        The arguments are those of `may_retry`.
+        """
+        limit = self.ratio * self._history.highest(now) + extra
+        retries = self._retries.total(now - self.window)
+        return retry_probability(limit, retries, usable_fraction)
+
 
 class _SlidingSum:
     """The sum of the counts in a sliding window."""
--- a/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
@@ -190,13 +190,27 @@
           now: The current time in seconds.
           usable_fraction: The fraction of the budget that the request may use up.
         """
-        reachable_share = self.live_host_count() / self._max_host_count
-        if now - self._started_at < self._retry_window:
-            reachable_share = 0.0
         return self._retry_budget(service).may_retry(
-            extra * reachable_share, now, usable_fraction
+            self._usable_extra(extra, now), now, usable_fraction
+        )
+
+    def retry_probability(self, service, extra, now, usable_fraction=1.0):
+        """
+        Return the probability with which this host sends a retry to a service.
+
+        Unlike `may_retry`, this leaves no margin for retries of other hosts that are
+        not known yet. The arguments are the same.
+        """
+        return self._retry_budget(service).retry_probability(
+            self._usable_extra(extra, now), now, usable_fraction
         )
 
+    def _usable_extra(self, extra, now):
+        """Return the part of the fixed allowance that this host may count on."""
+        if now - self._started_at < self._retry_window:
+            return 0.0
+        return extra * self.live_host_count() / self._max_host_count
+
     def _retry_budget(self, service):
         budget = self._retry_budgets.get(service)
         if budget is None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -136,7 +136,7 @@
         Otherwise hedging is tried again after `HEDGE_RETRY_INTERVAL`.
         """
         sends = self._attempt.sends
-        if self._knowledge.may_retry(self._request.service, self._request.urgency):
+        if self._knowledge.may_hedge(self._request.service, self._request.urgency):
             await self._send_next(RETRY_CAUSE_SLOW)
         self._is_hedged = self._attempt.sends > sends
         if not self._is_hedged:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -30,6 +30,7 @@
     usable_retry_fraction,
 )
 from plumsaddle_core.ops.workspaces import index_keys, short_digest
+from plumsaddle_core.scheduling.retry_budget import HEDGE_FRACTION
 
 from ..platform import wire
 from .clock import now
@@ -315,11 +316,24 @@
           service: The service's name.
           urgency: The urgency of the request, from 0.0 to 1.0.
         """
+        return self._has_retry(service, usable_retry_fraction(urgency))
+
+    def may_hedge(self, service, urgency):
+        """As `may_retry`, for a second send while the first is outstanding."""
+        fraction = usable_retry_fraction(urgency)
+        if self.is_scheduling:
+            fraction *= HEDGE_FRACTION
+        return self._has_retry(service, fraction)
+
+    def _has_retry(self, service, usable_fraction):
         data_centre_count = max(1, len(self.settings.data_centres))
         extra = self.settings.bounds.retry_extra / data_centre_count
-        return self.shared.may_retry(
-            service, extra, now(), usable_retry_fraction(urgency)
+        if not self.is_scheduling:
+            return self.shared.may_retry(service, extra, now(), usable_fraction)
+        probability = self.shared.retry_probability(
+            service, extra, now(), usable_fraction
         )
+        return self.rng.random() < probability
 
     # Called by the relay to report sends.
 
