Look at an order's target again once its claim is won, and heed Retry-After

On the own interface an order's target is chosen before its claim is appended. A target that sheds with Retry-After was sent to again after 15 ms; now the host sends it nothing until then, and refuses at once, with the time of the first target to come back, what no target can take before its deadline.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/pool.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pool.py
@@ -16,9 +16,12 @@
 SHED_PAUSE_GROWTH = 2.0
 MAX_SHED_PAUSE = 0.24
 CONTENTION_WINDOW = 1.0
+# The longest backoff in seconds that a target may ask for.
+MAX_BACKOFF = 600.0
 TRIALS_NEEDED = 3
 TRIAL_PAUSE = 1.0
 SLOW_START_DURATION = 10.0
+UNUSABLE_STATES = {HealthState.EJECTED, HealthState.DRAINING}
 
 
 class PoolMember:
@@ -30,6 +33,7 @@
         self.in_flight = 0
         self.shed_at = -math.inf
         self.consecutive_sheds = 0
+        self.backoff_until = -math.inf
         self.released_at = -math.inf
         self.health = HealthState.HEALTHY
         self.is_avoided = False
@@ -159,10 +163,28 @@
             for member in self.members.values()
         )
 
+    def note_backoff(self, member, seconds, now):
+        """Send nothing to a target for the seconds that it asked for with a shed."""
+        until = now + min(MAX_BACKOFF, seconds)
+        member.backoff_until = max(member.backoff_until, until)
+
+    def backoff(self, now, tried=()):
+        """
+        Return the seconds until the first target ends its backoff.
+
+        This is 0.0 if a target that may be used has asked for none.
+        """
+        remaining = [
+            member.backoff_until - now
+            for key, member in self.members.items()
+            if key not in tried and member.health not in UNUSABLE_STATES
+        ]
+        return max(0.0, min(remaining, default=0.0))
+
     def is_worth_waiting(self, tried=()):
         """Return whether a usable target may become free for a request."""
         return any(
-            member.health not in (HealthState.EJECTED, HealthState.DRAINING)
+            member.health not in UNUSABLE_STATES
             for key, member in self.members.items()
             if key not in tried
         )
@@ -194,9 +216,19 @@
     return max(1, min(service.slots, service.connections // hosts_max))
 
 
+def may_send(member, now):
+    """
+    Return whether a target still takes requests, apart from free slots.
+
+    It may have been ejected, announced that it drains or asked for a backoff after it
+    was chosen for a request.
+    """
+    return member.health not in UNUSABLE_STATES and now >= member.backoff_until
+
+
 def _is_usable(member, kind, now):
     """Return whether a request of this kind may be sent to a target now."""
-    if member.health in (HealthState.EJECTED, HealthState.DRAINING):
+    if not may_send(member, now):
         return False
     if member.health is HealthState.TRIAL:
         # A stalled target sheds its trials; without a pause each request would try it.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import re
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -18,6 +19,9 @@
 from .sender import CHUNK, FailedTry, Progress, send
 
 log = logging.getLogger("tries")
+RETRY_AFTER = "Retry-After"
+# Seconds, as `Retry-After` states them; dates are not supported.
+_is_seconds = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII).fullmatch
 SERVER_ERRORS = range(500, 600)
 
 
@@ -73,6 +77,7 @@
         state.end_try(running, FailureKind.CALLER, loop.time())
         raise
     _note_state(host, member.target, result)
+    _note_backoff(state, member, result, loop.time())
     result = _find_shed(result, service)
     _end(host, state, running, result, loop.time())
     if isinstance(result, Success) and result.unwrap().rest is not None:
@@ -90,6 +95,20 @@
             host.note_leaving(target.key)
 
 
+def _note_backoff(state, member, result, now):
+    """Note the backoff that a target asks for when it sheds a request."""
+    if not isinstance(result, Success):
+        return
+    answer = result.unwrap()
+    text = answer.headers.get(RETRY_AFTER, "").strip()
+    if answer.status not in state.service.shed_status or not text:
+        return
+    if not _is_seconds(text):
+        log.info("tries: %s sent an unreadable Retry-After.", member.target.id)
+        return
+    state.pool.note_backoff(member, float(text), now)
+
+
 def _find_shed(result, service):
     """Turn an answer by which the target says "not run" into a trouble."""
     if isinstance(result, Success):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/waiting.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/waiting.py
@@ -6,13 +6,14 @@
 """
 
 import asyncio
+import math
 from typing import Any, NamedTuple
 
 from returns.result import Failure, Success
 
 from plumsaddle_core.core.data import HealthState
 from plumsaddle_core.core.reasons import Reason, refuse
-from plumsaddle_core.ops.pool import SHED_PAUSE
+from plumsaddle_core.ops.pool import SHED_PAUSE, may_send
 from plumsaddle_core.ops.queue import Queue
 
 
@@ -21,6 +22,7 @@
 
     kind: Any
     tried: tuple
+    deadline: float
     fut: Any
 
 
@@ -66,15 +68,25 @@
         member = self._choose(kind, loop.time(), tried) if not self._queue else None
         if member:
             return Success(member)
-        if not self.pool.is_worth_waiting(tried):
-            return Failure(refuse(Reason.NO_TARGET))
-        ticket = Ticket(kind, tried, loop.create_future())
+        refusal = self._refuse_hopeless(tried, loop.time(), deadline)
+        if refusal is not None:
+            return Failure(refusal)
+        ticket = Ticket(kind, tried, deadline, loop.create_future())
         self._queue.capacity = self.pool.service.queue
         if not self._queue.push(deadline, ticket):
             return Failure(refuse(Reason.QUEUE_FULL))
         self.wake()
         return await self._wait(ticket, deadline)
 
+    def _refuse_hopeless(self, tried, now, deadline):
+        """Return the refusal of a request that no target can take in time, or None."""
+        if not self.pool.is_worth_waiting(tried):
+            return refuse(Reason.NO_TARGET)
+        backoff = self.pool.backoff(now, tried)
+        if now + backoff < deadline:
+            return None
+        return refuse(Reason.TARGETS_SHED)._replace(retry_after=math.ceil(backoff))
+
     def _should_ask(self, kind, now):
         """
         Return whether the service's keeper should choose.
@@ -97,7 +109,11 @@
             return None
         member = self.pool.members.get(slot.target)
         is_good = member is not None and member.health is HealthState.HEALTHY
-        if not is_good or slot.target in tried:
+        if (
+            not is_good
+            or not may_send(member, asyncio.get_running_loop().time())
+            or slot.target in tried
+        ):
             slot.give_back(False)
             return None
         self.pool.acquire(member)
@@ -158,8 +174,9 @@
         """Return whether a ticket needs the queue no more."""
         if ticket.fut.done():
             return True
-        if not self.pool.is_worth_waiting(ticket.tried):
-            ticket.fut.set_result(Failure(refuse(Reason.NO_TARGET)))
+        refusal = self._refuse_hopeless(ticket.tried, now, ticket.deadline)
+        if refusal is not None:
+            ticket.fut.set_result(Failure(refusal))
             return True
         member = self._choose(ticket.kind, now, ticket.tried)
         if member is None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/orders.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/orders.py
@@ -17,6 +17,7 @@
 from plumsaddle_core.core.reasons import Reason, refuse
 from plumsaddle_core.ops.claims import Replay
 from plumsaddle_core.ops.orders import Claim
+from plumsaddle_core.ops.pool import may_send
 from plumsaddle_core.utils.keys import fingerprint, parse_key
 
 from ..back.sender import Answer, Outgoing
@@ -102,11 +103,32 @@
         state.room.release(member)
         shard.give_up(claim.claim_id)
         return Failure(refuse(Reason.DEADLINE, "the log took too long"))
+    slot = await _keep_or_replace(state, member, deadline)
+    if isinstance(slot, Failure):
+        shard.give_up(claim.claim_id)
+        return slot
+    member = slot.unwrap()
     is_sending = shard.claims.start_sending(claim.claim_id)
     assert is_sending, "a claim was won and given up"
     return await _send(host, state, shard, claim, member, incoming, body, deadline)
 
 
+async def _keep_or_replace(state, member, deadline):
+    """
+    Return the member whose slot an order holds, or another one.
+
+    While the log took the claim, the target may have announced that it drains.
+    """
+    loop = asyncio.get_running_loop()
+    while not may_send(member, loop.time()):
+        state.room.release(member)
+        slot = await state.room.acquire(RequestKind.ORDER, deadline)
+        if isinstance(slot, Failure):
+            return slot
+        member = slot.unwrap()
+    return Success(member)
+
+
 async def _send(host, state, shard, claim, member, incoming, body, deadline):
     """
     Send an order whose key is held, and record its outcome.
