Decode only the changed entries of a configuration

A version that changes one of thousands of routes was decoded whole, and no request was served meanwhile. Entries with the bytes of the former version are now taken over, by a digest of 16 bytes each.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -70,6 +70,7 @@
         self.rng = rng
         self.cfg = None
         self._has_downloads = False
+        self._decoder = wire.ConfigurationDecoder()
         self.route_table = {}
         self.workspaces_by_key = {}
         self._priorities = {}
@@ -141,7 +142,7 @@
                 self._apply_configuration(record.value)
 
     def _apply_configuration(self, data):
-        cfg = wire.decode_configuration(data)
+        cfg = self._decoder.decode(data)
         if cfg is None:
             log.error("cannot decode configuration", extra={"bytes": len(data)})
             return
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -5,9 +5,10 @@
 platform's name for it is misleading.
 """
 
+import hashlib
 import re
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 from returns.result import Failure, Success
@@ -58,6 +59,8 @@
     "upload": RequestKind.UPLOAD,
     "download": RequestKind.DOWNLOAD,
 }
+# The length of the digest of an entry of the configuration, in bytes.
+DIGEST_BYTES = 16
 # Larger values in a target's entry are rejected as errors.
 MAX_SLOTS = 100_000
 MAX_WARMUP_MS = 86_400_000
@@ -223,52 +226,109 @@
     return TargetNotices(errors=errors, **fields)
 
 
+class _Version(msgspec.Struct):
+    """A version of the configuration, with its entries undecoded."""
+
+    version: Any
+    resources: list[msgspec.Raw]
+
+
+_decode_version = msgspec.json.Decoder(_Version).decode
+
+
+class ConfigurationDecoder:
+    """
+    Decodes versions of the operators' configuration one after the other.
+
+    Most versions change a few entries of thousands, and decoding all of them would
+    delay the requests in flight. Entries whose bytes are the same as in the previous
+    version are therefore not decoded again.
+    """
+
+    def __init__(self):
+        # Decoded entries of the latest valid version by digest of their bytes.
+        self._entries = {}
+
+    def decode(self, data):
+        """
+        Decode a version.
+
+        Args:
+          data: The record's bytes.
+        Returns:
+          A `Configuration`, or None if it is malformed.
+        """
+        try:
+            return self._decode(_decode_version(data))
+        except (
+            msgspec.DecodeError,
+            AttributeError,
+            KeyError,
+            OverflowError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ):
+            return None
+
+    def _decode(self, version):
+        entries = {}
+        decoded = []
+        for raw in version.resources:
+            digest = hashlib.blake2b(raw, digest_size=DIGEST_BYTES).digest()
+            entry = entries.get(digest) or self._entries.get(digest)
+            entries[digest] = entry = entry or _decode_resource(raw)
+            decoded.append(entry)
+        cfg = _assemble(int(version.version), decoded)
+        self._entries = entries
+        return cfg
+
+
 def decode_configuration(data):
     """
-    Decode the operators' configuration.
+    Decode a version of the operators' configuration without any previous one.
 
-    Args:
-      data: The record's bytes.
-    Returns:
-      A `Configuration`, or None if it is malformed.
+    The argument and the result are those of `ConfigurationDecoder.decode`.
     """
-    try:
-        return _decode_configuration(msgspec.json.decode(data))
-    except (
-        msgspec.DecodeError,
-        AttributeError,
-        KeyError,
-        OverflowError,
-        RecursionError,
-        TypeError,
-        ValueError,
-    ):
-        return None
-
-
-def _decode_configuration(text):
-    routes = []
-    connections = {}
-    limits = None
-    workspaces = []
-    for entry in text["resources"]:
-        spec = entry["spec"]
-        if entry["entry_kind"] == "routes":
-            routes.append(_decode_route(entry["metadata"]["name"], spec))
-        elif entry["entry_kind"] == "services":
-            # The limit of one target's connections, from all its callers together.
-            connections[entry["metadata"]["name"]] = int(spec.get("max_conns", 0))
-        elif entry["entry_kind"] == "limits":
-            limits = _decode_limits(spec)
-        elif entry["entry_kind"] == "tenants":
-            workspaces.append(_decode_workspace(entry["metadata"]["name"], spec))
-    if limits is None:
+    return ConfigurationDecoder().decode(data)
+
+
+def _decode_resource(raw):
+    """Return the kind, the name and the decoded value of an entry."""
+    entry = msgspec.json.decode(raw)
+    spec = entry["spec"]
+    kind = entry["entry_kind"]
+    if kind == "limits":
+        return kind, None, _decode_limits(spec)
+    decode = ENTRY_DECODERS.get(kind)
+    if decode is None:
+        return kind, None, None
+    name = entry["metadata"]["name"]
+    return kind, name, decode(name, spec)
+
+
+def _assemble(number, entries):
+    """Return the `Configuration` of decoded entries."""
+    by_kind = {kind: [] for kind in ("routes", "services", "limits", "tenants")}
+    for kind, name, value in entries:
+        if kind in by_kind:
+            by_kind[kind].append((name, value))
+    if not by_kind["limits"]:
         raise ValueError("the configuration has no limits")
     return Configuration(
-        int(text["version"]), tuple(routes), connections, limits, tuple(workspaces)
+        number,
+        tuple(route for _, route in by_kind["routes"]),
+        dict(by_kind["services"]),
+        by_kind["limits"][-1][1],
+        tuple(workspace for _, workspace in by_kind["tenants"]),
     )
 
 
+def _decode_service(name, spec):
+    """Return the limit of one target's connections, from all its callers together."""
+    return int(spec.get("max_conns", 0))
+
+
 def _decode_route(name, spec):
     if "traffic_split" in spec:
         shares = tuple(
@@ -320,3 +380,11 @@
         int(spec["header_timeout_ms"]) / 1000,
         int(spec["idle_timeout_ms"]) / 1000,
     )
+
+
+# The decoders of entries that have a name, by kind.
+ENTRY_DECODERS = {
+    "routes": _decode_route,
+    "services": _decode_service,
+    "tenants": _decode_workspace,
+}
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
@@ -266,3 +266,41 @@
     names = [wire.RATE_LIMIT, wire.DRAINING, wire.RETRY_AFTER, wire.KEEP_ALIVE]
     named = [(names[len(name) % len(names)].encode(), value) for name, value in headers]
     wire.decode_notices(status, headers + named)
+
+
+def _version(number, deadlines):
+    text = json.loads(json.dumps(CONFIGURATION))
+    text["version"] = number
+    route, limits = text["resources"]
+    routes = [
+        {**route, "metadata": {"name": f"r{n}"}, "spec": {**route["spec"], **spec}}
+        for n, spec in enumerate({"timeout_ms": 1000 + d} for d in deadlines)
+    ]
+    text["resources"] = [*routes, limits]
+    return json.dumps(text).encode()
+
+
+@given(st.lists(st.lists(st.integers(0, 2), max_size=6), min_size=1, max_size=4))
+@settings(max_examples=100, deadline=None)
+def test_a_version_is_decoded_alike_whatever_came_before(versions):
+    """Guards against an entry of a former version that stays in force."""
+    decoder = wire.ConfigurationDecoder()
+    for number, deadlines in enumerate(versions):
+        data = _version(number, deadlines)
+        assert decoder.decode(data) == wire.decode_configuration(data)
+        assert decoder.decode(data[:-1]) is None
+
+
+def test_only_changed_entries_of_a_version_are_decoded(monkeypatch):
+    """Guards against delaying requests while thousands of routes are decoded."""
+    decoded = []
+    decode = wire._decode_resource
+    monkeypatch.setattr(
+        wire, "_decode_resource", lambda raw: decoded.append(raw) or decode(raw)
+    )
+    decoder = wire.ConfigurationDecoder()
+    decoder.decode(_version(1, range(50)))
+    decoded.clear()
+    cfg = decoder.decode(_version(2, [*range(49), 99]))
+    assert len(decoded) == 1
+    assert cfg.routes[49].timeout == 1.099
