Work on several requests of a caller's connection side by side

Callers that sent six requests of 0.3 s at once on one connection got the last response after 1.8 s, because aiohttp handles one request after the other. Now the handlers of repeatable requests behind the one in turn are started early, within bounds for each connection and for the host, and aiohttp's loop takes their responses in turn. An order begins in its turn only, and holds up what is behind it. What was begun behind a closing response is cancelled.

Also mended, since pipelining callers would meet them: a malformed request cost good ones in the same packet their responses (400 for the first of them), the deadline ran from the turn of a request, a draining host closed after the first response although it had read more, and a caller that left went unnoticed while its connection was not read.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -195,6 +195,22 @@
     quota_slack: float = 20.0
 
 
+class PipelineLimits(NamedTuple):
+    """
+    Limits on requests that are read behind others on callers' connections.
+
+    `requests_per_connection` is the number of requests of a connection that run at the
+    same time. A host works on at most `requests_per_host` requests whose turn has not
+    come, and holds `bytes_per_connection` and `bytes_per_host` for requests behind
+    others and for responses that wait for their turn.
+    """
+
+    requests_per_connection: int = 8
+    bytes_per_connection: int = 1_048_576
+    requests_per_host: int = 256
+    bytes_per_host: int = 16_777_216
+
+
 class HostSettings(NamedTuple):
     """
     The content of a host's settings file.
@@ -215,6 +231,7 @@
     link_rate: float | None = None
     disabled_features: frozenset[Feature] = frozenset()
     scheduling: SchedulingMode = SchedulingMode.AUTO
+    pipeline_limits: PipelineLimits = PipelineLimits()
 
     @property
     def has_seeds(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -12,6 +12,7 @@
 from plumsaddle_core.ops.urgency import max_wait_fraction
 
 from .clock import now
+from .outgoing import position_field
 from .refusals import Refusal, RefusalCause
 from .send_runner import HEDGE_FACTOR, SendRunner, slow_threshold
 from .suspect_check import SuspectCheck
@@ -209,6 +210,7 @@
                 "last": self._last_send.outcome.value if self._last_send else None,
                 "seconds": round(now() - request.started_at, 4),
                 "version": self._knowledge.cfg.version,
+                **position_field(request.position),
                 **fields,
             },
         )
@@ -237,6 +239,7 @@
                 "targets": self._attempt.targets,
                 "seconds": round(now() - request.started_at, 4),
                 "workspace": request.owner.name,
+                **position_field(request.position),
             },
         )
         self._metrics.answers.inc({"status": str(completed.reply.status)})
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
@@ -7,8 +7,8 @@
 
 import asyncio
 
-from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
+from ..front.pipelining import CallerConnection, CallerHooks, CallerServer
+from .clock import now
 
 # Above any configured limit on headers, which `Front` checks.
 MAX_PARSER_LINE = 131072
@@ -22,7 +22,7 @@
 )
 
 
-class CallerConnection(RequestHandler):
+class FrontConnection(CallerConnection):
     """
     The connection of a caller, with a timeout for the head of a request.
 
@@ -76,7 +76,7 @@
         self.force_close()
 
 
-class FrontServer(web.Server):
+class FrontServer(CallerServer):
     """
     The aiohttp server for callers, with the timeouts of the current configuration.
 
@@ -86,26 +86,31 @@
     """
 
     def __init__(self, front, knowledge):
-        super().__init__(front.handle, handler_cancellation=True)
+        hooks = CallerHooks(
+            front.handle, front.is_repeatable, lambda: front.is_draining, now
+        )
+        super().__init__(hooks, knowledge.settings.pipeline_limits)
         self._front = front
         self._knowledge = knowledge
 
     def close_idle(self):
         """
-        Close idle connections at once, and the others after their response.
+        Close idle connections at once, and the others after their last response.
 
         The shutdown of aiohttp leaves idle connections open without reading from them,
         so a further request would never be answered.
         """
         for conn in self.connections:
-            if self._front.is_busy(conn.transport):
+            if conn.has_followers:
+                conn.seal()
+            elif conn.is_serving or self._front.is_busy(conn.transport):
                 conn.close()
             else:
                 conn.force_close()
 
     def __call__(self):
         cfg = self._knowledge.cfg
-        return CallerConnection(
+        return FrontConnection(
             self,
             cfg.limits.header_timeout if cfg else None,
             self._front.note_head_timeout,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -17,9 +18,15 @@
 from plumsaddle_core.ops.workspaces import key_digest, read_key, short_digest
 
 from ..front.headers import HOP_BY_HOP
+from ..front.pipelining import arrival_of, position_of, wait_for_turn
 from ..platform import wire
 from .clock import now
-from .outgoing import Owner, ProxyRequest, connection_header_names
+from .outgoing import (
+    Owner,
+    ProxyRequest,
+    connection_header_names,
+    position_field,
+)
 from .refusals import Refusal, RefusalCause, http_status
 
 log = logging.getLogger("front")
@@ -64,7 +71,8 @@
         self._metrics = metrics
         self._buffered_bytes = 0
         self._order_tasks = set()
-        self._busy_transports = set()
+        # The number of requests in flight on each connection.
+        self._busy_transports = Counter()
         self._draining_since = None
 
     def drain(self):
@@ -79,12 +87,18 @@
     @property
     def in_flight(self):
         """The number of requests in flight."""
-        return len(self._busy_transports)
+        return self._busy_transports.total()
 
     def is_busy(self, transport):
         """Return whether a connection has a request in flight."""
         return transport in self._busy_transports
 
+    def is_repeatable(self, message):
+        """Return whether a request may run again, or is refused without its body."""
+        host = message.headers.get("Host", "")
+        route = find_route(self._knowledge.route_table, host, message.path)
+        return route is None or route.kind.is_idempotent
+
     def note_head_timeout(self):
         """Log and count a connection that was closed with an incomplete head."""
         log.info("refused", extra={"cause": RefusalCause.HEAD_TOO_SLOW.value})
@@ -92,24 +106,26 @@
 
     async def handle(self, request):
         """Return the response to a request."""
-        started_at = now()
+        started_at = arrival_of(request, now())
         transport = request.transport
         if transport is None or transport.is_closing():
             # The caller disconnected while the request was read and cannot receive a
             # response, so the request is not forwarded.
             return web.Response(status=503)
-        self._busy_transports.add(transport)
+        self._busy_transports[transport] += 1
         try:
             result = await self._process(request, started_at)
             return await self._respond(request, result)
         finally:
-            self._busy_transports.discard(transport)
+            self._busy_transports[transport] -= 1
+            if not self._busy_transports[transport]:
+                del self._busy_transports[transport]
             self._metrics.seconds.observe({}, now() - started_at)
 
     async def _process(self, request, started_at):
         """Validate and run a request; return a `Reply` or a `Refusal`."""
         cfg = self._knowledge.cfg
-        if self.is_draining and started_at - self._draining_since > DRAIN_ACCEPT_TIME:
+        if self.is_draining and now() - self._draining_since > DRAIN_ACCEPT_TIME:
             return self._refuse(request, RefusalCause.DRAINING, 0.0)
         if not self._knowledge.is_complete:
             return self._refuse(request, RefusalCause.NO_CONFIGURATION, 0.5)
@@ -123,7 +139,11 @@
         )
         if route is None:
             return self._refuse(request, RefusalCause.NO_ROUTE)
-        workspace, refusal = self._identify(request, route, started_at)
+        if not route.kind.is_idempotent:
+            # It is in turn already, unless the configuration has just changed.
+            await wait_for_turn(request)
+        at = now()
+        workspace, refusal = self._identify(request, route, at)
         if refusal is not None:
             return refusal
         # Taken before the body is read, since the configuration may change meanwhile.
@@ -136,11 +156,14 @@
         )
         if time_limit is None:
             return self._refuse(request, RefusalCause.BAD_TIME_LIMIT)
+        if request.place is not None and at >= started_at + time_limit:
+            # Its time has passed while it was behind others.
+            return self._refuse(request, RefusalCause.DEADLINE_EXCEEDED)
         length = request.content_length
         if length is not None and length > cfg.limits.body_bytes:
             return self._refuse(request, RefusalCause.BODY_TOO_LARGE)
         self._metrics.requests.inc({"kind": route.kind.value})
-        decision = self._knowledge.admit(workspace, started_at)
+        decision = self._knowledge.admit(workspace, at)
         if not decision.is_admitted:
             return self._refuse_over_limit(request, workspace, decision)
         result = await self._read_and_run(
@@ -202,7 +225,7 @@
             self._buffered_bytes += reserved
             body, is_whole = b"", True
             if request.can_read_body:
-                async with asyncio.timeout(time_limit):
+                async with asyncio.timeout(deadline - now()):
                     body, is_whole = await _read_start(request.content)
             self._buffered_bytes += len(body) - reserved
             reserved = len(body)
@@ -239,6 +262,7 @@
             Caller(request),
             owner,
             self._knowledge.urgency(service, route, owner.workspace),
+            position_of(request),
         )
 
     async def _run(self, proxy_request):
@@ -261,6 +285,7 @@
             extra={
                 "request": request.headers.get(wire.REQUEST_ID),
                 "cause": cause.value,
+                **position_field(position_of(request)),
                 "target_host": request.headers.get("Host"),
                 "path": request.raw_path,
                 "version": self._knowledge.cfg.version if self._knowledge.cfg else None,
@@ -284,8 +309,6 @@
         if not request.content.is_eof():
             # Otherwise the rest of the body would be parsed as the next request.
             response.force_close()
-        if self.is_draining:
-            response.force_close()
         return response
 
     async def _stream(self, request, reply):
@@ -298,10 +321,11 @@
             response.content_length = int(length)
         else:
             response.enable_chunked_encoding()
-        if self.is_draining:
-            response.force_close()
         is_whole = False
         try:
+            await wait_for_turn(request)
+            if request.protocol.ends_after_turn():
+                response.force_close()
             await response.prepare(request)
             await response.write(reply.body)
             while True:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -208,7 +208,7 @@
             # as in flight only after the next iteration of the event loop.
             self._front_server.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
-            is_idle = not self.front.in_flight
+            is_idle = not (self.front.in_flight or self._front_server.is_serving)
         if not is_idle:
             self._relay.refuse_in_flight()
             await asyncio.sleep(FINAL_ANSWER_TIME)
@@ -242,6 +242,7 @@
             if cfg is not None:
                 self.metrics.version.set({}, cfg.version)
             self.metrics.in_flight.set({}, self.front.in_flight)
+            self.metrics.note_callers(self._front_server)
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
 
     async def _run_peer_updates(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -50,7 +50,8 @@
     over the others. `length` is the length of the body, or None if it is unknown. Times
     are in seconds on the host's clock; `deadline` is the earlier of the caller's
     deadline and the route's timeout. `urgency` is 1.0 for the most urgent requests of a
-    service.
+    service. `position` is the number of requests before it on its connection that had
+    no response when it arrived.
     """
 
     id: bytes
@@ -67,6 +68,12 @@
     caller: Any
     owner: Owner = Owner()
     urgency: float = 1.0
+    position: int = 0
+
+
+def position_field(position):
+    """Return the log field of a request's position, if others were before it."""
+    return {"position": position} if position else {}
 
 
 def compute_request_key(request):
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -0,0 +1,470 @@
+"""
+Connections of callers, with HTTP/1.1 pipelining.
+
+aiohttp parses requests, handles one after the other and writes the responses. This
+module starts the handlers of requests behind the one in turn, as `Pipeline` decides;
+aiohttp's own loop takes the response of such a handler when the request is in turn, so
+the order of responses and all else is aiohttp's. A caller that sends one request at a
+time is served by aiohttp's loop alone.
+
+It uses private attributes of `RequestHandler`: `_messages`, `_request_factory`,
+`_request_handler`, `_buffer_paused` and the two methods that pause reading.
+`pipelining_test.py` fails if a release of aiohttp changes them.
+"""
+
+import asyncio
+import select
+from collections.abc import Callable
+from itertools import islice
+from typing import NamedTuple
+
+from aiohttp import web
+from aiohttp.http import HttpVersion11, RawRequestMessage, StreamWriter
+from aiohttp.web_protocol import RequestHandler
+
+from plumsaddle_core.connections.pipeline import (
+    HostPipelines,
+    Pipeline,
+    PipelinedRequest,
+)
+
+HEAD_END = b"\r\n\r\n"
+# Seconds between two checks whether a caller has left whose connection is not read.
+HANGUP_INTERVAL = 0.2
+HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class CallerHooks(NamedTuple):
+    """
+    What the connections of callers call.
+
+    `handle` is the handler of a `CallerRequest`. `is_repeatable` tells of a
+    `RawRequestMessage` whether it may run again or runs nothing. `is_draining` tells
+    whether connections close after their responses, and `now` is the host's clock.
+    """
+
+    handle: Callable
+    is_repeatable: Callable
+    is_draining: Callable
+    now: Callable
+
+
+class CallerRequest(web.BaseRequest):
+    """A request; `place` is its `Place`, or None if it was not behind others."""
+
+    place = None
+
+
+class Place(PipelinedRequest):
+    """
+    The place of a request behind others on its connection.
+
+    Args:
+      message: The `RawRequestMessage`.
+      payload: Its body's `StreamReader`.
+      is_repeatable: Whether it may run beside others.
+      arrived_at: The time of its arrival, in seconds on the host's clock.
+      position: The number of requests before it that had no response when it arrived.
+    """
+
+    __slots__ = (
+        "_turn",
+        "arrived_at",
+        "is_in_turn",
+        "message",
+        "payload",
+        "position",
+        "request",
+        "task",
+    )
+
+    def __init__(self, message, payload, is_repeatable, arrived_at, position):
+        super().__init__(is_repeatable, message.should_close, _size_of(message))
+        self.message = message
+        self.payload = payload
+        self.arrived_at = arrived_at
+        self.position = position
+        self.request = None
+        self.task = None
+        self.is_in_turn = False
+        self._turn = None
+
+    def take_turn(self):
+        """Let the response leave."""
+        self.is_in_turn = True
+        if self._turn is not None and not self._turn.done():
+            self._turn.set_result(None)
+
+    async def wait_for_turn(self):
+        """Wait until the response may leave."""
+        if not self.is_in_turn:
+            self._turn = asyncio.get_running_loop().create_future()
+            await self._turn
+
+
+def arrival_of(request, at):
+    """Return when a request arrived; `at` is the current time."""
+    return at if request.place is None else request.place.arrived_at
+
+
+def position_of(request):
+    """Return how many requests were before a request when it arrived."""
+    return 0 if request.place is None else request.place.position
+
+
+async def wait_for_turn(request):
+    """Wait until the response to a request may leave."""
+    if request.place is not None:
+        await request.place.wait_for_turn()
+
+
+class CallerConnection(RequestHandler):
+    """
+    The connection of a caller.
+
+    Args:
+      server: The `CallerServer`.
+      options: Those of `RequestHandler`.
+    """
+
+    # Most connections never have two requests at once and keep these defaults.
+    _pipeline = None
+    # Data that is not parsed yet, because the connection has enough requests.
+    _unread = b""
+    # The last body and its length, while it is incomplete.
+    _body = None
+    # The message that is in turn, until it has its response.
+    _message_in_turn = None
+    # Whether no further request is read, and whether the last response closes.
+    _is_sealed = False
+    _is_closing = False
+    _hangup_timer = None
+
+    def __init__(self, server, **options):
+        super().__init__(server, **options)
+        self._hooks = server.hooks
+        self._handle = server.hooks.handle
+        self._host_pipelines = server.pipelines
+        self._places = []
+        self._make_request = self._request_factory
+        self._request_factory = self._take_request
+        self._request_handler = self._handle_in_turn
+
+    @property
+    def has_followers(self):
+        """Whether a request was read whose handling is still to come."""
+        return bool(self._messages) and not self._is_closing
+
+    @property
+    def is_serving(self):
+        """Whether a request was read that has no response yet."""
+        is_in_turn = self._message_in_turn is not None
+        return self.has_followers or (is_in_turn and not self._is_closing)
+
+    def seal(self):
+        """Read no further requests; the last that was read closes the connection."""
+        self._is_sealed = True
+
+    def ends_after_turn(self):
+        """Return whether the host drains and the response in turn is the last."""
+        if not self._hooks.is_draining():
+            return False
+        if self._messages:
+            self.seal()
+            return False
+        return True
+
+    # Reading.
+
+    def data_received(self, data):
+        """Parse data, as far as the connection may have further requests."""
+        if not data or self._is_single(data):
+            self._feed(data)
+            return
+        self._unread = self._unread + data if self._unread else data
+        self._feed_unread()
+
+    def _is_single(self, data):
+        """Return whether data is the head of one request, perhaps with its body."""
+        if self._unread or self._messages or self._message_in_turn or self._body:
+            return False
+        end = data.find(HEAD_END) + len(HEAD_END)
+        if end == len(data):
+            return True
+        # With a body it is read in one piece; `P` is the start of all such methods.
+        return data[:1] == b"P" and data.find(HEAD_END, end) < 0
+
+    def _feed_unread(self):
+        """
+        Feed aiohttp's parser, with one head at a time.
+
+        A malformed request makes the parser drop all requests that are in the same
+        data and complete, but these must have their responses.
+        """
+        while self._unread and self._may_feed():
+            data = self._unread
+            end = self._find_end(data)
+            self._unread = data[end:]
+            self._feed(data[:end])
+        if self._unread:
+            self._pause()
+        elif self._buffer_paused:
+            self._resume_reading_for_buffer()
+
+    def _may_feed(self):
+        if self._is_in_body():
+            return True
+        if self._is_sealed:
+            self._unread = b""
+            return False
+        if self._pipeline is not None:
+            return not self._pipeline.is_full
+        return not self._message_in_turn or not self._host_pipelines.is_full
+
+    def _is_in_body(self):
+        if self._body is not None and self._body[0].is_eof():
+            self._body = None
+        return self._body is not None
+
+    def _find_end(self, data):
+        """Return the length of the data up to the end of a head or a body."""
+        if self._body is None:
+            end = data.find(HEAD_END)
+            return len(data) if end < 0 else end + len(HEAD_END)
+        payload, length = self._body
+        if length is None:
+            return len(data)
+        return min(len(data), max(1, length - payload.total_bytes))
+
+    def _feed(self, data):
+        known = len(self._messages)
+        super().data_received(data)
+        count = len(self._messages)
+        if count == known:
+            return
+        if count == 1 and self._message_in_turn is None:
+            message, payload = self._messages[0]
+            self._note_message(message, payload, True)
+            return
+        for message, payload in islice(self._messages, known, None):
+            is_first = message is self._messages[0][0] and not self._message_in_turn
+            self._note_message(message, payload, is_first)
+        is_pending = self._messages[0][0] is self._message_in_turn
+        if self._pipeline is not None and not is_pending:
+            self._pipeline.begin_ready()
+
+    def _note_message(self, message, payload, is_first):
+        """Note a request that was read; the first one is handled next."""
+        if not payload.is_eof():
+            length = message.headers.get("Content-Length")
+            self._body = payload, None if length is None else int(length)
+        if is_first:
+            self._message_in_turn = message
+        elif type(message) is RawRequestMessage:
+            self._add_follower(message, payload)
+        if type(message) is not RawRequestMessage:
+            # aiohttp answers what is malformed and closes the connection.
+            self.seal()
+
+    def _add_follower(self, message, payload):
+        """Add a request behind the one in turn."""
+        if self._pipeline is None:
+            in_turn = self._message_in_turn
+            first = PipelinedRequest(
+                self._may_repeat(in_turn), in_turn.should_close or self._is_closing, 0
+            )
+            self._pipeline = Pipeline(self._host_pipelines, self._begin, first)
+        place = Place(
+            message,
+            payload,
+            self._may_repeat(message),
+            self._hooks.now(),
+            len(self._places) + 1,
+        )
+        self._places.append(place)
+        self._pipeline.append(place)
+
+    def _may_repeat(self, message):
+        return (
+            message.version >= HttpVersion11
+            and not message.chunked
+            and not message.upgrade
+            and "Expect" not in message.headers
+            and self._hooks.is_repeatable(message)
+        )
+
+    # Handling.
+
+    def _begin(self, place):
+        """Start the handler of a request before it is in turn."""
+        writer = StreamWriter(self, self._loop)
+        place.request = self._make_request(
+            place.message, place.payload, self, writer, self._task_handler
+        )
+        place.request.place = place
+        place.task = self._loop.create_task(self._handle_early(place))
+
+    async def _handle_early(self, place):
+        """Run the handler of a request that is not in turn."""
+        try:
+            response = await self._handle(place.request)
+        except Exception:
+            # aiohttp answers with a status of its own, and closes the connection.
+            self._note_response(place, None, True)
+            raise
+        self._note_response(place, response, response.keep_alive is False)
+        return response
+
+    def _note_response(self, request, response, is_closing):
+        """Note the response to a request, and begin or cancel what is behind it."""
+        if self._pipeline is None:
+            return
+        body = getattr(response, "body", None)
+        self._pipeline.note_answer(request, len(body) if body else 0)
+        if is_closing:
+            _cancel(self._pipeline.end_after(request))
+        self._pipeline.begin_ready()
+
+    def _take_request(self, message, payload, protocol, writer, task):
+        """Return the request that aiohttp handles next."""
+        self._message_in_turn = message
+        if not self._places or self._places[0].message is not message:
+            return self._make_request(message, payload, protocol, writer, task)
+        place = self._places.pop(0)
+        self._pipeline.advance()
+        request, place.request = place.request, None
+        if request is None:
+            request = self._make_request(message, payload, protocol, writer, task)
+            request.place = place
+        if self._unread:
+            self._feed_unread()
+        return request
+
+    async def _handle_in_turn(self, request):
+        """Handle the request in turn, or wait for the handler that was started."""
+        place = request.place
+        if self._pipeline is not None:
+            # The tasks of those behind it run after the start of this one.
+            self._pipeline.begin_ready()
+        try:
+            if place is None:
+                response = await self._handle(request)
+            else:
+                place.take_turn()
+                response = await (place.task or self._handle(request))
+        except BaseException:
+            self._end_turn(True)
+            raise
+        if not response.prepared and self.ends_after_turn():
+            response.force_close()
+        self._end_turn(response.keep_alive is False)
+        return response
+
+    def _end_turn(self, is_closing):
+        """Let the next request be in turn, once aiohttp has written the response."""
+        self._message_in_turn = None
+        if is_closing:
+            self._is_closing = True
+        if self._pipeline is not None:
+            self._note_response(self._pipeline.first, None, is_closing)
+            if not self._messages:
+                self._close_pipeline()
+        if self._unread and not is_closing:
+            self._feed_unread()
+
+    def _close_pipeline(self):
+        if self._pipeline is not None:
+            _cancel(self._pipeline.close())
+            self._pipeline = None
+            self._places.clear()
+
+    # Pauses, and the end of the connection.
+
+    def _resume_reading_if_drained(self):
+        """Resume reading that aiohttp has paused, and not `_pause`."""
+        if not self._unread:
+            super()._resume_reading_if_drained()
+
+    def _pause(self):
+        """Stop reading until requests have been answered."""
+        if not self._buffer_paused:
+            self._pause_reading_for_buffer()
+        if self._hangup_timer is None:
+            self._hangup_timer = self._loop.call_later(
+                HANGUP_INTERVAL, self._check_hangup
+            )
+
+    def _check_hangup(self):
+        """Close a connection that is not read if its caller has left."""
+        self._hangup_timer = None
+        if self.transport is None or not self._unread:
+            return
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), HANGUP_EVENTS)
+        if poll.poll(0):
+            self.transport.abort()
+        else:
+            self._pause()
+
+    def connection_lost(self, exc):
+        """Cancel all that runs for the caller, except orders."""
+        if self._hangup_timer is not None:
+            self._hangup_timer.cancel()
+        self._unread = b""
+        self._close_pipeline()
+        super().connection_lost(exc)
+
+
+class CallerServer(web.Server):
+    """
+    The aiohttp server for callers.
+
+    Args:
+      hooks: The `CallerHooks`.
+      limits: The `PipelineLimits`.
+      options: Those of `CallerConnection`.
+    """
+
+    def __init__(self, hooks, limits, **options):
+        super().__init__(
+            hooks.handle,
+            request_factory=self._make_caller_request,
+            handler_cancellation=True,
+        )
+        self.hooks = hooks
+        self.pipelines = HostPipelines(limits)
+        self._options = options
+
+    @property
+    def is_serving(self):
+        """Whether any connection has a request without a response."""
+        return any(conn.is_serving for conn in self.connections)
+
+    def __call__(self):
+        return CallerConnection(self, loop=self._loop, **self._options)
+
+    def _make_caller_request(self, message, payload, protocol, writer, task):
+        return CallerRequest(message, payload, protocol, writer, task, self._loop)
+
+
+def _cancel(places):
+    """Cancel the handlers of requests whose responses can't leave."""
+    for place in places:
+        task = getattr(place, "task", None)
+        if task is None:
+            continue
+        task.cancel()
+        task.add_done_callback(_retrieve_exception)
+
+
+def _retrieve_exception(task):
+    """Take the exception of a handler that was cancelled while it failed."""
+    if not task.cancelled():
+        task.exception()
+
+
+def _size_of(message):
+    """Return the bytes of a request with its body."""
+    head = sum(len(name) + len(value) + 4 for name, value in message.raw_headers)
+    body = message.headers.get("Content-Length", "0")
+    return len(message.path) + head + int(body)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -10,7 +10,12 @@
 from returns.result import Failure, Success
 
 from plumsaddle_core.core.features import Feature
-from plumsaddle_core.core.traffic import Bounds, HostSettings, SchedulingMode
+from plumsaddle_core.core.traffic import (
+    Bounds,
+    HostSettings,
+    PipelineLimits,
+    SchedulingMode,
+)
 
 from ..utils.addresses import is_address
 
@@ -80,6 +85,7 @@
         _check_link_rate(fields.get("link_mbps"), errors),
         _check_experiments(fields.get("experiments", {}), errors),
         _check_scheduling(fields.get("scheduling", "auto"), errors),
+        _check_pipeline_limits(fields.get("callers", {}), errors),
     )
     return Failure(errors) if errors else Success(settings)
 
@@ -117,6 +123,26 @@
     return SchedulingMode(value)
 
 
+def _check_pipeline_limits(table, errors):
+    """Return the `PipelineLimits` of a table; missing fields keep their defaults."""
+    if not isinstance(table, dict):
+        errors.append("callers: expected a table")
+        return PipelineLimits()
+    for name in sorted(set(table) - set(PipelineLimits._fields)):
+        known = ", ".join(PipelineLimits._fields)
+        errors.append(f"callers: {name!r} is not one of {known}")
+    values = {}
+    for name in PipelineLimits._fields:
+        value = table.get(name, 1)
+        if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+            errors.append(
+                f"callers.{name}: expected a whole number above 0, not {value!r}"
+            )
+        elif name in table:
+            values[name] = value
+    return PipelineLimits(**values)
+
+
 def _check_bounds(table, errors):
     """Return the `Bounds` of a table; missing fields keep their defaults."""
     if not isinstance(table, dict):
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile_test.py
@@ -0,0 +1,36 @@
+"""
+Tests of the settings file's checks.
+"""
+
+import pytest
+from returns.result import Success
+
+from plumsaddle_core.core.traffic import PipelineLimits
+
+from .nodefile import check_host_settings
+
+TEXT = """
+id = "host-1"
+data_centre = "x"
+store = "127.0.0.1:1"
+[listen]
+callers = "127.0.0.1:2"
+ready = "127.0.0.1:3"
+hosts = "127.0.0.1:4"
+"""
+
+
+def test_limits_of_pipelining_have_defaults():
+    """Guards against an earlier settings file that a new release refuses."""
+    assert check_host_settings(TEXT).unwrap().pipeline_limits == PipelineLimits()
+    text = TEXT + "[callers]\nrequests_per_connection = 3\n"
+    limits = check_host_settings(text).unwrap().pipeline_limits
+    assert limits == PipelineLimits(requests_per_connection=3)
+
+
+@pytest.mark.parametrize("line", ["bytes_per_host = 0", "requests = 3"])
+def test_limits_that_mean_nothing_are_errors(line):
+    """Guards against a misspelt limit that is ignored."""
+    result = check_host_settings(f"{TEXT}[callers]\n{line}\n")
+    assert not isinstance(result, Success)
+    assert result.failure()[0].startswith("callers")
