--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/transfers/__init__.py
@@ -0,0 +1,1 @@
+"""How large responses share a host's memory and its network link."""
