Take large responses off targets within a memory bound, and pace them to callers

Callers of downloads saw: a target's slot was kept until the caller had read, a cut after 64 KB could not be repaired, each response cost a new connection, and a stalled reader held its bytes for good. Now bytes are taken from the target as they come while the host's byte budget has room (settings callers.buffered_mb, by default a quarter of memory_mb); the first byte goes out when the response is complete or half of the spare time is over; a cut one is requested again until then and ends the caller's connection after it; chunks are paced on the link. In flight at a target counts until its response is received, and durations of downloads end at the first byte.

Connections to targets are read with BufferedProtocol, so that a read never exceeds the room. Requests of other kinds behave as before.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -23,6 +23,9 @@
     WorkspaceName,
 )
 
+# Bytes that a host holds for slow callers if its memory limit is unknown.
+DEFAULT_BUFFERED_BYTES = 50_000_000
+
 
 class RequestKind(enum.Enum):
     """How a request may be retried after it was partly processed."""
@@ -200,7 +203,8 @@
     The content of a host's settings file.
 
     `link_rate` is the capacity of the host's network link in bytes per second, or None
-    if unknown.
+    if unknown. `buffered_bytes` is the most that it holds of large responses for
+    callers that read slower than targets send.
     """
 
     id: HostId
@@ -215,6 +219,7 @@
     link_rate: float | None = None
     disabled_features: frozenset[Feature] = frozenset()
     scheduling: SchedulingMode = SchedulingMode.AUTO
+    buffered_bytes: int = DEFAULT_BUFFERED_BYTES
 
     @property
     def has_seeds(self):
--- a/packages/plumsaddle-core/plumsaddle_core/transfers/link_share.py
+++ b/packages/plumsaddle-core/plumsaddle_core/transfers/link_share.py
@@ -15,6 +15,11 @@
 CHUNK_TIME = 0.01
 MIN_CHUNK = 4096
 MAX_CHUNK = 65536
+# Seconds of the link's capacity that the kernel may hold for one connection, and bounds
+# on it in bytes. Otherwise it takes megabytes of a response that nobody reads.
+SEND_BUFFER_TIME = 0.05
+MIN_SEND_BUFFER = 16384
+MAX_SEND_BUFFER = 131072
 # Bytes on the link for each byte that is written: packet headers and the host's own
 # messages, which are not counted otherwise.
 OVERHEAD = 1.1
@@ -32,6 +37,14 @@
     return int(min(MAX_CHUNK, max(MIN_CHUNK, link_rate * CHUNK_TIME)))
 
 
+def send_buffer_size(link_rate):
+    """Return the bytes of a long response that the kernel may hold, as `chunk_size`."""
+    if link_rate is None:
+        return MAX_SEND_BUFFER
+    size = link_rate * SEND_BUFFER_TIME
+    return int(min(MAX_SEND_BUFFER, max(MIN_SEND_BUFFER, size)))
+
+
 class LinkShare:
     """The estimated backlog of a host's link, counted from what is written."""
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -15,6 +15,7 @@
 from .refusals import Refusal, RefusalCause
 from .send_runner import HEDGE_FACTOR, SendRunner, slow_threshold
 from .suspect_check import SuspectCheck
+from .verdict import reply_length
 
 log = logging.getLogger("relay")
 # Seconds after which hedging is tried again if no target was suitable.
@@ -92,7 +93,7 @@
                 completed = task.result()
                 if completed.outcome is SendOutcome.SUCCEEDED:
                     self._knowledge.note_response_size(
-                        self._request.route, len(completed.reply.body)
+                        self._request.route, reply_length(completed.reply)
                     )
                     return self._log_response(completed)
                 result = await self._handle_failure(completed)
@@ -136,7 +137,10 @@
         Otherwise hedging is tried again after `HEDGE_RETRY_INTERVAL`.
         """
         sends = self._attempt.sends
-        if self._knowledge.may_retry(self._request.service, self._request.urgency):
+        may_send = self._sender.may_send_twice(self._request)
+        if may_send and self._knowledge.may_retry(
+            self._request.service, self._request.urgency
+        ):
             await self._send_next(RETRY_CAUSE_SLOW)
         self._is_hedged = self._attempt.sends > sends
         if not self._is_hedged:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -21,6 +21,7 @@
 from .clock import now
 from .outgoing import Owner, ProxyRequest, connection_header_names
 from .refusals import Refusal, RefusalCause, http_status
+from .response_stream import write_long
 
 log = logging.getLogger("front")
 # Bodies up to this many bytes are read completely, and the request key includes them.
@@ -276,6 +277,7 @@
             if result.rest is not None:
                 return await self._stream(request, result)
             headers = _forwarded_headers(result.headers)
+            self._knowledge.downloads.note_short_response(len(result.body))
             response = web.Response(
                 status=result.status, body=result.body, headers=headers
             )
@@ -293,36 +295,9 @@
         response = web.StreamResponse(
             status=reply.status, headers=_forwarded_headers(reply.headers)
         )
-        length = dict((k.lower(), v) for k, v in reply.headers).get(b"content-length")
-        if length is not None:
-            response.content_length = int(length)
-        else:
-            response.enable_chunked_encoding()
         if self.is_draining:
             response.force_close()
-        is_whole = False
-        try:
-            await response.prepare(request)
-            await response.write(reply.body)
-            while True:
-                part = await reply.rest.read()
-                if part is None:
-                    break
-                if not part:
-                    is_whole = True
-                    break
-                await response.write(part)
-        finally:
-            reply.rest.close()
-        if is_whole:
-            await response.write_eof()
-        else:
-            log.warning(
-                "response incomplete",
-                extra={"request": request.headers.get(wire.REQUEST_ID)},
-            )
-            if request.transport is not None:
-                request.transport.abort()
+        await write_long(request, response, reply)
         return response
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -33,6 +33,7 @@
 
 from ..platform import wire
 from .clock import now
+from .downloads import Downloads
 from .limits import RateLimits
 from .notices import NoticeRecorder
 from .target_selection import TargetSelection
@@ -94,6 +95,7 @@
         )
         self.availability = self.shared.availability
         self._response_bytes = {}
+        self.downloads = Downloads(lambda: self.settings, self.typical_response_bytes)
         self.limits = RateLimits(
             settings, self.shared.limits, self.registry, self._notify
         )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -242,6 +242,7 @@
             if cfg is not None:
                 self.metrics.version.set({}, cfg.version)
             self.metrics.in_flight.set({}, self.front.in_flight)
+            self.metrics.note_downloads(self.knowledge.downloads)
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
 
     async def _run_peer_updates(self):
@@ -264,6 +265,7 @@
             return
         self.settings = result.unwrap()
         self.knowledge.settings = self.settings
+        self.knowledge.downloads.apply_settings()
         self.peers.apply_settings(self.settings)
         log.info("reload", extra={"cause": cause})
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -32,10 +32,25 @@
         )
         self.version = make(Gauge, "version", "The configuration in force.")
         self.in_flight = make(Gauge, "in_flight", "Requests in flight.")
+        self.held_bytes = make(
+            Gauge, "held_bytes", "Bytes of large responses that wait for callers."
+        )
+        self.downloads = make(
+            Gauge, "downloads", "Large responses that targets have not yet sent."
+        )
+        self.reading_pauses = make(
+            Gauge, "reading_pauses", "Times a target was not read for lack of room."
+        )
         self.seconds = make(
             Histogram, "seconds", "Seconds to the whole answer.", buckets=BUCKETS
         )
 
+    def note_downloads(self, downloads):
+        """Set the metrics of a host's `Downloads`."""
+        self.held_bytes.set({}, downloads.budget.held)
+        self.downloads.set({}, downloads.in_flight)
+        self.reading_pauses.set({}, downloads.budget.pause_count)
+
     def render(self):
         """Return all metrics as text, and its HTTP headers."""
         return render(self._registry, [])
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -0,0 +1,106 @@
+"""
+Writes responses that are too long to be returned as a whole.
+
+A response that breaks off ends with the caller's connection, so that it never looks
+complete.
+"""
+
+import asyncio
+import enum
+import logging
+import socket
+
+from ..platform import wire
+from .clock import now
+from .downloads import DownloadRest
+
+log = logging.getLogger("front")
+
+
+class CutCause(enum.Enum):
+    """Why a response was cut."""
+
+    TARGET = "target"
+    DEADLINE = "deadline"
+    CALLER = "caller"
+
+
+async def write_long(request, response, reply):
+    """
+    Write a long reply, and abort the caller's connection if it is incomplete.
+
+    Args:
+      request: The aiohttp request.
+      response: The prepared `web.StreamResponse`, to which nothing was written.
+      reply: The `Reply`, with a `rest`, which is closed.
+    """
+    length = dict((k.lower(), v) for k, v in reply.headers).get(b"content-length")
+    try:
+        if length is not None:
+            response.content_length = int(length)
+        else:
+            response.enable_chunked_encoding()
+        if isinstance(reply.rest, DownloadRest):
+            cause = await _write_download(request, response, reply.rest)
+        else:
+            cause = await _write_parts(request, response, reply)
+    finally:
+        reply.rest.close()
+    if cause is None:
+        await response.write_eof()
+        return
+    log.warning(
+        "response incomplete",
+        extra={
+            "request": request.headers.get(wire.REQUEST_ID),
+            "cause": cause.value,
+        },
+    )
+    if request.transport is not None:
+        request.transport.abort()
+
+
+async def _write_parts(request, response, reply):
+    """Write a reply as it comes, and return why it was cut, or None."""
+    await response.prepare(request)
+    await response.write(reply.body)
+    while part := await reply.rest.read():
+        await response.write(part)
+    return CutCause.TARGET if part is None else None
+
+
+async def _write_download(request, response, rest):
+    """Write a large response by its deadline, and return why it was cut, or None."""
+    transport = request.transport
+    if transport is None:
+        return CutCause.CALLER
+    # Each chunk is counted until the kernel has taken it, which holds little.
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, rest.send_buffer_size
+    )
+    transport.set_write_buffer_limits(high=0)
+    cause = CutCause.CALLER
+    try:
+        async with asyncio.timeout(rest.deadline - now()):
+            await response.prepare(request)
+            while part := await rest.read():
+                await response.write(part)
+                await request.writer.drain()
+                rest.note_sent(len(part))
+            cause = CutCause.TARGET if part is None else None
+    except TimeoutError:
+        cause = CutCause.DEADLINE
+    except ConnectionError:
+        cause = CutCause.CALLER
+    finally:
+        transport.set_write_buffer_limits()
+        log.info(
+            "download",
+            extra={
+                "request": request.headers.get(wire.REQUEST_ID),
+                "bytes": rest.bytes_sent,
+                "held": rest.peak,
+                "cause": cause.value if cause else None,
+            },
+        )
+    return cause
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import logging
 from typing import Any, NamedTuple
 
@@ -14,6 +15,8 @@
 from plumsaddle_core.ops.attempt import NOT_SENT
 
 from .clock import now
+from .downloads import when_received
+from .send_timing import SendTiming
 from .sender import SendResult
 
 log = logging.getLogger("relay")
@@ -85,19 +88,23 @@
     async def run(self, choice):
         """Send to the target of a `Choice` and return the `CompletedSend`."""
         target = choice.candidate.target
-        started_at = now()
         sent = SendResult(SendOutcome.ABANDONED)
         overdue_timer = asyncio.get_running_loop().call_later(
             slow_threshold(OVERDUE_FACTOR, choice), self._note_overdue, choice
         )
+        loop_time = asyncio.get_running_loop().time
+        timing = SendTiming(self._request.route.kind, overdue_timer, loop_time)
         try:
-            sent = await self._sender.send(self._request, target, self._suspect_check)
+            sent = await self._sender.send(
+                self._request, target, self._suspect_check, timing.note_head
+            )
         finally:
-            fate, seconds = sent.outcome, now() - started_at
+            timing.stop()
+            fate, seconds = sent.outcome, timing.seconds
             self.is_body_consumed = self.is_body_consumed or sent.is_body_consumed
-            is_overdue = overdue_timer.when() <= asyncio.get_running_loop().time()
-            overdue_timer.cancel()
-            self._knowledge.note_send_end(target)
+            when_received(
+                sent.reply, functools.partial(self._knowledge.note_send_end, target)
+            )
             if fate in NOT_SENT:
                 self._attempt.undo_send(target.id)
                 self._knowledge.limits.release(target)
@@ -111,7 +118,7 @@
                 Feature.SERVICE_TIMES in self._knowledge.settings.disabled_features
             )
             service_time = seconds if includes_queueing else seconds / choice.slowdown
-            if not is_overdue:
+            if not timing.is_overdue:
                 self._knowledge.note_outcome(
                     target, self._request.route, fate, service_time
                 )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -11,14 +11,17 @@
 from plumsaddle_core.core.traffic import Reply, SendOutcome
 
 from .clock import now
+from .downloads import DownloadRest
 from .outgoing import frame_body, make_head
 from .target_connection import ConnectFailure
-from .verdict import ReplyRest, classify, classify_head
+from .verdict import ReplyRest, classify, classify_head, outcome_of_head
 
 log = logging.getLogger("relay")
 # Responses up to this many bytes are buffered, so that the request can be retried if
 # the response is incomplete. Longer responses are streamed.
 MAX_BUFFERED_BODY = 65536
+# Complete large responses up to this many bytes are returned as a whole.
+MAX_WHOLE_DOWNLOAD = 16384
 # Maximum idle seconds of a pooled connection, for orders and uploads and for idempotent
 # requests. The target may close an idle connection while a request is being sent, and
 # an order lost this way cannot be retried.
@@ -73,7 +76,11 @@
         """Return whether there is a pooled connection that a request may use."""
         return self._pool.has_idle(incarnation, _max_idle(request))
 
-    async def send(self, request, target, suspect_check):
+    def may_send_twice(self, request):
+        """Return whether a request may be sent again while its first send runs."""
+        return self._knowledge.downloads.may_send_twice(request)
+
+    async def send(self, request, target, suspect_check, on_head=lambda: None):
         """
         Get a connection, send a request, and wait for the response or its first part.
 
@@ -81,6 +88,7 @@
           request: The `ProxyRequest`.
           target: The `Target`.
           suspect_check: The request's `SuspectCheck`.
+          on_head: Called when the status and all headers have arrived.
         Returns:
           A `SendResult`.
         """
@@ -104,17 +112,25 @@
             self._pool.release_unused(target.incarnation, connection)
             return SendResult(SendOutcome.UNSENT, None, info)
         outcome, reply = await self._exchange(
-            request, target, connection, suspect_check
+            request, target, connection, suspect_check, on_head
         )
         return SendResult(outcome, reply, info, request.rest is not None)
 
-    async def _exchange(self, request, target, connection, suspect_check):
+    async def _exchange(self, request, target, connection, suspect_check, on_head):
         """Send on a connection and return the outcome and the `Reply` or None."""
         sent_at = now()
+        downloads = self._knowledge.downloads
+        buffer = downloads.open_buffer(request, connection)
+
+        def handle_head(head):
+            on_head()
+            self._knowledge.notices.note_head(target, head, sent_at)
+
         exchange = connection.start_exchange(
             make_head(request, target, request.deadline - sent_at),
             request.id,
-            lambda head: self._knowledge.notices.note_head(target, head, sent_at),
+            handle_head,
+            buffer,
         )
         outcome = None
         is_streaming = False
@@ -123,6 +139,14 @@
                 sending = asyncio.ensure_future(_send_body(connection, request))
                 await exchange.wait_for_body(MAX_BUFFERED_BODY)
                 sending.cancel()
+            elif buffer is not None:
+                await downloads.receive(request, exchange, MAX_BUFFERED_BODY)
+                if _is_large_success(exchange):
+                    is_streaming = True
+                    outcome = SendOutcome.SUCCEEDED
+                    return outcome, self._download_reply(
+                        request, target, connection, exchange
+                    )
             else:
                 await exchange.wait_for_body(MAX_BUFFERED_BODY)
             if exchange.outcome is None and exchange.has_head:
@@ -138,6 +162,26 @@
             suspect_check.note_outcome(target, exchange, outcome)
             if not is_streaming:
                 self._pool.release(target.incarnation, connection)
+                if buffer is not None:
+                    buffer.close()
+
+    def _download_reply(self, request, target, connection, exchange):
+        """Return the `Reply` that forwards a large response."""
+        rest = DownloadRest(
+            exchange,
+            self._knowledge.downloads,
+            request.deadline,
+            lambda: self._pool.release(target.incarnation, connection),
+        )
+        return Reply(exchange.status, exchange.headers, b"", rest)
+
+
+def _is_large_success(exchange):
+    """Return whether a response is forwarded as it is, or was received, in parts."""
+    if exchange.outcome not in (None, SendOutcome.SUCCEEDED):
+        return False
+    is_short = exchange.outcome is not None and len(exchange.body) <= MAX_WHOLE_DOWNLOAD
+    return not is_short and outcome_of_head(exchange) is SendOutcome.SUCCEEDED
 
 
 def _max_idle(request):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -26,6 +26,8 @@
 
 # Unread body bytes beyond which reading from the connection is paused.
 MAX_READ_AHEAD = 65536
+# Bytes that are read from a connection at once.
+READ_SIZE = 65536
 # Seconds for which an idle connection is reused if the target sends no `Keep-Alive`
 # timeout.
 DEFAULT_IDLE_TIMEOUT = 3.0
@@ -34,6 +36,10 @@
 IDLE_TIMEOUT_MARGIN = 1.0
 
 
+# Received bytes are parsed at once, so that all connections share the memory.
+_received = memoryview(bytearray(READ_SIZE))
+
+
 class ConnectFailure(enum.Enum):
     """
     Why no connection to a target could be opened.
@@ -52,17 +58,25 @@
 
     `body` holds the bytes that were received and not yet consumed. `outcome` is None
     until the response is complete (`SendOutcome.SUCCEEDED`) or has failed. `on_head` is
-    called with the `Exchange` once the status and all headers have arrived.
+    called with the `Exchange` once the status and all headers have arrived, `on_end`
+    soon after the outcome is set.
+
+    `buffer` is a `ResponseBuffer` whose room bounds what is read ahead. Without one,
+    the bound is `MAX_READ_AHEAD`.
     """
 
-    def __init__(self, request_id, on_head=None):
+    def __init__(self, request_id, on_head=None, buffer=None):
         self.request_id = request_id
         self.status = 0
         self.headers = []
         self.notices = TargetNotices()
         self._on_head = on_head
-        self.body = bytearray()
+        self.body = bytearray() if buffer is None else buffer
+        self.has_buffer = buffer is not None
+        # When the latest bytes arrived; only for an exchange with a buffer.
+        self.received_at = 0.0
         self.outcome = None
+        self.on_end = None
         self._waiter = None
 
     @property
@@ -70,6 +84,23 @@
         """Whether the status and all headers have arrived."""
         return self.status != 0
 
+    @property
+    def read_size(self):
+        """How many bytes may be read at once."""
+        return (
+            max(1, min(READ_SIZE, self.body.room())) if self.has_buffer else READ_SIZE
+        )
+
+    def may_read_on(self):
+        """Return whether to go on reading; otherwise the buffer reports its room."""
+        if not self.has_buffer:
+            return len(self.body) <= MAX_READ_AHEAD
+        self.received_at = now()
+        if self.body.has_room:
+            return True
+        self.body.wait_for_room()
+        return False
+
     def report_head(self):
         """Call `on_head` if the head has arrived and was not reported yet."""
         if self.has_head and self._on_head is not None:
@@ -86,6 +117,8 @@
         if self.outcome is None:
             self.outcome = outcome
             self.wake()
+            if self.on_end is not None:
+                asyncio.get_running_loop().call_soon(self.on_end)
 
     async def wait(self):
         """Wait until more data has arrived or the exchange has ended."""
@@ -101,7 +134,7 @@
             await self.wait()
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.BufferedProtocol):
     """
     A connection to one target.
 
@@ -137,7 +170,7 @@
         is_fresh = at - self.last_used_at < min(self.idle_timeout, max_idle)
         return not (self.is_closed or self._must_close) and is_fresh
 
-    def start_exchange(self, head, request_id, on_head=None):
+    def start_exchange(self, head, request_id, on_head=None, buffer=None):
         """
         Send a request's head, along with its body if that was read completely.
 
@@ -145,11 +178,12 @@
           head: The bytes to send.
           request_id: The id that the response must echo, as bytes.
           on_head: As for `Exchange`.
+          buffer: As for `Exchange`.
         Returns:
           The `Exchange`.
         """
         assert self.exchange is None, "a connection carries one request at a time"
-        self.exchange = Exchange(request_id, on_head)
+        self.exchange = Exchange(request_id, on_head, buffer)
         self.transport.write(head)
         return self.exchange
 
@@ -211,6 +245,13 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
+    def get_buffer(self, sizehint):
+        size = READ_SIZE if self.exchange is None else self.exchange.read_size
+        return _received[:size]
+
+    def buffer_updated(self, nbytes):
+        self.data_received(_received[:nbytes])
+
     def data_received(self, data):
         if self.exchange is None:
             # Data without a request must not become part of the next response.
@@ -225,7 +266,7 @@
             exchange.finish(SendOutcome.BROKEN)
             return
         exchange.report_head()
-        if len(exchange.body) > MAX_READ_AHEAD and exchange.outcome is None:
+        if exchange.outcome is None and not exchange.may_read_on():
             self.transport.pause_reading()
         exchange.wake()
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -40,6 +40,21 @@
     return SendOutcome.SUCCEEDED
 
 
+def response_length(headers):
+    """Return the length of a response that its headers state, or None."""
+    for name, value in headers:
+        if name.lower() == b"content-length" and value.isdigit():
+            return int(value)
+    return None
+
+
+def reply_length(reply):
+    """Return the number of bytes of a reply's body as far as it is known."""
+    if reply.rest is None:
+        return len(reply.body)
+    return response_length(reply.headers) or len(reply.body)
+
+
 class ReplyRest:
     """
     The rest of a long response, which is streamed.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -10,11 +10,20 @@
 from returns.result import Failure, Success
 
 from plumsaddle_core.core.features import Feature
-from plumsaddle_core.core.traffic import Bounds, HostSettings, SchedulingMode
+from plumsaddle_core.core.traffic import (
+    DEFAULT_BUFFERED_BYTES,
+    Bounds,
+    HostSettings,
+    SchedulingMode,
+)
 
 from ..utils.addresses import is_address
 
 BYTES_PER_MEGABIT = 125_000.0
+BYTES_PER_MEGABYTE = 1_000_000
+# The fraction of a host's memory limit that responses for slow callers may take. The
+# process itself, bodies of uploads and buffers of the kernel need the rest.
+BUFFERED_MEMORY_DIVISOR = 4
 # Fields of `[bounds]` in the file, each with its field of `Bounds` and the divisor that
 # converts it to that field's unit.
 BOUNDS = {
@@ -80,6 +89,9 @@
         _check_link_rate(fields.get("link_mbps"), errors),
         _check_experiments(fields.get("experiments", {}), errors),
         _check_scheduling(fields.get("scheduling", "auto"), errors),
+        _check_buffered_bytes(
+            fields.get("callers", {}), fields.get("memory_mb"), errors
+        ),
     )
     return Failure(errors) if errors else Success(settings)
 
@@ -94,6 +106,24 @@
     return value * BYTES_PER_MEGABIT
 
 
+def _check_buffered_bytes(callers, memory, errors):
+    """Return the bytes that a host holds for slow callers."""
+    if not isinstance(callers, dict):
+        errors.append("callers: expected a table")
+        return DEFAULT_BUFFERED_BYTES
+    values = {"callers.buffered_mb": callers.get("buffered_mb"), "memory_mb": memory}
+    for name, value in values.items():
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if value is not None and (not is_number or value < 1):
+            errors.append(f"{name}: expected a number of at least 1, not {value!r}")
+            return DEFAULT_BUFFERED_BYTES
+    if callers.get("buffered_mb") is not None:
+        return int(callers["buffered_mb"] * BYTES_PER_MEGABYTE)
+    if memory is None:
+        return DEFAULT_BUFFERED_BYTES
+    return int(memory * BYTES_PER_MEGABYTE) // BUFFERED_MEMORY_DIVISOR
+
+
 def _check_experiments(table, errors):
     """Return the features that a table disables."""
     disabled = table.get("off", []) if isinstance(table, dict) else None
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/transfers/__init__.py
@@ -0,0 +1,1 @@
+"""Large responses on their way from targets to callers."""
--- a/packages/plumsaddle-standins/plumsaddle_standins/trial.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -27,6 +27,7 @@
     "/act/": ("unsafe", "act"),
     "/up/": ("upload", "up"),
 }
+DOWNLOADS = {"/file/": ("download", "file")}
 
 
 def free_port():
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -49,6 +49,10 @@
 # Requests that a stand-in works on at once.
 SLOTS = 4
 FOR_EVER = 3600.0
+# Seconds after which a long answer is cut that nobody reads.
+UNREAD_LIMIT = 2.0
+# Bytes that the kernel takes of an answer that nobody reads.
+SEND_BUFFER = 131072
 # Seconds for which a request runs that ends its target.
 CRASH_AFTER = 0.02
 LONG_MODES = {Mode.LONG, Mode.LONG_UNSIGNED, Mode.LONG_CUT}
@@ -112,6 +116,9 @@
         self._slots = asyncio.Semaphore(SLOTS)
         self.mode = Mode.GOOD
         self.idle_limit = 5
+        # Requests that hold a slot, and long answers that were cut since unread.
+        self.busy = 0
+        self.unread = 0
         # The start of this incarnation as a Unix time in milliseconds.
         self.born = 1796256000000
         # The text of `Server-Limit` in each answer, None for no such header.
@@ -171,6 +178,9 @@
     async def _serve(self, reader, writer):
         self.connections += 1
         self._writers.add(writer)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        writer.transport.set_write_buffer_limits(high=0)
         try:
             while await self._serve_one(reader, writer):
                 pass
@@ -233,10 +243,28 @@
             return await self._take_time(request_id, reader, FOR_EVER)
         # As many requests as it has slots are worked on at once; the others wait.
         async with self._slots:
-            if not await self._take_time(request_id, reader, self.work):
-                return False
-        self.done[request_id] += 1
-        return await self._reply(request_id, writer, mode)
+            self.busy += 1
+            try:
+                if not await self._take_time(request_id, reader, self.work):
+                    return False
+                self.done[request_id] += 1
+                goes_on = await self._reply(request_id, writer, mode)
+                if mode in LONG_MODES:
+                    goes_on = await self._wait_until_read(writer) and goes_on
+                return goes_on
+            finally:
+                self.busy -= 1
+
+    async def _wait_until_read(self, writer):
+        """Keep the slot until an answer was read, and return whether it was in time."""
+        try:
+            async with asyncio.timeout(UNREAD_LIMIT):
+                await writer.drain()
+                return True
+        except TimeoutError:
+            self.unread += 1
+            _reset(writer)
+            return False
 
     async def _reject(self, request_id, writer):
         """Reject a request, and return whether the connection goes on."""
