Receive large responses on our own interface within the same byte budget

A try ended, and its slot was free, only when the caller had read the whole response. Now a task receives it as the budget has room (settings callers.buffered_mb) and ends the try; a caller that takes nothing for callers.stall_timeout is cut.

--- a/packages/plumsaddle-core/plumsaddle_core/core/data.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/data.py
@@ -197,6 +197,18 @@
     json: bool = False
 
 
+class Callers(NamedTuple):
+    """
+    Bounds on what a host does for slow callers of large responses.
+
+    `buffered_mb` is the most megabytes that it holds for all of them. One that takes
+    nothing for `stall_timeout` seconds is cut.
+    """
+
+    buffered_mb: Annotated[float, Field(ge=1, le=100000)] = 50.0
+    stall_timeout: Seconds = 10.0
+
+
 class Settings(NamedTuple):
     """The content of a host's settings file."""
 
@@ -207,6 +219,7 @@
     peers: Peers
     logs: Logs = Logs()
     leave_wait: Annotated[float, Field(ge=0, le=3600)] = 5.0
+    callers: Callers = Callers()
 
 
 class Refusal(NamedTuple):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
@@ -63,6 +63,8 @@
 
 CONNECT_TIMEOUT = 1.0
 CHUNK = 65536
+# Whole large answers up to this many bytes are passed on as others are.
+WHOLE_DOWNLOAD_MOST = 16384
 BODILESS = {204, 304}
 
 
@@ -111,7 +113,7 @@
         self._scope.reschedule(loop.time() + self._seconds)
 
 
-async def send(session, address, outgoing, service, progress):
+async def send(session, address, outgoing, service, progress, buffer=None):
     """
     Send a request to a target and read its answer up to the buffer's bound.
 
@@ -121,6 +123,8 @@
       outgoing: The `Outgoing` request.
       service: The `Service`, for its bounds.
       progress: A `Progress`; the body's iterator moves it too.
+      buffer: A `ResponseBuffer` for the body of a large response. It keeps the body of
+        an answer whose `body` is empty.
     Returns:
       A `Success` of an `Answer`, or a `Failure` of a `FailedTry`.
     """
@@ -132,7 +136,9 @@
             progress.attach(scope)
             if outgoing.deadline is None:
                 progress.move()
-            return await _exchange(session, address, outgoing, service, progress)
+            return await _exchange(
+                session, address, outgoing, service, progress, buffer
+            )
     except TimeoutError:
         return Failure(_timeout_trouble(outgoing, scope, progress))
 
@@ -148,7 +154,7 @@
     return FailedTry(FailureKind.DEADLINE, "the deadline passed")
 
 
-async def _exchange(session, address, outgoing, service, progress):
+async def _exchange(session, address, outgoing, service, progress, buffer):
     """Run the try inside its time bounds."""
     url = URL(f"http://{address}{outgoing.path}", encoded=True)
     try:
@@ -167,32 +173,49 @@
         return Failure(FailedTry(kind, _word(exc)))
     progress.move()
     try:
-        return await _read(resp, outgoing, service, progress)
+        return await _read(resp, outgoing, service, progress, buffer)
     except BaseException:
         resp.close()
         raise
 
 
-async def _read(resp, outgoing, service, progress):
+async def _read(resp, outgoing, service, progress, buffer):
     """Read an answer whole if it fits the buffer, else hand on its rest."""
     if _is_unframed(resp, outgoing.method) and not service.close_delimited:
         resp.close()
         detail = "the answer has neither a length nor chunks"
         return Failure(FailedTry(FailureKind.UNFRAMED, detail))
-    body = bytearray()
+    body = bytearray() if buffer is None else buffer
     while True:
+        size = CHUNK if buffer is None else max(1, min(CHUNK, buffer.room()))
         try:
-            chunk = await resp.content.read(CHUNK)
+            chunk = await resp.content.read(size)
         except (aiohttp.ClientError, OSError) as exc:
             resp.close()
             return Failure(FailedTry(FailureKind.BROKEN, _word(exc)))
         if not chunk:
             resp.close()
-            return Success(Answer(resp.status, resp.headers, bytes(body)))
+            return Success(Answer(resp.status, resp.headers, _take_whole(body)))
         progress.move()
         body += chunk
-        if len(body) > service.buffer_bytes:
-            return Success(Answer(resp.status, resp.headers, bytes(body), resp))
+        if len(body) > service.buffer_bytes or _is_full(buffer):
+            kept = bytes(body) if buffer is None else b""
+            return Success(Answer(resp.status, resp.headers, kept, resp))
+
+
+def _is_full(buffer):
+    return buffer is not None and not buffer.has_room
+
+
+def _take_whole(body):
+    """Return a whole body, unless it stays in its buffer."""
+    if isinstance(body, bytearray):
+        return bytes(body)
+    whole = b""
+    if len(body) <= WHOLE_DOWNLOAD_MOST:
+        whole = bytes(body)
+        body.clear()
+    return whole
 
 
 def _is_unframed(resp, method):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
@@ -12,9 +12,10 @@
 import aiohttp
 from returns.result import Failure, Success
 
-from plumsaddle_core.core.data import FailureKind
+from plumsaddle_core.core.data import FailureKind, RequestKind
 
 from ..front.headers import LEAVING_STATES, TARGET_STATE
+from .downloads import AwaitedBuffer, Download
 from .sender import CHUNK, FailedTry, Progress, send
 
 log = logging.getLogger("tries")
@@ -29,11 +30,11 @@
     running: Any
     stall: float
 
-    async def read(self):
+    async def read(self, most=CHUNK):
         """Return the next bytes; `Failure` of a `FailedTry` if it broke off."""
         try:
             async with asyncio.timeout(self.stall):
-                return Success(await self.resp.content.read(CHUNK))
+                return Success(await self.resp.content.read(most))
         except TimeoutError:
             return Failure(FailedTry(FailureKind.STALLED, "no progress"))
         except (aiohttp.ClientError, OSError) as exc:
@@ -64,11 +65,14 @@
     service = state.service
     running = state.start_try(member, kind, loop.time())
     progress = progress or Progress(service.stall_timeout)
+    buffer = AwaitedBuffer(host.budget) if kind is RequestKind.DOWNLOAD else None
     try:
         result = await send(
-            host.session, member.target.address, outgoing, service, progress
+            host.session, member.target.address, outgoing, service, progress, buffer
         )
     except BaseException:
+        if buffer is not None:
+            buffer.close()
         # The caller went away; that says nothing about the target.
         state.end_try(running, FailureKind.CALLER, loop.time())
         raise
@@ -78,8 +82,20 @@
     if isinstance(result, Success) and result.unwrap().rest is not None:
         answer = result.unwrap()
         rest = Streaming(answer.rest, state, running, service.stall_timeout)
-        return Success(answer._replace(rest=rest))
-    return result
+        result = Success(answer._replace(rest=rest))
+    return result if buffer is None else _pass_on(result, buffer)
+
+
+def _pass_on(result, buffer):
+    """Return a result whose body, if it is in a buffer, is read as a `Download`."""
+    if isinstance(result, Failure):
+        buffer.close()
+        return result
+    answer = result.unwrap()
+    if answer.rest is None and not buffer:
+        buffer.close()
+        return result
+    return Success(answer._replace(rest=Download(buffer, answer.rest)))
 
 
 def _note_state(host, target, result):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -22,6 +22,7 @@
 from plumsaddle_core.ops.routing import build_routes
 from plumsaddle_core.ops.versions import new_version_fold
 from plumsaddle_core.parser.configuration import check_configuration
+from plumsaddle_core.transfers.byte_budget import ByteBudget
 from plumsaddle_core.utils.timers import Timers
 
 from ..back.sender import make_session
@@ -38,6 +39,7 @@
 
 log = logging.getLogger("host")
 CONFIG_STREAM = "config"
+BYTES_PER_MEGABYTE = 1_000_000
 REVIEW_EVERY = 0.25
 WATCH_EVERY = 0.1
 KEEP_EVERY = 0.02
@@ -76,6 +78,7 @@
         self.rng = random.Random(uuid.uuid4().int)
         self.metrics = Metrics(settings.id)
         self.session = make_session()
+        self.budget = ByteBudget(int(settings.callers.buffered_mb * BYTES_PER_MEGABYTE))
         self.timers = Timers(loop.time, self.rng)
         self.applied = None
         self.unusable = None
@@ -327,6 +330,7 @@
             )
             self._note_changes(state, changes)
         self.metrics.in_flight.set({}, self.in_flight)
+        self.metrics.held_bytes.set({}, self.budget.held)
 
     def _note_changes(self, state, changes):
         for change in changes:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/metrics.py
@@ -35,6 +35,9 @@
         self.aborted = make(Counter, "aborted_total", "Answers broken off by reason.")
         self.version = make(Gauge, "version", "The version in force.")
         self.in_flight = make(Gauge, "in_flight", "Requests in flight.")
+        self.held_bytes = make(
+            Gauge, "held_bytes", "Bytes of large answers that wait for callers."
+        )
         self.seconds = make(
             Histogram, "seconds", "Seconds to the whole answer.", buckets=BUCKETS
         )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -8,9 +8,9 @@
 import asyncio
 import enum
 import logging
-import socket
 
 from ..platform import wire
+from ..transfers.caller_writes import counted_writes, write_chunk
 from .clock import now
 from .downloads import DownloadRest
 
@@ -74,26 +74,20 @@
     transport = request.transport
     if transport is None:
         return CutCause.CALLER
-    # Each chunk is counted until the kernel has taken it, which holds little.
-    transport.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_SNDBUF, rest.send_buffer_size
-    )
-    transport.set_write_buffer_limits(high=0)
     cause = CutCause.CALLER
     try:
-        async with asyncio.timeout(rest.deadline - now()):
-            await response.prepare(request)
-            while part := await rest.read():
-                await response.write(part)
-                await request.writer.drain()
-                rest.note_sent(len(part))
-            cause = CutCause.TARGET if part is None else None
+        with counted_writes(transport, rest.send_buffer_size):
+            async with asyncio.timeout(rest.deadline - now()):
+                await response.prepare(request)
+                while part := await rest.read():
+                    await write_chunk(request, response, part)
+                    rest.note_sent(len(part))
+        cause = CutCause.TARGET if part is None else None
     except TimeoutError:
         cause = CutCause.DEADLINE
     except ConnectionError:
         cause = CutCause.CALLER
     finally:
-        transport.set_write_buffer_limits()
         log.info(
             "download",
             extra={
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
@@ -15,11 +15,15 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
-from plumsaddle_core.core.data import Outcome, RequestKind
+from plumsaddle_core.core.data import FailureKind, Outcome, RequestKind
 from plumsaddle_core.core.reasons import Reason, refuse
 from plumsaddle_core.ops.claims import Replay
 from plumsaddle_core.ops.routing import find_route
+from plumsaddle_core.transfers.link_share import MAX_SEND_BUFFER
 
+from ..back.downloads import Download
+from ..back.sender import FailedTry
+from ..transfers.caller_writes import counted_writes, write_chunk
 from .answers import make_problem
 from .headers import OUTCOME, REPLAYED, TIMEOUT, pass_headers
 from .orders import run_order
@@ -184,17 +188,9 @@
     if host.is_stopping:
         resp.force_close()
     trouble = None
+    write = _write_download if isinstance(answer.rest, Download) else _write_parts
     try:
-        await resp.prepare(incoming)
-        await resp.write(answer.body)
-        while True:
-            part = await answer.rest.read()
-            if isinstance(part, Failure):
-                trouble = part.failure()
-                break
-            if not part.unwrap():
-                break
-            await resp.write(part.unwrap())
+        trouble = await write(host, incoming, resp, answer)
     finally:
         answer.rest.close(trouble.kind if trouble else None)
     if trouble is None:
@@ -205,3 +201,41 @@
     if incoming.transport is not None:
         incoming.transport.abort()
     return resp
+
+
+async def _write_parts(host, incoming, resp, answer):
+    """Write an answer as it comes, and return the `FailedTry` that cut it, or None."""
+    await resp.prepare(incoming)
+    await resp.write(answer.body)
+    while True:
+        part = await answer.rest.read()
+        if isinstance(part, Failure):
+            return part.failure()
+        if not part.unwrap():
+            return None
+        await resp.write(part.unwrap())
+
+
+async def _write_download(host, incoming, resp, answer):
+    """
+    Write a large answer as `_write_parts` does.
+
+    A caller that takes nothing for too long is cut, since the host holds its bytes.
+    """
+    stalled = FailedTry(FailureKind.CALLER, "the caller stopped reading")
+    if incoming.transport is None:
+        return stalled
+    with counted_writes(incoming.transport, MAX_SEND_BUFFER):
+        await resp.prepare(incoming)
+        while True:
+            part = await answer.rest.read()
+            if isinstance(part, Failure):
+                return part.failure()
+            if not part.unwrap():
+                return None
+            try:
+                async with asyncio.timeout(host.settings.callers.stall_timeout):
+                    await write_chunk(incoming, resp, part.unwrap())
+            except TimeoutError:
+                return stalled
+            answer.rest.note_sent(len(part.unwrap()))
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
@@ -95,6 +95,13 @@
 methods = ["GET"]
 deadline = 10.0
 
+[[route]]
+prefix = "/file"
+service = "look"
+kind = "download"
+methods = ["GET"]
+deadline = 10.0
+
 [[route]]
 prefix = "/act"
 service = "act"
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
@@ -273,6 +273,37 @@
             fleet.control(target, mode="good")
 
 
+def test_downloads_are_whole_or_cut_and_free_their_slots(fleet):
+    """Guards against cut downloads that look whole, and slots kept by slow readers."""
+    entry = fleet.entries[0]
+    reply = ask(entry, "GET", "/file/x?padding=900000")
+    assert len(json.loads(reply.body)["padding"]) == 900000
+    ip, port = entry.callers.removeprefix("http://").split(":")
+    with socket.socket() as stalled:
+        stalled.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        stalled.connect((ip, int(port)))
+        stalled.sendall(b"GET /file/x?padding=9000000 HTTP/1.1\r\nHost: x\r\n\r\n")
+        wait_for(lambda: _held_bytes(entry) > 1_000_000, "the host to hold bytes")
+        assert _held_bytes(entry) < 50_000_000 / 8
+        for target in ("look-1", "look-2", "look-3"):
+            fleet.control(target, mode="half")
+        try:
+            with pytest.raises((http.client.HTTPException, OSError)):
+                ask(entry, "GET", "/file/x?padding=900000")
+        finally:
+            for target in ("look-1", "look-2", "look-3"):
+                fleet.control(target, mode="good")
+    wait_for(lambda: _held_bytes(entry) == 0, "the host to release what it held")
+
+
+def _held_bytes(entry):
+    """Return how many bytes a host holds of large responses."""
+    with urllib.request.urlopen(f"{entry.operators}/metrics", timeout=5.0) as resp:
+        lines = resp.read().decode().splitlines()
+    line = next(line for line in lines if "held_bytes{" in line)
+    return float(line.rsplit(" ", 1)[1])
+
+
 def send_slowly(entry, size, pieces, pause, on_half):
     """Upload with a pause between pieces and return the status and body."""
     ip, port = entry.callers.removeprefix("http://").split(":")
