--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -28,6 +28,7 @@
     position_field,
 )
 from .refusals import Refusal, RefusalCause, http_status
+from .response_stream import write_long
 
 log = logging.getLogger("front")
 # Bodies up to this many bytes are read completely, and the request key includes them.
@@ -301,6 +302,7 @@
             if result.rest is not None:
                 return await self._stream(request, result)
             headers = _forwarded_headers(result.headers)
+            self._knowledge.downloads.note_short_response(len(result.body))
             response = web.Response(
                 status=result.status, body=result.body, headers=headers
             )
@@ -316,37 +318,14 @@
         response = web.StreamResponse(
             status=reply.status, headers=_forwarded_headers(reply.headers)
         )
-        length = dict((k.lower(), v) for k, v in reply.headers).get(b"content-length")
-        if length is not None:
-            response.content_length = int(length)
-        else:
-            response.enable_chunked_encoding()
-        is_whole = False
         try:
             await wait_for_turn(request)
-            if request.protocol.ends_after_turn():
-                response.force_close()
-            await response.prepare(request)
-            await response.write(reply.body)
-            while True:
-                part = await reply.rest.read()
-                if part is None:
-                    break
-                if not part:
-                    is_whole = True
-                    break
-                await response.write(part)
-        finally:
+        except BaseException:
             reply.rest.close()
-        if is_whole:
-            await response.write_eof()
-        else:
-            log.warning(
-                "response incomplete",
-                extra={"request": request.headers.get(wire.REQUEST_ID)},
-            )
-            if request.transport is not None:
-                request.transport.abort()
+            raise
+        if request.protocol.ends_after_turn():
+            response.force_close()
+        await write_long(request, response, reply)
         return response
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -34,6 +34,7 @@
 
 from ..platform import wire
 from .clock import now
+from .downloads import Downloads
 from .limits import RateLimits
 from .notices import NoticeRecorder
 from .target_selection import TargetSelection
@@ -96,6 +97,7 @@
         )
         self.availability = self.shared.availability
         self._response_bytes = {}
+        self.downloads = Downloads(lambda: self.settings, self.typical_response_bytes)
         self.limits = RateLimits(
             settings, self.shared.limits, self.registry, self._notify
         )
