Serve pipelining callers of our own interface as on the platform

The callers' listener of the daemon was an aiohttp application, which worked on the requests of a connection one after the other: six of 0.3 s took 1.83 s. It now uses the same server as the platform's path, with the limits in `[callers]` of the settings. A host that stops answers all requests that it has read; before, it closed a connection after the first response.

--- a/packages/plumsaddle-core/plumsaddle_core/core/data.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/data.py
@@ -197,6 +197,15 @@
     json: bool = False
 
 
+class CallerBounds(NamedTuple):
+    """Limits on pipelined requests; see `PipelineLimits` in `core/traffic.py`."""
+
+    requests_per_connection: Annotated[int, Field(ge=1)] = 8
+    bytes_per_connection: Annotated[int, Field(ge=1)] = 1_048_576
+    requests_per_host: Annotated[int, Field(ge=1)] = 256
+    bytes_per_host: Annotated[int, Field(ge=1)] = 16_777_216
+
+
 class Settings(NamedTuple):
     """The content of a host's settings file."""
 
@@ -207,6 +216,7 @@
     peers: Peers
     logs: Logs = Logs()
     leave_wait: Annotated[float, Field(ge=0, le=3600)] = 5.0
+    callers: CallerBounds = CallerBounds()
 
 
 class Refusal(NamedTuple):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -81,6 +81,8 @@
         self.unusable = None
         self.services = {}
         self.in_flight = 0
+        # Set before the host starts.
+        self.caller_server = None
         self.is_leaving = False
         self.is_stopping = False
         self.is_suspect_itself = False
@@ -327,6 +329,7 @@
             )
             self._note_changes(state, changes)
         self.metrics.in_flight.set({}, self.in_flight)
+        self.metrics.callers.note(self.caller_server)
 
     def _note_changes(self, state, changes):
         for change in changes:
@@ -370,6 +373,11 @@
             return "this host finds bad what others find good"
         return None
 
+    @property
+    def is_serving(self):
+        """Whether a caller's request was read that has no response yet."""
+        return self.in_flight > 0 or self.caller_server.is_serving
+
     async def flush(self, seconds):
         """Wait until the outcomes of all orders are in the log."""
         batchers = [shard.batcher for shard in self.shards]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
@@ -18,9 +18,10 @@
 from grpclib.server import Server
 from returns.result import Failure
 
+from plumsaddle_core.core.traffic import PipelineLimits
 from plumsaddle_core.parser.settings import check_settings
 
-from ..front.server import make_app
+from ..front.server import make_server
 from ..peers.exchange import ExchangeServer
 from ..platform.store import Store, make_session
 from .admin import make_admin
@@ -58,14 +59,13 @@
     return result.unwrap()
 
 
-async def _listen(app, address, **options):
-    """Start an application's listener and return its runner and site."""
+async def _listen(runner, address):
+    """Start a runner's listener and return its site."""
     ip, _, port = address.rpartition(":")
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=NEVER, **options)
     await runner.setup()
     site = web.TCPSite(runner, ip.strip("[]"), int(port), backlog=1024)
     await site.start()
-    return runner, site
+    return site
 
 
 async def run_host(settings):
@@ -85,13 +85,12 @@
         ip, _, port = settings.listen.hosts.rpartition(":")
         peers = Server([ExchangeServer(host, settings.peers.secret)])
         await peers.start(ip.strip("[]"), int(port))
-        admin, _ = await _listen(make_admin(host), settings.listen.operators)
-        callers, site = await _listen(
-            make_app(host),
-            settings.listen.callers,
-            handler_cancellation=True,
-            auto_decompress=False,
-        )
+        admin = web.AppRunner(make_admin(host), access_log=None, shutdown_timeout=NEVER)
+        await _listen(admin, settings.listen.operators)
+        limits = PipelineLimits(**settings.callers._asdict())
+        host.caller_server = make_server(host, limits)
+        callers = web.ServerRunner(host.caller_server, shutdown_timeout=NEVER)
+        site = await _listen(callers, settings.listen.callers)
         host.start()
         log.info("daemon: %s listens on %s.", settings.id, settings.listen.callers)
         await stop.wait()
@@ -112,7 +111,7 @@
     host.is_stopping = True
     await site.stop()
     log.info("daemon: Not listening any more. %d are in flight.", host.in_flight)
-    while host.in_flight or any(s.claims.open_claims() for s in host.shards):
+    while host.is_serving or any(s.claims.open_claims() for s in host.shards):
         await asyncio.sleep(LOOK_EVERY)
     if not await host.flush(FLUSH_FOR):
         log.error("daemon: The log is away. Some outcomes could not be written.")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus import Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
+from ..utils.caller_metrics import CallerMetrics
 from ..utils.series import new_series
 
 BUCKETS = (0.001, 0.0033, 0.01, 0.033, 0.1, 0.33, 1.0, 3.3, 10.0, 33.0)
@@ -35,6 +36,7 @@
         self.aborted = make(Counter, "aborted_total", "Answers broken off by reason.")
         self.version = make(Gauge, "version", "The version in force.")
         self.in_flight = make(Gauge, "in_flight", "Requests in flight.")
+        self.callers = CallerMetrics(make)
         self.seconds = make(
             Histogram, "seconds", "Seconds to the whole answer.", buckets=BUCKETS
         )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -242,7 +242,7 @@
             if cfg is not None:
                 self.metrics.version.set({}, cfg.version)
             self.metrics.in_flight.set({}, self.front.in_flight)
-            self.metrics.note_callers(self._front_server)
+            self.metrics.callers.note(self._front_server)
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
 
     async def _run_peer_updates(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
+from ..utils.caller_metrics import CallerMetrics
 from ..utils.series import new_series
 
 BUCKETS = (0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 5.0)
@@ -32,28 +33,11 @@
         )
         self.version = make(Gauge, "version", "The configuration in force.")
         self.in_flight = make(Gauge, "in_flight", "Requests in flight.")
-        self._callers = make(Gauge, "callers", "Connections of callers.")
-        self._pipelined = make(
-            Gauge, "pipelined", "Requests in flight before their turn."
-        )
-        self._pipelined_total = make(
-            Counter, "pipelined_total", "Requests begun before their turn."
-        )
-        self._waited_total = make(
-            Counter, "pipelined_waited_total", "Requests read behind an order."
-        )
+        self.callers = CallerMetrics(make)
         self.seconds = make(
             Histogram, "seconds", "Seconds to the whole answer.", buckets=BUCKETS
         )
 
-    def note_callers(self, server):
-        """Set the metrics of callers' connections from a `CallerServer`."""
-        pipelines = server.pipelines
-        self._callers.set({}, len(server.connections))
-        self._pipelined.set({}, pipelines.requests)
-        self._pipelined_total.set({}, pipelines.early_count)
-        self._waited_total.set({}, pipelines.waited_count)
-
     def render(self):
         """Return all metrics as text, and its HTTP headers."""
         return render(self._registry, [])
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
@@ -23,6 +23,7 @@
 from .answers import make_problem
 from .headers import OUTCOME, REPLAYED, TIMEOUT, pass_headers
 from .orders import run_order
+from .pipelining import CallerHooks, CallerServer, arrival_of, wait_for_turn
 from .plain import run_idempotent, run_upload
 
 log = logging.getLogger("front")
@@ -35,44 +36,41 @@
 DOT_SEGMENTS = {".", "..", "%2e", "%2e%2e", ".%2e", "%2e."}
 
 
-def make_app(host):
+def make_server(host, limits):
     """
-    Return the application of the callers' listener.
+    Return the server of the callers' listener.
+
+    It never invites a caller to send a body by itself. An upload waits for its target,
+    so that a refusal costs the caller nothing.
 
     Args:
       host: The host's parts.
+      limits: The `PipelineLimits`.
     Returns:
-      An `aiohttp.web.Application` that takes every method and path.
+      A `CallerServer` that takes every method and path.
     """
+    loop = asyncio.get_running_loop()
 
     async def handle(incoming):
         host.in_flight += 1
-        started = asyncio.get_running_loop().time()
+        started = arrival_of(incoming, loop.time())
         try:
-            return await _handle(host, incoming)
+            return await _handle(host, incoming, started)
         finally:
             host.in_flight -= 1
-            host.metrics.seconds.observe(
-                {}, asyncio.get_running_loop().time() - started
-            )
-
-    app = web.Application()
-    app.router.add_route("*", "/{path:.*}", handle, expect_handler=_wait_to_invite)
-    return app
-
+            host.metrics.seconds.observe({}, loop.time() - started)
 
-async def _wait_to_invite(incoming):
-    """
-    Take no body yet.
+    def is_repeatable(message):
+        found = _find(host, message.method, message.path)
+        return isinstance(found, Failure) or found.unwrap()[0].kind.is_idempotent
 
-    The library would invite the caller to send at once. An upload waits for its
-    target, so that a refusal costs the caller nothing.
-    """
+    hooks = CallerHooks(handle, is_repeatable, lambda: host.is_stopping, loop.time)
+    return CallerServer(hooks, limits, access_log=None, auto_decompress=False)
 
 
-async def _handle(host, incoming):
+async def _handle(host, incoming, started):
     """Find the route, run the request, and respond."""
-    found = _find(host, incoming)
+    found = _find(host, incoming.method, incoming.raw_path)
     if isinstance(found, Failure):
         return await _respond(host, incoming, found)
     route, state = found.unwrap()
@@ -81,7 +79,13 @@
     limit = _read_timeout(incoming.headers.get(TIMEOUT), route.deadline)
     if limit is None:
         return await _respond(host, incoming, Failure(refuse(Reason.BAD_DEADLINE)))
-    deadline = asyncio.get_running_loop().time() + limit
+    if not route.kind.is_idempotent:
+        # It is in turn already, unless the configuration has just changed.
+        await wait_for_turn(incoming)
+    deadline = started + limit
+    if incoming.place is not None and asyncio.get_running_loop().time() >= deadline:
+        # Its time has passed while it was behind others.
+        return await _respond(host, incoming, Failure(refuse(Reason.DEADLINE)))
     refusal = _check_expectation(incoming)
     if refusal is not None:
         return await _respond(host, incoming, Failure(refusal))
@@ -91,16 +95,16 @@
     return await _respond(host, incoming, result)
 
 
-def _find(host, incoming):
+def _find(host, method, raw_path):
     """Return a `Success` of the route and its service's state, or a `Failure`."""
     applied = host.applied
     if applied is None:
         return Failure(refuse(Reason.NO_CONFIGURATION))
-    path = incoming.raw_path.partition("?")[0]
+    path = raw_path.partition("?")[0]
     if DOT_SEGMENTS & set(path.lower().split("/")):
         # A target may fold them away and run an order as if it were a look-up.
         return Failure(refuse(Reason.BAD_PATH))
-    found = find_route(applied.routes, incoming.method, path)
+    found = find_route(applied.routes, method, path)
     if isinstance(found, Failure):
         return found
     route = found.unwrap()
@@ -151,8 +155,6 @@
         if answer.rest is not None:
             return await _stream(host, incoming, answer)
         resp = _make_whole(incoming, answer)
-    if host.is_stopping:
-        resp.force_close()
     return resp
 
 
@@ -181,10 +183,11 @@
     resp.headers[OUTCOME] = Outcome.RUN.value
     if "Content-Length" not in resp.headers:
         resp.enable_chunked_encoding()
-    if host.is_stopping:
-        resp.force_close()
     trouble = None
     try:
+        await wait_for_turn(incoming)
+        if incoming.protocol.ends_after_turn():
+            resp.force_close()
         await resp.prepare(incoming)
         await resp.write(answer.body)
         while True:
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
@@ -617,3 +617,78 @@
     keeper.process.terminate()
     assert keeper.process.wait(20) == 0
     replace_entry(fleet, keeper)
+
+
+def pipeline(entry, *requests):
+    """Send requests at once on one connection; yield status and body of each answer."""
+    ip, port = entry.callers.removeprefix("http://").split(":")
+    with socket.create_connection((ip, int(port)), timeout=20) as conn:
+        conn.sendall(b"".join(requests))
+        answers = conn.makefile("rb")
+        for _ in requests:
+            status = int(answers.readline().split()[1])
+            headers = http.client.parse_headers(answers)
+            body = answers.read(int(headers["Content-Length"]))
+            yield Reply(status, headers, json.loads(body))
+
+
+def head(method, path, **headers):
+    """Return the bytes of a request without a body."""
+    headers = {"Host": "a", "Content-Length": "0", **headers}
+    lines = [f"{name.replace('_', '-')}: {text}" for name, text in headers.items()]
+    return "\r\n".join([f"{method} {path} HTTP/1.1", *lines, "\r\n"]).encode()
+
+
+def test_lookups_on_one_connection_run_side_by_side(fleet):
+    """Guards against six requests on one connection taking six times as long as one."""
+    names = ("look-1", "look-2", "look-3")
+    for name in names:
+        fleet.control(name, mean=0.3)
+    try:
+        lookups = [head("GET", f"/look/{n}", X_Request_Id=str(n)) for n in range(6)]
+        started = time.monotonic()
+        replies = list(pipeline(fleet.entries[0], *lookups))
+        assert time.monotonic() - started < 0.6
+    finally:
+        for name in names:
+            fleet.control(name, mean=0.02)
+    assert [reply.status for reply in replies] == [200] * 6
+    assert [reply.body["echo"] for reply in replies] == list("012345")
+
+
+def test_an_order_among_lookups_runs_once_in_its_turn(fleet):
+    """Guards against an order that begins though its answer may not be delivered."""
+    key = make_key(RNG)
+    requests = (
+        head("GET", "/look/0"),
+        head("POST", "/act/x", Idempotency_Key=key),
+        head("GET", "/none/x"),
+        head("GET", "/look/4", Connection="close"),
+    )
+    replies = list(pipeline(fleet.entries[0], *requests))
+    assert [reply.status for reply in replies] == [200, 200, 404, 200]
+    assert replies[3].headers["Connection"] == "close"
+    assert fleet.runs()[key] == 1
+
+
+def test_stop_answers_all_requests_of_a_connection(fleet):
+    """Guards against requests that are read and dropped when their host stops."""
+    entry = fleet.start_host(leave_wait=0.2)
+    fleet.wait_ready(entry)
+    for name in ("look-1", "look-2", "look-3"):
+        fleet.control(name, mean=1.5)
+    try:
+        lookups = [head("GET", f"/look/{number}") for number in range(4)]
+        fut = start(lambda: list(pipeline(entry, *lookups)))
+        status = f"{entry.operators}/status"
+        wait_for(lambda: call(status)["in_flight"] == 4, "4 in flight")
+        entry.process.terminate()
+        replies = fut.result(30)
+    finally:
+        for name in ("look-1", "look-2", "look-3"):
+            fleet.control(name, mean=0.02)
+        fleet.entries.remove(entry)
+    assert [reply.status for reply in replies] == [200] * 4
+    closing = [reply.headers["Connection"] for reply in replies]
+    assert closing == [None, None, None, "close"]
+    assert entry.process.wait(30) == 0
