--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -242,7 +242,7 @@
             if cfg is not None:
                 self.metrics.version.set({}, cfg.version)
             self.metrics.in_flight.set({}, self.front.in_flight)
-            self.metrics.note_callers(self._front_server)
+            self.metrics.callers.note(self._front_server)
             self.metrics.note_downloads(self.knowledge.downloads)
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
+from ..utils.caller_metrics import CallerMetrics
 from ..utils.series import new_series
 
 BUCKETS = (0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 5.0)
@@ -32,16 +33,7 @@
         )
         self.version = make(Gauge, "version", "The configuration in force.")
         self.in_flight = make(Gauge, "in_flight", "Requests in flight.")
-        self._callers = make(Gauge, "callers", "Connections of callers.")
-        self._pipelined = make(
-            Gauge, "pipelined", "Requests in flight before their turn."
-        )
-        self._pipelined_total = make(
-            Counter, "pipelined_total", "Requests begun before their turn."
-        )
-        self._waited_total = make(
-            Counter, "pipelined_waited_total", "Requests read behind an order."
-        )
+        self.callers = CallerMetrics(make)
         self.held_bytes = make(
             Gauge, "held_bytes", "Bytes of large responses that wait for callers."
         )
@@ -55,14 +47,6 @@
             Histogram, "seconds", "Seconds to the whole answer.", buckets=BUCKETS
         )
 
-    def note_callers(self, server):
-        """Set the metrics of callers' connections from a `CallerServer`."""
-        pipelines = server.pipelines
-        self._callers.set({}, len(server.connections))
-        self._pipelined.set({}, pipelines.requests)
-        self._pipelined_total.set({}, pipelines.early_count)
-        self._waited_total.set({}, pipelines.waited_count)
-
     def note_downloads(self, downloads):
         """Set the metrics of a host's `Downloads`."""
         self.held_bytes.set({}, downloads.budget.held)
