--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -110,7 +110,7 @@
                 self._knowledge.limits.release(target)
             else:
                 self._attempt.note_outcome(fate)
-            if fate is SendOutcome.ABANDONED and seconds > slow_threshold(
+            if fate is SendOutcome.ABANDONED and timing.waited > slow_threshold(
                 HEDGE_FACTOR, choice
             ):
                 fate = SendOutcome.TIMED_OUT
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_timing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_timing.py
@@ -1,8 +1,10 @@
 """
 The duration of one send, as it is compared between targets.
 
-The duration of a large response depends on its size and its caller, so for these only
-the time to the first byte counts, and a response that has begun is not overdue.
+The target of a large response keeps its slot until the response is received, so the
+duration ends there. It does not depend on the caller: a response for which there is no
+room goes to its caller at once, and the rest of it is not counted. Whether a send is
+overdue is decided at the first byte, since the rest depends on the size.
 """
 
 from plumsaddle_core.core.traffic import RequestKind
@@ -14,6 +16,9 @@
     """
     The times of one send, which starts now.
 
+    `seconds` is its duration, and `waited` the seconds until the target began to
+    respond, both set by `stop`. `is_overdue` tells whether it began too late.
+
     Args:
       kind: The `RequestKind`.
       overdue_timer: The `TimerHandle` of when the send is overdue.
@@ -21,31 +26,26 @@
     """
 
     def __init__(self, kind, overdue_timer, loop_time):
-        self._ends_at_head = kind is RequestKind.DOWNLOAD
+        self.seconds = 0.0
+        self.waited = None
+        self.is_overdue = False
+        self._is_download = kind is RequestKind.DOWNLOAD
         self._overdue_timer = overdue_timer
         self._loop_time = loop_time
         self._started_at = now()
-        self._seconds = None
-        self._is_overdue = False
 
     def note_head(self):
         """Note that the head of the response has arrived."""
-        if self._ends_at_head:
-            self.stop()
+        if self._is_download:
+            self._note_begun()
 
     def stop(self):
-        """Stop the clock, unless it has stopped, and cancel the timer."""
-        if self._seconds is None:
-            self._seconds = now() - self._started_at
-            self._is_overdue = self._overdue_timer.when() <= self._loop_time()
+        """Note that the send has ended."""
+        self._note_begun()
+        self.seconds = now() - self._started_at
+
+    def _note_begun(self):
+        if self.waited is None:
+            self.waited = now() - self._started_at
+            self.is_overdue = self._overdue_timer.when() <= self._loop_time()
             self._overdue_timer.cancel()
-
-    @property
-    def seconds(self):
-        """The duration."""
-        return self._seconds
-
-    @property
-    def is_overdue(self):
-        """Whether the send was overdue within its duration."""
-        return self._is_overdue
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
@@ -266,3 +266,29 @@
     names = [wire.RATE_LIMIT, wire.DRAINING, wire.RETRY_AFTER, wire.KEEP_ALIVE]
     named = [(names[len(name) % len(names)].encode(), value) for name, value in headers]
     wire.decode_notices(status, headers + named)
+
+
+@pytest.mark.parametrize(
+    ("more", "expected"),
+    [
+        ("", 50_000_000),
+        ("memory_mb = 200", 50_000_000),
+        ("memory_mb = 552.0", 138_000_000),
+        ("memory_mb = 552\n[callers]\nbuffered_mb = 20", 20_000_000),
+        ("memory_mb = 0", None),
+        ("[callers]\nbuffered_mb = true", None),
+        ("callers = 3", None),
+    ],
+)
+def test_the_bound_for_slow_callers_comes_from_the_memory_limit(more, expected):
+    """Guards against hosts that hold more for slow callers than they have."""
+    address = "127.0.0.1:1"
+    text = (
+        f'id = "h"\ndata_centre = "x"\nstore = "{address}"\n{more}\n[listen]\n'
+        + "".join(f'{name} = "{address}"\n' for name in ("callers", "ready", "hosts"))
+    )
+    result = check_host_settings(text)
+    if expected is None:
+        assert isinstance(result, Failure)
+    else:
+        assert result.unwrap().buffered_bytes == expected
