--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 
 from plumsaddle_core.core.traffic import RequestKind, SendOutcome
 from plumsaddle_core.transfers.byte_budget import ByteBudget
@@ -73,7 +74,7 @@
             if exchange.outcome is not None:
                 return
             if outcome_of_head(exchange) is not SendOutcome.SUCCEEDED:
-                await exchange.wait_for_body(max_error_bytes)
+                await _wait_while_room(exchange, max_error_bytes)
                 return
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._hold_time(request, exchange)):
@@ -192,9 +193,12 @@
             callback()
 
 
-async def _wait_while_room(exchange):
-    """Wait until an exchange has ended or its buffer has no room."""
-    while exchange.outcome is None and (exchange.body.has_room or not exchange.body):
+async def _wait_while_room(exchange, max_bytes=math.inf):
+    """Wait until an exchange has ended or there is no room for more of its body."""
+    body = exchange.body
+    while exchange.outcome is None and len(body) <= max_bytes:
+        if body and not body.has_room:
+            return
         await exchange.wait()
 
 
