--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -315,18 +315,17 @@
 
     async def _stream(self, request, reply):
         """Stream a long reply; if it is incomplete, abort the caller's connection."""
-        response = web.StreamResponse(
-            status=reply.status, headers=_forwarded_headers(reply.headers)
-        )
         try:
+            response = web.StreamResponse(
+                status=reply.status, headers=_forwarded_headers(reply.headers)
+            )
             await wait_for_turn(request)
-        except BaseException:
+            if request.protocol.ends_after_turn():
+                response.force_close()
+            await write_long(request, response, reply)
+            return response
+        finally:
             reply.rest.close()
-            raise
-        if request.protocol.ends_after_turn():
-            response.force_close()
-        await write_long(request, response, reply)
-        return response
 
 
 def _parse_time_limit(text, maximum):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
@@ -304,3 +304,29 @@
     cfg = decoder.decode(_version(2, [*range(49), 99]))
     assert len(decoded) == 1
     assert cfg.routes[49].timeout == 1.099
+
+
+@pytest.mark.parametrize(
+    ("more", "expected"),
+    [
+        ("", 50_000_000),
+        ("memory_mb = 200", 50_000_000),
+        ("memory_mb = 552.0", 138_000_000),
+        ("memory_mb = 552\n[callers]\nbuffered_mb = 20", 20_000_000),
+        ("memory_mb = 0", None),
+        ("[callers]\nbuffered_mb = true", None),
+        ("callers = 3", None),
+    ],
+)
+def test_the_bound_for_slow_callers_comes_from_the_memory_limit(more, expected):
+    """Guards against hosts that hold more for slow callers than they have."""
+    address = "127.0.0.1:1"
+    text = (
+        f'id = "h"\ndata_centre = "x"\nstore = "{address}"\n{more}\n[listen]\n'
+        + "".join(f'{name} = "{address}"\n' for name in ("callers", "ready", "hosts"))
+    )
+    result = check_host_settings(text)
+    if expected is None:
+        assert isinstance(result, Failure)
+    else:
+        assert result.unwrap().buffered_bytes == expected
