Weigh failures against delays by what callers get, and let failing targets rest

Where scheduling is on, orders went to targets that were known to fail whenever the sound ones had all slots taken, since a full target lost as much score as a failure probability of 0.2. Scores now compare the expected value to the caller. A failing spell is rarer and longer lasting in the estimate, a failure of a target that answered well counts at most as a doubt, and the second one as a spell. Probes by real requests are sent by repeatable requests where there are any, and by orders only to targets in doubt, rarely.

--- /dev/null
+++ b/packages/plumsaddle-core/plumsaddle_core/health/__init__.py
@@ -0,0 +1,3 @@
+"""
+What hosts learn about targets when requests are scheduled, and how they use it.
+"""
--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -9,12 +9,15 @@
 
 A target that fails within a millisecond is never busy, so balancing by load alone would
 send it most of the requests. Here failures outweigh free slots.
+
+Deployments that schedule their requests use the scores of `health/scoring` instead.
 """
 
 import enum
 from typing import NamedTuple
 
 from ..core.traffic import RequestKind, Target
+from ..health.scoring import pick_among_best, queue_slowdown, score_by_outcome
 
 # Penalties, bonuses and costs are relative to a complete response in time, worth 1.
 # Score lost by a target with all slots taken. It must outweigh the difference between a
@@ -50,6 +53,8 @@
 
     BEST = "best"
     FLOOR_TRIAL = "floor-trial"
+    # Sent to learn whether a suspected or new target is sound.
+    PROBE = "probe"
 
 
 class Candidate(NamedTuple):
@@ -58,7 +63,8 @@
 
     `failure_probability` is that of a send to it. `is_load_known` tells whether
     `in_flight` includes the requests of the target's own data centre. `wait` is the
-    delay in seconds that the target's rate limit imposes on a request.
+    delay in seconds that the target's rate limit imposes on a request. `pace` is the
+    target's duration relative to the typical one.
     """
 
     target: Target
@@ -69,6 +75,7 @@
     has_connection: bool = False
     is_load_known: bool = True
     wait: float = 0.0
+    pace: float = 1.0
 
 
 class RequestProfile(NamedTuple):
@@ -78,6 +85,8 @@
     `typical_duration` is the usual duration of such a request on an idle target,
     without waiting. `objective_left` and `time_left` are what remains of its objective
     and of its time limit. `kilobytes` is the size of the body and the usual response.
+    `are_probes_repeatable` tells whether the service gets requests that may be repeated
+    and can thus show without loss whether a target has recovered.
     """
 
     kind: RequestKind
@@ -85,6 +94,7 @@
     objective_left: float
     time_left: float
     kilobytes: float
+    are_probes_repeatable: bool = False
 
 
 class Choice(NamedTuple):
@@ -92,7 +102,8 @@
     The chosen candidate with its score and expected duration.
 
     `expected_duration` is counted from the send, after any rate limit delay.
-    `slowdown` is its ratio to the duration on an idle, warm target.
+    `slowdown` is its ratio to the duration on an idle, warm target, or while requests
+    are scheduled, on the same target when idle.
     """
 
     candidate: Candidate
@@ -125,6 +136,21 @@
     return best
 
 
+def choose_scheduled(candidates, profile, rng):
+    """
+    Choose the target for a send while requests are scheduled.
+
+    Takes and returns the same as `choose_target`.
+    """
+    choices = []
+    for candidate in candidates:
+        slowdown = queue_slowdown(candidate)
+        expected_duration = profile.typical_duration * candidate.pace * slowdown
+        score = score_by_outcome(candidate, profile, candidate.wait + expected_duration)
+        choices.append(Choice(candidate, score, expected_duration, slowdown))
+    return pick_among_best(choices, rng)
+
+
 def expected_slowdown(candidate):
     """
     Return the factor by which a request takes longer than on an idle, warm target.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/failure_estimator.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/failure_estimator.py
@@ -34,8 +34,6 @@
 MAX_SILENCE_LIKELIHOOD_RATIO = 4.0
 # For the path of the host whose connection attempt got no response.
 UNREACHABLE_LIKELIHOOD_RATIO = 100.0
-SUCCESS_LIKELIHOOD_RATIO = (1.0 - FAILING_FAILURE_RATE) / (1.0 - HEALTHY_FAILURE_RATE)
-FAILURE_LIKELIHOOD_RATIO = FAILING_FAILURE_RATE / HEALTHY_FAILURE_RATE
 MAX_FAILING_PROBABILITY = 0.995
 # Failure rates of requests over a healthy and over a broken path.
 PATH_HEALTHY_FAILURE_RATE = 0.005
@@ -54,18 +52,45 @@
 
     `prior` is the stationary probability of the failing state, `decay_seconds` the time
     constant with which the estimate returns to it. The rates are the fractions of
-    requests that fail in either state.
+    requests that fail in either state. No number of successes brings the estimate below
+    `least`, since spells begin without notice.
     """
 
     prior: float
     decay_seconds: float
     healthy_failure_rate: float
     failing_failure_rate: float
+    least: float = 0.0
+
+    @property
+    def success_ratio(self):
+        """The likelihood ratio of a success: failing to healthy state."""
+        return (1.0 - self.failing_failure_rate) / (1.0 - self.healthy_failure_rate)
+
+    @property
+    def failure_ratio(self):
+        """The likelihood ratio of a failure: failing to healthy state."""
+        return self.failing_failure_rate / self.healthy_failure_rate
 
 
 TARGET_MODEL = FailureModel(
     PRIOR_FAILING, DECAY_SECONDS, HEALTHY_FAILURE_RATE, FAILING_FAILURE_RATE
 )
+# Used while requests are scheduled. A spell is rare, so that one failure of a target
+# that answers well is most likely one of its usual errors and the second one is not. An
+# estimate keeps for longer than a spell mostly lasts, so that it isn't paid for anew.
+SCHEDULING_MEAN_HEALTHY_SECONDS = 200.0
+SCHEDULING_MEAN_FAILING_SECONDS = 12.0
+SCHEDULING_HEALTHY_FAILURE_RATE = 0.015
+SCHEDULING_TARGET_MODEL = FailureModel(
+    SCHEDULING_MEAN_FAILING_SECONDS
+    / (SCHEDULING_MEAN_HEALTHY_SECONDS + SCHEDULING_MEAN_FAILING_SECONDS),
+    1.0
+    / (1.0 / SCHEDULING_MEAN_HEALTHY_SECONDS + 1.0 / SCHEDULING_MEAN_FAILING_SECONDS),
+    SCHEDULING_HEALTHY_FAILURE_RATE,
+    FAILING_FAILURE_RATE,
+    least=0.01,
+)
 PATH_MODEL = FailureModel(
     PATH_PRIOR_BROKEN,
     PATH_MEAN_BROKEN_SECONDS * (1.0 - PATH_PRIOR_BROKEN),
@@ -115,7 +140,8 @@
         """
         failing = self.failing_probability(now)
         odds = failing / (1.0 - failing) * likelihood_ratio
-        self._probability = min(MAX_FAILING_PROBABILITY, odds / (1.0 + odds))
+        probability = max(self._model.least, odds / (1.0 + odds))
+        self._probability = min(MAX_FAILING_PROBABILITY, probability)
         self._updated_at = now
 
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -27,6 +27,9 @@
 UNUSED_TIMEOUT = 1.5
 # Targets whose failing probability is higher get no trials.
 TRIAL_MAX_FAILING_PROBABILITY = 0.6
+# The part of the targets beyond the floor that must be in use for trials to be limited
+# to targets that fail less.
+CAUTIOUS_MARGIN = 0.05
 # Trials that each request of a host allows for while the service is not degraded.
 TRIALS_PER_REQUEST = 1 / 16
 MAX_SAVED_TRIALS = 1.0
@@ -83,7 +86,15 @@
     def __init__(self):
         self._budgets = {}
 
-    def find(self, service, list_targets, shared, floor_share, now):
+    def find(
+        self,
+        service,
+        list_targets,
+        shared,
+        floor_share,
+        now,
+        max_failing=TRIAL_MAX_FAILING_PROBABILITY,
+    ):
         """
         Return the incarnation to which a request has to go as a trial, or None.
 
@@ -95,17 +106,23 @@
           shared: The `SharedState`.
           floor_share: The configured share of the healthy capacity to keep in use.
           now: The current time in seconds.
+          max_failing: Targets whose failing probability is higher get no trials while
+            the service is not degraded and the others suffice for the floor.
         """
         budget = self._budgets.setdefault(service, _TrialBudget())
         budget.note_request()
-        if not budget.has_trial() and not shared.is_degraded(service, now):
+        is_degraded = shared.is_degraded(service, now)
+        if not budget.has_trial() and not is_degraded:
             return None
+        if is_degraded:
+            max_failing = TRIAL_MAX_FAILING_PROBABILITY
         trial = find_trial(
             *list_targets(),
             lambda incarnation: shared.failing_probability(incarnation, now),
             shared.last_used_at,
             floor_share,
             now,
+            max_failing,
         )
         if trial is not None:
             budget.spend()
@@ -113,7 +130,13 @@
 
 
 def find_trial(
-    incarnations, eligible, failing_probability, last_used_at, floor_share, now
+    incarnations,
+    eligible,
+    failing_probability,
+    last_used_at,
+    floor_share,
+    now,
+    max_failing=TRIAL_MAX_FAILING_PROBABILITY,
 ):
     """
     Return the incarnation to try so that enough of the healthy capacity is in use.
@@ -126,6 +149,8 @@
       last_used_at: A function that returns when an incarnation last got a request.
       floor_share: The configured share of the healthy capacity to keep in use.
       now: The current time in seconds.
+      max_failing: Targets whose failing probability is higher get no trials if the
+        others suffice for the floor.
     Returns:
       An incarnation, or None if no trial is needed or possible.
     """
@@ -141,5 +166,8 @@
     candidates = [incarnation for incarnation in unused if incarnation in eligible]
     if not candidates:
         return None
+    used_count = len(incarnations) - len(unused)
+    if used_count < (floor_share + CAUTIOUS_MARGIN) * len(incarnations):
+        max_failing = TRIAL_MAX_FAILING_PROBABILITY
     best = max(candidates, key=healthy.get)
-    return best if healthy[best] >= 1.0 - TRIAL_MAX_FAILING_PROBABILITY else None
+    return best if healthy[best] >= 1.0 - max_failing else None
--- a/packages/plumsaddle-core/plumsaddle_core/ops/target_health.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/target_health.py
@@ -10,11 +10,11 @@
 import math
 
 from .failure_estimator import (
-    FAILURE_LIKELIHOOD_RATIO,
     MAX_SILENCE_LIKELIHOOD_RATIO,
     PATH_MODEL,
     PATH_SUCCESS_LIKELIHOOD_RATIO,
-    SUCCESS_LIKELIHOOD_RATIO,
+    SCHEDULING_TARGET_MODEL,
+    TARGET_MODEL,
     UNREACHABLE_LIKELIHOOD_RATIO,
     FailureEstimator,
     rare_outcome_likelihood_ratio,
@@ -47,6 +47,20 @@
         self._times = times
         self._evidence = evidence
         self._has_path_evidence = has_path_evidence
+        self._model = TARGET_MODEL
+        self._prior = FailureEstimator(self._model)
+
+    def set_scheduling(self, is_scheduling):
+        """
+        Estimate failures for the choice of targets with or without scheduling.
+
+        A change drops all estimates, since they don't compare.
+        """
+        model = SCHEDULING_TARGET_MODEL if is_scheduling else TARGET_MODEL
+        if model is not self._model:
+            self._model = model
+            self._prior = FailureEstimator(model)
+            self.target_estimators = {}
 
     def apply_own(self, outcome, now):
         """Apply the `OutcomeRecord` of one of this host's sends."""
@@ -70,7 +84,7 @@
     def failure_probability(self, incarnation, now):
         """Return the probability that a send from this host to a target fails."""
         target_fails = self.target_estimators.get(
-            incarnation, _PRIOR
+            incarnation, self._prior
         ).failure_probability(now)
         path_fails = self.path_estimators.get(
             incarnation, _PATH_PRIOR
@@ -86,12 +100,15 @@
 
     def failing_probability(self, incarnation, now):
         """Return the probability that a target is in its failing state."""
-        return self.target_estimators.get(incarnation, _PRIOR).failing_probability(now)
+        estimator = self.target_estimators.get(incarnation, self._prior)
+        return estimator.failing_probability(now)
 
     def _estimator(self, incarnation):
         estimator = self.target_estimators.get(incarnation)
         if estimator is None:
-            estimator = self.target_estimators[incarnation] = FailureEstimator()
+            estimator = self.target_estimators[incarnation] = FailureEstimator(
+                self._model
+            )
         return estimator
 
     def apply(self, outcome, now):
@@ -130,7 +147,7 @@
         """Return the likelihood ratio of an outcome: failing to healthy target."""
         if outcome.signal is HealthSignal.SUCCEEDED:
             self._times.note_success(outcome.service, outcome.route, outcome.seconds)
-            return SUCCESS_LIKELIHOOD_RATIO
+            return self._model.success_ratio
         if outcome.signal is HealthSignal.SHED:
             return rare_outcome_likelihood_ratio(self._times.note_shed(outcome.service))
         if outcome.signal is HealthSignal.LATE:
@@ -141,9 +158,8 @@
                 self._times.note_overdue(outcome.service, outcome.route)
             )
         if outcome.signal is HealthSignal.FAILED:
-            return FAILURE_LIKELIHOOD_RATIO
+            return self._model.failure_ratio
         return UNREACHABLE_LIKELIHOOD_RATIO
 
 
-_PRIOR = FailureEstimator()
 _PATH_PRIOR = FailureEstimator(PATH_MODEL)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -153,6 +153,7 @@
             return
         self.cfg = cfg
         self._has_downloads = cfg.has_downloads
+        self.shared.health.set_scheduling(self.is_scheduling)
         self.route_table = build_route_table(cfg.routes)
         self.workspaces_by_key, ambiguous = index_keys(cfg.workspaces)
         for digest in ambiguous:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
@@ -7,8 +7,14 @@
 """
 
 from plumsaddle_core.core.features import Feature
-from plumsaddle_core.ops.choice import Candidate, ChoiceRule, choose_target
-from plumsaddle_core.ops.floor import Trials
+from plumsaddle_core.health.probes import Probes
+from plumsaddle_core.ops.choice import (
+    Candidate,
+    ChoiceRule,
+    choose_scheduled,
+    choose_target,
+)
+from plumsaddle_core.ops.floor import TRIAL_MAX_FAILING_PROBABILITY, Trials
 from plumsaddle_core.ops.subset import (
     MAX_TARGETS_WITHOUT_SUBSET,
     MIN_SUBSET_SCORE,
@@ -17,16 +23,12 @@
     subset_size,
 )
 
-
-def _is_good_enough(choice):
-    """Return whether a choice scores as well as one among all targets likely would."""
-    return choice is not None and choice.score >= MIN_SUBSET_SCORE
-
-
-def _is_final(choice):
-    """Return whether targets for which the request must wait needn't be considered."""
-    is_trial = choice is not None and choice.rule is ChoiceRule.FLOOR_TRIAL
-    return is_trial or _is_good_enough(choice)
+# The same as `MIN_SUBSET_SCORE` while requests are scheduled: lower scores mean that
+# all targets of the subset are full, slow or probably failing.
+MIN_SCHEDULED_SUBSET_SCORE = 0.85
+# Orders are floor trials while requests are scheduled only of targets that most likely
+# don't fail, unless the service is degraded.
+ORDER_TRIAL_MAX_FAILING_PROBABILITY = 0.2
 
 
 class TargetSelection:
@@ -42,6 +44,7 @@
         self._target_orders = {}
         self._rates = {}
         self._trials = Trials()
+        self._probes = Probes(state.rng)
 
     def choose(self, service, profile, excluded, has_connection, at, max_wait=0.0):
         """
@@ -65,7 +68,7 @@
         choice = self._choose_usable(
             service, usable, profile, excluded, has_connection, at
         )
-        if not self._has_restrictions or _is_final(choice):
+        if not self._has_restrictions or self._is_final(choice):
             return choice
         others = self._admissible(service, max_wait, at, may_drain=True)
         if len(others) == len(usable):
@@ -73,6 +76,17 @@
         candidates = [target for target in others if target.id not in excluded]
         return self._choose_among(candidates, profile, has_connection, at)
 
+    def _is_good_enough(self, choice):
+        """Return whether a choice scores as well as one of all targets likely would."""
+        is_scheduling = self._state.is_scheduling
+        least = MIN_SCHEDULED_SUBSET_SCORE if is_scheduling else MIN_SUBSET_SCORE
+        return choice is not None and choice.score >= least
+
+    def _is_final(self, choice):
+        """Return whether targets with a wait needn't be considered."""
+        is_trial = choice is not None and choice.rule is not ChoiceRule.BEST
+        return is_trial or self._is_good_enough(choice)
+
     @property
     def _has_restrictions(self):
         """Whether any target restricts the requests that it takes."""
@@ -110,16 +124,22 @@
             not excluded
             and Feature.FLOOR_TRIALS not in self._state.settings.disabled_features
         )
-        trial = self._find_trial(service, usable, at) if may_send_trial else None
-        if trial is not None:
-            trial_targets = [target for target in usable if target.incarnation == trial]
-            choice = self._choose_among(trial_targets, profile, has_connection, at)
-            return choice._replace(rule=ChoiceRule.FLOOR_TRIAL)
+        kind = profile.kind
+        if self._state.is_scheduling:
+            profile = profile._replace(
+                are_probes_repeatable=self._probes.has_repeatable(service, at)
+            )
+        if may_send_trial:
+            trial, rule = self._find_trial_or_probe(service, kind, usable, at)
+            if trial is not None:
+                targets = [target for target in usable if target.incarnation == trial]
+                choice = self._choose_among(targets, profile, has_connection, at)
+                return choice._replace(rule=rule)
         rate = self._rates.setdefault(service, EventRate()).note_event(at)
         subset = self._subset(service, usable, rate)
         preferred = [target for target in subset if target.id not in excluded]
         choice = self._choose_among(preferred, profile, has_connection, at)
-        if _is_good_enough(choice) or len(subset) == len(usable):
+        if self._is_good_enough(choice) or len(subset) == len(usable):
             return choice
         candidates = [target for target in usable if target.id not in excluded]
         return self._choose_among(candidates, profile, has_connection, at)
@@ -143,9 +163,35 @@
 
     def _choose_among(self, targets, profile, has_connection, at):
         candidates = [self._candidate(target, has_connection, at) for target in targets]
-        return choose_target(candidates, profile, self._state.rng)
+        choose = choose_scheduled if self._state.is_scheduling else choose_target
+        return choose(candidates, profile, self._state.rng)
+
+    def _find_trial_or_probe(self, service, kind, usable, at):
+        """
+        Return the local incarnation that a request has to go to, or None, and why.
+        """
+        if not self._state.is_scheduling:
+            return self._find_trial(service, usable, at), ChoiceRule.FLOOR_TRIAL
+        probe = self._probes.find(
+            service,
+            kind,
+            lambda: sorted(self._trial_incarnations(usable, at)[1]),
+            self._state.shared,
+            at,
+        )
+        if probe is not None:
+            return probe, ChoiceRule.PROBE
+        max_failing = (
+            TRIAL_MAX_FAILING_PROBABILITY
+            if kind.is_idempotent
+            else ORDER_TRIAL_MAX_FAILING_PROBABILITY
+        )
+        trial = self._find_trial(service, usable, at, max_failing)
+        return trial, ChoiceRule.FLOOR_TRIAL
 
-    def _find_trial(self, service, usable, at):
+    def _find_trial(
+        self, service, usable, at, max_failing=TRIAL_MAX_FAILING_PROBABILITY
+    ):
         """Return the local incarnation that needs a trial for the floor, or None."""
         return self._trials.find(
             service,
@@ -153,6 +199,7 @@
             self._state.shared,
             self._state.settings.bounds.floor_share,
             at,
+            max_failing,
         )
 
     def _trial_incarnations(self, usable, at):
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
@@ -96,6 +96,7 @@
         self._spells = {}
         self.waiting = deque()
         self.busy = 0
+        self.pace = 1.0
         self.sent_at = []
 
     def is_failing(self, at):
@@ -187,7 +188,8 @@
             centre, started, load = worker.waiting.popleft()
             worker.busy += 1
             is_whole = not self._fails(worker, at)
-            seconds = self._draw_work() if is_whole else FAIL_SECONDS
+            work = self._draw_work() * worker.pace
+            seconds = work if is_whole else FAIL_SECONDS
             send = (centre, started, load, is_whole)
             self._push(at + seconds, self._end, worker, send)
 
