--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -8,8 +8,8 @@
 time is served by aiohttp's loop alone.
 
 It uses private attributes of `RequestHandler`: `_messages`, `_request_factory`,
-`_request_handler`, `_buffer_paused` and the two methods that pause reading.
-`pipelining_test.py` fails if a release of aiohttp changes them.
+`_request_handler`, `_task_handler`, `_buffer_paused` and the methods that pause and
+resume reading. `pipelining_test.py` fails if a release of aiohttp changes them.
 """
 
 import asyncio
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining_test.py
@@ -8,6 +8,8 @@
 
 import pytest
 from aiohttp import web
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.web_protocol import RequestHandler
 
 from plumsaddle_core.core.traffic import PipelineLimits
 
@@ -134,6 +136,16 @@
     await asyncio.sleep(0.05)
 
 
+def test_aiohttp_has_what_connections_use_of_it():
+    """Guards against a release of aiohttp without the attributes that are private."""
+    attributes = {"_messages", "_request_factory", "_request_handler", "_task_handler"}
+    assert attributes <= set(RequestHandler.__slots__)
+    assert "_buffer_paused" in BaseProtocol.__slots__
+    assert callable(BaseProtocol._pause_reading_for_buffer)
+    assert callable(BaseProtocol._resume_reading_for_buffer)
+    assert callable(RequestHandler._resume_reading_if_drained)
+
+
 @with_service
 async def test_responses_leave_in_the_order_of_their_requests(service):
     """Guards against a response that a caller takes for another request's."""
