Keep workspace limits through herd kills and cuts at a jump of demand

Causes, each found in the quota model: hosts that restart together granted each workspace its burst again; a restarted hub reported sums without what the killed hosts had admitted, and other data centres counted nothing until these had grown again; a restarted host counted again what it had assumed; hosts that are cut off were not reckoned with until 1.6 s later, and took no account of what they had admitted unheard; shares of unreachable hosts were computed against an empty sample once a message had been lost.

The slots of the window are an eighth of a second.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/liveness.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/liveness.py
@@ -42,6 +42,7 @@
     """Another host of the data centre, or another data centre."""
 
     __slots__ = (
+        "counted_since",
         "hosts",
         "incarnation",
         "is_unreachable",
@@ -54,6 +55,9 @@
     def __init__(self, incarnation, hosts, now):
         self.incarnation = incarnation
         self.hosts = hosts
+        # Since when its requests are counted. All requests of a host that has been seen
+        # to restart are new.
+        self.counted_since = -math.inf
         self.last_message_at = now
         # The moving average of the seconds between two messages.
         self.mean_interval = MAX_UNREACHABLE_TIMEOUT / UNREACHABLE_INTERVALS
@@ -84,10 +88,12 @@
 
     def __init__(self):
         self.revision = 0
+        # Since when the requests of sources are counted that report for the first time.
+        self.counted_since = -math.inf
         self.is_isolated = True
         # How long the last source to become unreachable had been silent by then.
         self.detection_delay = MAX_UNREACHABLE_TIMEOUT
-        self._last_message_at = -math.inf
+        self.last_message_at = -math.inf
         self._checked_at = -math.inf
         self._local = {}
         self._remote = {}
@@ -113,7 +119,10 @@
         source = sources.get(name)
         if source is None or source.incarnation != incarnation:
             # The requests admitted by its previous incarnation are already counted.
+            is_restarted = source is not None
             source = sources[name] = Source(incarnation, hosts, now)
+            if not is_restarted:
+                source.counted_since = self.counted_since
             self._mark_reachable(name)
         elif source.is_unreachable:
             source.is_unreachable = False
@@ -127,7 +136,7 @@
 
     def note_any_message(self, now):
         """Note any message, even if only the hub's heartbeat."""
-        self._last_message_at = now
+        self.last_message_at = now
         if self.is_isolated:
             self.is_isolated = False
             for source in self.sources():
@@ -142,7 +151,7 @@
 
     def check(self, now):
         """Detect unreachable sources; return whether this host is isolated."""
-        if not self.is_isolated and now - self._last_message_at > ISOLATION_TIMEOUT:
+        if not self.is_isolated and now - self.last_message_at > ISOLATION_TIMEOUT:
             self.is_isolated = True
             self.revision += 1
         if now - self._checked_at >= CHECK_INTERVAL:
@@ -176,6 +185,10 @@
         """Return all tracked sources."""
         return [*self._local.values(), *self._remote.values()]
 
+    def local_sources(self):
+        """Return the tracked hosts of this data centre."""
+        return self._local.values()
+
     def unreachable(self):
         """Return the unreachable sources; all if this host is isolated."""
         return self.sources() if self.is_isolated else list(self._unreachable.values())
--- a/packages/plumsaddle-core/plumsaddle_core/limits/meter.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/meter.py
@@ -25,15 +25,22 @@
 # covers requests that other hosts have admitted but not yet reported.
 RESERVE_FRACTION = 0.3
 # The fraction of the capacity that is kept unused, to cover the same error.
-MARGIN_FRACTION = 0.04
+MARGIN_FRACTION = 0.0
 # Seconds until other hosts' admitted requests are reported. Those of this time are
 # estimated from the reports of the last REPORTED_WINDOW seconds.
 GOSSIP_DELAY = 0.25
 REPORTED_WINDOW = 0.5
 # Seconds over which the remaining requests are spread.
-ADMISSION_HORIZON = 0.5
+ADMISSION_HORIZON = 0.8
+# The fraction of the tolerated excess that hosts admit after a restart beyond what the
+# worst case leaves.
+RESTART_EXCESS_FRACTION = 0.2
+# Requests count as a burst beyond this fraction of an even use of the capacity.
+EVEN_FRACTION = 0.75
 # The number of slots in which a window is counted.
-WINDOW_SLOTS = 20
+WINDOW_SLOTS = 40
+# The number of the oldest slots from which the rate is taken at which they expire.
+EXPIRING_SLOTS = 2
 
 
 class Tolerance(NamedTuple):
@@ -67,6 +74,23 @@
     return rate * tolerance.window + burst + SLACK_FRACTION * tolerance.slack
 
 
+def worst_burst(rate, burst, tolerance):
+    """
+    Return the burst that is assumed to have been admitted just before a restart.
+
+    Hosts that restart together do not know what was admitted before. In the worst case
+    the whole burst was, so that only the rate remains for a window.
+
+    Args:
+      rate: Requests per second.
+      burst: Requests in addition to the rate.
+      tolerance: The `Tolerance`.
+    """
+    excess = tolerance.overshoot * (rate * tolerance.window + burst) + tolerance.slack
+    unused = SLACK_FRACTION * tolerance.slack - RESTART_EXCESS_FRACTION * excess
+    return max(0.0, burst + unused)
+
+
 class DecayingSum:
     """A sum that decays exponentially with a time constant, in seconds."""
 
@@ -102,6 +126,7 @@
       window: The length of the window, in seconds.
       counted_since: When this host began to count. Before that the rate is assumed to
         have been used up, so that a restart of all hosts does not reset the limits.
+      assumed_burst: The requests beyond the rate that are assumed just before that.
       now: The current time in seconds.
     """
 
@@ -116,24 +141,30 @@
         "rate",
     )
 
-    def __init__(self, rate, capacity, window, counted_since, now):
+    def __init__(self, rate, capacity, window, counted_since, now, assumed_burst=0.0):
         self.rate = rate
         self.capacity = capacity
         self._slot_length = window / WINDOW_SLOTS
         # Admitted requests by slot number, the oldest first.
         self._slots = {}
         self._used = 0.0
-        for number in range(
-            self._slot_number(now) - WINDOW_SLOTS, self._slot_number(counted_since)
-        ):
-            self._slots[number] = rate * self._slot_length
-            self._used += rate * self._slot_length
+        self._assume_used(counted_since, assumed_burst, now)
         seconds = DEMAND_REQUESTS / rate if rate else MAX_DEMAND_WINDOW
         self._demand_window = max(MIN_DEMAND_WINDOW, min(MAX_DEMAND_WINDOW, seconds))
         self._demand = DecayingSum(self._demand_window)
         # Admitted requests that other hosts reported.
         self._reported = DecayingSum(REPORTED_WINDOW)
 
+    def _assume_used(self, counted_since, assumed_burst, now):
+        """Count what may have been admitted before this host began to count."""
+        first = self._slot_number(now) - WINDOW_SLOTS
+        end = self._slot_number(counted_since)
+        for number in range(first, end):
+            self._slots[number] = self.rate * self._slot_length
+        if first < end:
+            self._slots[end - 1] += assumed_burst
+        self._used = sum(self._slots.values())
+
     def _slot_number(self, now):
         return int(now / self._slot_length)
 
@@ -191,26 +222,52 @@
             self._used -= self._slots.pop(number)
         return self.capacity - self._used
 
-    def admission_probability(self, share, demand, now):
+    def spread(self, used, now):
+        """Replace the counts of the window by an even use of a number of requests."""
+        current = self._slot_number(now)
+        self._slots = {
+            number: used / WINDOW_SLOTS
+            for number in range(current - WINDOW_SLOTS + 1, current + 1)
+        }
+        self._used = used
+
+    def admitted_since(self, seconds, now):
+        """Return the requests counted in the last seconds, in whole slots."""
+        first = self._slot_number(now - seconds)
+        return sum(count for number, count in self._slots.items() if number >= first)
+
+    def is_below_reserve(self, now):
+        """Return whether less than the reserve remains, or will in a moment."""
+        return self.remaining(now) < 2.0 * RESERVE_FRACTION * self.capacity
+
+    def burst_since(self, seconds, now):
+        """Return the requests of the last seconds beyond an even use of the limit."""
+        window = self._slot_length * WINDOW_SLOTS
+        even = EVEN_FRACTION * self.capacity * seconds / window
+        return max(0.0, self.admitted_since(seconds, now) - even)
+
+    def admission_probability(self, share, demand, reserved, now):
         """
         Return the probability with which to admit a request.
 
         Args:
           share: The share of the limit that belongs to the reachable hosts.
           demand: The demand on these hosts, in requests per second.
+          reserved: The requests that silent hosts may have admitted.
           now: The current time in seconds.
         """
         reported = min(demand, self._reported.at(now) / REPORTED_WINDOW)
-        remaining = self.remaining(now) - GOSSIP_DELAY * max(0.0, reported)
+        remaining = self.remaining(now) - GOSSIP_DELAY * max(0.0, reported) - reserved
         # Unreachable hosts are assumed to admit in proportion to their share.
         if remaining >= RESERVE_FRACTION * self.capacity + 1.0 / share:
             return 1.0
         if remaining < 1.0:
             return 0.0
-        expiring = (
-            self._slots.get(self._slot_number(now) - WINDOW_SLOTS, 0.0)
-            / self._slot_length
-        )
+        oldest = self._slot_number(now) - WINDOW_SLOTS
+        expiring = sum(
+            self._slots.get(number, 0.0)
+            for number in range(oldest, oldest + EXPIRING_SLOTS)
+        ) / (EXPIRING_SLOTS * self._slot_length)
         allowed_rate = (
             expiring + (remaining - MARGIN_FRACTION * self.capacity) / ADMISSION_HORIZON
         )
--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -16,13 +16,19 @@
 requests that they report after the partition are not counted again.
 """
 
+import math
 import random
 from collections import deque
 from typing import NamedTuple
 
-from .liveness import ISOLATION_TIMEOUT, Liveness
-from .meter import Meter, Tolerance, window_capacity
-from .sums import DECAY_TIME, DecayingCounts, workspace_tag
+from .liveness import (
+    CHECK_INTERVAL,
+    ISOLATION_TIMEOUT,
+    MAX_UNREACHABLE_TIMEOUT,
+    Liveness,
+)
+from .meter import Meter, Tolerance, window_capacity, worst_burst
+from .sums import DECAY_TIME, DecayingCounts, decay, part_since, workspace_tag
 
 # The fraction of each limit that is divided equally, so that a host without requests
 # before a partition can admit some during it.
@@ -35,6 +41,23 @@
 # A data centre reports a workspace to the others if its local demand is at least this
 # fraction of the workspace's rate divided by the number of data centres.
 NEAR_LIMIT_FRACTION = 0.2
+# The fraction of the hosts that may be unreachable while samples are taken.
+MAX_LOST_FRACTION = 0.05
+# Seconds without a message after which a host is silent: it is idle, or partitioned.
+SILENCE_TIMEOUT = 0.35
+# The largest share of the hosts of a data centre that counts as silent.
+MAX_SILENT_SHARE = 0.6
+# A workspace's part of the silent hosts is reserved while its demand has grown by more
+# than the first factor, and wholly from the second on.
+MIN_GROWTH = 1.15
+FULL_GROWTH = 1.35
+# The standard deviations of a sum by which it may differ without a change of demand.
+NOISE_DEVIATIONS = 1.5
+NO_SAMPLE = (-math.inf, 0.0, 0.0)
+# Seconds after the start in which the demand is unknown. It is assumed to be at least
+# START_DEMAND times the rate.
+START_TIME = 0.3
+START_DEMAND = 3.0
 # Maximum rows per message; the others are sent in later messages.
 MAX_ROWS = 200
 # Seconds without requests after which the state of a workspace is evicted. By then its
@@ -66,6 +89,7 @@
     """The state of one workspace: its meter and the sums of its requests."""
 
     __slots__ = (
+        "is_isolated",
         "liveness_revision",
         "local",
         "meter",
@@ -73,6 +97,8 @@
         "reachable_share",
         "remote",
         "samples",
+        "silent",
+        "unheard",
     )
 
     def __init__(self, meter):
@@ -81,16 +107,30 @@
         self.own = DecayingCounts()
         self.local = DecayingCounts()
         self.remote = DecayingCounts()
-        # Requests to this host and to all hosts, sampled once a second.
+        # The time, and the requests to this host and to all, sampled once a second.
         self.samples = deque(maxlen=MAX_SAMPLES)
         # The share of the reachable hosts, and the `Liveness` revision it is for.
         self.reachable_share = 1.0
         self.liveness_revision = 0
+        self.is_isolated = False
+        # The requests that this host has admitted since it last received a message,
+        # and when that was.
+        self.unheard = (0.0, -math.inf)
+        # The share of hosts that are silent, and when it was computed.
+        self.silent = (0.0, -math.inf)
+
+    def note_unheard(self, admitted, heard_at):
+        """Count requests that other hosts may not have heard of."""
+        count, since = self.unheard
+        self.unheard = (admitted + (count if since == heard_at else 0.0), heard_at)
 
     def add_sample(self, now):
         """Record a sample of the current demand."""
-        all_requested = self.local.requested(now) + self.remote.requested(now)
-        self.samples.append((self.own.requested(now), all_requested))
+        self.samples.append((now, self.own.requested(now), self.all_requested(now)))
+
+    def all_requested(self, now):
+        """Return the decayed sum of the requests to all hosts."""
+        return self.local.requested(now) + self.remote.requested(now)
 
 
 class Quotas:
@@ -101,12 +141,21 @@
       tolerance: The `Tolerance`.
       data_centre_count: The number of data centres.
       rng: A `random.Random`.
+      assumes_bursts: Whether bursts are assumed to have been used before the start, as
+        when all hosts restart together. Else only the rates are.
     """
 
-    def __init__(self, tolerance=None, data_centre_count=1, rng=random):
+    def __init__(
+        self,
+        tolerance=None,
+        data_centre_count=1,
+        rng=random,
+        assumes_bursts=False,
+    ):
         self._tolerance = tolerance or Tolerance()
         self._data_centre_count = max(1, data_centre_count)
         self._rng = rng
+        self._assumes_bursts = assumes_bursts
         self._started_at = None
         self._limits = {}
         self._states = {}
@@ -125,6 +174,8 @@
         """
         if self._started_at is None:
             self._started_at = now
+            if self._assumes_bursts:
+                self._liveness.counted_since = now
         self._limits = {
             workspace_tag(workspace.name): workspace
             for workspace in workspaces
@@ -140,6 +191,13 @@
         rate, burst = workspace.rate, workspace.burst
         return rate, window_capacity(rate, burst, self._tolerance)
 
+    def _assumed_burst(self, tag):
+        """Return the burst that is assumed to have been used before the start."""
+        if not self._assumes_bursts:
+            return 0.0
+        workspace = self._limits[tag]
+        return worst_burst(workspace.rate, workspace.burst, self._tolerance)
+
     @property
     def workspace_count(self):
         """The number of workspaces with state."""
@@ -166,7 +224,8 @@
         state.meter.note_requested(1.0, now)
         share = self._reachable_share(tag, state, now)
         demand = self._demand(state, now)
-        probability = state.meter.admission_probability(share, demand, now)
+        reserved = self._silent_reserve(tag, state, now)
+        probability = state.meter.admission_probability(share, demand, reserved, now)
         is_admitted = probability >= 1.0 or self._rng.random() < probability
         self._count_own(tag, state, 1.0, float(is_admitted), now)
         if is_admitted:
@@ -184,11 +243,15 @@
         """
         Return the demand on the reachable hosts, in requests per second.
 
-        An isolated host sees few requests, so it averages over a longer time.
+        An isolated host sees few requests, so it averages over a longer time. A host
+        that has just started has not heard of the others' demand, which may be high.
         """
+        meter = state.meter
+        if self._assumes_bursts and now - self._started_at < START_TIME:
+            return max(meter.demand(now), START_DEMAND * meter.rate)
         if self._liveness.is_isolated:
             return state.own.requested(now) / DECAY_TIME
-        return state.meter.demand(now)
+        return meter.demand(now)
 
     def release(self, workspace, now):
         """Take back the count of an admitted request that will never be run."""
@@ -204,7 +267,13 @@
         state = self._states.get(tag)
         if state is None and tag in self._limits:
             window = self._tolerance.window
-            meter = Meter(*self._get_limit(tag), window, self._started_at, now)
+            meter = Meter(
+                *self._get_limit(tag),
+                window,
+                self._started_at,
+                now,
+                self._assumed_burst(tag),
+            )
             state = self._states[tag] = _WorkspaceState(meter)
         if state is not None:
             self._last_used_at[tag] = now
@@ -224,14 +293,15 @@
     def _count_own(self, tag, state, requested, admitted, now):
         """Count requests to this host."""
         state.own.add(requested, admitted, now)
+        state.note_unheard(admitted, self._liveness.last_message_at)
         self._local_pending[tag] = SENDS_PER_CHANGE
-        self._count_local(tag, state, requested, admitted, now)
+        self._count_local(tag, state, requested, admitted, admitted, now)
 
-    def _count_local(self, tag, state, requested, admitted, now):
-        """Count requests to a host of this data centre."""
+    def _count_local(self, tag, state, requested, admitted, new, now):
+        """Count requests to a host of this data centre; `new` ones for the limit."""
         state.local.add(requested, admitted, now)
         self._remote_pending[tag] = SENDS_PER_CHANGE
-        self._note_admitted(tag, state, admitted, now)
+        self._note_admitted(tag, state, new, now)
 
     def _note_admitted(self, tag, state, admitted, now):
         """Count admitted requests of any host against the limit."""
@@ -291,8 +361,8 @@
         for row in rows:
             state = self._get_state(row[0], now)
             if state is not None:
-                requested, admitted = _merge_row(state, source, row, now)
-                self._count_local(row[0], state, requested, admitted, now)
+                requested, admitted, new = _merge_row(state, source, row, now)
+                self._count_local(row[0], state, requested, admitted, new, now)
 
     def merge_remote(self, data_centre, hosts, rows, now):
         """
@@ -308,11 +378,11 @@
         for row in rows:
             state = self._get_state(row[0], now)
             if state is not None:
-                requested, admitted = _merge_row(
+                requested, admitted, new = _merge_row(
                     state, source, row, now, is_partial=True
                 )
                 state.remote.add(requested, admitted, now)
-                self._note_admitted(row[0], state, admitted, now)
+                self._note_admitted(row[0], state, new, now)
 
     def note_any_message(self, now):
         """Note that a message was received, even if only the hub's heartbeat."""
@@ -321,7 +391,7 @@
     def tick(self, now):
         """Update liveness and samples and evict idle workspaces, once a second."""
         self._liveness.tick(now)
-        if self._liveness.is_fully_reachable:
+        if self._is_mostly_reachable():
             for state in self._states.values():
                 state.add_sample(now)
         idle = [
@@ -332,39 +402,129 @@
 
     # Shares of a limit.
 
+    def _is_mostly_reachable(self):
+        """Whether so few hosts are unreachable that messages may have been lost."""
+        liveness = self._liveness
+        if liveness.is_fully_reachable:
+            return True
+        unreachable = liveness.unreachable_host_count()
+        return unreachable <= MAX_LOST_FRACTION * liveness.host_count()
+
     def _reachable_share(self, tag, state, now):
         """Return the share of a limit that belongs to the reachable hosts."""
         self._liveness.check(now)
         if state.liveness_revision != self._liveness.revision:
             state.liveness_revision = self._liveness.revision
+            self._note_isolation(state, now)
             previous, state.reachable_share = (
                 state.reachable_share,
                 self._compute_reachable_share(tag, state),
             )
-            self._count_unreported(state, previous - state.reachable_share, now)
+            self._count_unreported(state, previous, state.reachable_share, now)
         return state.reachable_share
 
-    def _count_unreported(self, state, share, now):
+    def _note_isolation(self, state, now):
+        """
+        Replace the counts of a partition by an estimate when it has ended.
+
+        An isolated host counts few requests, each for many of the fleet. Its counts are
+        far too high or too low for what it may admit as one of all hosts.
+        """
+        was_isolated, state.is_isolated = state.is_isolated, self._liveness.is_isolated
+        if not was_isolated or state.is_isolated or not state.samples:
+            return
+        meter = state.meter
+        used = max(
+            meter.capacity - meter.remaining(now),
+            state.own.requested(now) / state.reachable_share,
+        )
+        meter.spread(min(meter.capacity, used), now)
+
+    def _count_unreported(self, state, previous, share, now):
         """Count the estimated admissions of unreachable hosts until the detection."""
-        if share <= 0.0:
+        if share >= previous:
             return
         meter = state.meter
         demand = meter.demand(now)
-        admitted = demand * ISOLATION_TIMEOUT
-        if not self._liveness.is_isolated:
+        admitted = (previous - share) * demand * ISOLATION_TIMEOUT
+        if self._liveness.is_isolated:
+            # The other hosts count this host's requests in proportion to its share.
+            unheard, since = state.unheard
+            if since == self._liveness.last_message_at:
+                admitted += unheard * (previous / share - 1.0)
+        else:
             # Later they detect their isolation and enforce their share of the limit.
             isolated_for = max(0.0, self._liveness.detection_delay - ISOLATION_TIMEOUT)
-            admitted += min(meter.rate, demand) * isolated_for
-        meter.note_admitted(share * admitted, now)
+            admitted += (previous - share) * min(meter.rate, demand) * isolated_for
+        meter.note_admitted(admitted, now)
+
+    def _silent_reserve(self, tag, state, now):
+        """
+        Return the requests that hosts may have admitted which are silent by now.
+
+        Until they are known to be unreachable, they are assumed to have admitted in
+        proportion to their share, as far as that exceeds an even use of the limit.
+        """
+        liveness = self._liveness
+        if liveness.is_isolated or not state.meter.is_below_reserve(now):
+            return 0.0
+        # While demand is even, silent hosts admit little that is not expected.
+        rise = (self._growth(state, now) - MIN_GROWTH) / (FULL_GROWTH - MIN_GROWTH)
+        burst = state.meter.burst_since(MAX_UNREACHABLE_TIMEOUT, now)
+        if rise <= 0.0 or not burst:
+            return 0.0
+        share, at = state.silent
+        if now - at >= CHECK_INTERVAL:
+            share = self._silent_share(tag, state, now)
+            state.silent = (share, now)
+        return min(1.0, rise) * burst * share / (1.0 - share)
+
+    def _silent_share(self, tag, state, now):
+        """
+        Return the share of the hosts that are silent, by their requests before.
+
+        The demand on them is assumed to have grown since like that on the others.
+        """
+        weights = [
+            (
+                source.received.requested(tag, source.last_message_at),
+                now - source.last_message_at > SILENCE_TIMEOUT,
+            )
+            for source in self._liveness.local_sources()
+            if not source.is_unreachable
+        ]
+        if not weights:
+            return 0.0
+        total = sum(weight for weight, _ in weights)
+        equal_part = max(EQUAL_FRACTION * total, 1.0) / len(weights)
+        silent = sum(weight + equal_part for weight, is_silent in weights if is_silent)
+        others = total + equal_part * len(weights) - silent
+        silent *= self._growth(state, now)
+        return min(MAX_SILENT_SHARE, silent / (silent + others))
+
+    def _growth(self, state, now):
+        """Return by how much demand has certainly grown since a sample; at least 1."""
+        if not state.samples:
+            return 1.0
+        at, _, before = state.samples[0]
+        # The sums of a host that has just started grow without a growing demand.
+        age = 1.0 - decay(1.0, now - self._started_at)
+        before *= age / max(0.01, 1.0 - decay(1.0, at - self._started_at))
+        noise = NOISE_DEVIATIONS * math.sqrt(before)
+        return max(1.0, (state.all_requested(now) - noise) / max(1.0, before))
 
     def _compute_reachable_share(self, tag, state):
         liveness = self._liveness
         if liveness.is_fully_reachable:
             return 1.0
-        own, all_requested = state.samples[0] if state.samples else (0.0, 0.0)
+        _, own, all_requested = state.samples[0] if state.samples else NO_SAMPLE
+        reported = sum(
+            source.received.requested(tag, source.last_message_at)
+            for source in liveness.sources()
+        )
         hosts = liveness.host_count()
         equal_part = EQUAL_FRACTION * state.meter.rate * DECAY_TIME / hosts
-        total = max(all_requested, own) + equal_part * hosts
+        total = max(all_requested, own + reported) + equal_part * hosts
         if liveness.is_isolated:
             return (own + equal_part) / total
         unreachable_requested = sum(
@@ -382,11 +542,17 @@
     Merge a `QuotaRow` of a source into a workspace's meter.
 
     Returns:
-      The numbers of all and of admitted requests since the source's last row.
+      The numbers of all and of admitted requests since the source's last row, and of
+      admitted ones that are not assumed from before the start of this host.
     """
     is_known = row[0] in source.received
     requested, admitted = source.received.merge(
         row, source.recovered_at, now, is_partial
     )
-    state.meter.note_reported(requested, admitted, is_known, now)
-    return requested, admitted
+    new_requested, new = requested, admitted
+    if not is_known:
+        since = source.counted_since
+        new_requested = part_since(requested, since, now)
+        new = part_since(admitted, since, now)
+    state.meter.note_reported(new_requested, new, is_known, now)
+    return requested, admitted, new
--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas_test.py
@@ -279,3 +279,58 @@
     """Guards against replacing quotas that have no state yet by default ones."""
     quotas = Quotas(EXACT)
     assert SharedState(0.2, 10.0, START, quotas=quotas).quotas is quotas
+
+
+def test_hosts_that_restart_together_do_not_grant_a_burst_again():
+    """Guards against a burst that is admitted before and after a kill of all hosts."""
+    host = Quotas(EXACT, rng=random.Random(1), assumes_bursts=True)
+    host.configure([ONE], START)
+    admitted = [_count_admitted(host, 10, START + 0.1 * step) for step in range(100)]
+    assert sum(admitted[:50]) <= ONE.rate * 5.0
+    assert sum(admitted[50:]) >= 0.9 * ONE.rate * 5.0
+
+
+def test_a_workspace_within_its_rate_is_served_after_a_restart():
+    """Guards against refusing everyone for a window after a kill of all hosts."""
+    host = Quotas(Tolerance(), rng=random.Random(1), assumes_bursts=True)
+    host.configure([ONE], START)
+    admitted = [_count_admitted(host, 1, START + 0.1 * step) for step in range(50)]
+    # Only at first may some be refused, while the demand is unknown.
+    assert sum(admitted[3:]) == 47
+
+
+def test_sums_from_before_a_restart_are_not_counted_twice():
+    """Guards against a restarted host that refuses since it hears what it assumed."""
+    first, second = _hosts(2, tolerance=Tolerance())
+    for step in range(50):
+        _count_admitted(first, 1, START + 0.1 * step)
+    now = START + 5.0
+    restarted = Quotas(Tolerance(), rng=random.Random(1), assumes_bursts=True)
+    restarted.configure([ONE], now)
+    admitted = 0
+    for step in range(1, 50):
+        _gossip(first, "host-0", [second, restarted], now + 0.1 * step)
+        admitted += _count_admitted(restarted, 1, now + 0.1 * step)
+    assert admitted >= 45
+
+
+def test_silent_hosts_keep_their_part_of_a_burst():
+    """Guards against a burst that is admitted by hosts that are cut off and others."""
+    hosts = _hosts(4, (ONE._replace(burst=200.0),))
+    for step in range(70):
+        now = START + 0.1 * step
+        for number, host in enumerate(hosts):
+            _count_admitted(host, 1 if step % 4 == number else 0, now)
+            others = [other for other in hosts if other is not host]
+            _gossip(host, f"host-{number}", others, now)
+            if step % 10 == 0:
+                host.tick(now)
+    heard, admitted = hosts[:2], 0
+    for step in range(70, 82):
+        now = START + 0.1 * step
+        for number, host in enumerate(heard):
+            admitted += _count_admitted(host, 20, now)
+            others = [other for other in heard if other is not host]
+            _gossip(host, f"host-{number}", others, now)
+    # The other two hosts have as much of the limit, and may serve on.
+    assert admitted <= 0.75 * (5 * 20 + 200 - 50)
--- a/packages/plumsaddle-core/plumsaddle_core/limits/sums.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/sums.py
@@ -16,6 +16,13 @@
 DECAY_TIME = 5.0
 # Sums are sent in hundredths.
 SCALE = 100
+# Seconds that a row may be old, before this host's start, when it is received.
+FIRST_ROW_AGE = 0.1
+# A sum has been lost if it is lower than before by this fraction and number of
+# requests, unless it was so in the last seconds.
+RESET_FRACTION = 0.2
+RESET_MIN = 3.0
+RESET_INTERVAL = 2.0
 
 
 class QuotaRow(NamedTuple):
@@ -46,6 +53,19 @@
     return value * math.exp(-max(0.0, seconds) / DECAY_TIME)
 
 
+def part_since(count, since, now):
+    """
+    Return how much of a source's first sum has probably been added since a time.
+
+    Args:
+      count: The sum.
+      since: The time in seconds.
+      now: The current time in seconds.
+    """
+    seconds = now - since + FIRST_ROW_AGE
+    return max(min(count, 1.0), count * (1.0 - decay(1.0, seconds)))
+
+
 class DecayingCounts:
     """The decaying sums of a workspace's requests, all and admitted."""
 
@@ -80,13 +100,15 @@
 
     def __init__(self):
         self._rows = {}
+        self._reset_at = {}
 
     def merge(self, row, recovered_at, now, is_partial=False):
         """
         Store a row, and return the requests since the source's previous row.
 
         If two hosts report for a data centre, one may know less than the other. Sums
-        are then never lowered, or the difference would be counted at each turn.
+        are then not lowered, or the difference would be counted at each turn. They are
+        if a host that has restarted reports, whose sums take seconds to grow.
 
         Args:
           row: The fields of a `QuotaRow`.
@@ -105,6 +127,10 @@
             return 0.0, 0.0
         previous_requested = decay(previous_requested, now - at)
         previous_admitted = decay(previous_admitted, now - at)
+        if is_partial and self._is_reset(tag, requested, previous_requested, now):
+            self._rows[tag] = (requested, admitted, now)
+            self._reset_at[tag] = now
+            return 0.0, 0.0
         if is_partial:
             requested, admitted = (
                 max(requested, previous_requested),
@@ -113,6 +139,12 @@
         self._rows[tag] = (requested, admitted, now)
         return max(0.0, requested - previous_requested), admitted - previous_admitted
 
+    def _is_reset(self, tag, requested, previous, now):
+        """Whether a source's sum of requests has been lost, by a restart."""
+        lost = previous - requested
+        is_due = now - self._reset_at.get(tag, -math.inf) > RESET_INTERVAL
+        return is_due and lost > max(RESET_MIN, RESET_FRACTION * previous)
+
     def requested(self, tag, now):
         """Return the source's decayed sum of all requests at a time."""
         requested, _, at = self._rows.get(tag, (0.0, 0.0, now))
@@ -121,6 +153,7 @@
     def evict(self, tag):
         """Drop the sums of a workspace."""
         self._rows.pop(tag, None)
+        self._reset_at.pop(tag, None)
 
     def __contains__(self, tag):
         return tag in self._rows
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -86,6 +86,7 @@
                 ),
                 len(settings.data_centres),
                 rng,
+                assumes_bursts=True,
             ),
             limits=TargetLimits(
                 Membership(settings.id, now(), settings.has_seeds), rng
--- a/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
@@ -18,6 +18,7 @@
 import heapq
 import itertools
 import random
+from bisect import bisect_left
 from typing import NamedTuple
 
 from plumsaddle_core.core.traffic import Workspace
@@ -43,6 +44,8 @@
 # Seconds before the load is what is asked for, and seconds played after that.
 WARM_UP = 6.0
 SECONDS = 24.0
+# Seconds after the warm-up at which hosts fail.
+TROUBLE_AT = 4.0
 
 
 class Case(NamedTuple):
@@ -80,8 +83,9 @@
 
     `overshoot` is the most that ran in a window as a share of the bound, `refused` the
     share of all requests that were, and `wrongly` how many of these although less than
-    nine tenths of the limit had been asked in the window. `rows` is what a host told a
-    second.
+    nine tenths of the limit had been asked in the window. `used` is what ran in a
+    window as a share of the limit, on average over the requests that were refused from
+    the trouble on. `rows` is what a host told a second.
     """
 
     overshoot: float
@@ -89,13 +93,14 @@
     wrongly: int
     admitted: int
     rows: float
+    used: float
 
 
 class _Thinned:
     """A host that goes by `Quotas`."""
 
     def __init__(self, model, rng):
-        self.quotas = Quotas(TOLERANCE, len(CENTRES), rng)
+        self.quotas = Quotas(TOLERANCE, len(CENTRES), rng, True)
         self.quotas.configure([model.workspace], model.at)
 
     def ask(self, model):
@@ -193,7 +198,7 @@
                 self._push(self._rng.uniform(0, FAR_EVERY), self._greet, centre)
         if self.way == "lent":
             self._push(LENT_EVERY, self._lend)
-        trouble = WARM_UP + 4.0
+        trouble = WARM_UP + TROUBLE_AT
         if case.cut:
             self._push(trouble, self._begin_cut)
             self._push(trouble + case.cut_for, self._cut.clear)
@@ -218,7 +223,21 @@
         seconds = (WARM_UP + SECONDS) * self.case.hosts
         refused = (asked - admitted) / max(1, asked)
         rows = self._rows / seconds
-        return Outcome(self._worst(), refused, self._wrongly(), admitted, rows)
+        return Outcome(
+            self._worst(), refused, self._wrongly(), admitted, rows, self._used()
+        )
+
+    def _used(self):
+        """Return how much of the limit was used when requests were refused."""
+        ran, window = set(self.ran), TOLERANCE.window
+        used = []
+        for at in self.asked:
+            if at < self.start + WARM_UP + TROUBLE_AT + window or at in ran:
+                continue
+            _, rate, burst = [row for row in self._limits if row[0] <= at][-1]
+            first, last = bisect_left(self.ran, at - window), bisect_left(self.ran, at)
+            used.append((last - first) / (rate * window + burst))
+        return sum(used) / len(used) if used else 1.0
 
     def _wrongly(self):
         """
--- a/packages/plumsaddle-standins/plumsaddle_standins/quota_model_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model_test.py
@@ -111,3 +111,25 @@
     """
     case = CASES["a jump, 0.3 of the hosts cut off"]
     assert QuotaModel(case, seed=seed).run().overshoot <= 1.0
+
+
+@pytest.mark.parametrize("killed, down", [(0.5, 2.0), (1.0, 1.0)])
+@pytest.mark.parametrize("seed", [0, 1])
+def test_a_herd_kill_while_a_workspace_is_hot(killed, down, seed):
+    """
+    A workspace gets its burst twice, before hosts are killed together and after.
+
+    It begins to ask six times its limit a second before that. Nobody knows what the
+    killed hosts admitted last.
+    """
+    case = Case(
+        load=0.6,
+        jump=6.0,
+        jump_at=3.0,
+        rate=21.0,
+        burst=105.0,
+        hosts=HOSTS,
+        killed=killed,
+        down=down,
+    )
+    assert QuotaModel(case, seed=seed).run().overshoot <= 1.0
