--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -397,7 +397,7 @@
     def _check_hangup(self):
         """Close a connection that is not read if its caller has left."""
         self._hangup_timer = None
-        if self.transport is None or not self._unread:
+        if self.transport is None or self.transport.is_closing() or not self._unread:
             return
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket").fileno(), HANGUP_EVENTS)
