--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 lab: setup
 	$(BIN)/python -m plumsaddle_standins.lab $(PATTERN) --seconds $(SECONDS) \
 		--seed $(SEED) --out $(OUT) $(if $(LIMIT),--limit $(LIMIT)) \
-		$(if $(NOTICES),--notices)
+		$(if $(NOTICES),--notices) $(if $(DOWNLOADS),--downloads)
 
 # make crashes HOSTS=40 SEED=1 RUNS=50
 HOSTS ?= 40
