--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/queue.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/queue.py
@@ -15,36 +15,31 @@
 import itertools
 import math
 from collections.abc import Callable, Iterator
-from typing import Any, NamedTuple
+from typing import Any
 
 from ..core.ids import WorkspaceName
+from ..ops.urgency import RequestPriority
 
 # Every this many requests served, a less urgent rank goes first, so that a lasting
 # overload of urgent requests does not stop all others.
 TURNS_PER_LOW_RANK_TURN = 10
 
 
-class Rank(NamedTuple):
-    """The sort key of requests; the smallest is the most urgent."""
-
-    workspace: int
-    route: int
-
-
 class Ticket:
     """
     A waiting request.
 
     `starts_in_time_by` is when it has to be sent to probably meet its objective, and
-    `latest_start` when it has to be sent to be answered by its deadline. `cost` is the
-    time in seconds that it will probably occupy a slot, and `size` its memory in bytes.
-    `payload` belongs to the caller.
+    `latest_start` when it has to be sent to be answered by its deadline. It is not
+    served before `not_before`. `cost` is the time in seconds that it will probably
+    occupy a slot, and `size` its memory in bytes. `payload` belongs to the caller.
     """
 
     __slots__ = (
         "cost",
         "deadline",
         "latest_start",
+        "not_before",
         "payload",
         "queued_at",
         "rank",
@@ -56,7 +51,7 @@
 
     def __init__(
         self,
-        rank: Rank,
+        rank: RequestPriority,
         workspace: WorkspaceName | None,
         queued_at: float,
         starts_in_time_by: float,
@@ -65,6 +60,7 @@
         cost: float = 1.0,
         size: int = 0,
         payload: Any = None,
+        not_before: float = -math.inf,
     ):
         self.rank = rank
         self.workspace = workspace
@@ -75,6 +71,7 @@
         self.cost = cost
         self.size = size
         self.payload = payload
+        self.not_before = not_before
         self.sequence = 0
 
 
@@ -91,7 +88,7 @@
         self._capacity = capacity
         self._max_bytes = max_bytes
         self._sequence = itertools.count()
-        self._ranks: dict[Rank, _RankQueue] = {}
+        self._ranks: dict[RequestPriority, _RankQueue] = {}
         self._turns = 0
         self._length = 0
         self.bytes = 0
@@ -178,7 +175,7 @@
             rank_queue.charge(ticket)
         return self.remove(ticket)
 
-    def count_by_rank(self) -> dict[Rank, int]:
+    def count_by_rank(self) -> dict[RequestPriority, int]:
         """Return the number of waiting requests by rank."""
         return {rank: len(queue.waiting) for rank, queue in self._ranks.items()}
 
@@ -234,7 +231,11 @@
 
     def first(self, now, tried):
         """Return the request to serve next that is not among the tried ones."""
-        candidates = (t for t in self.waiting.values() if t.sequence not in tried)
+        candidates = (
+            ticket
+            for ticket in self.waiting.values()
+            if ticket.sequence not in tried and ticket.not_before <= now
+        )
         return min(candidates, key=lambda ticket: self._key(ticket, now), default=None)
 
     def _key(self, ticket, now):
