Let requests wait for a better moment when scheduling is on

While targets are full or failing, requests that have not been sent wait on their host, by rank, by workspace and by deadline, and retries after a rejection wait for a moment, a target or the retry budget.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/urgency.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/urgency.py
@@ -45,8 +45,16 @@
       is empty without workspaces, since reserving capacity among routes alone costs
       more than it gains.
     """
-    if not workspaces:
-        return {}
+    return ranks_by_service(routes, workspaces) if workspaces else {}
+
+
+def ranks_by_service(routes, workspaces):
+    """
+    Return the priorities that requests for each service may have.
+
+    Unlike `priorities_by_service`, it orders routes also without workspaces: a queue
+    reserves no capacity, so ranks cost nothing while no urgent requests come.
+    """
     workspace_priorities = {workspace.priority for workspace in workspaces}
     priorities = {}
     for route in routes:
@@ -54,7 +62,7 @@
             RequestPriority(workspace_priority, route.priority)
             for workspace_priority in workspace_priorities
         }
-        if route.is_public:
+        if route.is_public or not workspaces:
             own.add(request_priority(route, None))
         for share in route.shares:
             priorities.setdefault(share.service, set()).update(own)
--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/decision.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/decision.py
@@ -30,9 +30,9 @@
 # A request is refused if its typical duration exceeds its time left by this factor: it
 # would hardly ever be answered in time.
 MAX_DURATION_FACTOR = 2.0
-# A target is sound for an order up to this failure probability. It lies above that of a
-# target about which little is known.
-SOUND_FAILURE_PROBABILITY = 0.15
+# A target is sound up to this failure probability. It lies above that of a target about
+# which nothing is known, and below that of one that has failed twice.
+SOUND_FAILURE_PROBABILITY = 0.25
 
 # Seconds of the typical delay after a first rejection.
 FIRST_REJECTION_DELAY = 0.1
@@ -56,7 +56,10 @@
     LAST_CHANCE = "last-chance"
     TARGETS_FULL = "targets-full"
     BETTER_EXPECTED = "better-expected"
-    NO_TARGET = "no-target"
+    BACKING_OFF = "backing-off"
+    TARGETS_LIMITED = "targets-limited"
+    NO_RETRY_LEFT = "no-retry-left"
+    REJECTED = "rejected"
     TOO_LATE = "too-late"
 
 
@@ -81,27 +84,24 @@
 
     `slots` counts their slots, `open_slots` the free ones, and `failure_probability` is
     their mean. `waiting` is the number of requests on all hosts that wait for them,
-    including the one that is decided on.
+    including the one that is decided on. `capacity` is the expected number of slots of
+    all targets, sound or not, that serve what they get.
     """
 
     slots: int
     open_slots: int
     failure_probability: float
     waiting: float
+    capacity: float = 0.0
 
 
 class Need(NamedTuple):
-    """
-    What a request needs; times in seconds from now.
-
-    `may_wait` is false for a request that has no queue to wait in.
-    """
+    """What a request needs; times in seconds from now."""
 
     is_repeatable: bool
     typical_duration: float
     objective_left: float
     time_left: float
-    may_wait: bool = True
 
 
 class Decision(NamedTuple):
@@ -119,39 +119,36 @@
     return need.time_left * MAX_DURATION_FACTOR <= need.typical_duration
 
 
-def is_clear(option: Option | None) -> bool:
+def is_clear(option: Option) -> bool:
     """Return whether a send has room at a sound target, so that waiting gains none."""
     return (
-        option is not None
-        and option.in_flight < option.room
+        option.in_flight < option.room
         and option.failure_probability <= SOUND_FAILURE_PROBABILITY
     )
 
 
-def decide(option: Option | None, outlook: Outlook, need: Need) -> Decision:
+def decide(option: Option, outlook: Outlook, need: Need) -> Decision:
     """
     Decide on a request.
 
     Args:
-      option: The best `Option` now, or None if no target may be sent to.
+      option: The best `Option` now.
       outlook: The `Outlook` of the request's service.
       need: The request's `Need`.
     Returns:
       A `Decision`.
     """
+    if is_clear(option) and need.time_left > 0.0:
+        # Also sent if its time is short: the typical duration is learned from sends.
+        return Decision(Verdict.SEND, Reason.HAS_ROOM)
     if is_too_late(need):
         return Decision(Verdict.REFUSE, Reason.TOO_LATE)
-    if option is None:
-        verdict = Verdict.WAIT if need.may_wait else Verdict.REFUSE
-        return Decision(verdict, Reason.NO_TARGET)
-    if is_clear(option):
-        return Decision(Verdict.SEND, Reason.HAS_ROOM)
-    if not need.may_wait:
-        return Decision(Verdict.SEND, Reason.BEST_NOW)
-    if _is_last_chance(option, need):
-        return Decision(Verdict.SEND, Reason.LAST_CHANCE)
     if option.in_flight >= option.room:
+        # Sent all the same, late requests would queue at targets before those that can
+        # still be in time, and all would be late.
         return Decision(Verdict.WAIT, Reason.TARGETS_FULL)
+    if _is_last_chance(option, need):
+        return Decision(Verdict.SEND, Reason.LAST_CHANCE)
     if _gain_of_waiting(option, outlook, need) > 0.0:
         return Decision(Verdict.WAIT, Reason.BETTER_EXPECTED)
     return Decision(Verdict.SEND, Reason.BEST_NOW)
--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/queue.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/queue.py
@@ -175,6 +175,21 @@
             rank_queue.charge(ticket)
         return self.remove(ticket)
 
+    def count_ahead(
+        self, rank: RequestPriority, workspace: WorkspaceName | None
+    ) -> int:
+        """
+        Return how many requests would be served before a new one.
+
+        Of its rank, these are at most as many of each other workspace as wait of its
+        own, which are served by turns.
+        """
+        ahead = sum(
+            len(queue.waiting) for other, queue in self._ranks.items() if other < rank
+        )
+        rank_queue = self._ranks.get(rank)
+        return ahead + (rank_queue.count_ahead(workspace) if rank_queue else 0)
+
     def count_by_rank(self) -> dict[RequestPriority, int]:
         """Return the number of waiting requests by rank."""
         return {rank: len(queue.waiting) for rank, queue in self._ranks.items()}
@@ -243,6 +258,12 @@
         tag = self._start_tags[ticket.workspace]
         return is_late, tag, ticket.deadline, ticket.sequence
 
+    def count_ahead(self, workspace):
+        """Return how many requests would be served before a new one of a workspace."""
+        own = self._counts.get(workspace, 0)
+        others = (n for name, n in self._counts.items() if name != workspace)
+        return own + sum(min(count, own + 1) for count in others)
+
     def most_over_share(self):
         """Return the last request of the workspace with the most waiting requests."""
         return max(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -25,6 +25,7 @@
 from plumsaddle_core.ops.shared_state import SharedState
 from plumsaddle_core.ops.urgency import (
     priorities_by_service,
+    ranks_by_service,
     relative_urgency,
     request_priority,
     usable_retry_fraction,
@@ -72,6 +73,7 @@
         self.route_table = {}
         self.workspaces_by_key = {}
         self._priorities = {}
+        self._ranks = {}
         self.registry = Registry()
         self.has_targets = False
         bounds = settings.bounds
@@ -101,6 +103,7 @@
         self.selection = TargetSelection(self)
         self._on_change = None
         self._on_restart = None
+        self.on_send_end = None
         self.configuration_age = lambda at: math.inf
 
     def subscribe(self, on_change, on_restart, configuration_age):
@@ -161,6 +164,7 @@
             )
         self.shared.quotas.configure(cfg.workspaces, now())
         self._priorities = priorities_by_service(cfg.routes, cfg.workspaces)
+        self._ranks = ranks_by_service(cfg.routes, cfg.workspaces)
         names = {route.name for route in cfg.routes}
         self.shared.times.retain_routes(names)
         retained = {
@@ -259,6 +263,10 @@
             self._priorities.get(service, ()), request_priority(route, workspace)
         )
 
+    def rank_urgency(self, service, priority):
+        """Return the urgency of a `RequestPriority` in its service, also by route."""
+        return relative_urgency(self._ranks.get(service, ()), priority)
+
     # Called by the relay.
 
     def request_profile(self, route, service, started, deadline, kilobytes, at):
@@ -333,6 +341,8 @@
         """Stop counting a send as in flight."""
         self.shared.note_send_end(target.incarnation)
         self._notify(is_urgent=False)
+        if self.on_send_end is not None:
+            self.on_send_end(target.service)
 
     def note_outcome(self, target, route, outcome, seconds):
         """Note the outcome of a send, or a timeout while it is still unanswered."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -30,6 +30,18 @@
         self.connections = make(
             Counter, "connections_total", "Connections opened to targets."
         )
+        self.waiting = make(
+            Gauge, "waiting", "Requests that wait for a target, by service and rank."
+        )
+        self.waiting_age = make(
+            Gauge, "waiting_age_seconds", "Age of the oldest waiting request."
+        )
+        self.queue_refusals = make(
+            Counter, "queue_refusals_total", "Refusals of requests that had to wait."
+        )
+        self.wait_seconds = make(
+            Histogram, "wait_seconds", "Waits for a target.", buckets=BUCKETS
+        )
         self.version = make(Gauge, "version", "The configuration in force.")
         self.in_flight = make(Gauge, "in_flight", "Requests in flight.")
         self.seconds = make(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -36,6 +36,8 @@
     HELD = "held-back"
     TARGETS_LIMITED = "targets-limited"
     BACKING_OFF = "backing-off"
+    QUEUE_FULL = "queue-full"
+    WAITED_IN_VAIN = "waited"
 
 
 class Refusal(NamedTuple):
@@ -71,6 +73,8 @@
     RefusalCause.HELD: (503, 502),
     RefusalCause.TARGETS_LIMITED: (503, 502),
     RefusalCause.BACKING_OFF: (503, 502),
+    RefusalCause.QUEUE_FULL: (503, 502),
+    RefusalCause.WAITED_IN_VAIN: (503, 504),
 }
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -5,14 +5,16 @@
 of an idempotent request is retried at another target, and a slow one is hedged: the
 request is sent to a second target while the first send is outstanding. An order or an
 upload is sent again only if it is known not to have run. Each further send must fit the
-data centre's share of the retries. A request that can no longer be served is refused at
-once.
+data centre's share of the retries. If requests are scheduled, one that finds no room at
+a sound target waits for it (`waiting`). A request that can no longer be served is
+refused at once.
 """
 
 from plumsaddle_core.core.traffic import Reply
 
 from .active_request import ActiveRequest
 from .clock import now
+from .waiting import WaitingRequests
 
 
 class Relay:
@@ -31,6 +33,7 @@
         self._sender = sender
         self._metrics = metrics
         self._crash_detector = crash_detector
+        self._waiting = WaitingRequests(knowledge, metrics)
         self._active = set()
 
     def refuse_in_flight(self):
@@ -53,7 +56,12 @@
           The `Reply` of a target, or a `Refusal`.
         """
         active = ActiveRequest(
-            request, self._knowledge, self._sender, self._metrics, self._crash_detector
+            request,
+            self._knowledge,
+            self._sender,
+            self._metrics,
+            self._crash_detector,
+            self._waiting,
         )
         refusal = active.check_hold()
         if refusal is not None:
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting.py
@@ -0,0 +1,285 @@
+"""
+Requests that wait on this host for a better moment to be sent, and their turns.
+
+A waiting request holds its memory, but no slot, token or connection. It gets a turn
+when one of the host's own sends to its service ends, and at short intervals, in which
+other hosts' reports may show room. The intervals are random, so that hosts that see the
+same free slot do not all send to it at once; the host whose send ended comes first.
+
+A request leaves the queue when it is sent, when its caller disconnects, when it can no
+longer be answered in time, when more urgent requests fill the queue, and when the host
+shuts down. In each case but the first it is known not to be sent by this host anymore.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from plumsaddle_core.scheduling.decision import (
+    SOUND_FAILURE_PROBABILITY,
+    Outlook,
+    Reason,
+)
+from plumsaddle_core.scheduling.drain_rate import DrainRate
+from plumsaddle_core.scheduling.queue import FairQueue
+
+from .clock import now
+from .refusals import RefusalCause
+
+log = logging.getLogger("relay")
+# Bounds of the queue of each service on a host.
+MAX_WAITING = 256
+MAX_WAITING_BYTES = 8 * 1024 * 1024
+# Memory of a waiting request apart from its body, in bytes.
+REQUEST_OVERHEAD = 4096
+# Seconds between two turns while requests wait. The reports of other hosts come about
+# every tenth of a second.
+MIN_TURN_INTERVAL = 0.02
+MAX_TURN_INTERVAL = 0.06
+# Requests without room after which no other one of the service is tried in a turn.
+MAX_FAILED_TURNS = 3
+# Seconds for which the outlook of a service is kept.
+OUTLOOK_LIFETIME = 0.02
+
+
+class Postponed(NamedTuple):
+    """A request that is not sent yet, and the seconds until it should be tried."""
+
+    reason: Reason
+    delay: float = 0.0
+
+
+class Waiter(NamedTuple):
+    """
+    The payload of a ticket.
+
+    `take_turn` sends the request if this is a good moment; it returns None if it did, a
+    `RefusalCause`, or `Postponed`.
+    """
+
+    take_turn: Callable
+    is_gone: Callable
+    result: asyncio.Future
+    fields: dict[str, Any]
+
+
+class WaitingRequests:
+    """
+    The waiting requests of one host, by service.
+
+    Args:
+      knowledge: The `HostState`.
+      metrics: The `EdgeMetrics`.
+    """
+
+    def __init__(self, knowledge, metrics):
+        self._knowledge = knowledge
+        self._metrics = metrics
+        self._queues = {}
+        self._drain_rates = {}
+        self._outlooks = {}
+        self._timer = None
+        self._services_with_room = set()
+        self._reported_ranks = set()
+        knowledge.on_send_end = self._note_send_end
+
+    def count(self, service):
+        """Return how many requests wait for a service."""
+        queue = self._queues.get(service)
+        return len(queue) if queue is not None else 0
+
+    def expected_wait(self, service, rank, workspace, duration):
+        """Return the seconds after which a new request would probably get its turn."""
+        queue = self._queues.get(service)
+        ahead = queue.count_ahead(rank, workspace) if queue is not None else 0
+        if not ahead:
+            return 0.0
+        at = now()
+        capacity = self._capacity(service, duration, at)
+        return self._drain_rates[service].expected_wait(ahead, capacity, at)
+
+    def _capacity(self, service, duration, at):
+        """Return this host's part of the requests per second of the targets."""
+        capacity = self.outlook(service, at).capacity
+        return capacity / duration / _host_count(self._knowledge)
+
+    async def wait(self, service, ticket, aborted):
+        """
+        Let a request wait until it is sent or refused.
+
+        Args:
+          service: The service's name.
+          ticket: Its `Ticket`, with a `Waiter`.
+          aborted: A future that is done when the host shuts down.
+        Returns:
+          None if the request was sent, otherwise the `RefusalCause`.
+        """
+        queue = self._queues.setdefault(
+            service, FairQueue(MAX_WAITING, MAX_WAITING_BYTES)
+        )
+        rate = self._drain_rates.setdefault(service, DrainRate())
+        ahead = queue.count_ahead(ticket.rank, ticket.workspace)
+        at = now()
+        capacity = self._capacity(service, ticket.cost, at)
+        if rate.is_hopeless(ahead, capacity, ticket.latest_start - at, at):
+            self._count_refusal(service, ticket, RefusalCause.QUEUE_FULL)
+            return RefusalCause.QUEUE_FULL
+        for victim in queue.push(ticket):
+            self._settle(service, victim, RefusalCause.QUEUE_FULL)
+        rate.note_length(len(queue), at)
+        waiter = ticket.payload
+        log.info("queued", extra={**waiter.fields, "waiting": len(queue)})
+        self._schedule_turn()
+        try:
+            await asyncio.wait(
+                {waiter.result, aborted}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            queue.remove(ticket)
+            rate.note_length(len(queue), now())
+        if not waiter.result.done():
+            self._count_refusal(service, ticket, RefusalCause.DRAINING)
+            return RefusalCause.DRAINING
+        return waiter.result.result()
+
+    def outlook(self, service, at):
+        """Return a recent `Outlook` of a service."""
+        outlook, since = self._outlooks.get(service, (None, 0.0))
+        if outlook is None or not 0.0 <= at - since < OUTLOOK_LIFETIME:
+            outlook = find_outlook(self._knowledge, service, self.count(service), at)
+            self._outlooks[service] = (outlook, at)
+        return outlook
+
+    # Turns.
+
+    def _note_send_end(self, service):
+        """Give waiting requests a turn after the outcome of a send has been noted."""
+        if self.count(service) and service not in self._services_with_room:
+            self._services_with_room.add(service)
+            asyncio.get_running_loop().call_soon(self._use_room, service)
+
+    def _use_room(self, service):
+        self._services_with_room.discard(service)
+        self._serve(service, now())
+
+    def _schedule_turn(self):
+        if self._timer is None:
+            interval = self._knowledge.rng.uniform(MIN_TURN_INTERVAL, MAX_TURN_INTERVAL)
+            self._timer = asyncio.get_running_loop().call_later(interval, self._tick)
+
+    def _tick(self):
+        self._timer = None
+        at = now()
+        for service, queue in self._queues.items():
+            if not len(queue):
+                continue
+            for ticket in queue.expire(at):
+                self._settle(service, ticket, RefusalCause.WAITED_IN_VAIN)
+            for ticket in [t for t in queue if t.payload.is_gone()]:
+                queue.remove(ticket)
+                self._settle(service, ticket, RefusalCause.CALLER_GONE)
+            self._serve(service, at)
+        self._report()
+        if any(len(queue) for queue in self._queues.values()):
+            self._schedule_turn()
+
+    def _serve(self, service, at):
+        queue = self._queues[service]
+        queue.serve(
+            at, lambda ticket: self._try_serve(service, ticket, at), MAX_FAILED_TURNS
+        )
+
+    def _try_serve(self, service, ticket, at):
+        """Give a request its turn, and return whether it left the queue."""
+        try:
+            result = ticket.payload.take_turn()
+        except Exception as exc:
+            # It must end this request alone, not the turns of all others.
+            log.exception("turn failed", extra=ticket.payload.fields)
+            self._queues[service].remove(ticket)
+            if not ticket.payload.result.done():
+                ticket.payload.result.set_exception(exc)
+            return True
+        if isinstance(result, Postponed):
+            ticket.not_before = at + result.delay
+            return False
+        if result is not None:
+            # Only requests that are sent count towards the share of their workspace.
+            self._queues[service].remove(ticket)
+        self._settle(service, ticket, result)
+        return True
+
+    def _settle(self, service, ticket, result):
+        """End the wait of a request: it was sent if the result is None, or refused."""
+        waiter, at = ticket.payload, now()
+        if waiter.result.done():
+            return
+        waiter.result.set_result(result)
+        if result is not None:
+            self._count_refusal(service, ticket, result)
+            return
+        self._drain_rates[service].note_served(at)
+        wait = at - ticket.queued_at
+        self._metrics.wait_seconds.observe(_labels(service, ticket.rank), wait)
+        log.info("dequeued", extra={**waiter.fields, "waited": round(wait, 4)})
+
+    # Metrics.
+
+    def _count_refusal(self, service, ticket, cause):
+        labels = {**_labels(service, ticket.rank), "cause": cause.value}
+        self._metrics.queue_refusals.inc(labels)
+
+    def _report(self):
+        """Update the gauges, also of ranks of which no request waits anymore."""
+        at = now()
+        current = set()
+        for service, queue in self._queues.items():
+            for rank, count in queue.count_by_rank().items():
+                self._metrics.waiting.set(_labels(service, rank), count)
+                current.add((service, rank))
+            age = at - queue.oldest() if len(queue) else 0.0
+            self._metrics.waiting_age.set({"service": service}, age)
+        for service, rank in self._reported_ranks - current:
+            self._metrics.waiting.set(_labels(service, rank), 0)
+        self._reported_ranks = current
+
+
+def _labels(service, rank):
+    return {"service": service, "rank": rank_name(rank)}
+
+
+def rank_name(rank):
+    """Return the name of a `RequestPriority` in logs and metrics."""
+    return f"{rank.workspace}.{rank.route}"
+
+
+def find_outlook(knowledge, service, waiting, at):
+    """
+    Return the `Outlook` of a service.
+
+    The other hosts are assumed to have as many requests waiting as this one, since the
+    load balancer spreads callers over all hosts.
+    """
+    shared = knowledge.shared
+    slots, open_slots, failures, count, capacity = 0, 0, 0.0, 0, 0.0
+    for target in knowledge.registry.usable(service):
+        if not knowledge.availability.is_open(target.incarnation, at):
+            continue
+        failure_probability = shared.failure_probability(target.incarnation, at)
+        capacity += target.slots * (1.0 - failure_probability)
+        if failure_probability > SOUND_FAILURE_PROBABILITY:
+            continue
+        slots += target.slots
+        open_slots += max(0, target.slots - shared.in_flight(target.incarnation))
+        failures += failure_probability
+        count += 1
+    mean = failures / count if count else 1.0
+    waiting_on_all = max(1, waiting) * _host_count(knowledge)
+    return Outlook(slots, open_slots, mean, waiting_on_all, capacity)
+
+
+def _host_count(knowledge):
+    """Return about how many hosts there are, as data centres are alike."""
+    data_centre_count = max(1, len(knowledge.settings.data_centres))
+    return knowledge.shared.live_host_count() * data_centre_count
