--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/decision.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/decision.py
@@ -23,8 +23,9 @@
 # time left is nearly certain to be in time, and at the other one to be late.
 SURE_FRACTION = 0.5
 HOPELESS_FRACTION = 1.5
-# Value lost by the failure of a request that may be repeated, if time is left.
-REPEATABLE_LOSS = 0.4
+# Value lost by the failure of a request that may be repeated. Its retry needs a part of
+# the retry budget, and a sound target as well.
+REPEATABLE_LOSS = 0.7
 # Other hosts notice the same free slot. Chance of getting one that is expected free.
 CAPTURE_CHANCE = 0.5
 # A request is refused if its typical duration exceeds its time left by this factor: it
@@ -58,8 +59,8 @@
     BETTER_EXPECTED = "better-expected"
     BACKING_OFF = "backing-off"
     TARGETS_LIMITED = "targets-limited"
+    PACED = "paced"
     NO_RETRY_LEFT = "no-retry-left"
-    REJECTED = "rejected"
     TOO_LATE = "too-late"
 
 
@@ -84,15 +85,13 @@
 
     `slots` counts their slots, `open_slots` the free ones, and `failure_probability` is
     their mean. `waiting` is the number of requests on all hosts that wait for them,
-    including the one that is decided on. `capacity` is the expected number of slots of
-    all targets, sound or not, that serve what they get.
+    including the one that is decided on.
     """
 
     slots: int
     open_slots: int
     failure_probability: float
     waiting: float
-    capacity: float = 0.0
 
 
 class Need(NamedTuple):
--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/queue.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/queue.py
@@ -14,6 +14,7 @@
 
 import itertools
 import math
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -176,19 +177,26 @@
         return self.remove(ticket)
 
     def count_ahead(
-        self, rank: RequestPriority, workspace: WorkspaceName | None
+        self, rank: RequestPriority, workspace: WorkspaceName | None, now: float
     ) -> int:
         """
         Return how many requests would be served before a new one.
 
         Of its rank, these are at most as many of each other workspace as wait of its
-        own, which are served by turns.
+        own, which are served by turns. Those that have to wait for a time of their own
+        do not count.
         """
         ahead = sum(
-            len(queue.waiting) for other, queue in self._ranks.items() if other < rank
+            sum(queue.count_ready(now).values())
+            for other, queue in self._ranks.items()
+            if other < rank
         )
         rank_queue = self._ranks.get(rank)
-        return ahead + (rank_queue.count_ahead(workspace) if rank_queue else 0)
+        if rank_queue is None:
+            return ahead
+        counts = rank_queue.count_ready(now)
+        own = counts.pop(workspace, 0)
+        return ahead + own + sum(min(count, own + 1) for count in counts.values())
 
     def count_by_rank(self) -> dict[RequestPriority, int]:
         """Return the number of waiting requests by rank."""
@@ -258,11 +266,13 @@
         tag = self._start_tags[ticket.workspace]
         return is_late, tag, ticket.deadline, ticket.sequence
 
-    def count_ahead(self, workspace):
-        """Return how many requests would be served before a new one of a workspace."""
-        own = self._counts.get(workspace, 0)
-        others = (n for name, n in self._counts.items() if name != workspace)
-        return own + sum(min(count, own + 1) for count in others)
+    def count_ready(self, now):
+        """Return the number of requests that may be served now, by workspace."""
+        return Counter(
+            ticket.workspace
+            for ticket in self.waiting.values()
+            if ticket.not_before <= now
+        )
 
     def most_over_share(self):
         """Return the last request of the workspace with the most waiting requests."""
--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/queue_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/queue_test.py
@@ -136,6 +136,23 @@
     assert _serve(queue, now=2.0) == ["rejected"]
 
 
+def test_only_requests_of_other_workspaces_that_come_first_are_ahead():
+    """Guards against refusing a small workspace because a hot one has many waiting."""
+    hot = [_ticket(f"hot{n}", workspace="hot") for n in range(20)]
+    queue, _ = _queue(*hot, _ticket("small"), _ticket("pull", LOW))
+    assert queue.count_ahead(HIGH, "hot", 0.0) == 21
+    assert queue.count_ahead(HIGH, "a", 0.0) == 3
+    assert queue.count_ahead(HIGH, "new", 0.0) == 2
+    assert queue.count_ahead(LOW, "a", 0.0) == 22
+
+
+def test_delayed_requests_are_not_ahead():
+    """Guards against new requests that wait behind rejected ones for nothing."""
+    queue, _ = _queue(_ticket("rejected", not_before=2.0))
+    assert queue.count_ahead(HIGH, "b", 1.0) == 0
+    assert queue.count_ahead(HIGH, "b", 2.0) == 1
+
+
 def test_idle_workspaces_hold_no_state():
     """Guards against memory that grows with the number of workspaces."""
     queue = FairQueue(10)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -4,32 +4,20 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
+from typing import NamedTuple
 
 from plumsaddle_core.core.features import Feature
 from plumsaddle_core.core.traffic import SendOutcome
 from plumsaddle_core.limits.targets import max_token_wait
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
-from plumsaddle_core.ops.choice import ChoiceRule
-from plumsaddle_core.ops.urgency import max_wait_fraction, request_priority
-from plumsaddle_core.scheduling.decision import (
-    NO_OUTLOOK,
-    Need,
-    Option,
-    Reason,
-    Verdict,
-    decide,
-    is_clear,
-    latest_start,
-    next_attempt_delay,
-)
-from plumsaddle_core.scheduling.queue import Ticket
-from plumsaddle_core.scheduling.room import effective_urgency, max_in_flight
+from plumsaddle_core.ops.urgency import max_wait_fraction
 
 from .clock import now
 from .refusals import Refusal, RefusalCause
 from .send_runner import HEDGE_FACTOR, SendRunner, slow_threshold
 from .suspect_check import SuspectCheck
-from .waiting import REQUEST_OVERHEAD, Postponed, Waiter, rank_name
+from .turns import Turns
 
 log = logging.getLogger("relay")
 # Seconds after which hedging is tried again if no target was suitable.
@@ -39,11 +27,17 @@
 MAX_HEDGE_FAILURE_PROBABILITY = 0.25
 # Number of sends without a byte written after which a request is refused.
 MAX_UNREACHABLE = 3
-# Seconds after which a request that the retry budget denied is tried again.
-RETRY_DENIED_DELAY = 0.1
-# A non-empty set of excluded targets rules out a floor trial. A request may be one at
-# its first turn only, since the later ones say nothing about the demand.
-NO_FLOOR_TRIAL = frozenset({""})
+
+
+class Sends(NamedTuple):
+    """What the turns of a request use of it, as functions."""
+
+    profile: Callable
+    choose: Callable
+    tried_targets: Callable
+    may_spend_retry: Callable
+    note_retry_denied: Callable
+    start: Callable
 
 
 class ActiveRequest:
@@ -61,13 +55,21 @@
         self._send_runner = SendRunner(
             request, knowledge, sender, self._attempt, self._suspect_check
         )
-        self._waiting = waiting
-        self._priority = request_priority(request.route, request.owner.workspace)
-        self._turns = 0
-        self._is_retry_denied = False
+        self._turns = Turns(
+            request,
+            knowledge,
+            waiting,
+            self._suspect_check,
+            Sends(
+                self._profile,
+                self._choose,
+                self._tried_targets,
+                self._may_spend_retry,
+                self._note_retry_denied,
+                self._start_send,
+            ),
+        )
         self._unsent_cause = None
-        self._waited = 0.0
-        self._rejections = 0
         self._excluded = set()
         self._send_tasks = set()
         self._unreachable_count = 0
@@ -178,8 +180,6 @@
         """
         self._last_send = completed
         self._excluded.add(completed.target.id)
-        if completed.outcome is SendOutcome.NOT_RUN:
-            self._rejections += 1
         if completed.outcome in NOT_SENT:
             self._unreachable_count += 1
         if self._send_tasks:
@@ -194,7 +194,7 @@
             # The part of a streamed body that was read is not kept.
             return self._final_result(completed)
         if not self._knowledge.is_scheduling and not self._may_spend_retry():
-            self._metrics.retries_denied.inc({"service": self._request.service})
+            self._note_retry_denied()
             return self._final_result(completed)
         refusal = await self._send_next(completed.outcome.value)
         return None if refusal is None else self._final_result(completed)
@@ -206,6 +206,9 @@
             request.service, request.urgency
         )
 
+    def _note_retry_denied(self):
+        self._metrics.retries_denied.inc({"service": self._request.service})
+
     def _final_result(self, completed):
         """Return the `Reply` or `Refusal` when no further send is allowed."""
         if completed.reply is not None and self._may_forward(completed):
@@ -243,7 +246,7 @@
                 "last": self._last_send.outcome.value if self._last_send else None,
                 "seconds": round(now() - request.started_at, 4),
                 "version": self._knowledge.cfg.version,
-                **self._schedule_fields(),
+                **self._turn_fields(),
                 **fields,
             },
         )
@@ -251,6 +254,15 @@
         retry_delay = self._retry_after() if retry_delay is None else retry_delay
         return Refusal(cause, not self._attempt.is_known_not_run(), retry_delay)
 
+    def _turn_fields(self):
+        """Return the fields of a refusal that explain the request's turns."""
+        if not self._knowledge.is_scheduling:
+            return {}
+        fields = self._turns.log_fields()
+        if self._unsent_cause is not None:
+            fields["unsent"] = self._unsent_cause.value
+        return fields
+
     def _retry_after(self):
         """
         Return the seconds after which capacity is likely to be available.
@@ -261,13 +273,7 @@
         service = self._request.service
         spread = self._typical_duration() * self._knowledge.rng.uniform(0.5, 1.5)
         backoff = self._knowledge.selection.backoff(service, now())
-        wait = self._waiting.expected_wait(
-            service,
-            self._priority,
-            self._request.owner.name,
-            self._typical_duration(),
-        )
-        return max(backoff, wait) + spread
+        return max(backoff, self._turns.expected_wait()) + spread
 
     def _log_response(self, completed):
         request = self._request
@@ -298,7 +304,7 @@
         """
         if not self._knowledge.is_scheduling:
             return self._send_now(retry_cause)
-        cause = await self._send_in_turn(retry_cause)
+        cause = await self._turns.send(retry_cause, self._aborted)
         if cause is None:
             return None
         if retry_cause is not None:
@@ -361,8 +367,8 @@
             self._request.service, profile, excluded, self._has_connection, at, max_wait
         )
 
-    def _start_send(self, choice, retry_cause, at):
-        """Start a send to the target of a `Choice`."""
+    def _start_send(self, choice, retry_cause, at, reason=None):
+        """Start a send to the target of a `Choice`, for the `Reason` of its turn."""
         request = self._request
         target = choice.candidate.target
         if retry_cause is not None and self._attempt.sends:
@@ -383,6 +389,7 @@
                 "limit": self._knowledge.limits.rate(target),
                 "wait": round(choice.candidate.wait, 3),
                 "version": self._knowledge.cfg.version,
+                **({} if reason is None else {"reason": reason.value}),
             },
         )
         self._knowledge.note_send_start(target)
@@ -395,185 +402,6 @@
             sending = self._send_runner.run(choice)
         self._send_tasks.add(asyncio.get_running_loop().create_task(sending))
 
-    # Sends in turn.
-
-    async def _send_in_turn(self, retry_cause):
-        """
-        Start a send, after a wait for a better moment if that serves the caller better.
-
-        Args: as for `_send_next`.
-        Returns:
-          None if a send was started, otherwise the `RefusalCause`.
-        """
-        service = self._request.service
-        delay = self._rejection_delay(retry_cause)
-        if not delay and not self._waiting.count(service):
-            result = self._take_turn(retry_cause)
-            if not isinstance(result, Postponed):
-                return result
-            delay = result.delay
-        at = now()
-        ticket = self._make_ticket(retry_cause, at, delay)
-        try:
-            return await self._waiting.wait(service, ticket, self._aborted)
-        finally:
-            self._waited += now() - at
-
-    def _rejection_delay(self, retry_cause):
-        """Return the seconds until an attempt after a rejection, or 0.0."""
-        if retry_cause != SendOutcome.NOT_RUN.value:
-            return 0.0
-        return next_attempt_delay(
-            self._rejections, self._time_left(), self._knowledge.rng
-        )
-
-    def _make_ticket(self, retry_cause, at, delay):
-        request = self._request
-        duration = self._typical_duration()
-        waiter = Waiter(
-            lambda: self._take_turn(retry_cause),
-            request.caller.is_gone,
-            asyncio.get_running_loop().create_future(),
-            {
-                "request": request.id.decode("latin-1"),
-                "route": request.route.name,
-                "service": request.service,
-                "retry": retry_cause,
-                **self._schedule_fields(),
-            },
-        )
-        return Ticket(
-            self._priority,
-            request.owner.name,
-            at,
-            request.started_at + request.route.latency_objective - duration,
-            latest_start(request.deadline, duration),
-            request.deadline,
-            duration,
-            len(request.body) + REQUEST_OVERHEAD,
-            waiter,
-            at + delay,
-        )
-
-    def _schedule_fields(self):
-        """Return the fields of log lines that explain the request's place in queues."""
-        if not self._knowledge.is_scheduling:
-            return {}
-        fields = {"rank": rank_name(self._priority)}
-        if self._waited:
-            fields["waited"] = round(self._waited, 4)
-        if self._unsent_cause is not None:
-            fields["unsent"] = self._unsent_cause.value
-        if self._request.owner.name is not None:
-            fields["workspace"] = self._request.owner.name
-        return fields
-
-    def _take_turn(self, retry_cause):
-        """
-        Send if this is a good moment.
-
-        Args: as for `_send_next`.
-        Returns:
-          None if a send was started, a `RefusalCause`, or `Postponed`.
-        """
-        request, at = self._request, now()
-        if request.caller.is_gone():
-            return RefusalCause.CALLER_GONE
-        if self._is_held(retry_cause):
-            return RefusalCause.HELD
-        profile = self._profile(at)
-        need = Need(
-            request.route.kind.is_idempotent,
-            profile.typical_duration,
-            profile.objective_left,
-            profile.time_left,
-        )
-        urgency = self._effective_urgency(need, at)
-        choice = self._choose_in_turn(profile, urgency, at)
-        self._turns += 1
-        if choice is None:
-            return self._postpone_without_target(need, at)
-        decision = self._decide(choice, need, urgency, at)
-        if decision.verdict is Verdict.REFUSE:
-            is_first = self._turns == 1
-            return RefusalCause.OVERLOADED if is_first else RefusalCause.WAITED_IN_VAIN
-        if decision.verdict is Verdict.WAIT:
-            return Postponed(decision.reason)
-        if not self._may_spend_retry():
-            return self._postpone_retry()
-        self._start_send(choice, retry_cause, at)
-        return None
-
-    def _is_held(self, retry_cause):
-        """Return whether targets may have crashed under the request meanwhile."""
-        if retry_cause is None:
-            return bool(self._suspect_check.hold_remaining())
-        return not self._suspect_check.may_retry()
-
-    def _effective_urgency(self, need, at):
-        request = self._request
-        return effective_urgency(
-            self._knowledge.rank_urgency(request.service, self._priority),
-            at - request.started_at,
-            request.route.latency_objective - need.typical_duration,
-        )
-
-    def _choose_in_turn(self, profile, urgency, at):
-        """
-        Return the best `Choice` among targets that the request may join, if any.
-
-        If it may join none, the best of all is returned.
-        """
-        excluded = self._tried_targets() | (NO_FLOOR_TRIAL if self._turns else set())
-        max_wait = max_token_wait(profile, self._request.urgency)
-        choice = self._choose(profile, excluded, at, max_wait)
-        if choice is None or _may_join(choice, urgency):
-            return choice
-        in_flight = self._knowledge.shared.in_flight
-        full = {
-            target.id
-            for target in self._knowledge.registry.usable(self._request.service)
-            if in_flight(target.incarnation) >= max_in_flight(target.slots, urgency)
-        }
-        return self._choose(profile, excluded | full, at, max_wait) or choice
-
-    def _decide(self, choice, need, urgency, at):
-        """Return the `Decision` on a choice; a floor trial is sent as it is."""
-        candidate = choice.candidate
-        is_trial = choice.rule is ChoiceRule.FLOOR_TRIAL
-        option = Option(
-            0.0 if is_trial else candidate.failure_probability,
-            0 if is_trial else candidate.in_flight,
-            max_in_flight(candidate.target.slots, urgency),
-            candidate.wait + choice.expected_duration,
-        )
-        outlook = NO_OUTLOOK
-        if not is_clear(option):
-            outlook = self._waiting.outlook(self._request.service, at)
-        return decide(option, outlook, need)
-
-    def _postpone_retry(self):
-        """Return `Postponed` for a request that the retry budget denies now."""
-        if not self._is_retry_denied:
-            self._is_retry_denied = True
-            self._metrics.retries_denied.inc({"service": self._request.service})
-        return Postponed(Reason.NO_RETRY_LEFT, RETRY_DENIED_DELAY)
-
-    def _postpone_without_target(self, need, at):
-        """Return `Postponed` if a target may be sent to in time, or a refusal cause."""
-        service = self._request.service
-        backoff = self._knowledge.selection.backoff(service, at)
-        limits_wait = self._knowledge.limits.retry_after(service, at)
-        wait = max(backoff, limits_wait or 0.0)
-        may_wait = wait > 0.0 and wait + need.typical_duration < need.time_left
-        if limits_wait is not None:
-            cause, reason = RefusalCause.TARGETS_LIMITED, Reason.TARGETS_LIMITED
-        elif backoff:
-            cause, reason = RefusalCause.BACKING_OFF, Reason.BACKING_OFF
-        else:
-            return RefusalCause.NO_TARGET
-        return Postponed(reason, wait) if may_wait else cause
-
     def _refuse_without_target(self, at):
         """Return the refusal of a request for which no target is available."""
         service = self._request.service
@@ -601,13 +429,6 @@
         reply.rest.close()
 
 
-def _may_join(choice, urgency):
-    """Return whether a request of an urgency may join the target of a choice."""
-    candidate = choice.candidate
-    room = max_in_flight(candidate.target.slots, urgency)
-    return candidate.in_flight < room or choice.rule is ChoiceRule.FLOOR_TRIAL
-
-
 def _would_miss_deadline(choice, profile, urgency):
     """
     Return whether the best target has no free slot and would respond too late.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting.py
@@ -16,13 +16,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from plumsaddle_core.scheduling.decision import (
-    SOUND_FAILURE_PROBABILITY,
-    Outlook,
-    Reason,
-)
+from plumsaddle_core.scheduling.decision import Reason
 from plumsaddle_core.scheduling.drain_rate import DrainRate
+from plumsaddle_core.scheduling.pace import Pace
 from plumsaddle_core.scheduling.queue import FairQueue
+from plumsaddle_core.scheduling.view import TargetLoad, make_view
 
 from .clock import now
 from .refusals import RefusalCause
@@ -39,8 +37,8 @@
 MAX_TURN_INTERVAL = 0.06
 # Requests without room after which no other one of the service is tried in a turn.
 MAX_FAILED_TURNS = 3
-# Seconds for which the outlook of a service is kept.
-OUTLOOK_LIFETIME = 0.02
+# Seconds for which the view of a service is kept.
+VIEW_LIFETIME = 0.02
 
 
 class Postponed(NamedTuple):
@@ -78,7 +76,8 @@
         self._metrics = metrics
         self._queues = {}
         self._drain_rates = {}
-        self._outlooks = {}
+        self._views = {}
+        self._paces = {}
         self._timer = None
         self._services_with_room = set()
         self._reported_ranks = set()
@@ -89,10 +88,14 @@
         queue = self._queues.get(service)
         return len(queue) if queue is not None else 0
 
+    def count_ahead(self, service, rank, workspace):
+        """Return how many waiting requests would get their turn before a new one."""
+        queue = self._queues.get(service)
+        return queue.count_ahead(rank, workspace, now()) if queue is not None else 0
+
     def expected_wait(self, service, rank, workspace, duration):
         """Return the seconds after which a new request would probably get its turn."""
-        queue = self._queues.get(service)
-        ahead = queue.count_ahead(rank, workspace) if queue is not None else 0
+        ahead = self.count_ahead(service, rank, workspace)
         if not ahead:
             return 0.0
         at = now()
@@ -101,8 +104,7 @@
 
     def _capacity(self, service, duration, at):
         """Return this host's part of the requests per second of the targets."""
-        capacity = self.outlook(service, at).capacity
-        return capacity / duration / _host_count(self._knowledge)
+        return self.view(service, at).capacity / duration / self._host_count()
 
     async def wait(self, service, ticket, aborted):
         """
@@ -119,8 +121,8 @@
             service, FairQueue(MAX_WAITING, MAX_WAITING_BYTES)
         )
         rate = self._drain_rates.setdefault(service, DrainRate())
-        ahead = queue.count_ahead(ticket.rank, ticket.workspace)
         at = now()
+        ahead = queue.count_ahead(ticket.rank, ticket.workspace, at)
         capacity = self._capacity(service, ticket.cost, at)
         if rate.is_hopeless(ahead, capacity, ticket.latest_start - at, at):
             self._count_refusal(service, ticket, RefusalCause.QUEUE_FULL)
@@ -130,8 +132,10 @@
         rate.note_length(len(queue), at)
         waiter = ticket.payload
         log.info("queued", extra={**waiter.fields, "waiting": len(queue)})
-        self._schedule_turn()
         try:
+            # What waits before it may only be short of a target that it has tried.
+            self._serve(service, at)
+            self._schedule_turn()
             await asyncio.wait(
                 {waiter.result, aborted}, return_when=asyncio.FIRST_COMPLETED
             )
@@ -143,13 +147,67 @@
             return RefusalCause.DRAINING
         return waiter.result.result()
 
-    def outlook(self, service, at):
-        """Return a recent `Outlook` of a service."""
-        outlook, since = self._outlooks.get(service, (None, 0.0))
-        if outlook is None or not 0.0 <= at - since < OUTLOOK_LIFETIME:
-            outlook = find_outlook(self._knowledge, service, self.count(service), at)
-            self._outlooks[service] = (outlook, at)
-        return outlook
+    # What the turns of requests need to know.
+
+    def view(self, service, at):
+        """Return a recent `ServiceView`."""
+        view, since = self._views.get(service, (None, 0.0))
+        if view is None or not 0.0 <= at - since < VIEW_LIFETIME:
+            view = self._make_view(service, at)
+            self._views[service] = (view, at)
+        return view
+
+    def _make_view(self, service, at):
+        """
+        Return the `ServiceView` of a service.
+
+        The other hosts are assumed to have as many requests waiting as this one, since
+        the load balancer spreads callers over all hosts, and the other data centres to
+        receive as many requests.
+        """
+        knowledge, shared = self._knowledge, self._knowledge.shared
+        loads = [
+            TargetLoad(
+                target.id,
+                target.slots,
+                shared.in_flight(target.incarnation),
+                shared.failure_probability(target.incarnation, at),
+            )
+            for target in knowledge.registry.usable(service)
+            if knowledge.availability.is_open(target.incarnation, at)
+        ]
+        waiting = max(1, self.count(service)) * self._host_count()
+        return make_view(loads, waiting, sum(self._demands(service, at)))
+
+    def _host_count(self):
+        return self._knowledge.shared.live_host_count() * self._data_centre_count()
+
+    def _data_centre_count(self):
+        return max(1, len(self._knowledge.settings.data_centres))
+
+    def _demands(self, service, at):
+        """Return the requests per second to this host and to all others."""
+        own, *others = self._knowledge.shared.limits.membership.demands(service, at)
+        total = own.demand + sum(host.demand for host in others)
+        return own.demand, total * self._data_centre_count() - own.demand
+
+    def pace(self, service, duration, at):
+        """
+        Return the `Pace` at which requests may be sent, or None while there is room.
+
+        Args:
+          service: The service's name.
+          duration: The typical duration of the request to be sent, in seconds.
+          at: The current time, in seconds.
+        """
+        view = self.view(service, at)
+        if not view.is_scarce:
+            return None
+        own, others = self._demands(service, at)
+        share = own / (own + others) if own else 0.0
+        pace = self._paces.setdefault(service, Pace())
+        pace.refill(view.capacity / duration * share, at)
+        return pace
 
     # Turns.
 
@@ -252,34 +310,3 @@
 def rank_name(rank):
     """Return the name of a `RequestPriority` in logs and metrics."""
     return f"{rank.workspace}.{rank.route}"
-
-
-def find_outlook(knowledge, service, waiting, at):
-    """
-    Return the `Outlook` of a service.
-
-    The other hosts are assumed to have as many requests waiting as this one, since the
-    load balancer spreads callers over all hosts.
-    """
-    shared = knowledge.shared
-    slots, open_slots, failures, count, capacity = 0, 0, 0.0, 0, 0.0
-    for target in knowledge.registry.usable(service):
-        if not knowledge.availability.is_open(target.incarnation, at):
-            continue
-        failure_probability = shared.failure_probability(target.incarnation, at)
-        capacity += target.slots * (1.0 - failure_probability)
-        if failure_probability > SOUND_FAILURE_PROBABILITY:
-            continue
-        slots += target.slots
-        open_slots += max(0, target.slots - shared.in_flight(target.incarnation))
-        failures += failure_probability
-        count += 1
-    mean = failures / count if count else 1.0
-    waiting_on_all = max(1, waiting) * _host_count(knowledge)
-    return Outlook(slots, open_slots, mean, waiting_on_all, capacity)
-
-
-def _host_count(knowledge):
-    """Return about how many hosts there are, as data centres are alike."""
-    data_centre_count = max(1, len(knowledge.settings.data_centres))
-    return knowledge.shared.live_host_count() * data_centre_count
