--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/pace.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/pace.py
@@ -8,9 +8,9 @@
 demand. The shares add up to the whole, without a coordinator and however many hosts
 there are.
 
-Less urgent requests leave a reserve for urgent ones that arrive next. Requests before
-which none waits are not held back, since they arrive at random and not all at once, but
-they count.
+Less urgent requests leave a reserve for urgent ones that arrive next. New requests
+before which none waits may exceed the pace by one, since they arrive at random and not
+all at once.
 """
 
 # The pace relative to the expected service rate. Slots that are left unused because of
@@ -44,16 +44,17 @@
             self._tokens = min(capacity, self._tokens + elapsed * rate * PACE_FACTOR)
         self._updated_at = now
 
-    def may_send(self, urgency):
+    def may_send(self, urgency, is_new=False):
         """
-        Return whether there is a token for a waiting request.
+        Return whether a request may be sent.
 
         Args:
           urgency: The urgency of its rank, from 0.0 to 1.0. The least urgent requests
             leave one token.
+          is_new: Whether it arrived just now, and none waits before it.
         """
-        return self._tokens >= 2.0 - urgency
+        return self._tokens >= (0.0 if is_new else 2.0 - urgency)
 
     def note_send(self):
-        """Take a token for a send, also of a request that did not wait."""
+        """Take a token for a send."""
         self._tokens = max(-MAX_DEBT, self._tokens - 1.0)
--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/pace_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/pace_test.py
@@ -32,6 +32,16 @@
     assert pace.may_send(1.0)
 
 
+def test_new_requests_exceed_the_pace_by_one_at_most():
+    """Guards against a host that sends all it receives while others wait."""
+    pace = Pace()
+    count = 0
+    while pace.may_send(1.0, is_new=True):
+        pace.note_send()
+        count += 1
+    assert count == 2
+
+
 def test_requests_that_did_not_wait_count():
     """Guards against a host that sends its share once at once and once in turn."""
     pace = Pace()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
@@ -179,7 +179,7 @@
         if decision.verdict is Verdict.WAIT:
             return Postponed(decision.reason)
         pace = self._waiting.pace(request.service, need.typical_duration, at)
-        if is_queued and pace is not None and not pace.may_send(self._rank_urgency()):
+        if pace is not None and not pace.may_send(self._rank_urgency(), not is_queued):
             return Postponed(Reason.PACED)
         if not self._sends.may_spend_retry():
             return self._postpone_retry()
--- a/packages/plumsaddle-standins/plumsaddle_standins/queue_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/queue_model.py
@@ -282,7 +282,7 @@
         if view.is_scarce:
             rate = view.capacity / WORK * host.demand_share
             host.pace.refill(rate, self.now)
-            if is_queued and not host.pace.may_send(1.0 - request.kind.rank / 2):
+            if not host.pace.may_send(1.0 - request.kind.rank / 2, not is_queued):
                 return False
             host.pace.note_send()
         self._send(host, request, choice)
