--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
+from typing import NamedTuple
 
 from plumsaddle_core.core.features import Feature
 from plumsaddle_core.core.traffic import SendOutcome
@@ -16,6 +18,7 @@
 from .refusals import Refusal, RefusalCause
 from .send_runner import HEDGE_FACTOR, SendRunner, slow_threshold
 from .suspect_check import SuspectCheck
+from .turns import Turns
 from .verdict import reply_length
 
 log = logging.getLogger("relay")
@@ -28,10 +31,21 @@
 MAX_UNREACHABLE = 3
 
 
+class Sends(NamedTuple):
+    """What the turns of a request use of it, as functions."""
+
+    profile: Callable
+    choose: Callable
+    tried_targets: Callable
+    may_spend_retry: Callable
+    note_retry_denied: Callable
+    start: Callable
+
+
 class ActiveRequest:
     """A request in flight."""
 
-    def __init__(self, request, knowledge, sender, metrics, crash_detector):
+    def __init__(self, request, knowledge, sender, metrics, crash_detector, waiting):
         self._request = request
         self._knowledge = knowledge
         self._sender = sender
@@ -43,6 +57,21 @@
         self._send_runner = SendRunner(
             request, knowledge, sender, self._attempt, self._suspect_check
         )
+        self._turns = Turns(
+            request,
+            knowledge,
+            waiting,
+            self._suspect_check,
+            Sends(
+                self._profile,
+                self._choose,
+                self._tried_targets,
+                self._may_spend_retry,
+                self._note_retry_denied,
+                self._start_send,
+            ),
+        )
+        self._unsent_cause = None
         self._excluded = set()
         self._send_tasks = set()
         self._unreachable_count = 0
@@ -142,7 +171,7 @@
         if may_send and self._knowledge.may_hedge(
             self._request.service, self._request.urgency
         ):
-            await self._send_next(RETRY_CAUSE_SLOW)
+            self._send_now(RETRY_CAUSE_SLOW)
         self._is_hedged = self._attempt.sends > sends
         if not self._is_hedged:
             self._hedge_at = now() + HEDGE_RETRY_INTERVAL
@@ -169,14 +198,23 @@
         if not self._attempt.may_send() or self._send_runner.is_body_consumed:
             # The part of a streamed body that was read is not kept.
             return self._final_result(completed)
-        is_retry = self._attempt.sends > 0
-        request = self._request
-        if is_retry and not self._knowledge.may_retry(request.service, request.urgency):
-            self._metrics.retries_denied.inc({"service": request.service})
+        # With scheduling on, a request that the budget denies now waits for it.
+        if not self._knowledge.is_scheduling and not self._may_spend_retry():
+            self._note_retry_denied()
             return self._final_result(completed)
         refusal = await self._send_next(completed.outcome.value)
         return None if refusal is None else self._final_result(completed)
 
+    def _may_spend_retry(self):
+        """Return whether the retry budget admits a send, if the next one needs it."""
+        request = self._request
+        return not self._attempt.sends or self._knowledge.may_retry(
+            request.service, request.urgency
+        )
+
+    def _note_retry_denied(self):
+        self._metrics.retries_denied.inc({"service": self._request.service})
+
     def _final_result(self, completed):
         """Return the `Reply` or `Refusal` when no further send is allowed."""
         if completed.reply is not None and self._may_forward(completed):
@@ -215,6 +253,7 @@
                 "seconds": round(now() - request.started_at, 4),
                 "version": self._knowledge.cfg.version,
                 **position_field(request.position),
+                **self._turn_fields(),
                 **fields,
             },
         )
@@ -222,6 +261,15 @@
         retry_delay = self._retry_after() if retry_delay is None else retry_delay
         return Refusal(cause, not self._attempt.is_known_not_run(), retry_delay)
 
+    def _turn_fields(self):
+        """Return the fields of a refusal that explain the request's turns."""
+        if not self._knowledge.is_scheduling:
+            return {}
+        fields = self._turns.log_fields()
+        if self._unsent_cause is not None:
+            fields["unsent"] = self._unsent_cause.value
+        return fields
+
     def _retry_after(self):
         """
         Return the seconds after which capacity is likely to be available.
@@ -229,8 +277,10 @@
         This is never before a target's backoff ends, and spread so that
         callers refused together don't return together.
         """
+        service = self._request.service
         spread = self._typical_duration() * self._knowledge.rng.uniform(0.5, 1.5)
-        return self._knowledge.selection.backoff(self._request.service, now()) + spread
+        backoff = self._knowledge.selection.backoff(service, now())
+        return max(backoff, self._turns.expected_wait()) + spread
 
     def _log_response(self, completed):
         request = self._request
@@ -253,35 +303,44 @@
 
     async def _send_next(self, retry_cause):
         """
-        Start a send to the best of the remaining targets.
+        Start a send to the best of the remaining targets, at once or in its turn.
 
         Args:
           retry_cause: Why the request is sent again, or None for its first send.
+        Returns:
+          A `Refusal` if no target may be used, otherwise None.
+        """
+        if not self._knowledge.is_scheduling:
+            return self._send_now(retry_cause)
+        cause = await self._turns.send(retry_cause, self._aborted)
+        if cause is None:
+            return None
+        if retry_cause is not None:
+            # The outcome of the former send decides on the refusal, which is logged.
+            self._unsent_cause = cause
+            return Refusal(cause, not self._attempt.is_known_not_run())
+        if cause is RefusalCause.HELD:
+            return self.check_hold() or self._refuse(RefusalCause.NOT_RUN)
+        return self._refuse(cause)
+
+    def _send_now(self, retry_cause):
+        """
+        Start a send to the best of the remaining targets.
+
+        Args: as for `_send_next`.
         Returns:
           A `Refusal` if no target may be used. None if a send was started, or if no
           target is suitable for a hedge.
         """
         request = self._request
         at = now()
-        response_bytes = self._knowledge.typical_response_bytes(request.route)
-        kilobytes = ((request.length or 0) + response_bytes) / 1024
-        profile = self._knowledge.request_profile(
-            request.route,
-            request.service,
-            request.started_at,
-            request.deadline,
-            kilobytes,
-            at,
-        )
-        excluded = self._excluded | set(self._attempt.targets)
+        profile = self._profile(at)
         max_wait = (
             0.0
             if retry_cause == RETRY_CAUSE_SLOW
             else max_token_wait(profile, request.urgency)
         )
-        choice = self._knowledge.selection.choose(
-            request.service, profile, excluded, self._has_connection, at, max_wait
-        )
+        choice = self._choose(profile, self._tried_targets(), at, max_wait)
         if retry_cause == RETRY_CAUSE_SLOW and not _is_worth_hedging(choice):
             return None
         if choice is None:
@@ -291,6 +350,34 @@
             and self._attempt.is_known_not_run()
         ):
             return self._refuse(RefusalCause.OVERLOADED)
+        self._start_send(choice, retry_cause, at)
+        return None
+
+    def _profile(self, at):
+        """Return the current `RequestProfile`."""
+        request = self._request
+        response_bytes = self._knowledge.typical_response_bytes(request.route)
+        kilobytes = ((request.length or 0) + response_bytes) / 1024
+        return self._knowledge.request_profile(
+            request.route,
+            request.service,
+            request.started_at,
+            request.deadline,
+            kilobytes,
+            at,
+        )
+
+    def _tried_targets(self):
+        return self._excluded | set(self._attempt.targets)
+
+    def _choose(self, profile, excluded, at, max_wait):
+        return self._knowledge.selection.choose(
+            self._request.service, profile, excluded, self._has_connection, at, max_wait
+        )
+
+    def _start_send(self, choice, retry_cause, at, reason=None):
+        """Start a send to the target of a `Choice`, for the `Reason` of its turn."""
+        request = self._request
         target = choice.candidate.target
         if retry_cause is not None and self._attempt.sends:
             self._knowledge.shared.note_retry(request.service, at)
@@ -310,6 +397,7 @@
                 "limit": self._knowledge.limits.rate(target),
                 "wait": round(choice.candidate.wait, 3),
                 "version": self._knowledge.cfg.version,
+                **({} if reason is None else {"reason": reason.value}),
             },
         )
         self._knowledge.note_send_start(target)
@@ -321,7 +409,6 @@
             self._attempt.note_send(target.id)
             sending = self._send_runner.run(choice)
         self._send_tasks.add(asyncio.get_running_loop().create_task(sending))
-        return None
 
     def _refuse_without_target(self, at):
         """Return the refusal of a request for which no target is available."""
