--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/room.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/room.py
@@ -3,17 +3,19 @@
 
 The load it answers: more urgent and less urgent requests than all targets have slots
 for, arriving at many hosts that do not coordinate. Every host knows the requests in
-flight at each target, as other hosts report them. The least urgent requests join a
-target only while it has a free slot, and the more urgent ones also some that queue
-there. So urgent requests find room on every host, while less urgent ones wait on
-theirs, without a message about ranks.
+flight at each target, as other hosts report them. The more urgent a request, the more
+requests it may join at a target. So urgent requests find room on every host, while less
+urgent ones wait on theirs, without a message about ranks.
 
-An urgent request that queues at a target is served there after the running ones, so
-the extra depth is bounded by the slots: it delays a response by at most one duration.
+The least urgent ones may join a few as well: a slot that came free is noticed about as
+late as a short request takes, so it needs a request that already queues there. The
+depth is bounded by the slots, since what queues at a target is served in any order.
 """
 
-# Requests beyond the slots that the most urgent ones may let queue, for each slot.
-EXTRA_DEPTH_PER_SLOT = 1.0
+# Requests that may queue at a target for each of its slots: before any may join it, and
+# in addition before the most urgent ones.
+BASE_DEPTH_PER_SLOT = 1.0
+URGENT_DEPTH_PER_SLOT = 1.0
 # The part of the time that a request may wait after which its urgency rises, so that
 # less urgent requests are not passed over until their time is up.
 AGING_START = 0.5
@@ -46,4 +48,5 @@
       urgency: The urgency of the request, from `effective_urgency`.
     """
     slots = max(1, slots)
-    return slots + round(slots * EXTRA_DEPTH_PER_SLOT * urgency)
+    depth = BASE_DEPTH_PER_SLOT + URGENT_DEPTH_PER_SLOT * urgency
+    return slots + round(slots * depth)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
@@ -72,14 +72,14 @@
           None if a send was started, otherwise the `RefusalCause`.
         """
         request = self._request
-        delay = self._rejection_delay(retry_cause)
+        delay, reason = self._rejection_delay(retry_cause), None
         if not delay and not self._waiting.count_ahead(request.service, *self._place):
             result = self._take(retry_cause, is_queued=False)
             if not isinstance(result, Postponed):
                 return result
-            delay = result.delay
+            delay, reason = result.delay, result.reason.value
         at = now()
-        ticket = self._make_ticket(retry_cause, at, delay)
+        ticket = self._make_ticket(retry_cause, at, delay, reason)
         try:
             return await self._waiting.wait(request.service, ticket, aborted)
         finally:
@@ -118,7 +118,7 @@
             self._rejections, self._request.deadline - now(), self._knowledge.rng
         )
 
-    def _make_ticket(self, retry_cause, at, delay):
+    def _make_ticket(self, retry_cause, at, delay, reason):
         request = self._request
         duration = self._typical_duration()
         waiter = Waiter(
@@ -130,6 +130,7 @@
                 "route": request.route.name,
                 "service": request.service,
                 "retry": retry_cause,
+                "reason": reason,
                 **self.log_fields(),
             },
         )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting.py
@@ -53,7 +53,7 @@
     The payload of a ticket.
 
     `take_turn` sends the request if this is a good moment; it returns None if it did, a
-    `RefusalCause`, or `Postponed`.
+    `RefusalCause`, or `Postponed`. `fields` are those of its log lines.
     """
 
     take_turn: Callable
@@ -261,6 +261,7 @@
             return True
         if isinstance(result, Postponed):
             ticket.not_before = at + result.delay
+            ticket.payload.fields["reason"] = result.reason.value
             return False
         if result is not None:
             # Only requests that are sent count towards the share of their workspace.
