--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_pipelining_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_pipelining_test.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import logging
 
 from plumsaddle_hosts.utils.addresses import split_address
 
@@ -35,8 +36,9 @@
 
 
 @in_loop
-async def test_an_order_among_lookups_runs_once_and_in_its_turn():
+async def test_an_order_among_lookups_runs_once_and_in_its_turn(caplog):
     """Guards against an order that runs although its response may not be delivered."""
+    caplog.set_level(logging.INFO)
     async with Trial(services=("look", "act")) as trial:
         for worker in trial.workers.values():
             worker.work = 0.2
@@ -54,6 +56,14 @@
         assert seen["id-1"] - seen["id-0"] > 0.19
         assert seen["id-4"] - seen["id-1"] > 0.19
         assert sum(worker.runs["id-1"] for worker in trial.of("act")) == 1
+        logged = {
+            record.request: getattr(record, "position", None)
+            for record in caplog.records
+            if record.message in ("answered", "refused")
+        }
+        assert logged == {"id-0": None, "id-1": 1, "id-2": 2, None: 3, "id-4": 4}
+        pipelines = trial.hosts[0]._front_server.pipelines
+        assert (pipelines.early_count, pipelines.waited_count) == (3, 3)
         pipe.close()
 
 
