Blame a target that cuts a large response after it has begun to go out

Such a send counted as a success, as for all streamed responses, so a target that cuts every long response looked healthy. A response that the host did not read for a while is excluded, since targets may cut it for that. The test failed before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -167,11 +167,16 @@
 
     def _download_reply(self, request, target, connection, exchange):
         """Return the `Reply` that forwards a large response."""
+
+        def release():
+            self._pool.release(target.incarnation, connection)
+            if exchange.outcome is SendOutcome.BROKEN and not exchange.was_paused:
+                self._knowledge.note_outcome(
+                    target, request.route, SendOutcome.BROKEN, 0.0
+                )
+
         rest = DownloadRest(
-            exchange,
-            self._knowledge.downloads,
-            request.deadline,
-            lambda: self._pool.release(target.incarnation, connection),
+            exchange, self._knowledge.downloads, request.deadline, release
         )
         return Reply(exchange.status, exchange.headers, b"", rest)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -75,6 +75,8 @@
         self.has_buffer = buffer is not None
         # When the latest bytes arrived; only for an exchange with a buffer.
         self.received_at = 0.0
+        # Whether it was not read for a while, which may make the target cut it.
+        self.was_paused = False
         self.outcome = None
         self.on_end = None
         self._waiter = None
@@ -98,6 +100,7 @@
         self.received_at = now()
         if self.body.has_room:
             return True
+        self.was_paused = True
         self.body.wait_for_room()
         return False
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_downloads_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_downloads_test.py
@@ -12,6 +12,7 @@
 import pytest
 
 from plumsaddle_core.transfers.byte_budget import MIN_READ
+from plumsaddle_hosts.edge.clock import now
 
 from .host_process import HostProcess
 from .trial import (
@@ -129,6 +130,22 @@
         await until(lambda: _held(trial) == 0 and not _in_flight(trial))
 
 
+@in_loop
+async def test_a_target_that_cuts_a_response_on_its_way_is_blamed():
+    """Guards against a target that cuts every response and looks healthy."""
+    async with _downloads(targets=1, mode=Mode.HEAD_ONLY) as trial:
+        knowledge = trial.hosts[0].knowledge
+        target = knowledge.registry.targets["file-0"]
+        before = knowledge.shared.failure_probability(target.incarnation, now())
+        asking = asyncio.create_task(trial.ask("/file/a", "id-1"))
+        await asyncio.sleep(1.0)
+        trial.workers["file-0"].stop()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await asking
+        after = knowledge.shared.failure_probability(target.incarnation, now())
+        assert after > before + 0.05
+
+
 @in_loop
 async def test_a_response_beyond_the_budget_is_whole_for_a_caller_that_reads():
     """Guards against callers that get nothing while others do not read."""
