--- a/packages/plumsaddle-core/plumsaddle_core/core/data.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/data.py
@@ -197,6 +197,23 @@
     json: bool = False
 
 
+class CallerBounds(NamedTuple):
+    """
+    Bounds on what a host does for its callers.
+
+    The first four limit pipelined requests; see `PipelineLimits` in `core/traffic.py`.
+    `buffered_mb` is the most megabytes of large responses that the host holds for slow
+    callers. One that takes nothing for `stall_timeout` seconds is cut.
+    """
+
+    requests_per_connection: Annotated[int, Field(ge=1)] = 8
+    bytes_per_connection: Annotated[int, Field(ge=1)] = 1_048_576
+    requests_per_host: Annotated[int, Field(ge=1)] = 256
+    bytes_per_host: Annotated[int, Field(ge=1)] = 16_777_216
+    buffered_mb: Annotated[float, Field(ge=1, le=100000)] = 50.0
+    stall_timeout: Seconds = 10.0
+
+
 class Settings(NamedTuple):
     """The content of a host's settings file."""
 
@@ -207,6 +224,7 @@
     peers: Peers
     logs: Logs = Logs()
     leave_wait: Annotated[float, Field(ge=0, le=3600)] = 5.0
+    callers: CallerBounds = CallerBounds()
 
 
 class Refusal(NamedTuple):
--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -23,6 +23,9 @@
     WorkspaceName,
 )
 
+# Bytes that a host holds for slow callers if its memory limit is unknown.
+DEFAULT_BUFFERED_BYTES = 50_000_000
+
 
 class RequestKind(enum.Enum):
     """How a request may be retried after it was partly processed."""
@@ -195,12 +198,29 @@
     quota_slack: float = 20.0
 
 
+class PipelineLimits(NamedTuple):
+    """
+    Limits on requests that are read behind others on callers' connections.
+
+    `requests_per_connection` is the number of requests of a connection that run at the
+    same time. A host works on at most `requests_per_host` requests whose turn has not
+    come, and holds `bytes_per_connection` and `bytes_per_host` for requests behind
+    others and for responses that wait for their turn.
+    """
+
+    requests_per_connection: int = 8
+    bytes_per_connection: int = 1_048_576
+    requests_per_host: int = 256
+    bytes_per_host: int = 16_777_216
+
+
 class HostSettings(NamedTuple):
     """
     The content of a host's settings file.
 
     `link_rate` is the capacity of the host's network link in bytes per second, or None
-    if unknown.
+    if unknown. `buffered_bytes` is the most that it holds of large responses for
+    callers that read slower than targets send.
     """
 
     id: HostId
@@ -215,6 +235,8 @@
     link_rate: float | None = None
     disabled_features: frozenset[Feature] = frozenset()
     scheduling: SchedulingMode = SchedulingMode.AUTO
+    pipeline_limits: PipelineLimits = PipelineLimits()
+    buffered_bytes: int = DEFAULT_BUFFERED_BYTES
 
     @property
     def has_seeds(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/tries.py
@@ -7,17 +7,22 @@
 
 import asyncio
 import logging
+import re
 from typing import Any, NamedTuple
 
 import aiohttp
 from returns.result import Failure, Success
 
-from plumsaddle_core.core.data import FailureKind
+from plumsaddle_core.core.data import FailureKind, RequestKind
 
 from ..front.headers import LEAVING_STATES, TARGET_STATE
+from .downloads import AwaitedBuffer, Download
 from .sender import CHUNK, FailedTry, Progress, send
 
 log = logging.getLogger("tries")
+RETRY_AFTER = "Retry-After"
+# Seconds, as `Retry-After` states them; dates are not supported.
+_is_seconds = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII).fullmatch
 SERVER_ERRORS = range(500, 600)
 
 
@@ -29,11 +34,11 @@
     running: Any
     stall: float
 
-    async def read(self):
+    async def read(self, most=CHUNK):
         """Return the next bytes; `Failure` of a `FailedTry` if it broke off."""
         try:
             async with asyncio.timeout(self.stall):
-                return Success(await self.resp.content.read(CHUNK))
+                return Success(await self.resp.content.read(most))
         except TimeoutError:
             return Failure(FailedTry(FailureKind.STALLED, "no progress"))
         except (aiohttp.ClientError, OSError) as exc:
@@ -64,22 +69,38 @@
     service = state.service
     running = state.start_try(member, kind, loop.time())
     progress = progress or Progress(service.stall_timeout)
+    buffer = AwaitedBuffer(host.budget) if kind is RequestKind.DOWNLOAD else None
     try:
         result = await send(
-            host.session, member.target.address, outgoing, service, progress
+            host.session, member.target.address, outgoing, service, progress, buffer
         )
     except BaseException:
+        if buffer is not None:
+            buffer.close()
         # The caller went away; that says nothing about the target.
         state.end_try(running, FailureKind.CALLER, loop.time())
         raise
     _note_state(host, member.target, result)
+    _note_backoff(state, member, result, loop.time())
     result = _find_shed(result, service)
     _end(host, state, running, result, loop.time())
     if isinstance(result, Success) and result.unwrap().rest is not None:
         answer = result.unwrap()
         rest = Streaming(answer.rest, state, running, service.stall_timeout)
-        return Success(answer._replace(rest=rest))
-    return result
+        result = Success(answer._replace(rest=rest))
+    return result if buffer is None else _pass_on(result, buffer)
+
+
+def _pass_on(result, buffer):
+    """Return a result whose body, if it is in a buffer, is read as a `Download`."""
+    if isinstance(result, Failure):
+        buffer.close()
+        return result
+    answer = result.unwrap()
+    if answer.rest is None and not buffer:
+        buffer.close()
+        return result
+    return Success(answer._replace(rest=Download(buffer, answer.rest)))
 
 
 def _note_state(host, target, result):
@@ -90,6 +111,20 @@
             host.note_leaving(target.key)
 
 
+def _note_backoff(state, member, result, now):
+    """Note the backoff that a target asks for when it sheds a request."""
+    if not isinstance(result, Success):
+        return
+    answer = result.unwrap()
+    text = answer.headers.get(RETRY_AFTER, "").strip()
+    if answer.status not in state.service.shed_status or not text:
+        return
+    if not _is_seconds(text):
+        log.info("tries: %s sent an unreadable Retry-After.", member.target.id)
+        return
+    state.pool.note_backoff(member, float(text), now)
+
+
 def _find_shed(result, service):
     """Turn an answer by which the target says "not run" into a trouble."""
     if isinstance(result, Success):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -22,6 +22,7 @@
 from plumsaddle_core.ops.routing import build_routes
 from plumsaddle_core.ops.versions import new_version_fold
 from plumsaddle_core.parser.configuration import check_configuration
+from plumsaddle_core.transfers.byte_budget import ByteBudget
 from plumsaddle_core.utils.timers import Timers
 
 from ..back.sender import make_session
@@ -38,6 +39,7 @@
 
 log = logging.getLogger("host")
 CONFIG_STREAM = "config"
+BYTES_PER_MEGABYTE = 1_000_000
 REVIEW_EVERY = 0.25
 WATCH_EVERY = 0.1
 KEEP_EVERY = 0.02
@@ -76,11 +78,14 @@
         self.rng = random.Random(uuid.uuid4().int)
         self.metrics = Metrics(settings.id)
         self.session = make_session()
+        self.budget = ByteBudget(int(settings.callers.buffered_mb * BYTES_PER_MEGABYTE))
         self.timers = Timers(loop.time, self.rng)
         self.applied = None
         self.unusable = None
         self.services = {}
         self.in_flight = 0
+        # Set before the host starts.
+        self.caller_server = None
         self.is_leaving = False
         self.is_stopping = False
         self.is_suspect_itself = False
@@ -327,6 +332,8 @@
             )
             self._note_changes(state, changes)
         self.metrics.in_flight.set({}, self.in_flight)
+        self.metrics.held_bytes.set({}, self.budget.held)
+        self.metrics.callers.note(self.caller_server)
 
     def _note_changes(self, state, changes):
         for change in changes:
@@ -370,6 +377,11 @@
             return "this host finds bad what others find good"
         return None
 
+    @property
+    def is_serving(self):
+        """Whether a caller's request was read that has no response yet."""
+        return self.in_flight > 0 or self.caller_server.is_serving
+
     async def flush(self, seconds):
         """Wait until the outcomes of all orders are in the log."""
         batchers = [shard.batcher for shard in self.shards]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -14,10 +14,12 @@
 from plumsaddle_core.ops.urgency import max_wait_fraction
 
 from .clock import now
+from .outgoing import position_field
 from .refusals import Refusal, RefusalCause
 from .send_runner import HEDGE_FACTOR, SendRunner, slow_threshold
 from .suspect_check import SuspectCheck
 from .turns import Turns
+from .verdict import reply_length
 
 log = logging.getLogger("relay")
 # Seconds after which hedging is tried again if no target was suitable.
@@ -121,7 +123,7 @@
                 completed = task.result()
                 if completed.outcome is SendOutcome.SUCCEEDED:
                     self._knowledge.note_response_size(
-                        self._request.route, len(completed.reply.body)
+                        self._request.route, reply_length(completed.reply)
                     )
                     return self._log_response(completed)
                 result = await self._handle_failure(completed)
@@ -165,7 +167,10 @@
         Otherwise hedging is tried again after `HEDGE_RETRY_INTERVAL`.
         """
         sends = self._attempt.sends
-        if self._knowledge.may_retry(self._request.service, self._request.urgency):
+        may_send = self._sender.may_send_twice(self._request)
+        if may_send and self._knowledge.may_hedge(
+            self._request.service, self._request.urgency
+        ):
             self._send_now(RETRY_CAUSE_SLOW)
         self._is_hedged = self._attempt.sends > sends
         if not self._is_hedged:
@@ -247,6 +252,7 @@
                 "last": self._last_send.outcome.value if self._last_send else None,
                 "seconds": round(now() - request.started_at, 4),
                 "version": self._knowledge.cfg.version,
+                **position_field(request.position),
                 **self._turn_fields(),
                 **fields,
             },
@@ -287,6 +293,7 @@
                 "targets": self._attempt.targets,
                 "seconds": round(now() - request.started_at, 4),
                 "workspace": request.owner.name,
+                **position_field(request.position),
             },
         )
         self._metrics.answers.inc({"status": str(completed.reply.status)})
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -31,9 +31,11 @@
     usable_retry_fraction,
 )
 from plumsaddle_core.ops.workspaces import index_keys, short_digest
+from plumsaddle_core.scheduling.retry_budget import HEDGE_FRACTION
 
 from ..platform import wire
 from .clock import now
+from .downloads import Downloads
 from .limits import RateLimits
 from .notices import NoticeRecorder
 from .target_selection import TargetSelection
@@ -70,6 +72,7 @@
         self.rng = rng
         self.cfg = None
         self._has_downloads = False
+        self._decoder = wire.ConfigurationDecoder()
         self.route_table = {}
         self.workspaces_by_key = {}
         self._priorities = {}
@@ -88,6 +91,7 @@
                 ),
                 len(settings.data_centres),
                 rng,
+                assumes_bursts=True,
             ),
             limits=TargetLimits(
                 Membership(settings.id, now(), settings.has_seeds), rng
@@ -96,6 +100,7 @@
         )
         self.availability = self.shared.availability
         self._response_bytes = {}
+        self.downloads = Downloads(lambda: self.settings, self.typical_response_bytes)
         self.limits = RateLimits(
             settings, self.shared.limits, self.registry, self._notify
         )
@@ -143,7 +148,7 @@
                 self._apply_configuration(record.value)
 
     def _apply_configuration(self, data):
-        cfg = wire.decode_configuration(data)
+        cfg = self._decoder.decode(data)
         if cfg is None:
             log.error("cannot decode configuration", extra={"bytes": len(data)})
             return
@@ -156,6 +161,7 @@
             return
         self.cfg = cfg
         self._has_downloads = cfg.has_downloads
+        self.shared.health.set_scheduling(self.is_scheduling)
         self.route_table = build_route_table(cfg.routes)
         self.workspaces_by_key, ambiguous = index_keys(cfg.workspaces)
         for digest in ambiguous:
@@ -323,11 +329,24 @@
           service: The service's name.
           urgency: The urgency of the request, from 0.0 to 1.0.
         """
+        return self._has_retry(service, usable_retry_fraction(urgency))
+
+    def may_hedge(self, service, urgency):
+        """As `may_retry`, for a second send while the first is outstanding."""
+        fraction = usable_retry_fraction(urgency)
+        if self.is_scheduling:
+            fraction *= HEDGE_FRACTION
+        return self._has_retry(service, fraction)
+
+    def _has_retry(self, service, usable_fraction):
         data_centre_count = max(1, len(self.settings.data_centres))
         extra = self.settings.bounds.retry_extra / data_centre_count
-        return self.shared.may_retry(
-            service, extra, now(), usable_retry_fraction(urgency)
+        if not self.is_scheduling:
+            return self.shared.may_retry(service, extra, now(), usable_fraction)
+        probability = self.shared.retry_probability(
+            service, extra, now(), usable_fraction
         )
+        return self.rng.random() < probability
 
     # Called by the relay to report sends.
 
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_timing.py
@@ -0,0 +1,51 @@
+"""
+The duration of one send, as it is compared between targets.
+
+The target of a large response keeps its slot until the response is received, so the
+duration ends there. It does not depend on the caller: a response for which there is no
+room goes to its caller at once, and the rest of it is not counted. Whether a send is
+overdue is decided at the first byte, since the rest depends on the size.
+"""
+
+from plumsaddle_core.core.traffic import RequestKind
+
+from .clock import now
+
+
+class SendTiming:
+    """
+    The times of one send, which starts now.
+
+    `seconds` is its duration, and `waited` the seconds until the target began to
+    respond, both set by `stop`. `is_overdue` tells whether it began too late.
+
+    Args:
+      kind: The `RequestKind`.
+      overdue_timer: The `TimerHandle` of when the send is overdue.
+      loop_time: The clock of the timer.
+    """
+
+    def __init__(self, kind, overdue_timer, loop_time):
+        self.seconds = 0.0
+        self.waited = None
+        self.is_overdue = False
+        self._is_download = kind is RequestKind.DOWNLOAD
+        self._overdue_timer = overdue_timer
+        self._loop_time = loop_time
+        self._started_at = now()
+
+    def note_head(self):
+        """Note that the head of the response has arrived."""
+        if self._is_download:
+            self._note_begun()
+
+    def stop(self):
+        """Note that the send has ended."""
+        self._note_begun()
+        self.seconds = now() - self._started_at
+
+    def _note_begun(self):
+        if self.waited is None:
+            self.waited = now() - self._started_at
+            self.is_overdue = self._overdue_timer.when() <= self._loop_time()
+            self._overdue_timer.cancel()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
@@ -226,9 +226,9 @@
         return choice or self._sends.choose(profile, excluded, at, max_wait)
 
     def _decide(self, choice, need, urgency, at):
-        """Return the `Decision` on a choice; a floor trial is sent as it is."""
+        """Return the `Decision` on a choice; a trial is sent as it is."""
         candidate = choice.candidate
-        is_trial = choice.rule is ChoiceRule.FLOOR_TRIAL
+        is_trial = choice.rule is not ChoiceRule.BEST
         option = Option(
             0.0 if is_trial else candidate.failure_probability,
             0 if is_trial else candidate.in_flight,
@@ -268,4 +268,4 @@
     """Return whether a request of an urgency may join the target of a choice."""
     candidate = choice.candidate
     room = max_in_flight(candidate.target.slots, urgency)
-    return candidate.in_flight < room or choice.rule is ChoiceRule.FLOOR_TRIAL
+    return candidate.in_flight < room or choice.rule is not ChoiceRule.BEST
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -5,6 +5,8 @@
     python -m plumsaddle_standins.lab random --seed 3
     python -m plumsaddle_standins.lab random --limit 3
     python -m plumsaddle_standins.lab random --notices
+    python -m plumsaddle_standins.lab random --downloads
+    python -m plumsaddle_standins.lab random --pipelining 0.3
 
 Hosts are real processes; the store, the targets and the callers are stand-ins in this
 one. The last line counts what callers saw, and the exit code is 1 if a promise was
@@ -22,10 +24,11 @@
 import fire
 
 from .callers import HOT, PROMISES, WORKSPACES, Callers, find_broken
+from .downloading import DownloadCallers, cut_at_times
 from .host_process import HostProcess
 from .notices_check import find_ignored_notices
 from .store import Fault
-from .trial import OPERATOR, Trial, configuration
+from .trial import DOWNLOADS, KINDS, OPERATOR, Trial, configuration
 from .windows import LIMIT_HOLDS_AFTER, LIMIT_WINDOW, most_in_window, tolerated
 from .worker import Mode
 
@@ -56,6 +59,7 @@
         self.rng = rng
         self.callers = None
         self.version = 1
+        self.routes = KINDS
 
     def any_target(self):
         """Return a target."""
@@ -68,7 +72,7 @@
     def publish(self):
         """Publish one more version of the same routes."""
         self.version += 1
-        text = configuration(self.version, workspaces=WORKSPACES)
+        text = configuration(self.version, routes=self.routes, workspaces=WORKSPACES)
         self.trial.store.put(OPERATOR, "config", text)
 
 
@@ -266,7 +270,17 @@
     return lines
 
 
-async def play(pattern, seconds, seed, rate, folder, limit=None, has_notices=False):
+async def play(
+    pattern,
+    seconds,
+    seed,
+    rate,
+    folder,
+    limit=None,
+    has_notices=False,
+    has_downloads=False,
+    pipelining=0.0,
+):
     """
     Play one pattern.
 
@@ -275,7 +289,8 @@
       A list of `Ended`, and the broken promises as texts.
     """
     rng = random.Random(seed)
-    async with Trial(services=SERVICES, targets=TARGETS, hosts=0) as trial:
+    services = (*SERVICES, "file") if has_downloads else SERVICES
+    async with Trial(services=services, targets=TARGETS, hosts=0) as trial:
         for worker in trial.workers.values():
             worker.work = WORK
         hosts = []
@@ -286,11 +301,15 @@
                 hosts.append(HostProcess(folder, trial.store_address, name, seeds, log))
             try:
                 lab = Lab(trial, hosts, rng)
+                if has_downloads:
+                    lab.routes = {**KINDS, **DOWNLOADS}
                 # Before the hosts start, so that none ever serves without keys.
                 lab.publish()
                 await asyncio.gather(*(host.start() for host in hosts))
                 await _wait_until_ready(hosts, trial.session)
-                lab.callers = callers = Callers(hosts, rate, random.Random(seed + 1))
+                lab.callers = callers = Callers(
+                    hosts, rate, random.Random(seed + 1), pipelining
+                )
                 reviving = asyncio.create_task(_revive(hosts))
                 faults = asyncio.create_task(_disturb(lab, pattern, seconds))
                 if limit is not None:
@@ -300,7 +319,16 @@
                     noticing = asyncio.create_task(
                         give_notices(trial, seconds, notice_rng)
                     )
+                if has_downloads:
+                    rng = random.Random(seed + 3)
+                    downloaders = DownloadCallers(hosts, rng)
+                    downloading = asyncio.create_task(downloaders.run(seconds))
+                    cutting = asyncio.create_task(cut_at_times(trial.of("file"), rng))
                 await callers.run(seconds)
+                if has_downloads:
+                    await downloading
+                    cutting.cancel()
+                    callers.ended += downloaders.ended
                 await faults
                 if has_notices:
                     await noticing
@@ -365,6 +393,8 @@
     out=None,
     limit=None,
     notices=False,
+    downloads=False,
+    pipelining=0.0,
 ):
     """
     Play a pattern and tell what callers saw.
@@ -377,12 +407,26 @@
       out: The path of a picture, if one is wanted.
       limit: The requests a second that half of the targets name as their limit.
       notices: Whether targets drain, and ask for backoffs, beside the pattern.
+      downloads: Whether callers also request large responses, some of which are cut,
+        and read them slowly or not at all.
+      pipelining: The share of callers that send several requests at once on one
+        connection.
     """
     if pattern not in PATTERNS and pattern != "random":
         print(f"The patterns are: random, {', '.join(PATTERNS)}.", file=sys.stderr)
         sys.exit(2)
     with tempfile.TemporaryDirectory() as folder:
-        playing = play(pattern, seconds, seed, rate, Path(folder), limit, notices)
+        playing = play(
+            pattern,
+            seconds,
+            seed,
+            rate,
+            Path(folder),
+            limit,
+            notices,
+            downloads,
+            pipelining,
+        )
         ended, broken = asyncio.run(playing)
     if out is not None:
         from .lab_picture import draw_load
