--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/decision.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/decision.py
@@ -104,10 +104,15 @@
 
 
 class Decision(NamedTuple):
-    """A verdict and its reason."""
+    """
+    A verdict and its reason.
+
+    `is_pressing` tells whether a send would be late a step later.
+    """
 
     verdict: Verdict
     reason: Reason
+    is_pressing: bool = False
 
 
 NO_OUTLOOK = Outlook(0, 0, 1.0, 1.0)
@@ -139,7 +144,7 @@
     """
     if is_clear(option) and need.time_left > 0.0:
         # Also sent if its time is short: the typical duration is learned from sends.
-        return Decision(Verdict.SEND, Reason.HAS_ROOM)
+        return Decision(Verdict.SEND, Reason.HAS_ROOM, is_pressing(option, need))
     if is_too_late(need):
         return Decision(Verdict.REFUSE, Reason.TOO_LATE)
     if option.in_flight >= option.room:
@@ -147,10 +152,17 @@
         # still be in time, and all would be late.
         return Decision(Verdict.WAIT, Reason.TARGETS_FULL)
     if _is_last_chance(option, need):
-        return Decision(Verdict.SEND, Reason.LAST_CHANCE)
+        return Decision(Verdict.SEND, Reason.LAST_CHANCE, True)
     if _gain_of_waiting(option, outlook, need) > 0.0:
         return Decision(Verdict.WAIT, Reason.BETTER_EXPECTED)
-    return Decision(Verdict.SEND, Reason.BEST_NOW)
+    return Decision(Verdict.SEND, Reason.BEST_NOW, is_pressing(option, need))
+
+
+def is_pressing(option: Option, need: Need) -> bool:
+    """Return whether a send a step later would miss the objective or the deadline."""
+    duration = option.expected_duration
+    misses_objective = need.objective_left - STEP <= duration <= need.objective_left
+    return misses_objective or _is_last_chance(option, need)
 
 
 def _is_last_chance(option, need):
--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/pace.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/pace.py
@@ -10,12 +10,12 @@
 
 Less urgent requests leave a reserve for urgent ones that arrive next. New requests
 before which none waits may exceed the pace by one, since they arrive at random and not
-all at once.
+all at once, and so may those that would be late a step later.
 """
 
 # The pace relative to the expected service rate. Slots that are left unused because of
 # a pace that is too low are lost, while excess requests are stopped by the room seen.
-PACE_FACTOR = 1.15
+PACE_FACTOR = 1.5
 # Sends that a host may save up: these, and those of some seconds.
 BURST = 2.0
 BURST_SECONDS = 0.1
@@ -44,16 +44,17 @@
             self._tokens = min(capacity, self._tokens + elapsed * rate * PACE_FACTOR)
         self._updated_at = now
 
-    def may_send(self, urgency, is_new=False):
+    def may_send(self, urgency, is_pressing=False):
         """
         Return whether a request may be sent.
 
         Args:
           urgency: The urgency of its rank, from 0.0 to 1.0. The least urgent requests
             leave one token.
-          is_new: Whether it arrived just now, and none waits before it.
+          is_pressing: Whether it arrived just now and none waits before it, or it would
+            be late a step later.
         """
-        return self._tokens >= (0.0 if is_new else 2.0 - urgency)
+        return self._tokens >= (0.0 if is_pressing else 2.0 - urgency)
 
     def note_send(self):
         """Take a token for a send."""
--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/view.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/view.py
@@ -15,8 +15,8 @@
 
 # Seconds after which requests in flight at other hosts are known.
 REPORT_DELAY = 0.15
-# Room is scarce if the free slots are fewer than this many times the requests that all
-# hosts receive within `REPORT_DELAY`.
+# Room is scarce if it is less than this many times the requests that all hosts receive
+# within `REPORT_DELAY`.
 SCARCE_FACTOR = 1.5
 # Targets among which a request chooses while room is scarce.
 CHOICES = 2
@@ -40,7 +40,8 @@
     """
     The targets of a service as one host sees them.
 
-    `is_scarce` tells whether hosts may be competing for the free slots. `capacity` is
+    `is_scarce` tells whether hosts may be competing for the room that is left, counted
+    for the least urgent requests. `capacity` is
     the expected number of slots of all targets that serve what they get.
     """
 
@@ -68,7 +69,10 @@
         failures / len(sound) if sound else 1.0,
         waiting,
     )
-    is_scarce = open_slots < SCARCE_FACTOR * demand * REPORT_DELAY
+    room = sum(
+        max(0, max_in_flight(load.slots, 0.0) - load.in_flight) for load in sound
+    )
+    is_scarce = room < SCARCE_FACTOR * demand * REPORT_DELAY
     capacity = sum(load.slots * (1.0 - load.failure_probability) for load in loads)
     return ServiceView(tuple(loads), outlook, is_scarce, capacity)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
@@ -180,7 +180,8 @@
         if decision.verdict is Verdict.WAIT:
             return Postponed(decision.reason)
         pace = self._waiting.pace(request.service, need.typical_duration, at)
-        if pace is not None and not pace.may_send(self._rank_urgency(), not is_queued):
+        is_pressing = decision.is_pressing or not is_queued
+        if pace is not None and not pace.may_send(self._rank_urgency(), is_pressing):
             return Postponed(Reason.PACED)
         if not self._sends.may_spend_retry():
             return self._postpone_retry()
--- a/packages/plumsaddle-standins/plumsaddle_standins/queue_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/queue_model.py
@@ -282,7 +282,8 @@
         if view.is_scarce:
             rate = view.capacity / WORK * host.demand_share
             host.pace.refill(rate, self.now)
-            if not host.pace.may_send(1.0 - request.kind.rank / 2, not is_queued):
+            is_pressing = decision.is_pressing or not is_queued
+            if not host.pace.may_send(1.0 - request.kind.rank / 2, is_pressing):
                 return False
             host.pace.note_send()
         self._send(host, request, choice)
