--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
@@ -180,7 +180,8 @@
         if decision.verdict is Verdict.WAIT:
             return Postponed(decision.reason)
         pace = self._waiting.pace(request.service, need.typical_duration, at)
-        if pace is not None and not pace.may_send(self._rank_urgency(), not is_queued):
+        is_pressing = decision.is_pressing or not is_queued
+        if pace is not None and not pace.may_send(self._rank_urgency(), is_pressing):
             return Postponed(Reason.PACED)
         if not self._sends.may_spend_retry():
             return self._postpone_retry()
@@ -226,9 +227,9 @@
         return choice or self._sends.choose(profile, excluded, at, max_wait)
 
     def _decide(self, choice, need, urgency, at):
-        """Return the `Decision` on a choice; a floor trial is sent as it is."""
+        """Return the `Decision` on a choice; a trial is sent as it is."""
         candidate = choice.candidate
-        is_trial = choice.rule is ChoiceRule.FLOOR_TRIAL
+        is_trial = choice.rule is not ChoiceRule.BEST
         option = Option(
             0.0 if is_trial else candidate.failure_probability,
             0 if is_trial else candidate.in_flight,
@@ -268,4 +269,4 @@
     """Return whether a request of an urgency may join the target of a choice."""
     candidate = choice.candidate
     room = max_in_flight(candidate.target.slots, urgency)
-    return candidate.in_flight < room or choice.rule is ChoiceRule.FLOOR_TRIAL
+    return candidate.in_flight < room or choice.rule is not ChoiceRule.BEST
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
@@ -95,9 +95,6 @@
     def has_connection(self, request, incarnation):
         return False
 
-    def may_send_twice(self, request):
-        return True
-
     async def send(self, request, target, suspect_check, on_head=None):
         self.sent.append((clock.now(), request, target.id))
         self.running += 1
