Let no new request wait behind those that wait for a retry

They counted as behind orders that the retry budget denied, and whose queue hardly moved. Such orders need no room and do not count any more; the budget is asked before a target is chosen. The test fails without the change.

--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/queue.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/queue.py
@@ -33,13 +33,15 @@
     `starts_in_time_by` is when it has to be sent to probably meet its objective, and
     `latest_start` when it has to be sent to be answered by its deadline. It is not
     served before `not_before`. `cost` is the time in seconds that it will probably
-    occupy a slot, and `size` its memory in bytes. `payload` belongs to the caller.
+    occupy a slot, and `size` its memory in bytes. `needs_room` is unset while it waits
+    for something else than a target. `payload` belongs to the caller.
     """
 
     __slots__ = (
         "cost",
         "deadline",
         "latest_start",
+        "needs_room",
         "not_before",
         "payload",
         "queued_at",
@@ -73,6 +75,7 @@
         self.size = size
         self.payload = payload
         self.not_before = not_before
+        self.needs_room = True
         self.sequence = 0
 
 
@@ -143,8 +146,8 @@
           now: The current time in seconds.
           try_serve: Called with a request; returns whether it left the queue, served or
             refused.
-          max_failures: The number of requests that stay in the queue after which the
-            others are not tried, as there is no room for them either.
+          max_failures: The number of requests that stay in the queue for lack of room
+            after which the others are not tried.
         """
         failures = 0
         tried = set()
@@ -154,7 +157,7 @@
                 return
             tried.add(ticket.sequence)
             if not try_serve(ticket):
-                failures += 1
+                failures += ticket.needs_room
             elif self._note_served(ticket):
                 self._turns += 1
 
@@ -183,8 +186,8 @@
         Return how many requests would be served before a new one.
 
         Of its rank, these are at most as many of each other workspace as wait of its
-        own, which are served by turns. Those that have to wait for a time of their own
-        do not count.
+        own, which are served by turns. Those that have to wait for a time of their own,
+        or need no room, do not count.
         """
         ahead = sum(
             sum(queue.count_ready(now).values())
@@ -267,11 +270,11 @@
         return is_late, tag, ticket.deadline, ticket.sequence
 
     def count_ready(self, now):
-        """Return the number of requests that may be served now, by workspace."""
+        """Return the number of requests that would take room now, by workspace."""
         return Counter(
             ticket.workspace
             for ticket in self.waiting.values()
-            if ticket.not_before <= now
+            if ticket.needs_room and ticket.not_before <= now
         )
 
     def most_over_share(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
@@ -161,6 +161,8 @@
             return RefusalCause.CALLER_GONE
         if self._is_held(retry_cause):
             return RefusalCause.HELD
+        if not self._sends.may_spend_retry():
+            return self._postpone_retry()
         profile = self._sends.profile(at)
         need = Need(
             request.route.kind.is_idempotent,
@@ -183,8 +185,6 @@
         is_pressing = decision.is_pressing or not is_queued
         if pace is not None and not pace.may_send(self._rank_urgency(), is_pressing):
             return Postponed(Reason.PACED)
-        if not self._sends.may_spend_retry():
-            return self._postpone_retry()
         self._sends.start(choice, retry_cause, at, decision.reason)
         if pace is not None:
             pace.note_send()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting.py
@@ -261,6 +261,7 @@
             return True
         if isinstance(result, Postponed):
             ticket.not_before = at + result.delay
+            ticket.needs_room = result.reason is not Reason.NO_RETRY_LEFT
             ticket.payload.fields["reason"] = result.reason.value
             return False
         if result is not None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
@@ -350,6 +350,23 @@
     assert 0.6 < clock.now() - 1000.0 < 1.0
 
 
+@in_virtual_time
+async def test_new_requests_do_not_wait_behind_those_without_a_retry():
+    """Guards against refusing what was never sent while targets have room."""
+    site = _Site(targets=4)
+    site.state.may_retry = lambda service, urgency: False
+    site.targets.behave = lambda request, target: (SendOutcome.NOT_RUN, 0.001)
+    rejected = site.start(ORDER, 40)
+    await asyncio.sleep(1.2)
+    site.targets.behave = lambda request, target: (SendOutcome.SUCCEEDED, WORK)
+    started_at = clock.now()
+    results = await asyncio.gather(*site.start(ORDER, 8))
+    assert [type(result) for result in results] == [Reply] * 8
+    assert clock.now() - started_at < 2.5 * WORK
+    for task in rejected:
+        task.cancel()
+
+
 @in_virtual_time
 async def test_full_queue_refuses_the_least_urgent():
     """Guards against orders refused because pulls came first."""
