--- a/packages/plumsaddle-core/plumsaddle_core/core/data.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/data.py
@@ -197,14 +197,19 @@
     json: bool = False
 
 
-class Callers(NamedTuple):
+class CallerBounds(NamedTuple):
     """
-    Bounds on what a host does for slow callers of large responses.
+    Bounds on what a host does for its callers.
 
-    `buffered_mb` is the most megabytes that it holds for all of them. One that takes
-    nothing for `stall_timeout` seconds is cut.
+    The first four limit pipelined requests; see `PipelineLimits` in `core/traffic.py`.
+    `buffered_mb` is the most megabytes of large responses that the host holds for slow
+    callers. One that takes nothing for `stall_timeout` seconds is cut.
     """
 
+    requests_per_connection: Annotated[int, Field(ge=1)] = 8
+    bytes_per_connection: Annotated[int, Field(ge=1)] = 1_048_576
+    requests_per_host: Annotated[int, Field(ge=1)] = 256
+    bytes_per_host: Annotated[int, Field(ge=1)] = 16_777_216
     buffered_mb: Annotated[float, Field(ge=1, le=100000)] = 50.0
     stall_timeout: Seconds = 10.0
 
@@ -219,7 +224,7 @@
     peers: Peers
     logs: Logs = Logs()
     leave_wait: Annotated[float, Field(ge=0, le=3600)] = 5.0
-    callers: Callers = Callers()
+    callers: CallerBounds = CallerBounds()
 
 
 class Refusal(NamedTuple):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram
 from aioprometheus.renderer import render
 
+from ..utils.caller_metrics import CallerMetrics
 from ..utils.series import new_series
 
 BUCKETS = (0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 5.0)
@@ -32,6 +33,7 @@
         )
         self.version = make(Gauge, "version", "The configuration in force.")
         self.in_flight = make(Gauge, "in_flight", "Requests in flight.")
+        self.callers = CallerMetrics(make)
         self.held_bytes = make(
             Gauge, "held_bytes", "Bytes of large responses that wait for callers."
         )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -14,6 +14,7 @@
     DEFAULT_BUFFERED_BYTES,
     Bounds,
     HostSettings,
+    PipelineLimits,
     SchedulingMode,
 )
 
@@ -89,6 +90,7 @@
         _check_link_rate(fields.get("link_mbps"), errors),
         _check_experiments(fields.get("experiments", {}), errors),
         _check_scheduling(fields.get("scheduling", "auto"), errors),
+        _check_pipeline_limits(fields.get("callers", {}), errors),
         _check_buffered_bytes(
             fields.get("callers", {}), fields.get("memory_mb"), errors
         ),
@@ -147,6 +149,26 @@
     return SchedulingMode(value)
 
 
+def _check_pipeline_limits(table, errors):
+    """Return the `PipelineLimits` of a table; missing fields keep their defaults."""
+    if not isinstance(table, dict):
+        errors.append("callers: expected a table")
+        return PipelineLimits()
+    known = (*PipelineLimits._fields, "buffered_mb")
+    for name in sorted(set(table) - set(known)):
+        errors.append(f"callers: {name!r} is not one of {', '.join(known)}")
+    values = {}
+    for name in PipelineLimits._fields:
+        value = table.get(name, 1)
+        if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+            errors.append(
+                f"callers.{name}: expected a whole number above 0, not {value!r}"
+            )
+        elif name in table:
+            values[name] = value
+    return PipelineLimits(**values)
+
+
 def _check_bounds(table, errors):
     """Return the `Bounds` of a table; missing fields keep their defaults."""
     if not isinstance(table, dict):
