Drop a large response whose time is up behind one that is not read

Its bytes were held until the responses before it on the connection had been read. Now they are dropped at its deadline, and its caller gets 504 in its turn. The test failed before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -28,7 +28,7 @@
     position_field,
 )
 from .refusals import Refusal, RefusalCause, http_status
-from .response_stream import write_long
+from .response_stream import wait_to_write, write_long
 
 log = logging.getLogger("front")
 # Bodies up to this many bytes are read completely, and the request key includes them.
@@ -319,7 +319,9 @@
             response = web.StreamResponse(
                 status=reply.status, headers=_forwarded_headers(reply.headers)
             )
-            await wait_for_turn(request)
+            if not await wait_to_write(lambda: wait_for_turn(request), reply.rest):
+                refusal = self._refuse(request, RefusalCause.DEADLINE_EXCEEDED)
+                return _refusal_response(request, refusal._replace(may_have_run=True))
             if request.protocol.ends_after_turn():
                 response.force_close()
             await write_long(request, response, reply)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -25,6 +25,30 @@
     CALLER = "caller"
 
 
+async def wait_to_write(wait_for_turn, rest):
+    """
+    Wait until a long reply may be written, and return whether it is still there.
+
+    What is held of a large response is dropped when its caller's time is up, while
+    responses before it on the connection are not read.
+
+    Args:
+      wait_for_turn: A coroutine function that ends when the reply may be written.
+      rest: The reply's `rest`.
+    """
+    if not isinstance(rest, DownloadRest):
+        await wait_for_turn()
+        return True
+    try:
+        async with asyncio.timeout(rest.deadline - now()):
+            await wait_for_turn()
+        return True
+    except TimeoutError:
+        rest.close()
+    await wait_for_turn()
+    return False
+
+
 async def write_long(request, response, reply):
     """
     Write a long reply, and abort the caller's connection if it is incomplete.
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_downloads_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_downloads_test.py
@@ -15,6 +15,7 @@
 from plumsaddle_hosts.edge.clock import now
 
 from .host_process import HostProcess
+from .pipelining import Pipe, request_bytes
 from .trial import (
     DOWNLOADS,
     HOST_NAME,
@@ -175,6 +176,22 @@
         assert await _read_all(reader) < len(LONG_BODY)
 
 
+@in_loop
+async def test_a_response_behind_a_stalled_one_is_dropped_at_its_deadline():
+    """Guards against bytes held for requests behind a response that is not read."""
+    async with _downloads() as trial:
+        address = trial.hosts[0].settings.caller_address
+        pipe = Pipe(*await _connect_slow(address, "id-0"))
+        pipe.send(request_bytes("/file/a", "id-1", left=1000))
+        await until(lambda: _held(trial) > len(LONG_BODY))
+        await until(lambda: _held(trial) < len(LONG_BODY), 2.0)
+        first, second = [await pipe.receive() for _ in range(2)]
+        assert (first.status, first.body) == (200, LONG_BODY)
+        assert second.status == 504
+        await until(lambda: _held(trial) == 0)
+        pipe.close()
+
+
 @in_loop
 async def test_a_caller_that_leaves_ends_its_response_at_the_target():
     """Guards against targets that work on for a caller that has left."""
