--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -9,6 +9,7 @@
 from plumsaddle_core.core.traffic import SendOutcome
 from plumsaddle_core.limits.targets import max_token_wait
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
+from plumsaddle_core.ops.choice import ChoiceRule
 from plumsaddle_core.ops.urgency import max_wait_fraction
 
 from .clock import now
@@ -288,6 +289,8 @@
         if retry_cause is not None and self._attempt.sends:
             self._knowledge.shared.note_retry(request.service, at)
             self._metrics.retries.inc({"cause": retry_cause})
+        if choice.rule is not ChoiceRule.BEST:
+            self._metrics.trials.inc({"rule": choice.rule.value})
         log.info(
             "sent",
             extra={
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -24,6 +24,7 @@
         self.answers = make(Counter, "answers_total", "Targets' answers by status.")
         self.refusals = make(Counter, "refusals_total", "Refusals by cause.")
         self.retries = make(Counter, "retries_total", "Further sends by cause.")
+        self.trials = make(Counter, "trials_total", "Sends that try a target, by rule.")
         self.retries_denied = make(
             Counter, "retries_denied_total", "Sends that the retry share ruled out."
         )
