--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -11,6 +11,7 @@
 from plumsaddle_core.core.traffic import SendOutcome
 from plumsaddle_core.limits.targets import max_token_wait
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
+from plumsaddle_core.ops.choice import ChoiceRule
 from plumsaddle_core.ops.urgency import max_wait_fraction
 
 from .clock import now
@@ -382,6 +383,8 @@
         if retry_cause is not None and self._attempt.sends:
             self._knowledge.shared.note_retry(request.service, at)
             self._metrics.retries.inc({"cause": retry_cause})
+        if choice.rule is not ChoiceRule.BEST:
+            self._metrics.trials.inc({"rule": choice.rule.value})
         log.info(
             "sent",
             extra={
@@ -390,6 +393,7 @@
                 "retry": retry_cause,
                 "rule": choice.rule.value,
                 "fails": round(choice.candidate.failure_probability, 3),
+                "pace": round(choice.candidate.pace, 2),
                 "in_flight": choice.candidate.in_flight,
                 "near": choice.candidate.is_local,
                 "expected": round(choice.expected_duration, 3),
