--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_downloads_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_downloads_test.py
@@ -12,8 +12,10 @@
 import pytest
 
 from plumsaddle_core.transfers.byte_budget import MIN_READ
+from plumsaddle_hosts.edge.clock import now
 
 from .host_process import HostProcess
+from .pipelining import Pipe, request_bytes
 from .trial import (
     DOWNLOADS,
     HOST_NAME,
@@ -129,6 +131,22 @@
         await until(lambda: _held(trial) == 0 and not _in_flight(trial))
 
 
+@in_loop
+async def test_a_target_that_cuts_a_response_on_its_way_is_blamed():
+    """Guards against a target that cuts every response and looks healthy."""
+    async with _downloads(targets=1, mode=Mode.HEAD_ONLY) as trial:
+        knowledge = trial.hosts[0].knowledge
+        target = knowledge.registry.targets["file-0"]
+        before = knowledge.shared.failure_probability(target.incarnation, now())
+        asking = asyncio.create_task(trial.ask("/file/a", "id-1"))
+        await asyncio.sleep(1.0)
+        trial.workers["file-0"].stop()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await asking
+        after = knowledge.shared.failure_probability(target.incarnation, now())
+        assert after > before + 0.05
+
+
 @in_loop
 async def test_a_response_beyond_the_budget_is_whole_for_a_caller_that_reads():
     """Guards against callers that get nothing while others do not read."""
@@ -158,6 +176,22 @@
         assert await _read_all(reader) < len(LONG_BODY)
 
 
+@in_loop
+async def test_a_response_behind_a_stalled_one_is_dropped_at_its_deadline():
+    """Guards against bytes held for requests behind a response that is not read."""
+    async with _downloads() as trial:
+        address = trial.hosts[0].settings.caller_address
+        pipe = Pipe(*await _connect_slow(address, "id-0"))
+        pipe.send(request_bytes("/file/a", "id-1", left=1000))
+        await until(lambda: _held(trial) > len(LONG_BODY))
+        await until(lambda: _held(trial) < len(LONG_BODY), 2.0)
+        first, second = [await pipe.receive() for _ in range(2)]
+        assert (first.status, first.body) == (200, LONG_BODY)
+        assert second.status == 504
+        await until(lambda: _held(trial) == 0)
+        pipe.close()
+
+
 @in_loop
 async def test_a_caller_that_leaves_ends_its_response_at_the_target():
     """Guards against targets that work on for a caller that has left."""
