Keep the floor while a limit is exceeded, and refuse what no retry can save

The budget tells when its window frees a retry; if that is too late, the request is refused at once. Both tests fail without the change.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/data_centre_retry_budget.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/data_centre_retry_budget.py
@@ -11,9 +11,10 @@
 requests would round off.
 """
 
+import math
 from collections import deque
 
-from ..scheduling.retry_budget import RequestHistory, retry_probability
+from ..scheduling.retry_budget import RequestHistory, retry_probability, usable_retries
 
 # The fraction of the limit that is used. Arrivals at targets are counted a little later
 # than sends, and hosts send retries without knowing of each other's latest ones.
@@ -67,9 +68,21 @@
 
         The arguments are those of `may_retry`.
         """
-        limit = self.ratio * self._history.highest(now) + extra
         retries = self._retries.total(now - self.window)
-        return retry_probability(limit, retries, usable_fraction)
+        return retry_probability(self._limit(extra, now), retries, usable_fraction)
+
+    def retry_wait(self, extra, now, usable_fraction=1.0):
+        """
+        Return the seconds until a retry may be sent, if none is sent before.
+
+        The arguments are those of `may_retry`.
+        """
+        usable = usable_retries(self._limit(extra, now), usable_fraction)
+        excess = self._retries.total(now - self.window) + 1 - usable
+        return self._retries.wait_for(excess, now - self.window)
+
+    def _limit(self, extra, now):
+        return self.ratio * self._history.highest(now) + extra
 
 
 class _SlidingSum:
@@ -87,3 +100,13 @@
         while self._entries and self._entries[0][0] <= since:
             self._sum -= self._entries.popleft()[1]
         return self._sum
+
+    def wait_for(self, count, since):
+        """Return the seconds until the oldest `count` have left the window."""
+        if count <= 0:
+            return 0.0
+        for at, added in self._entries:
+            count -= added
+            if count <= 0:
+                return at - since
+        return math.inf
--- a/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
@@ -205,6 +205,12 @@
             self._usable_extra(extra, now), now, usable_fraction
         )
 
+    def retry_wait(self, service, extra, now, usable_fraction=1.0):
+        """Return the seconds until a retry may be sent, if none is sent before."""
+        return self._retry_budget(service).retry_wait(
+            self._usable_extra(extra, now), now, usable_fraction
+        )
+
     def _usable_extra(self, extra, now):
         """Return the part of the fixed allowance that this host may count on."""
         if now - self._started_at < self._retry_window:
--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/retry_budget.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/retry_budget.py
@@ -70,6 +70,11 @@
         return sum(count for number, count in self._slots if after < number <= last)
 
 
+def usable_retries(limit, usable_fraction=1.0):
+    """Return how many of the retries that a window allows a request may use up."""
+    return limit * USED_FRACTION * usable_fraction
+
+
 def retry_probability(limit, retries, usable_fraction=1.0):
     """
     Return the probability with which a host sends a retry.
@@ -82,7 +87,7 @@
     Example: of 100 retries allowed, 60 are known to be spent. An urgent request is
     retried for certain, and one that may use only 0.6 of the budget is not.
     """
-    usable = limit * USED_FRACTION * usable_fraction
+    usable = usable_retries(limit, usable_fraction)
     remaining = usable - retries
     if remaining < 1.0:
         return 0.0
--- a/packages/plumsaddle-core/plumsaddle_core/scheduling/retry_budget_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/scheduling/retry_budget_test.py
@@ -3,6 +3,7 @@
 """
 
 import heapq
+import math
 import random
 
 import pytest
@@ -95,3 +96,15 @@
     # 800 requests arrived between 0 and 8, the window before the current one.
     assert 750 <= history.highest(18.0) <= 800
     assert history.highest(30.0) <= 1
+
+
+def test_the_wait_for_a_retry_ends_when_the_window_frees_one():
+    """Guards against refusing a request just before a retry is left, or long after."""
+    budget = DataCentreRetryBudget(RATIO, WINDOW)
+    assert budget.retry_wait(0.0, 1.0) == math.inf
+    for number in range(20):
+        budget.note_retries(1, 1.0 + number / 10)
+    assert budget.retry_wait(40.0, 3.0) == 0.0
+    wait = budget.retry_wait(20.0, 3.0)
+    assert budget.retry_probability(20.0, 3.0 + wait - 0.01) == 0.0
+    assert budget.retry_probability(20.0, 3.0 + wait + 0.01) > 0.0
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -39,6 +39,7 @@
     choose: Callable
     tried_targets: Callable
     may_spend_retry: Callable
+    retry_wait: Callable
     note_retry_denied: Callable
     start: Callable
 
@@ -68,6 +69,7 @@
                 self._choose,
                 self._tried_targets,
                 self._may_spend_retry,
+                self._retry_wait,
                 self._note_retry_denied,
                 self._start_send,
             ),
@@ -213,6 +215,11 @@
             request.service, request.urgency
         )
 
+    def _retry_wait(self):
+        """Return the seconds until the retry budget may admit a send."""
+        request = self._request
+        return self._knowledge.retry_wait(request.service, request.urgency)
+
     def _note_retry_denied(self):
         self._metrics.retries_denied.inc({"service": self._request.service})
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -166,6 +166,7 @@
         self._metrics.requests.inc({"kind": route.kind.value})
         decision = self._knowledge.admit(workspace, route, at)
         if not decision.is_admitted:
+            self._knowledge.note_over_limit(route, at)
             return self._refuse_over_limit(request, workspace, route, decision)
         result = await self._read_and_run(
             request, route, owner, request_id, started_at, time_limit
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -21,7 +21,7 @@
 from plumsaddle_core.ops.choice import RequestProfile
 from plumsaddle_core.ops.peer_updates import DEFERRABLE_SIGNALS, HealthSignal
 from plumsaddle_core.ops.registry import Registry
-from plumsaddle_core.ops.route_table import build_route_table
+from plumsaddle_core.ops.route_table import build_route_table, choose_service
 from plumsaddle_core.ops.shared_state import SharedState
 from plumsaddle_core.ops.urgency import (
     priorities_by_service,
@@ -275,6 +275,17 @@
         """
         return self._route_ranks.get(route.priority) if self.is_scheduling else None
 
+    def note_over_limit(self, route, at):
+        """
+        Count a request that was refused over its workspace's limit as not served.
+
+        The floor of a service's targets holds while a part of its requests is not
+        served, whatever the reason.
+        """
+        if self.is_scheduling:
+            service = choose_service(route, self.rng)
+            self.shared.note_request_end(service, False, at)
+
     def urgency(self, service, route, workspace):
         """Return the relative urgency of a request in its service, from 0.0 to 1.0."""
         return relative_urgency(
@@ -343,6 +354,12 @@
         """
         return self._has_retry(service, usable_retry_fraction(urgency))
 
+    def retry_wait(self, service, urgency):
+        """Return the seconds until the budget may admit a retry, 0.0 if it may now."""
+        return self.shared.retry_wait(
+            service, self._retry_extra(), now(), usable_retry_fraction(urgency)
+        )
+
     def may_hedge(self, service, urgency):
         """As `may_retry`, for a second send while the first is outstanding."""
         fraction = usable_retry_fraction(urgency)
@@ -351,8 +368,7 @@
         return self._has_retry(service, fraction)
 
     def _has_retry(self, service, usable_fraction):
-        data_centre_count = max(1, len(self.settings.data_centres))
-        extra = self.settings.bounds.retry_extra / data_centre_count
+        extra = self._retry_extra()
         if not self.is_scheduling:
             return self.shared.may_retry(service, extra, now(), usable_fraction)
         probability = self.shared.retry_probability(
@@ -360,6 +376,11 @@
         )
         return self.rng.random() < probability
 
+    def _retry_extra(self):
+        """Return this data centre's part of the fixed allowance of retries."""
+        data_centre_count = max(1, len(self.settings.data_centres))
+        return self.settings.bounds.retry_extra / data_centre_count
+
     # Called by the relay to report sends.
 
     def note_send_start(self, target):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -38,6 +38,7 @@
     BACKING_OFF = "backing-off"
     QUEUE_FULL = "queue-full"
     WAITED_IN_VAIN = "waited"
+    NO_RETRY = "no-retry"
 
 
 class Refusal(NamedTuple):
@@ -75,6 +76,7 @@
     RefusalCause.BACKING_OFF: (503, 502),
     RefusalCause.QUEUE_FULL: (503, 502),
     RefusalCause.WAITED_IN_VAIN: (503, 504),
+    RefusalCause.NO_RETRY: (503, 502),
 }
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
@@ -162,7 +162,7 @@
         if self._is_held(retry_cause):
             return RefusalCause.HELD
         if not self._sends.may_spend_retry():
-            return self._postpone_retry()
+            return self._postpone_retry(at)
         profile = self._sends.profile(at)
         need = Need(
             request.route.kind.is_idempotent,
@@ -242,12 +242,19 @@
             option, self._waiting.view(self._request.service, at).outlook, need
         )
 
-    def _postpone_retry(self):
-        """Return `Postponed` for a request that the retry budget denies now."""
+    def _postpone_retry(self, at):
+        """
+        Return `Postponed` for a request that the retry budget denies now.
+
+        If the budget is used up until the request's time is up, it is refused at once.
+        """
         if not self._is_retry_denied:
             self._is_retry_denied = True
             self._sends.note_retry_denied()
-        return Postponed(Reason.NO_RETRY_LEFT, RETRY_DENIED_DELAY)
+        wait = self._sends.retry_wait()
+        if at + wait >= latest_start(self._request.deadline, self._typical_duration()):
+            return RefusalCause.NO_RETRY
+        return Postponed(Reason.NO_RETRY_LEFT, max(wait, RETRY_DENIED_DELAY))
 
     def _postpone_without_target(self, need, at):
         """Return `Postponed` if a target may be sent to in time, or a refusal cause."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
@@ -340,6 +340,7 @@
     """Guards against a refusal with time left because retries are used up now."""
     site = _Site(targets=4)
     site.state.may_retry = lambda service, urgency: clock.now() > 1000.6
+    site.state.retry_wait = lambda service, urgency: max(0.0, 1000.6 - clock.now())
     site.targets.behave = lambda request, target: (
         (SendOutcome.NOT_RUN, 0.001)
         if clock.now() < 1000.01
@@ -350,6 +351,18 @@
     assert 0.6 < clock.now() - 1000.0 < 1.0
 
 
+@in_virtual_time
+async def test_request_without_a_retry_in_its_time_is_refused_at_once():
+    """Guards against keeping a caller waiting for a retry that cannot come."""
+    site = _Site(targets=4)
+    site.state.may_retry = lambda service, urgency: False
+    site.state.retry_wait = lambda service, urgency: 2.5
+    site.targets.behave = lambda request, target: (SendOutcome.NOT_RUN, 0.001)
+    (result,) = await asyncio.gather(*site.start(ORDER))
+    assert result.cause is RefusalCause.NOT_RUN and not result.may_have_run
+    assert clock.now() - 1000.0 < 0.3
+
+
 @in_virtual_time
 async def test_new_requests_do_not_wait_behind_those_without_a_retry():
     """Guards against refusing what was never sent while targets have room."""
