--- a/packages/plumsaddle-core/plumsaddle_core/limits/meter.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/meter.py
@@ -248,7 +248,9 @@
         even = EVEN_FRACTION * self.capacity * seconds / window
         return max(0.0, self.admitted_since(seconds, now) - even)
 
-    def admission_probability(self, share, demand, reserved, now, bonus=None):
+    def admission_probability(
+        self, share, demand, reserved, now, bonus=0.0, is_ranked=False
+    ):
         """
         Return the probability with which to admit a request.
 
@@ -257,18 +259,18 @@
           demand: The demand on these hosts, in requests per second.
           reserved: The requests that silent hosts may have admitted.
           now: The current time in seconds.
-          bonus: The fraction of the capacity by which it may seem to be exceeded, for
-            a request with a rank; None for one without.
+          bonus: The fraction of the capacity by which it may seem to be exceeded.
+          is_ranked: Whether the request has a rank.
         """
         reported = min(demand, self._reported.at(now) / REPORTED_WINDOW)
         remaining = self.remaining(now) - GOSSIP_DELAY * max(0.0, reported) - reserved
-        remaining += (bonus or 0.0) * self.capacity
+        remaining += bonus * self.capacity
         # Unreachable hosts are assumed to admit in proportion to their share.
         if remaining >= RESERVE_FRACTION * self.capacity + 1.0 / share:
             return 1.0
         if remaining < 1.0:
             return 0.0
-        slots = EXPIRING_SLOTS if bonus is None else RANKED_EXPIRING_SLOTS
+        slots = RANKED_EXPIRING_SLOTS if is_ranked else EXPIRING_SLOTS
         expiring = self._expiring_rate(slots, now)
         allowed_rate = (
             expiring + (remaining - MARGIN_FRACTION * self.capacity) / ADMISSION_HORIZON
--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -54,14 +54,17 @@
 FULL_GROWTH = 1.35
 # The standard deviations of a sum by which it may differ without a change of demand.
 NOISE_DEVIATIONS = 1.5
-# The fraction of the capacity by which the most urgent requests may seem to exceed it.
-# What is known to be admitted fluctuates, and differs between hosts. Without it, the
+# The fraction of the tolerated overshoot that is used while demand is even: by requests
+# without ranks, by these while hosts are cut off, and by the most urgent rank. What is
+# known to be admitted fluctuates, and differs between hosts. Without the latter, the
 # fluctuations alone refuse urgent requests while others are admitted.
-URGENT_BONUS = 0.08
-# While less than this share of the hosts is in touch, or demand rises, the last rank is
-# refused this fraction of the capacity earlier instead.
-MIN_BONUS_SHARE = 0.95
-CUT_MALUS = 0.04
+BONUS = 0.3
+CUT_BONUS = 0.2
+URGENT_BONUS = 0.8
+# While demand rises, the last rank is refused this fraction of it earlier instead.
+RISE_MALUS = 0.4
+# The share of the hosts from which on they count as in touch.
+IN_TOUCH_SHARE = 0.95
 NO_SAMPLE = (-math.inf, 0.0, 0.0)
 # Seconds after the start in which the demand is unknown. It is assumed to be at least
 # START_DEMAND times the rate.
@@ -243,9 +246,9 @@
         share = self._reachable_share(tag, state, now)
         demand = self._demand(state, now)
         reserved = self._silent_reserve(tag, state, now)
-        bonus = None if rank is None else self._rank_bonus(state, share, rank, now)
+        bonus = self._bonus(state, share, rank, now) * self._tolerance.overshoot
         probability = state.meter.admission_probability(
-            share, demand, reserved, now, bonus
+            share, demand, reserved, now, bonus, rank is not None
         )
         if rank is not None:
             probability = self._rank_probability(state, probability, rank, now)
@@ -263,19 +266,26 @@
             round(probability, 3),
         )
 
-    def _rank_bonus(self, state, share, rank, now):
+    def _bonus(self, state, share, rank, now):
         """
-        Count a request of a rank, and return its bonus.
+        Return the part of the tolerance that may be used, and count a rank.
 
-        In touch, the bonus of the last rank is 0.0. Otherwise the tolerance is needed
-        for what hosts do not know, and the bonus of the first rank is 0.0.
+        While demand rises, the tolerance is needed for what hosts do not know, and the
+        last rank is refused earlier instead.
         """
-        for mix in (state.mix, self._mix):
-            mix.add(rank, now)
-        part = rank / max(1, self._mix.last_rank)
-        if share < MIN_BONUS_SHARE or self._growth(state, now) > MIN_GROWTH:
-            return -CUT_MALUS * part
-        return URGENT_BONUS * (1.0 - part)
+        part = 0.0
+        if rank is not None:
+            for mix in (state.mix, self._mix):
+                mix.add(rank, now)
+            part = rank / max(1, self._mix.last_rank)
+        if not state.meter.is_below_reserve(now):
+            return 0.0
+        if self._growth(state, now) > MIN_GROWTH:
+            return -RISE_MALUS * part
+        is_in_touch = share >= IN_TOUCH_SHARE
+        if rank is None:
+            return BONUS if is_in_touch else CUT_BONUS
+        return (URGENT_BONUS if is_in_touch else CUT_BONUS) * (1.0 - part)
 
     def _rank_probability(self, state, probability, rank, now):
         """Return the probability with which to admit a request of a rank."""
