--- a/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/choice.py
@@ -41,7 +41,8 @@
 # vary: a response expected exactly at the objective is late about half of the time.
 SAFE_OBJECTIVE_FRACTION = 0.6
 # Cost of sending to another data centre: a fixed part and a part for each kilobyte.
-# Large requests leave the data centre only if the local targets probably fail.
+# Large requests leave the data centre only if the local targets probably fail: for
+# 60 kB it costs about half of what their loss would.
 CROSS_DATA_CENTRE_COST = 0.03
 CROSS_DATA_CENTRE_COST_PER_KB = 0.006
 # Utilization assumed for targets of a data centre whose load is unknown.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/failure_estimator.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/failure_estimator.py
@@ -27,7 +27,7 @@
 PRIOR_FAILING = MEAN_FAILING_SECONDS / (MEAN_HEALTHY_SECONDS + MEAN_FAILING_SECONDS)
 DECAY_SECONDS = 1.0 / (1.0 / MEAN_HEALTHY_SECONDS + 1.0 / MEAN_FAILING_SECONDS)
 # Fraction of the sends to a failing target that hang, or that it rejects with slots
-# free.
+# free. Most failing targets respond at once.
 RARE_OUTCOME_RATE_FAILING = 0.5
 # Bound on what a timeout at one host, of a connection or a request, counts for the
 # target. A higher bound would let a broken path mark a target as failing for all hosts.
@@ -41,7 +41,8 @@
 PATH_SUCCESS_LIKELIHOOD_RATIO = (1.0 - PATH_BROKEN_FAILURE_RATE) / (
     1.0 - PATH_HEALTHY_FAILURE_RATE
 )
-# Mean duration of a broken path, and the fraction of paths that are broken.
+# Mean duration of a broken path, which is that of a failing period of a target, and the
+# fraction of paths that are broken.
 PATH_MEAN_BROKEN_SECONDS = 8.0
 PATH_PRIOR_BROKEN = 0.03
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -16,14 +16,16 @@
 
 # A service is degraded if more than this fraction of its requests was not served within
 # the window, in seconds, and at least the minimum numbers. Trials must be unlimited
-# before a tenth of the requests is lost.
+# before a tenth of the requests is lost. A single request that fails by itself does not
+# degrade a service, however few requests there were.
 DEGRADED_FRACTION = 0.085
 DEGRADED_WINDOW = 2.5
 DEGRADED_MIN_REQUESTS = 8
 DEGRADED_MIN_UNSERVED = 2
 # Added to the configured floor share, since the healthy capacity is only an estimate.
 FLOOR_MARGIN = 0.15
-# Seconds without a request after which a target counts as unused.
+# Seconds without a request after which a target counts as unused. Together with the
+# time until the data centre's next request this stays below two seconds.
 UNUSED_TIMEOUT = 1.5
 # Targets whose failing probability is higher get no trials.
 TRIAL_MAX_FAILING_PROBABILITY = 0.6
--- a/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/pacing.py
@@ -9,9 +9,12 @@
 some waiting, but a late failure costs requests.
 """
 
-# The fraction of the link's capacity that updates may use.
+# The fraction of the link's capacity that updates may use. With sixty hosts and 140
+# requests a second, the compressed updates of all to all take 3% of a link of 200
+# Mbit/s and 30% of one of 20 Mbit/s, so hosts with slow links are updated less often.
 LINK_FRACTION = 0.15
-# Datagrams per second for load updates. Each costs processor time at both ends.
+# Datagrams per second for load updates. Each costs processor time at both ends. A hub
+# of sixty hosts updates them ten times a second, one of twelve fifty times.
 MAX_DATAGRAM_RATE = 600.0
 # The same for urgent updates. Until one arrives, other hosts send to a failing target.
 MAX_URGENT_DATAGRAM_RATE = 2400.0
--- a/packages/plumsaddle-core/plumsaddle_core/ops/peer_table.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/peer_table.py
@@ -27,13 +27,16 @@
 # sent once a second.
 LIVENESS_TIMEOUT = 1.6
 # Readers are replaced sooner, since changes of the store must be known within two
-# seconds and the next reader still has to fetch them.
+# seconds and the next reader still has to fetch them. A reader too many for a moment
+# costs a call or two.
 READER_TIMEOUT = 1.3
 # Seconds without a message after which the hub is replaced. It sends at least every
-# 0.2 s.
+# 0.2 s. A change of the hub costs a few datagrams, less than a request that goes by
+# outdated state.
 HUB_TIMEOUT = 0.5
 # The hub is replaced if an update takes longer than this (seconds) to come back in a
-# bundle, since all that it sends is then out of date.
+# bundle, since all that it sends is then out of date. A hub with a slow link takes half
+# of this.
 MAX_HUB_DELAY = 1.0
 # The hub is replaced if no update has come back for this long (seconds), since it then
 # doesn't receive this host's updates. One lost heartbeat is tolerated.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -13,7 +13,8 @@
 
 from ..core.traffic import TargetState
 
-# Seconds for which lapsed entries stay usable after the store's recovery. Hosts
+# Seconds for which lapsed entries stay usable after the store's recovery. The entries
+# of live targets are back within two seconds of it. Hosts
 # notice a recovery up to a second late, and must not use a target that is still missing
 # three seconds after it.
 LAPSE_GRACE = 1.5
--- a/packages/plumsaddle-core/plumsaddle_core/ops/remote_load.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/remote_load.py
@@ -9,7 +9,9 @@
 
 from .peer_updates import RemoteLoadTotal
 
-# Seconds without an update after which a load is discarded.
+# Seconds without an update after which a load is discarded. Updates come ten times a
+# second; after this time the data centre is cut off, and most of its requests have
+# ended.
 REMOTE_LOAD_TTL = 1.5
 
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/subset.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/subset.py
@@ -20,7 +20,8 @@
 # Services with up to this many targets are used without subsetting.
 MAX_TARGETS_WITHOUT_SUBSET = 48
 # Bounds of the number of targets in the host's own data centre. With the maximum, some
-# are still idle when a third of the targets fail and others are busy.
+# are still idle when a third of the targets fail and others are busy. With the minimum,
+# one draw in a thousand has only failing targets; then all targets are considered.
 MAX_LOCAL_TARGETS = 32
 MIN_LOCAL_TARGETS = 6
 # Average number of local hosts that use a target. With three or four, some targets
--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
@@ -29,6 +29,7 @@
 CRASH_THRESHOLD = 3
 # Least crashes that no held request with more crashes explains. With one, a popular
 # request would be held back after two harmful requests and an unrelated crash hit it.
+# The price: a second harmful request beside a first one is found two crashes later.
 MIN_UNEXPLAINED = 2
 # Crashes from which a request is written to the platform's store.
 MIN_CRASHES_TO_STORE = 2
--- a/packages/plumsaddle-core/plumsaddle_core/ops/target_health.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/target_health.py
@@ -29,7 +29,8 @@
 # A path that is broken with at least this probability is not used for trials.
 BROKEN_PATH_THRESHOLD = 0.2
 # Outcomes that change the probability that the target is failing by at least this much
-# are sent to other data centres. A success of a healthy target changes it by less.
+# are sent to other data centres. A success of a healthy target changes it by 0.03, a
+# failure by 0.6, and a success of a suspected target by 0.15 and more.
 MIN_SHIFT_TO_SHARE = 0.1
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -26,7 +26,8 @@
 # Seconds after which hedging is tried again if no target was suitable.
 HEDGE_RETRY_INTERVAL = 0.1
 RETRY_CAUSE_SLOW = "slow"
-# Maximum estimated failure probability of the target of a hedge.
+# Maximum estimated failure probability of the target of a hedge. A target about which
+# nothing is known fails a fifth of its requests.
 MAX_HEDGE_FAILURE_PROBABILITY = 0.25
 # Number of sends without a byte written after which a request is refused.
 MAX_UNREACHABLE = 3
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/crash_detector.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/crash_detector.py
@@ -23,7 +23,8 @@
 # Seconds after an unanswered send for which a crash of its target is attributed to it.
 # A target restarts within seconds, and then its address accepts connections again.
 UNRESOLVED_TTL = 5.0
-# Unresolved sends that are kept; the oldest one is dropped first.
+# Unresolved sends that are kept; the oldest one is dropped first. A host has some tens
+# of requests in flight.
 MAX_UNRESOLVED = 512
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -33,7 +33,8 @@
 log = logging.getLogger("front")
 # Bodies up to this many bytes are read completely, and the request key includes them.
 MAX_WHOLE_BODY = MAX_HASHED_BODY
-# Total bytes of bodies that a host buffers; further requests are refused.
+# Total bytes of bodies that a host buffers; further requests are refused. It is a third
+# of the memory of the smallest hosts.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 MIN_RETRY_AFTER = 0.05
 # Retry delay in seconds while the configuration is too old to reject an unknown key.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -231,7 +231,7 @@
 
 
 # Bundles shorter than this (bytes) are not compressed. Longer ones repeat the names of
-# hosts, routes and targets and compress well, often into a single packet.
+# hosts, routes and targets and shrink to a third, often into a single packet.
 MIN_SIZE_TO_COMPRESS = 500
 # Limit of a decompressed message, in bytes.
 MAX_DECOMPRESSED_SIZE = 16_000_000
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -21,7 +21,8 @@
 
 log = logging.getLogger("relay")
 # The multiple of its expected duration, including queueing at the target, after which
-# a send is overdue and counts as failed in the health of the target.
+# a send is overdue and counts as failed in the health of the target. Requests to a
+# healthy target exceed it about once in a hundred.
 OVERDUE_FACTOR = 3.0
 # The multiple of the expected duration after which an idempotent request is hedged.
 HEDGE_FACTOR = 2.2
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -25,7 +25,8 @@
 
 # In seconds; long enough for one retransmission of a lost packet.
 CONNECT_TIMEOUT = 0.8
-# In seconds, without the time that a read waits for records.
+# In seconds, without the time that a read waits for records. Calls take a few
+# milliseconds, and some tens of times as long while the store is slow.
 CALL_TIMEOUT = 1.5
 # In seconds. A dead connection is closed after three seconds: the bounds on how soon a
 # host applies a change count only for hosts that reached the store for that long.
