--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -203,7 +203,7 @@
             # The part of a streamed body that was read is not kept.
             return self._final_result(completed)
         # With scheduling on, a request that the budget denies now waits for it.
-        if not self._knowledge.is_scheduling and not self._may_spend_retry():
+        if not self._knowledge.is_queueing and not self._may_spend_retry():
             self._note_retry_denied()
             return self._final_result(completed)
         refusal = await self._send_next(completed.outcome.value)
@@ -272,7 +272,7 @@
 
     def _turn_fields(self):
         """Return the fields of a refusal that explain the request's turns."""
-        if not self._knowledge.is_scheduling:
+        if not self._knowledge.is_queueing:
             return {}
         fields = self._turns.log_fields()
         if self._unsent_cause is not None:
@@ -319,7 +319,7 @@
         Returns:
           A `Refusal` if no target may be used, otherwise None.
         """
-        if not self._knowledge.is_scheduling:
+        if not self._knowledge.is_queueing:
             return self._send_now(retry_cause)
         cause = await self._turns.send(retry_cause, self._aborted)
         if cause is None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -141,6 +141,22 @@
             return self._has_downloads
         return mode is SchedulingMode.ON
 
+    @property
+    def is_queueing(self):
+        """Whether requests wait on this host for a target."""
+        return (
+            self.is_scheduling
+            and Feature.REQUEST_QUEUE not in self.settings.disabled_features
+        )
+
+    @property
+    def scores_outcomes(self):
+        """Whether targets are scored by what callers get."""
+        return (
+            self.is_scheduling
+            and Feature.OUTCOME_SCORES not in self.settings.disabled_features
+        )
+
     # Called by the feeds.
 
     def apply_operator_records(self, page):
@@ -163,7 +179,7 @@
             return
         self.cfg = cfg
         self._has_downloads = cfg.has_downloads
-        self.shared.health.set_scheduling(self.is_scheduling)
+        self.shared.health.set_scheduling(self.scores_outcomes)
         self.route_table = build_route_table(cfg.routes)
         self.workspaces_by_key, ambiguous = index_keys(cfg.workspaces)
         for digest in ambiguous:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -134,7 +134,7 @@
     def _note_overdue(self, choice):
         target = choice.candidate.target
         seconds = 0.0
-        if self._knowledge.is_scheduling:
+        if self._knowledge.scores_outcomes:
             # The least time that the target takes, from which its pace is learned.
             seconds = slow_threshold(OVERDUE_FACTOR, choice) / choice.slowdown
         self._knowledge.note_outcome(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
@@ -78,8 +78,8 @@
 
     def _is_good_enough(self, choice):
         """Return whether a choice scores as well as one of all targets likely would."""
-        is_scheduling = self._state.is_scheduling
-        least = MIN_SCHEDULED_SUBSET_SCORE if is_scheduling else MIN_SUBSET_SCORE
+        scores_outcomes = self._state.scores_outcomes
+        least = MIN_SCHEDULED_SUBSET_SCORE if scores_outcomes else MIN_SUBSET_SCORE
         return choice is not None and choice.score >= least
 
     def _is_final(self, choice):
@@ -125,7 +125,7 @@
             and Feature.FLOOR_TRIALS not in self._state.settings.disabled_features
         )
         kind = profile.kind
-        if self._state.is_scheduling:
+        if self._state.scores_outcomes:
             profile = profile._replace(
                 are_probes_repeatable=self._probes.has_repeatable(service, at)
             )
@@ -163,14 +163,14 @@
 
     def _choose_among(self, targets, profile, has_connection, at):
         candidates = [self._candidate(target, has_connection, at) for target in targets]
-        choose = choose_scheduled if self._state.is_scheduling else choose_target
+        choose = choose_scheduled if self._state.scores_outcomes else choose_target
         return choose(candidates, profile, self._state.rng)
 
     def _find_trial_or_probe(self, service, kind, usable, at):
         """
         Return the local incarnation that a request has to go to, or None, and why.
         """
-        if not self._state.is_scheduling:
+        if not self._state.scores_outcomes:
             return self._find_trial(service, usable, at), ChoiceRule.FLOOR_TRIAL
         probe = self._probes.find(
             service,
@@ -216,7 +216,7 @@
         is_local = target.data_centre == self._state.settings.data_centre
         is_cold = at < target.read_at + target.warmup
         pace = 1.0
-        if self._state.is_scheduling:
+        if self._state.scores_outcomes:
             paces = self._state.shared.health.paces
             pace = paces.pace(target.incarnation, is_cold, at)
         return Candidate(
--- a/packages/plumsaddle-standins/plumsaddle_standins/spell_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/spell_model.py
@@ -113,7 +113,7 @@
     return SimpleNamespace(
         settings=settings,
         rng=model.rng,
-        is_scheduling=is_scheduling,
+        scores_outcomes=is_scheduling,
         shared=_HostView(model, centre),
         limits=SimpleNamespace(
             has_any=False,
