--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -271,7 +271,8 @@
         Return the part of the tolerance that may be used, and count a rank.
 
         While demand rises, the tolerance is needed for what hosts do not know, and the
-        last rank is refused earlier instead.
+        last rank is refused earlier instead. An isolated host does not know whether
+        demand rises.
         """
         part = 0.0
         if rank is not None:
@@ -280,7 +281,8 @@
             part = rank / max(1, self._mix.last_rank)
         if not state.meter.is_below_reserve(now):
             return 0.0
-        if self._growth(state, now) > MIN_GROWTH:
+        is_cut_off = self._liveness.is_isolated and self._liveness.host_count() > 1
+        if is_cut_off or self._growth(state, now) > MIN_GROWTH:
             return -RISE_MALUS * part
         is_in_touch = share >= IN_TOUCH_SHARE
         if rank is None:
