--- a/packages/plumsaddle-core/plumsaddle_core/limits/meter.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/meter.py
@@ -24,8 +24,6 @@
 # The fraction of the capacity that must remain for every request to be admitted. It
 # covers requests that other hosts have admitted but not yet reported.
 RESERVE_FRACTION = 0.3
-# The fraction of the capacity that is kept unused, to cover the same error.
-MARGIN_FRACTION = 0.0
 # Seconds until other hosts' admitted requests are reported. Those of this time are
 # estimated from the reports of the last REPORTED_WINDOW seconds.
 GOSSIP_DELAY = 0.25
@@ -272,9 +270,7 @@
             return 0.0
         slots = RANKED_EXPIRING_SLOTS if is_ranked else EXPIRING_SLOTS
         expiring = self._expiring_rate(slots, now)
-        allowed_rate = (
-            expiring + (remaining - MARGIN_FRACTION * self.capacity) / ADMISSION_HORIZON
-        )
+        allowed_rate = expiring + remaining / ADMISSION_HORIZON
         return max(0.0, min(1.0, allowed_rate * share / demand)) if demand else 1.0
 
     def _expiring_rate(self, slots, now):
@@ -297,7 +293,7 @@
           jitter: A random number from 0.0 to 1.0, drawn for the caller.
           now: The current time in seconds.
         """
-        shortfall = MARGIN_FRACTION * self.capacity + 1.0 - self.remaining(now)
+        shortfall = 1.0 - self.remaining(now)
         available_at = now
         for number, count in self._slots.items():
             if shortfall <= 0.0:
--- a/packages/plumsaddle-standins/plumsaddle_standins/spell_model_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/spell_model_test.py
@@ -30,6 +30,11 @@
     assert _lost_in_spells(case) < before
 
 
+def test_a_spell_costs_two_orders_under_load():
+    """Guards against orders that queue at a target at the moment its spell begins."""
+    assert _lost_in_spells(with_load(CASES[0], 2.0)) <= 2.0
+
+
 UNEVEN = with_load(CASES[0], 6.0)._replace(spell_every=1e6, paces=(0.4, 1.6))
 
 
