--- a/packages/plumsaddle-core/plumsaddle_core/core/features.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/features.py
@@ -25,8 +25,6 @@
     OPEN_CONNECTIONS = "open-connections"
     # Time spent waiting for a slot is excluded from service times.
     SERVICE_TIMES = "work-times"
-    # With scheduling on, requests wait on their host for a target.
-    REQUEST_QUEUE = "request-queue"
     # With scheduling on, targets are scored by what callers get.
     OUTCOME_SCORES = "outcome-scores"
     # Requests that are suspected of crashing targets are held back.
--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -221,6 +221,7 @@
     `link_rate` is the capacity of the host's network link in bytes per second, or None
     if unknown. `buffered_bytes` is the most that it holds of large responses for
     callers that read slower than targets send.
+    With `request_queue`, requests wait on the host while scheduling is on.
     """
 
     id: HostId
@@ -235,6 +236,7 @@
     link_rate: float | None = None
     disabled_features: frozenset[Feature] = frozenset()
     scheduling: SchedulingMode = SchedulingMode.AUTO
+    request_queue: bool = False
     pipeline_limits: PipelineLimits = PipelineLimits()
     buffered_bytes: int = DEFAULT_BUFFERED_BYTES
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -144,10 +144,7 @@
     @property
     def is_queueing(self):
         """Whether requests wait on this host for a target."""
-        return (
-            self.is_scheduling
-            and Feature.REQUEST_QUEUE not in self.settings.disabled_features
-        )
+        return self.is_scheduling and self.settings.request_queue
 
     @property
     def scores_outcomes(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
@@ -127,6 +127,7 @@
             bounds=Bounds(retry_extra=50.0, retry_window=10.0),
             disabled_features=frozenset({Feature.FLOOR_TRIALS, Feature.HEDGING}),
             scheduling=mode,
+            request_queue=True,
         )
         self.state = HostState(settings, random.Random(1))
         self.state.cfg = SimpleNamespace(version=1)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -90,6 +90,7 @@
         _check_link_rate(fields.get("link_mbps"), errors),
         _check_experiments(fields.get("experiments", {}), errors),
         _check_scheduling(fields.get("scheduling", "auto"), errors),
+        _check_flag(fields, "request_queue", errors),
         _check_pipeline_limits(fields.get("callers", {}), errors),
         _check_buffered_bytes(
             fields.get("callers", {}), fields.get("memory_mb"), errors
@@ -149,6 +150,15 @@
     return SchedulingMode(value)
 
 
+def _check_flag(fields, name, errors):
+    """Return a field that is true or false; it is false if missing."""
+    value = fields.get(name, False)
+    if not isinstance(value, bool):
+        errors.append(f"{name}: expected true or false, not {value!r}")
+        return False
+    return value
+
+
 def _check_pipeline_limits(table, errors):
     """Return the `PipelineLimits` of a table; missing fields keep their defaults."""
     if not isinstance(table, dict):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile_test.py
@@ -34,3 +34,11 @@
     result = check_host_settings(f"{TEXT}[callers]\n{line}\n")
     assert not isinstance(result, Success)
     assert result.failure()[0].startswith("callers")
+
+
+def test_requests_wait_on_hosts_only_if_the_settings_say_so():
+    """Guards against a queue that no operator has asked for."""
+    assert check_host_settings(TEXT).unwrap().request_queue is False
+    assert check_host_settings("request_queue = true\n" + TEXT).unwrap().request_queue
+    result = check_host_settings("request_queue = 1\n" + TEXT)
+    assert result.failure()[0].startswith("request_queue")
