--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -202,7 +202,7 @@
         if not self._attempt.may_send() or self._send_runner.is_body_consumed:
             # The part of a streamed body that was read is not kept.
             return self._final_result(completed)
-        # With scheduling on, a request that the budget denies now waits for it.
+        # Where requests are queued, one that the budget denies now waits for it.
         if not self._knowledge.is_queueing and not self._may_spend_retry():
             self._note_retry_denied()
             return self._final_result(completed)
