Send hosts that become known what they have missed

What callers saw: for up to 1.8 s a host sends requests to a target that has announced that it drains, while all other hosts know; a request under way when the target exits is lost.

Cause: an update is sent to the hosts that are known at that moment, counted as sent, and not sent again when another host becomes known. The same holds for hosts that join, a restarted hub, what a lost hub had not forwarded, idle data centres, data centres found late, and lists of addresses without the hub.

Ruled out: a late event loop (at most 5 ms), a lost datagram across (the first host always knew at once).

Why it works: whoever sends first to hosts that do not know it, or is sent to by a new incarnation, exchanges state at once; what a hub has not sent back stays unconfirmed and is sent again to the next one.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/advertised.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/advertised.py
@@ -149,6 +149,10 @@
         """Return the `LimitRow`s for a message to the hosts of the data centre."""
         return self._take_pending(self._local_pending)
 
+    def repeat_local(self, rows):
+        """Send entries to the data centre again whose message may be lost."""
+        self._local_pending.repeat(self._entries.keys() & {row[0] for row in rows})
+
     def remote_rows(self):
         """Return the `LimitRow`s for a message to other data centres."""
         return self._take_pending(self._remote_pending)
--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -370,6 +370,11 @@
 
     # Sending.
 
+    def repeat_local(self, rows):
+        """Send sums to the data centre again whose message may be lost."""
+        for tag in self._states.keys() & {row[0] for row in rows}:
+            self._local_pending.setdefault(tag, 1)
+
     def local_rows(self, now):
         """Return the `QuotaRow`s for a message to the hosts of the data centre."""
         pending = self._next_pending(self._local_pending)
--- a/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/availability.py
@@ -116,6 +116,10 @@
         """Return the incarnations for a message to the hosts of the data centre."""
         return self._local_pending.take()
 
+    def repeat_local(self, incarnations):
+        """Send announcements to the data centre again whose message may be lost."""
+        self._local_pending.repeat(self._draining.keys() & set(incarnations))
+
     def remote_rows(self):
         """Return the incarnations for a message to other data centres."""
         return self._remote_pending.take()
--- a/packages/plumsaddle-core/plumsaddle_core/ops/peer_table.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/peer_table.py
@@ -67,11 +67,13 @@
     """
     What a host knows of another host of its data centre.
 
+    `incarnation` is that of its latest update, None if it has not sent one.
     `link_rate` is the capacity of its network link in bytes per second, 0 if unknown.
     Times are in seconds.
     """
 
     last_message_at: float
+    incarnation: int | None = None
     link_rate: float = 0.0
     store_status: StoreStatus = StoreStatus.TOLD
     avoided_until: float = 0.0
@@ -115,6 +117,13 @@
         elif now > known.last_message_at:
             known.last_message_at = now
 
+    def note_incarnation(self, address, incarnation):
+        """Return whether this is the first update of a known host's incarnation."""
+        known = self._known[address]
+        is_first = known.incarnation != incarnation
+        known.incarnation = incarnation
+        return is_first
+
     def update(self, address, link_rate, store_status):
         """Update what a known host reports of itself."""
         known = self._known[address]
@@ -122,9 +131,16 @@
         known.store_status = store_status
 
     def add_candidate(self, address, now):
-        """Add a host that another one named; it is evicted unless it sends soon."""
-        if address != self._address and address not in self._known:
-            self._known[address] = PeerEntry(now - PEER_TTL / 2)
+        """
+        Add a host that another one named; it is evicted unless it sends soon.
+
+        Returns:
+          Whether it was unknown.
+        """
+        if address == self._address or address in self._known:
+            return False
+        self._known[address] = PeerEntry(now - PEER_TTL / 2)
+        return True
 
     def evict_silent(self, now):
         """Evict hosts that have stopped sending."""
--- a/packages/plumsaddle-core/plumsaddle_core/ops/peer_updates.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/peer_updates.py
@@ -166,6 +166,10 @@
         self._sent_twice, self._sent_once = self._sent_once, self.next_number
         return tuple(record for record in self._records if record.number >= since)
 
+    def repeat_from(self, number):
+        """Send the records again from a number on, as their message may be lost."""
+        self._sent_twice = min(self._sent_twice, number)
+
     def recent(self):
         """Return all records that are kept."""
         return tuple(self._records)
--- a/packages/plumsaddle-core/plumsaddle_core/utils/pending.py
+++ b/packages/plumsaddle-core/plumsaddle_core/utils/pending.py
@@ -25,6 +25,11 @@
         """Send a key no more."""
         self._sends_left.pop(key, None)
 
+    def repeat(self, keys):
+        """Send keys in at least one more message."""
+        for key in keys:
+            self._sends_left.setdefault(key, 1)
+
     def take(self):
         """Return the keys for one message, the oldest first."""
         keys = list(self._sends_left)[:MAX_ROWS]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
@@ -48,14 +48,20 @@
 
     `send` is called with bytes and addresses, and `schedule_send` with whether the
     waiting updates are urgent. `is_forwarding` is called with the current time and
-    returns whether this host forwards updates. `sent_time` is called with a
-    `HostUpdate` and returns when this host sent it, or None.
+    returns whether this host forwards updates. `confirm` is called with a `HostUpdate`
+    that came back and returns when this host sent it, or None. `greet` is called with
+    the current time and the address of a host that has sent its first update,
+    `answer_hello` with those of a host that has asked for addresses, and `introduce`
+    with the time and addresses to send this host's state to.
     """
 
     send: Callable
     schedule_send: Callable
     is_forwarding: Callable
-    sent_time: Callable
+    confirm: Callable
+    greet: Callable
+    answer_hello: Callable
+    introduce: Callable
 
 
 class MessageHandler:
@@ -126,8 +132,7 @@
         elif isinstance(message, DataCentreLoad):
             self._handle_load(message, address, at)
         elif isinstance(message, Members):
-            self._add_candidates(message.addresses, at)
-            self._remote.remote_hosts.add_candidates(message.remote_hosts, at)
+            self._handle_members(message, at)
         else:
             self._handle_hello(message, address, at)
 
@@ -156,11 +161,13 @@
         )
         if update.heartbeat is not None:
             self._apply_heartbeat(update.heartbeat, update.address, at)
+        if self._peer_table.note_incarnation(update.address, update.incarnation):
+            self._callbacks.greet(at, update.address)
         return True
 
     def _note_echo(self, update, at):
         """Record that a hub has sent back one of this host's own updates."""
-        sent_at = self._callbacks.sent_time(update)
+        sent_at = self._callbacks.confirm(update)
         if sent_at is not None:
             self._peer_table.note_echo(sent_at, at)
             self._shared.limits.membership.note_delivered(sent_at)
@@ -285,12 +292,16 @@
             self._callbacks.send(encode(load), self._peer_table.hub)
 
     def _handle_hello(self, hello, address, at):
-        """Answer a host that asks for addresses."""
+        """Answer a host that asks for addresses; bring it up to date if it is new."""
         remote_hosts = self._remote.remote_hosts.sample(at)
         if hello.data_centre == self._settings.data_centre:
-            known = self._peer_table.addresses()
-            self._peer_table.add_candidate(address, at)
+            # The list is cut, and the hub brings the host in touch with all others.
+            hub = [self._peer_table.hub] if self._peer_table.hub is not None else []
+            known = [*hub, *(a for a in self._peer_table.addresses() if a not in hub)]
+            if self._peer_table.add_candidate(address, at):
+                self._callbacks.answer_hello(at, address)
         else:
+            self._remote.greet(address, at)
             known = self._remote.remote_hosts.addresses(hello.data_centre, at)
             self._remote.remote_hosts.add(hello.data_centre, address, at)
             own = [*self._peer_table.addresses(), self._settings.peer_address]
@@ -300,11 +311,20 @@
             encode(Members(known[:MAX_NAMED_HOSTS], remote_hosts)), address
         )
 
+    def _handle_members(self, members, at):
+        """Add listed hosts; without a hub, send them this host's state at once."""
+        new = self._add_candidates(members.addresses, at)
+        if new and self._is_hub():
+            self._callbacks.introduce(at, new)
+        self._remote.remote_hosts.add_candidates(members.remote_hosts, at)
+
     def _add_candidates(self, addresses, at):
-        """Add listed hosts; they expire soon unless they send."""
-        for address in addresses:
-            if is_address(address):
-                self._peer_table.add_candidate(address, at)
+        """Add listed hosts, which expire soon unless they send; return the new ones."""
+        return [
+            address
+            for address in addresses
+            if is_address(address) and self._peer_table.add_candidate(address, at)
+        ]
 
 
 def _decode_each(encoded_messages, decode_message, address):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -37,9 +37,11 @@
     HostUpdate,
     decode,
     encode,
+    encode_bundle,
 )
 from .readers import ReaderRole
 from .remote_sender import RemoteSender
+from .unconfirmed import UnconfirmedUpdates
 
 log = logging.getLogger("peers")
 # Addresses that a hub's heartbeat lists, drawn at random each time.
@@ -68,9 +70,6 @@
 # Notices of targets, of each kind, that a heartbeat to the hub repeats, as the hub may
 # have restarted.
 ANTI_ENTROPY_ROWS = 2
-# Updates to the hub whose send times are kept until the hub sends them back. A host
-# sends some ten per second.
-MAX_PENDING_ECHOES = 64
 
 
 class PeerProtocol(asyncio.DatagramProtocol):
@@ -103,8 +102,7 @@
         self._pacer = SendPacer(settings.link_rate, is_bounded)
         self._counts_sent_at = 0.0
         self._number = 0
-        # Send times of the latest updates to the hub, by number.
-        self._sent_at = {}
+        self._unconfirmed = UnconfirmedUpdates()
         self._peer_table = PeerTable(settings.peer_address, settings.link_rate)
         self._reader_role = ReaderRole(
             store_access, feeds, self._peer_table, self._send
@@ -124,7 +122,10 @@
                 lambda data, *addresses: self._send(data, *addresses),
                 self._schedule_send,
                 self._is_forwarding,
-                self._sent_time,
+                self._confirm,
+                self._greet,
+                self._answer_hello,
+                self._introduce,
             ),
         )
         self._bundle_sent_at = 0.0
@@ -182,7 +183,7 @@
         self._send_update(at, self._make_heartbeat(at))
         if self._is_hub() and self._may_act_alone(at):
             self._remote.send_update(
-                self._shared.tags_used_since(at - REMOTE_UPDATE_INTERVAL), at
+                at, self._shared.tags_used_since(at - REMOTE_UPDATE_INTERVAL)
             )
         else:
             # The hub sends the evidence on behalf of the data centre.
@@ -226,8 +227,7 @@
           The seconds until the next call.
         """
         if self._pick_hub(at):
-            # Sent at once, since a lost hub has not forwarded the latest updates.
-            self._send_update(at, self._make_heartbeat(at))
+            self._repeat_unconfirmed(at)
         self._reader_role.update(self._may_act_alone(at), at)
         if self._is_hub():
             if self._buffer.clients(at):
@@ -274,13 +274,50 @@
         """Whether this host forwards updates."""
         return self._is_hub() or bool(self._buffer.clients(at))
 
-    def _sent_time(self, update):
-        """Return when this host sent an update, or None if it is not its own."""
-        return (
-            self._sent_at.get(update.number)
-            if update.incarnation == self._incarnation
-            else None
-        )
+    def _confirm(self, update):
+        """Note an update that came back, and return when this host sent it, or None."""
+        if update.incarnation != self._incarnation:
+            return None
+        return self._unconfirmed.confirm(update.number)
+
+    def _repeat_unconfirmed(self, at):
+        """Send again at once what the former hub may not have forwarded."""
+        for update in self._unconfirmed.take():
+            self._shared.limits.advertised.repeat_local(update.limits)
+            self._shared.availability.repeat_local(update.draining)
+            self._shared.quotas.repeat_local(update.quotas)
+            if update.outcomes:
+                self._shared.outcomes.repeat_from(update.outcomes[0][0])
+        self._send_update(at, self._make_heartbeat(at))
+
+    def _greet(self, at, address):
+        """Bring a host up to date whose incarnation has sent its first update."""
+        is_hub_of_this = address == self._peer_table.hub
+        if is_hub_of_this:
+            # It has restarted, and lost what its clients had sent.
+            self._repeat_unconfirmed(at)
+        if is_hub_of_this or self._is_forwarding(at):
+            self._answer_hello(at, address)
+
+    def _answer_hello(self, at, address):
+        """
+        Send this host's state to one that has just started.
+
+        Hosts that start together have nothing to send each other, and would send it to
+        all.
+        """
+        limits, availability = self._notices
+        has_notices = len(limits) or availability.draining_count
+        if has_notices or self._may_act_alone(at):
+            self._introduce(at, [address])
+
+    def _introduce(self, at, addresses):
+        """Send hosts that may not know this one its state and all notices."""
+        update = self._make_state(at, self._make_heartbeat(at))
+        update.counts = self._shared.own_counts()
+        self._add_notices(update, MAX_ROWS)
+        bundle = encode_bundle(Bundle([msgspec.Raw(encode(update))]))
+        self._send(bundle, *addresses)
 
     def _send_pending(self):
         self._send_call = None
@@ -293,59 +330,67 @@
     def _send_update(self, at, heartbeat=None):
         """Send this host's update to its hub, or to all hosts if it is the hub."""
         self._has_unsent_update = False
-        data = encode(self._make_update(at, heartbeat))
+        update = self._make_update(at, heartbeat)
+        data = encode(update)
         if not self._is_hub():
-            self._sent_at[self._number] = at
-            self._sent_at.pop(self._number - MAX_PENDING_ECHOES, None)
+            self._unconfirmed.add(update, at)
             self._send(data, self._peer_table.hub)
         if self._is_forwarding(at):
             self._buffer.add_host_update(self._settings.id, data)
             self._send_bundle(at)
 
     def _make_update(self, at, heartbeat):
-        self._number += 1
-        outcomes = [
+        """Return an update with all that remains to be sent."""
+        update = self._make_state(at, heartbeat)
+        update.outcomes = [
             (o.number, o.target, o.service, o.route, o.signal, round(o.seconds, 4))
             for o in self._shared.outcomes.next_batch()
         ]
-        counts = {}
         if heartbeat is not None or at - self._counts_sent_at >= COUNTS_INTERVAL:
             self._counts_sent_at = at
-            counts = self._shared.own_counts()
-        advertised = self._shared.limits.advertised
+            update.counts = self._shared.own_counts()
+        limits, availability = self._notices
+        update.quotas = [tuple(row) for row in self._shared.quotas.local_rows(at)]
+        update.limits = [tuple(row) for row in limits.local_rows()]
+        update.draining = availability.local_rows()
+        if heartbeat is not None:
+            count = MAX_ROWS if self._is_hub() else ANTI_ENTROPY_ROWS
+            self._add_notices(update, count)
+        return update
+
+    def _make_state(self, at, heartbeat):
+        """Return an update that holds only what every update repeats."""
+        self._number += 1
         return HostUpdate(
             self._settings.id,
             self._settings.peer_address,
             self._incarnation,
             self._number,
             self._shared.own_in_flight(),
-            outcomes,
-            counts,
+            [],
+            {},
             heartbeat,
             [tuple(record) for record in self._shared.suspects.own_records(at)],
-            [tuple(row) for row in self._shared.quotas.local_rows(at)],
-            [tuple(row) for row in self._notice_rows(advertised, heartbeat)],
-            self._notice_rows(self._shared.availability, heartbeat),
         )
 
-    def _notice_rows(self, notices, heartbeat):
-        """
-        Return the notices of targets to send: changed ones, and periodically others.
-
-        Args:
-          notices: The `AdvertisedLimits` or the `Availability`.
-          heartbeat: The `Heartbeat` of the message, or None.
-        """
-        rows = notices.local_rows()
-        if heartbeat is not None:
-            count = MAX_ROWS if self._is_hub() else ANTI_ENTROPY_ROWS
-            rows += notices.anti_entropy_rows(count, self._rng)
-        return rows
+    @property
+    def _notices(self):
+        """The `AdvertisedLimits` and the `Availability` of the targets."""
+        return self._shared.limits.advertised, self._shared.availability
+
+    def _add_notices(self, update, count):
+        """Add up to so many notices of each kind, which other hosts may have missed."""
+        limits, availability = self._notices
+        rows = limits.anti_entropy_rows(count, self._rng)
+        update.limits = update.limits + [tuple(row) for row in rows]
+        update.draining = update.draining + availability.anti_entropy_rows(
+            count, self._rng
+        )
 
     def _send_bundle(self, at):
         """Forward the buffered updates."""
         if self._is_hub() and self._remote.has_urgent_update:
-            self._remote.send_update([], at)
+            self._remote.send_update(at)
         load_total = None
         if self._is_load_total_due(at):
             self._load_total_sent_at = at
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -8,7 +8,8 @@
 import pytest
 from hypothesis import example, given, settings, strategies as st
 
-from plumsaddle_core.core.traffic import Bounds, HostSettings
+from plumsaddle_core.core.traffic import Bounds, HostSettings, Workspace
+from plumsaddle_core.limits.sums import workspace_tag
 from plumsaddle_core.ops.peer_table import (
     ECHO_TIMEOUT,
     HUB_RETRY_DELAY,
@@ -534,3 +535,133 @@
     peers._pacer.spend(10_000, 0, net.at)
     peers.send_update_soon(is_urgent=True)
     assert len(waits) == 1
+
+
+def _announce_draining(net, host, incarnation="t"):
+    """Let a target tell a host that it is draining."""
+    peers, shared, _ = host
+    shared.availability.note_draining(incarnation, net.at)
+    peers.send_update_soon(is_urgent=True)
+    net.deliver()
+
+
+def _know_draining(hosts, incarnation="t"):
+    """Return which of the hosts know that a target is draining."""
+    return [shared.availability.is_draining(incarnation) for _, shared, _ in hosts]
+
+
+def test_joining_host_hears_of_draining_at_once(net):
+    """Guards against requests to a leaving target from a host that has just started."""
+    hosts = _fleet(net)
+    _announce_draining(net, hosts[0])
+    net.run(0.4)
+    late = net.add("x9", "x", (hosts[0][2],))
+    late[0].send_heartbeat(net.at)
+    net.deliver()
+    assert _know_draining([late]) == [True]
+
+
+def test_restarted_hub_hears_of_draining_at_once(net):
+    """Guards against a hub that forgets what its data centre knows of targets."""
+    hosts = _fleet(net, 6)
+    hub = _hub(net, hosts[:6])
+    restarted = next(host for host in hosts if host[2] == hub)
+    for number in range(40):
+        _announce_draining(net, hosts[0], f"t{number}")
+    peers, _, address = restarted
+    shared = SharedState(0.2, 10.0, started_at=net.at)
+    gate = StoreAccess(_ignore, _ignore, _ignore)
+    peers.__init__(peers._settings, shared, gate, [], random.Random(1), net.call_later)
+    peers.connection_made(_FakeTransport(net, address))
+    peers.send_heartbeat(net.at)
+    net.deliver()
+    net.run(HUB_SEND_INTERVAL)
+    draining = [f"t{number}" for number in range(40)]
+    assert all(map(shared.availability.is_draining, draining))
+
+
+def test_hosts_with_a_seed_elsewhere_find_each_other_at_once(net):
+    """Guards against updates lost while two hosts that start together have no hub."""
+    seed = net.add("x0", "x")
+    hosts = [net.add(f"y{n}", "y", (seed[2],)) for n in range(2)]
+    for peers, _, _ in hosts:
+        peers.send_heartbeat(net.at)
+        net.deliver()
+    _announce_draining(net, hosts[0])
+    assert _know_draining(hosts) == [True, True]
+
+
+@pytest.mark.parametrize("earlier", [0, 40])
+def test_draining_is_sent_again_after_the_loss_of_the_hub(net, earlier):
+    """Guards against requests to a leaving target whose notice a lost hub received."""
+    hosts = _fleet(net, 4)
+    hub = _hub(net, hosts[:4])
+    for number in range(earlier):
+        _announce_draining(net, hosts[0], f"t{number}")
+    net.run(2.2)
+    net.isolated.add(hub)
+    left = [host for host in hosts[:4] if host[2] != hub]
+    for _ in range(3):
+        _announce_draining(net, left[0])
+    net.run(HUB_TIMEOUT + 2 * HUB_SEND_INTERVAL)
+    assert _know_draining(left) == [True] * 3
+
+
+def test_counts_and_outcomes_are_sent_again_after_the_loss_of_the_hub(net):
+    """Guards against limits and estimates that lack what a lost hub received last."""
+    hosts = _fleet(net, 4)
+    hub = _hub(net, hosts[:4])
+    left = [host for host in hosts[:4] if host[2] != hub]
+    workspace = Workspace("w", (), 10.0, 10.0)
+    for _, shared, _ in left:
+        shared.quotas.configure([workspace], net.at)
+    net.isolated.add(hub)
+    peers, shared, _ = left[0]
+    for _ in range(3):
+        shared.quotas.acquire(workspace, net.at)
+    shared.note_outcome("t", "act", "r", HealthSignal.FAILED, 0.001, net.at)
+    for _ in range(3):
+        peers.send_update_soon(is_urgent=True)
+        net.deliver()
+    net.run(HUB_TIMEOUT + 2 * HUB_SEND_INTERVAL)
+    tag = workspace_tag("w")
+    for _, other, _ in left:
+        assert other.failure_probability("t", net.at) > 0.5
+        assert other.quotas._states[tag].local.requested(net.at) > 2.0
+
+
+def test_idle_data_centre_repeats_draining(net):
+    """Guards against a notice that no other data centre hears while hosts are idle."""
+    hosts = _fleet(net)
+    net.isolated.update(host[2] for host in hosts[3:])
+    _announce_draining(net, hosts[0])
+    net.run(1.2)
+    net.isolated.clear()
+    net.run(2.4)
+    assert _know_draining(hosts) == [True] * 6
+
+
+def test_data_centre_that_is_found_late_hears_of_draining_at_once(net):
+    """Guards against a notice that is spent before another data centre is known."""
+    hosts = [net.add(f"x{n}", "x", ("10.0.0.1:7000",)) for n in range(2)]
+    net.run(2.0)
+    _announce_draining(net, hosts[0])
+    net.run(0.4)
+    late = net.add("y0", "y", (hosts[0][2],))
+    late[0].send_heartbeat(net.at)
+    net.deliver()
+    net.run(2 * HUB_SEND_INTERVAL)
+    assert _know_draining([late]) == [True]
+
+
+def test_hello_is_answered_with_the_hub_among_many_hosts(net):
+    """Guards against a host of a large data centre that finds its hub after seconds."""
+    hosts = [net.add(f"x{n}", "x", ("10.0.0.1:7000",)) for n in range(120)]
+    net.run(4.0 + CLIENT_TTL)
+    hub = _hub(net, hosts)
+    net.run(0.4)
+    late = net.add("late", "x", (next(a for _, _, a in hosts if a != hub),))
+    late[0].send_heartbeat(net.at)
+    net.deliver()
+    net.run(2 * HUB_SEND_INTERVAL)
+    assert late[0]._peer_table.hub == hub
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
@@ -3,6 +3,7 @@
 """
 
 from plumsaddle_core.core.features import Feature
+from plumsaddle_core.utils.pending import MAX_ROWS
 
 from .messages import DataCentreLoad, DataCentreUpdate, encode
 from .remote_hosts import RemoteHosts
@@ -12,6 +13,8 @@
 REMOTE_HUB_TTL = 1.0
 # Notices of targets, of each kind, that are sent again each second, drawn at random.
 REMOTE_ANTI_ENTROPY_ROWS = 20
+# Seconds until a host of another data centre is sent all notices again.
+GREETING_INTERVAL = 5.0
 
 
 class RemoteSender:
@@ -33,6 +36,8 @@
         self._send = send
         self._rng = rng
         self._remote_hubs = {}
+        # When hosts of other data centres were last sent all notices.
+        self._greeted_at = {}
         self._load_number = 0
         self._sent_record_count = 0
         self.remote_hosts = RemoteHosts(settings, rng)
@@ -52,42 +57,67 @@
     def note_remote_hub(self, data_centre, address, at):
         """Record which host has sent on behalf of another data centre."""
         self.remote_hosts.add(data_centre, address, at)
+        former, _ = self._remote_hubs.get(data_centre, (None, 0.0))
         self._remote_hubs[data_centre] = (address, at)
+        if address != former:
+            # What was sent to the former one may be lost.
+            self.greet(address, at)
 
-    def send_update(self, used_tags, at):
+    def greet(self, address, at):
+        """Send known notices to a host of another data centre that may lack them."""
+        self._greeted_at = {
+            a: greeted
+            for a, greeted in self._greeted_at.items()
+            if at - greeted < GREETING_INTERVAL
+        }
+        if address in self._greeted_at:
+            return
+        self._greeted_at[address] = at
+        limits, draining = (
+            notices.anti_entropy_rows(MAX_ROWS, self._rng)
+            for notices in (self._shared.limits.advertised, self._shared.availability)
+        )
+        if limits or draining:
+            update = self._make_update(at)
+            update.limits, update.draining = [tuple(row) for row in limits], draining
+            # Not on behalf of the data centre, or this host would be taken for its hub.
+            update.is_forwarded = True
+            self._send(encode(update), address)
+
+    def send_update(self, at, used_tags=None):
         """
         Send pending evidence, run records and notices, and the tags in use.
 
         Args:
-          used_tags: Tags of targets in use; empty except in the periodic update.
           at: The current time, in seconds.
+          used_tags: In the periodic update, the tags of targets in use.
         """
         settings = self._settings
-        suspects = self._shared.suspects
-        run_records = [tuple(record) for record in suspects.local_records(at)]
-        self._sent_record_count = suspects.local_record_count
+        self._sent_record_count = self._shared.suspects.local_record_count
         evidence = [
             (e.number, e.target, round(e.ratio, 3))
             for e in self._shared.evidence.next_batch()
         ]
         if Feature.REMOTE_EVIDENCE in settings.disabled_features:
             evidence = []
-        shared, is_periodic = self._shared, bool(used_tags)
+        shared, is_periodic = self._shared, used_tags is not None
         limits = self._notice_rows(shared.limits.advertised, is_periodic)
         draining = self._notice_rows(shared.availability, is_periodic)
-        if evidence or used_tags or run_records or limits or draining:
-            update = DataCentreUpdate(
-                settings.id,
-                self._incarnation,
-                settings.data_centre,
-                evidence,
-                used_tags,
-            )
-            update.run_records = run_records
-            update.limits = [tuple(row) for row in limits]
-            update.draining = draining
+        update = self._make_update(at)
+        if evidence or used_tags or update.run_records or limits or draining:
+            update.evidence, update.used_tags = evidence, used_tags or []
+            update.limits, update.draining = [tuple(row) for row in limits], draining
             self._send_to_data_centres(encode(update), at)
 
+    def _make_update(self, at):
+        """Return an update with the run records, which every update repeats."""
+        settings, suspects = self._settings, self._shared.suspects
+        update = DataCentreUpdate(
+            settings.id, self._incarnation, settings.data_centre, [], []
+        )
+        update.run_records = [tuple(record) for record in suspects.local_records(at)]
+        return update
+
     def _notice_rows(self, notices, is_periodic):
         """Return the notices to send: changed ones, and periodically others."""
         rows = notices.remote_rows()
