Keep shares of limits as they were before a partition

What callers saw: a workspace gets more than its limit while hosts are cut off and its demand rises.

Cause: the share of the reachable hosts was taken of the larger of the sampled demand and of what all sources report. Reports of reachable hosts include what is requested after the cut, so a rise of demand took shares from hosts that were cut off, while these kept them.

What remains is that other data centres report numbers of unreachable hosts, not their demand.

Why it works: the sampled demand predates the partition. Reports are still used in the first two seconds, when a sample may lack sources.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -70,6 +70,8 @@
 # START_DEMAND times the rate.
 START_TIME = 0.3
 START_DEMAND = 3.0
+# Seconds after the start until which samples may lack sources that have not reported.
+FIRST_REPORTS_TIME = 2.0
 # Maximum rows per message; the others are sent in later messages.
 MAX_ROWS = 200
 # Seconds without requests after which the state of a workspace is evicted. By then its
@@ -575,18 +577,26 @@
         noise = NOISE_DEVIATIONS * math.sqrt(before)
         return max(1.0, (state.all_requested(now) - noise) / max(1.0, before))
 
+    def _reported(self, tag):
+        """Return the requests that all sources have reported."""
+        return sum(
+            source.received.requested(tag, source.last_message_at)
+            for source in self._liveness.sources()
+        )
+
     def _compute_reachable_share(self, tag, state):
         liveness = self._liveness
         if liveness.is_fully_reachable:
             return 1.0
-        _, own, all_requested = state.samples[0] if state.samples else NO_SAMPLE
-        reported = sum(
-            source.received.requested(tag, source.last_message_at)
-            for source in liveness.sources()
+        sampled_at, own, all_requested = (
+            state.samples[0] if state.samples else NO_SAMPLE
         )
+        if sampled_at < self._started_at + FIRST_REPORTS_TIME:
+            # Later on, reports may include a rise of demand during the partition.
+            all_requested = max(all_requested, own + self._reported(tag))
         hosts = liveness.host_count()
         equal_part = EQUAL_FRACTION * state.meter.rate * DECAY_TIME / hosts
-        total = max(all_requested, own + reported) + equal_part * hosts
+        total = all_requested + equal_part * hosts
         if liveness.is_isolated:
             return (own + equal_part) / total
         unreachable_requested = sum(
--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas_test.py
@@ -11,6 +11,7 @@
 from .liveness import EVICTION_TIMEOUT, HostCount
 from .meter import DecayingSum, Tolerance
 from .quotas import IDLE_TIMEOUT, Quotas
+from .sums import workspace_tag
 
 EXACT = Tolerance(5.0, 0.0, 0.0)
 ONE = Workspace("one", (), rate=20.0, burst=20.0)
@@ -248,6 +249,37 @@
     assert sum(counts) >= 0.97 * 3 * 10 * 10
 
 
+def _press(hosts, heard, steps, count):
+    """
+    Send requests to hosts that hear each other, a step each tenth of a second.
+
+    Returns:
+      How many they admitted.
+    """
+    admitted = 0
+    for step in steps:
+        now = START + 0.1 * step
+        for number, host in enumerate(hosts):
+            if number not in heard:
+                continue
+            admitted += _count_admitted(host, count, now)
+            others = [hosts[n] for n in heard if n != number]
+            _gossip(host, f"host-{number}", others, now)
+            if step % 10 == 0:
+                host.tick(now)
+    return admitted
+
+
+def test_shares_do_not_follow_demand_during_a_partition():
+    """Guards against a limit that is admitted twice when demand rises at a cut."""
+    hosts = _hosts(4)
+    _press(hosts, range(4), range(100), 1)
+    _press(hosts, range(2), range(100, 130), 6)
+    state = hosts[0]._get_state(workspace_tag("one"), START + 13.0)
+    share = hosts[0]._reachable_share(workspace_tag("one"), state, START + 13.0)
+    assert share == pytest.approx(0.5, abs=0.05)
+
+
 def test_an_evicted_host_has_no_share():
     first, second = _hosts(2)
     for step in range(100):
