Count unreachable hosts' admissions in proportion to the reachable ones'

What callers saw: a workspace gets more than its limit when many hosts are cut off at a rise of its demand.

Cause: what unreachable hosts admit before they are detected was estimated from the demand that still reaches this host, which lacks theirs. With nine tenths of the hosts cut off the estimate is a tenth of what they admit.

Why it works: unreachable hosts have admitted in proportion to their share, so the count since their last message is scaled up by it. Counts that a host assumed from before its start are left out, since they include all hosts.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -505,22 +505,30 @@
         meter.spread(min(meter.capacity, used), now)
 
     def _count_unreported(self, state, previous, share, now):
-        """Count the estimated admissions of unreachable hosts until the detection."""
+        """
+        Count the estimated admissions of unreachable hosts until the detection.
+
+        These have admitted in proportion to their share, as the reachable ones have. An
+        estimate from the demand that still reaches this host would lack theirs.
+        """
         if share >= previous:
             return
         meter = state.meter
-        demand = meter.demand(now)
-        admitted = (previous - share) * demand * ISOLATION_TIMEOUT
+        estimate = 0.0
         if self._liveness.is_isolated:
-            # The other hosts count this host's requests in proportion to its share.
-            unheard, since = state.unheard
-            if since == self._liveness.last_message_at:
-                admitted += unheard * (previous / share - 1.0)
+            admitted = self._unheard(state)
+            estimate = (previous - share) * meter.demand(now) * ISOLATION_TIMEOUT
         else:
-            # Later they detect their isolation and enforce their share of the limit.
-            isolated_for = max(0.0, self._liveness.detection_delay - ISOLATION_TIMEOUT)
-            admitted += (previous - share) * min(meter.rate, demand) * isolated_for
-        meter.note_admitted(admitted, now)
+            # What is assumed from before the start includes the other hosts.
+            age = max(0.0, now - self._started_at - START_TIME)
+            seconds = min(self._liveness.detection_delay, age)
+            admitted = meter.admitted_since(seconds, now) if seconds else 0.0
+        meter.note_admitted(admitted * (previous / share - 1.0) + estimate, now)
+
+    def _unheard(self, state):
+        """Return the requests admitted since this host last received a message."""
+        unheard, since = state.unheard
+        return unheard if since == self._liveness.last_message_at else 0.0
 
     def _silent_reserve(self, tag, state, now):
         """
--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas_test.py
@@ -280,6 +280,25 @@
     assert share == pytest.approx(0.5, abs=0.05)
 
 
+def test_hosts_that_become_unreachable_have_admitted_in_proportion():
+    """Guards against a limit that is exceeded when most hosts are cut off at a rise."""
+    workspace = ONE._replace(burst=200.0)
+    hosts = _hosts(8, (workspace,))
+    _press(hosts, range(8), range(100), 0)
+    for step in range(100, 160):
+        _press(hosts, [step % 8], [step], 1)
+        for number, host in enumerate(hosts):
+            others = [other for other in hosts if other is not host]
+            _gossip(host, f"host-{number}", others, START + 0.1 * step)
+    meter = hosts[0]._get_state(workspace_tag("one"), START + 16.0).meter
+    used = meter.capacity - meter.remaining(START + 16.0)
+    admitted = _press(hosts, range(2), range(160, 177), 2)
+    # The other six have three times as much of the limit.
+    at = START + 17.7
+    hosts[0].acquire(workspace, at)
+    assert meter.capacity - meter.remaining(at) >= used + 3.5 * admitted
+
+
 def test_an_evicted_host_has_no_share():
     first, second = _hosts(2)
     for step in range(100):
