Give the listed jump at a cut commands that run, and list what remains

The entry named a case that is defined nowhere.

What remains fails as a listed test, with the bound unchanged: larger jumps and cuts, where both sides admit requests before either can know of the other.

--- a/packages/plumsaddle-standins/plumsaddle_standins/quota_model_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model_test.py
@@ -114,6 +114,27 @@
     assert QuotaModel(case, seed=seed).run().overshoot <= 1.0
 
 
+@pytest.mark.parametrize(
+    "seed, mix",
+    [(6, ()), (10, ()), (19, ()), (1, (0.3, 0.5, 0.2)), (6, (0.3, 0.5, 0.2))],
+)
+def test_a_jump_at_a_cut_keeps_shares_and_counts(seed, mix):
+    """Guards against cut-off hosts whose share and admissions are underestimated."""
+    case = CASES["a jump, 0.3 of the hosts cut off"]._replace(mix=mix)
+    assert QuotaModel(case, seed=seed).run().overshoot <= 1.0
+
+
+@pytest.mark.parametrize(
+    "hosts, cut, jump, seed",
+    [(40, 0.33, 6.0, 31), (40, 0.9, 10.0, 1), (121, 0.9, 10.0, 1)],
+)
+def test_a_jump_of_any_height_at_a_cut_of_any_size(hosts, cut, jump, seed):
+    """Guards against what hosts admit before they can know that they are cut off."""
+    case = CASES["a jump, 0.3 of the hosts cut off"]
+    case = case._replace(hosts=hosts, cut=cut, jump=jump)
+    assert QuotaModel(case, seed=seed).run().overshoot <= 1.0
+
+
 @pytest.mark.parametrize("killed, down", [(0.5, 2.0), (1.0, 1.0)])
 @pytest.mark.parametrize("seed", [0, 1])
 def test_a_herd_kill_while_a_workspace_is_hot(killed, down, seed):
