--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -347,25 +347,20 @@
     """
     ip, port = split_address(address)
     loop = asyncio.get_running_loop()
-    opening = loop.create_task(
-        loop.create_connection(
-            lambda: TargetConnection(on_closed), ip, port, family=socket.AF_INET
-        )
-    )
+    limit = asyncio.timeout(None)
+    # The target may have answered while this host did not run.
+    timer = loop.call_later(timeout, lambda: limit.reschedule(loop.time() + POLL_TIME))
     try:
-        await asyncio.wait([opening], timeout=timeout)
-        if not opening.done():
-            # The target may have answered while this host did not run.
-            await asyncio.wait([opening], timeout=POLL_TIME)
-        if not opening.done():
-            return ConnectFailure.NO_RESPONSE
-        _, connection = opening.result()
+        async with limit:
+            _, connection = await loop.create_connection(
+                lambda: TargetConnection(on_closed), ip, port, family=socket.AF_INET
+            )
     except ConnectionRefusedError:
         return ConnectFailure.REFUSED
-    except OSError:
+    except (TimeoutError, OSError):
         return ConnectFailure.NO_RESPONSE
     finally:
-        opening.cancel()
+        timer.cancel()
     return connection
 
 
