--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -509,7 +509,8 @@
         Count the estimated admissions of unreachable hosts until the detection.
 
         These have admitted in proportion to their share, as the reachable ones have. An
-        estimate from the demand that still reaches this host would lack theirs.
+        estimate from the demand that still reaches this host would lack theirs. Crashed
+        hosts cannot be told from partitioned ones and are counted as well.
         """
         if share >= previous:
             return
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/unconfirmed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/unconfirmed.py
@@ -7,15 +7,17 @@
 
 from typing import NamedTuple
 
+from .messages import HostUpdate
+
 # Updates that are kept. A host sends some ten per second.
 MAX_UPDATES = 64
 
 
 class SentUpdate(NamedTuple):
-    """An encoded `HostUpdate`'s message and the time at which it was sent."""
+    """A `HostUpdate`, and when it was sent, in seconds."""
 
     at: float
-    message: object
+    update: HostUpdate
 
 
 class UnconfirmedUpdates:
@@ -36,6 +38,6 @@
 
     def take(self):
         """Remove and return all updates, the oldest first."""
-        updates = [sent.message for sent in self._sent.values()]
+        updates = [sent.update for sent in self._sent.values()]
         self._sent.clear()
         return updates
