Do not let late records undo the release of a request

What callers saw: a request that an operator has released is refused again, for ten minutes or more.

Cause: a host's write of its crashes that is under way when the operator removes the record lands after the removal, and each host reads it as new crashes. A gossiped record of a host that has not read the removal does the same.

Why it works: hosts remember the crashes of a released request; new ones count. Hosts that start later still read such a record from the store: open.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
@@ -57,6 +57,10 @@
 MAX_RECORDS = 24
 
 
+# Crashes of released requests that are remembered.
+MAX_RELEASED = 1000
+
+
 class RunRecord(NamedTuple):
     """An incarnation of a target that ran a request, and either crashed or answered."""
 
@@ -102,6 +106,8 @@
         self._recent = deque()
         self.local_record_count = 0
         self._recent_crashes = {}
+        # Pairs of key and incarnation of the crashes before a release, oldest first.
+        self._released = {}
         self._held_until = {}
         self._is_up_to_date = True
 
@@ -123,6 +129,8 @@
         Returns:
           Whether it was new and was kept.
         """
+        if record.has_crashed and record[:2] in self._released:
+            return False
         suspect = self._suspects.get(record.key)
         if suspect is None:
             if not record.has_crashed:
@@ -164,8 +172,17 @@
             self._suspects[key].stored = frozenset(crashed) | frozenset(answered)
 
     def drop(self, key):
-        """Remove a request that an operator has released."""
-        self._suspects.pop(key, None)
+        """
+        Remove a request that an operator has released.
+
+        Its crashes no longer count: a message or a write of another host that does not
+        know of the release yet may still bring them.
+        """
+        suspect = self._suspects.pop(key, None)
+        if suspect is not None:
+            self._released.update(dict.fromkeys((key, i) for i in suspect.crashed))
+            while len(self._released) > MAX_RELEASED:
+                del self._released[next(iter(self._released))]
         self._recent = deque(row for row in self._recent if row[1].key != key)
         self._is_up_to_date = False
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects_test.py
@@ -281,3 +281,19 @@
         incarnations = [f"incarnation-{number + step}" for step in range(count)]
         _crash(suspects, f"key-{number}", *incarnations)
     assert not any(suspects.hold_remaining(f"key-{n}", 0.0) for n in range(200))
+
+
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_a_late_record_does_not_undo_a_release(is_stored):
+    """Guards against a released request held back again by a write under way."""
+    suspects = SuspectRequests()
+    crashed = ["t1", "t2", "t3"]
+    suspects.add_stored("key", crashed, [], 0.0)
+    suspects.drop("key")
+    if is_stored:
+        suspects.add_stored("key", crashed, [], 1.0)
+    for incarnation in crashed:
+        suspects.add(RunRecord("key", incarnation, True), 1.0)
+    assert suspects.crash_count("key") == 0
+    suspects.add(RunRecord("key", "t4", True), 2.0)
+    assert suspects.crash_count("key") == 1
