--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
@@ -49,19 +49,19 @@
     `send` is called with bytes and addresses, and `schedule_send` with whether the
     waiting updates are urgent. `is_forwarding` is called with the current time and
     returns whether this host forwards updates. `confirm` is called with a `HostUpdate`
-    that came back and returns when this host sent it, or None. `greet` is called with
-    the current time and the address of a host that has sent its first update,
-    `answer_hello` with those of a host that has asked for addresses, and `introduce`
-    with the time and addresses to send this host's state to.
+    that came back and returns when this host sent it, or None. `note_new_peer` is
+    called with the current time and the address of a host that has sent its first
+    update, `answer_hello` with those of a host that has asked for addresses, and
+    `send_state` with the time and addresses to send this host's state to.
     """
 
     send: Callable
     schedule_send: Callable
     is_forwarding: Callable
     confirm: Callable
-    greet: Callable
+    note_new_peer: Callable
     answer_hello: Callable
-    introduce: Callable
+    send_state: Callable
 
 
 class MessageHandler:
@@ -162,7 +162,7 @@
         if update.heartbeat is not None:
             self._apply_heartbeat(update.heartbeat, update.address, at)
         if self._peer_table.note_incarnation(update.address, update.incarnation):
-            self._callbacks.greet(at, update.address)
+            self._callbacks.note_new_peer(at, update.address)
         return True
 
     def _note_echo(self, update, at):
@@ -295,13 +295,13 @@
         """Answer a host that asks for addresses; bring it up to date if it is new."""
         remote_hosts = self._remote.remote_hosts.sample(at)
         if hello.data_centre == self._settings.data_centre:
-            # The list is cut, and the hub brings the host in touch with all others.
+            # The list may be truncated, and all others are reached through the hub.
             hub = [self._peer_table.hub] if self._peer_table.hub is not None else []
             known = [*hub, *(a for a in self._peer_table.addresses() if a not in hub)]
             if self._peer_table.add_candidate(address, at):
                 self._callbacks.answer_hello(at, address)
         else:
-            self._remote.greet(address, at)
+            self._remote.send_notices(address, at)
             known = self._remote.remote_hosts.addresses(hello.data_centre, at)
             self._remote.remote_hosts.add(hello.data_centre, address, at)
             own = [*self._peer_table.addresses(), self._settings.peer_address]
@@ -315,7 +315,7 @@
         """Add listed hosts; without a hub, send them this host's state at once."""
         new = self._add_candidates(members.addresses, at)
         if new and self._is_hub():
-            self._callbacks.introduce(at, new)
+            self._callbacks.send_state(at, new)
         self._remote.remote_hosts.add_candidates(members.remote_hosts, at)
 
     def _add_candidates(self, addresses, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -123,9 +123,9 @@
                 self._schedule_send,
                 self._is_forwarding,
                 self._confirm,
-                self._greet,
+                self._note_new_peer,
                 self._answer_hello,
-                self._introduce,
+                self._send_state,
             ),
         )
         self._bundle_sent_at = 0.0
@@ -290,13 +290,13 @@
                 self._shared.outcomes.repeat_from(update.outcomes[0][0])
         self._send_update(at, self._make_heartbeat(at))
 
-    def _greet(self, at, address):
+    def _note_new_peer(self, at, address):
         """Bring a host up to date whose incarnation has sent its first update."""
-        is_hub_of_this = address == self._peer_table.hub
-        if is_hub_of_this:
+        is_own_hub = address == self._peer_table.hub
+        if is_own_hub:
             # It has restarted, and lost what its clients had sent.
             self._repeat_unconfirmed(at)
-        if is_hub_of_this or self._is_forwarding(at):
+        if is_own_hub or self._is_forwarding(at):
             self._answer_hello(at, address)
 
     def _answer_hello(self, at, address):
@@ -309,9 +309,9 @@
         limits, availability = self._notices
         has_notices = len(limits) or availability.draining_count
         if has_notices or self._may_act_alone(at):
-            self._introduce(at, [address])
+            self._send_state(at, [address])
 
-    def _introduce(self, at, addresses):
+    def _send_state(self, at, addresses):
         """Send hosts that may not know this one its state and all notices."""
         update = self._make_state(at, self._make_heartbeat(at))
         update.counts = self._shared.own_counts()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
@@ -14,7 +14,7 @@
 # Notices of targets, of each kind, that are sent again each second, drawn at random.
 REMOTE_ANTI_ENTROPY_ROWS = 20
 # Seconds until a host of another data centre is sent all notices again.
-GREETING_INTERVAL = 5.0
+NOTICES_INTERVAL = 5.0
 
 
 class RemoteSender:
@@ -37,7 +37,7 @@
         self._rng = rng
         self._remote_hubs = {}
         # When hosts of other data centres were last sent all notices.
-        self._greeted_at = {}
+        self._notices_sent_at = {}
         self._load_number = 0
         self._sent_record_count = 0
         self.remote_hosts = RemoteHosts(settings, rng)
@@ -61,18 +61,18 @@
         self._remote_hubs[data_centre] = (address, at)
         if address != former:
             # What was sent to the former one may be lost.
-            self.greet(address, at)
+            self.send_notices(address, at)
 
-    def greet(self, address, at):
+    def send_notices(self, address, at):
         """Send known notices to a host of another data centre that may lack them."""
-        self._greeted_at = {
-            a: greeted
-            for a, greeted in self._greeted_at.items()
-            if at - greeted < GREETING_INTERVAL
+        self._notices_sent_at = {
+            a: sent_at
+            for a, sent_at in self._notices_sent_at.items()
+            if at - sent_at < NOTICES_INTERVAL
         }
-        if address in self._greeted_at:
+        if address in self._notices_sent_at:
             return
-        self._greeted_at[address] = at
+        self._notices_sent_at[address] = at
         limits, draining = (
             notices.anti_entropy_rows(MAX_ROWS, self._rng)
             for notices in (self._shared.limits.advertised, self._shared.availability)
