Read what has arrived before a target's time is over in our own interface

What callers saw: an answer that was ready is thrown away, and its target counts as overdue or too late, when the host has not run for some tenths of a second.

Cause: the timeout of a try fires in the iteration in which the host runs again, before the answer that waits in the socket is read.

Evidence: a target that answers at once, and a host that then sleeps for 0.3 s with a limit of 0.2 s: OVERDUE or DEADLINE for answers of 10 to 300,000 bytes, eight of eight. The new test fails before in both cases.

Why it works: the timeout polls sockets once more, for 0.02 s, before it expires. New connections to targets of the platform use the same function now.

Measured: the eight answers are delivered. Bounds of a stream's progress are not changed.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
@@ -20,6 +20,8 @@
 
 from plumsaddle_core.core.data import FailureKind
 
+from ..utils.polled_timeout import polled_timeout_at
+
 
 class FailedTry(NamedTuple):
     """A failed try; `is_unsent` only where no byte can have reached the target."""
@@ -130,7 +132,7 @@
     """
     try:
         async with (
-            asyncio.timeout_at(outgoing.overdue_at or outgoing.deadline),
+            polled_timeout_at(outgoing.overdue_at or outgoing.deadline),
             asyncio.timeout(None) as scope,
         ):
             progress.attach(scope)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender_test.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import aiohttp
 import pytest
@@ -228,6 +229,25 @@
     assert ask(stall).failure().kind is FailureKind.STALLED
 
 
+@pytest.mark.parametrize("limit", ["overdue_at", "deadline"])
+def test_an_answer_that_waits_to_be_read_is_in_time(limit):
+    """Guards against a target blamed while its host did not run."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(WHOLE + b"ok")
+        time.sleep(0.3)
+
+    async def run():
+        async with raw_target(answer) as address, make_session() as session:
+            due_at = asyncio.get_running_loop().time() + 0.2
+            outgoing = Outgoing("GET", "/x", CIMultiDict(), None, due_at + 2.0)
+            outgoing = outgoing._replace(**{limit: due_at})
+            return await send(session, address, outgoing, make_service(), Progress(2.0))
+
+    assert asyncio.run(run()).unwrap().body == b"ok"
+
+
 def test_refused_connection_is_certainly_unsent():
     async def run():
         async with make_session() as session:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -22,6 +22,7 @@
 
 from ..platform import wire
 from ..utils.addresses import split_address
+from ..utils.polled_timeout import polled_timeout_at
 from .clock import now
 
 # Unread body bytes beyond which reading from the connection is paused.
@@ -31,8 +32,6 @@
 # Seconds for which an idle connection is reused if the target sends no `Keep-Alive`
 # timeout.
 DEFAULT_IDLE_TIMEOUT = 3.0
-# Seconds after the timeout of a connection in which its outcome is polled once more.
-POLL_TIME = 0.02
 # Subtracted from the timeout that a target sends, in seconds: it counts from when the
 # target sent its response, and the next request takes time to arrive.
 IDLE_TIMEOUT_MARGIN = 1.0
@@ -347,11 +346,8 @@
     """
     ip, port = split_address(address)
     loop = asyncio.get_running_loop()
-    limit = asyncio.timeout(None)
-    # The target may have answered while this host did not run.
-    timer = loop.call_later(timeout, lambda: limit.reschedule(loop.time() + POLL_TIME))
     try:
-        async with limit:
+        async with polled_timeout_at(loop.time() + timeout):
             _, connection = await loop.create_connection(
                 lambda: TargetConnection(on_closed), ip, port, family=socket.AF_INET
             )
@@ -359,8 +355,6 @@
         return ConnectFailure.REFUSED
     except (TimeoutError, OSError):
         return ConnectFailure.NO_RESPONSE
-    finally:
-        timer.cancel()
     return connection
 
 
