--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -86,6 +86,11 @@
         self._lapsing.pop(target_id, None)
         self._remove(self.targets[target_id])
 
+    @property
+    def service_count(self):
+        """The number of services with listed targets."""
+        return len(self.by_service)
+
     def incarnations(self):
         """Return the incarnations of all listed targets."""
         return {target.incarnation for target in self.targets.values()}
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
@@ -6,9 +6,15 @@
 target closes its connection is lost, and an order among them can't be sent again.
 """
 
+import functools
+import logging
+
+from plumsaddle_core.ops.paths import PathVerdict
+
 from .clock import now
 from .target_connection import TargetConnection, connect
 
+log = logging.getLogger("paths")
 # More idle connections would use up the target's own connection limit for nothing, as a
 # host has only a few requests in flight at one target.
 MAX_IDLE_PER_TARGET = 8
@@ -18,9 +24,19 @@
 
 
 class ConnectionPool:
-    """The connections of one host, by target incarnation."""
-
-    def __init__(self):
+    """
+    The connections of one host, by target incarnation.
+
+    Args:
+      paths: The `HostPaths`.
+      service_count: Returns the number of services with targets.
+      create_connection: As the method of the event loop, which is used if None.
+    """
+
+    def __init__(self, paths, service_count, create_connection=None):
+        self._paths = paths
+        self._service_count = service_count
+        self.create_connection = create_connection
         self._idle = {}
         self._busy = {}
 
@@ -55,14 +71,57 @@
     async def open(self, target, timeout=CONNECT_TIMEOUT):
         """Return a new `TargetConnection` to a target, or a `ConnectFailure`."""
 
-        def on_closed(connection):
-            self._remove(target.incarnation, connection)
-
-        connection = await connect(target.address, timeout, on_closed)
-        if isinstance(connection, TargetConnection) and not connection.is_closed:
-            self._busy.setdefault(target.incarnation, set()).add(connection)
+        connection = await connect(
+            target.address,
+            timeout,
+            functools.partial(
+                TargetConnection,
+                functools.partial(self._note_closed, target.incarnation),
+                self._note_contact,
+            ),
+            self.create_connection,
+        )
+        if not isinstance(connection, TargetConnection):
+            self._note_failed(target)
+        else:
+            self._paths.note_connected(target.incarnation, now())
+            if not connection.is_closed:
+                self._busy.setdefault(target.incarnation, set()).add(connection)
         return connection
 
+    def _note_contact(self):
+        former = self._paths.state
+        self._paths.note_contact(now())
+        self._log_change(former)
+
+    def _note_failed(self, target):
+        former = self._paths.state
+        self._paths.note_failed(
+            target.incarnation,
+            target.service,
+            PathVerdict.UNCONFIRMED,
+            self._service_count(),
+            now(),
+        )
+        self._log_change(former)
+
+    def _log_change(self, former):
+        """Log a changed `PathState` with the evidence."""
+        if self._paths.state is not former:
+            extra = {
+                "state": self._paths.state.value,
+                "former": former.value,
+                "targets": list(self._paths.failed_targets),
+                "contact_age": round(now() - self._paths.contact_at, 3),
+            }
+            log.warning("paths changed", extra=extra)
+
+    def _note_closed(self, incarnation, connection, exc):
+        if exc is not None and connection.exchange is None:
+            extra = {"target": incarnation, "cause": type(exc).__name__}
+            log.info("idle connection lost", extra=extra)
+        self._remove(incarnation, connection)
+
     def release(self, incarnation, connection):
         """End a connection's exchange, and pool the connection if it is reusable."""
         connection.end_exchange()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -19,6 +19,7 @@
 from plumsaddle_core.limits.targets import TargetLimits
 from plumsaddle_core.ops.availability import Availability
 from plumsaddle_core.ops.choice import RequestProfile
+from plumsaddle_core.ops.paths import HostPaths
 from plumsaddle_core.ops.peer_updates import DEFERRABLE_SIGNALS, HealthSignal
 from plumsaddle_core.ops.registry import Registry
 from plumsaddle_core.ops.route_table import build_route_table, choose_service
@@ -101,6 +102,7 @@
             availability=Availability(bounds.leaving),
         )
         self.availability = self.shared.availability
+        self.paths = HostPaths()
         self._response_bytes = {}
         self.downloads = Downloads(lambda: self.settings, self.typical_response_bytes)
         self.limits = RateLimits(
@@ -226,6 +228,7 @@
             log.info("unlisted", extra={"target": target_id})
         incarnations = self.registry.incarnations()
         self.shared.evict_targets(incarnations, at)
+        self.paths.evict(incarnations, at)
         self.notices.evict(incarnations)
 
     def _apply_entry(self, record, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -89,7 +89,9 @@
         rng = random.Random(os.urandom(16))
         self.metrics = EdgeMetrics(settings.id)
         self.knowledge = HostState(settings, rng)
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(
+            self.knowledge.paths, lambda: self.knowledge.registry.service_count
+        )
         self._store_session = make_session()
         self.store = Store(self._store_session, f"http://{settings.store_address}")
         registry = self.knowledge.registry
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -143,10 +143,12 @@
     A connection to one target.
 
     Args:
-      on_closed: Called with the `TargetConnection` when it has been closed.
+      on_closed: Called with the `TargetConnection` when it has been closed, and the
+        exception, or None if it was closed regularly.
+      on_contact: Called when the target has sent bytes.
     """
 
-    def __init__(self, on_closed):
+    def __init__(self, on_closed, on_contact=lambda: None):
         self.transport = None
         self.exchange = None
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
@@ -154,6 +156,7 @@
         self.is_closed = False
         self._must_close = False
         self._on_closed = on_closed
+        self._on_contact = on_contact
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._ignores_response = False
@@ -257,6 +260,7 @@
         self.data_received(_received[:nbytes])
 
     def data_received(self, data):
+        self._on_contact()
         if self.exchange is None:
             # Data without a request must not become part of the next response.
             self.close()
@@ -284,7 +288,7 @@
         self.resume_writing()
         if self.exchange is not None:
             self.exchange.finish(SendOutcome.BROKEN)
-        self._on_closed(self)
+        self._on_closed(self, exc)
 
     # Called by the parser.
 
@@ -333,23 +337,25 @@
             self.idle_timeout = max(0.0, seconds - IDLE_TIMEOUT_MARGIN)
 
 
-async def connect(address, timeout, on_closed):
+async def connect(address, timeout, make_connection, create_connection=None):
     """
     Open a connection to a target.
 
     Args:
       address: The target's address.
       timeout: The timeout, in seconds.
-      on_closed: As for `TargetConnection`.
+      make_connection: Returns the `TargetConnection` of a new transport.
+      create_connection: As the method of the event loop, which is used if None.
     Returns:
       A `TargetConnection`, or a `ConnectFailure` if none was opened in time.
     """
     ip, port = split_address(address)
     loop = asyncio.get_running_loop()
+    create_connection = create_connection or loop.create_connection
     try:
         async with polled_timeout_at(loop.time() + timeout):
-            _, connection = await loop.create_connection(
-                lambda: TargetConnection(on_closed), ip, port, family=socket.AF_INET
+            _, connection = await create_connection(
+                make_connection, ip, port, family=socket.AF_INET
             )
     except ConnectionRefusedError:
         return ConnectFailure.REFUSED
