--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -283,6 +283,8 @@
     UNSENT = "unsent"
     TIMED_OUT = "timed-out"
     ABANDONED = "abandoned"
+    # The host's own path to the target has broken.
+    PATH_LOST = "path-lost"
 
 
 class Reply(NamedTuple):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/paths.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/paths.py
@@ -25,6 +25,9 @@
 # Services to which the targets of an isolated host must belong, if it knows as many. A
 # single service may be down.
 MIN_SERVICES = 2
+# Seconds between the first and the last of these failures. Gateways that were
+# partitioned at the same moment need a while to notice it.
+MIN_ISOLATION_SPAN = 0.5
 # Seconds for which a broken path to one target is not tried. They double while the path
 # stays broken.
 MIN_BREAK = 2.0
@@ -73,7 +76,9 @@
     """
     The state of one host's paths to targets.
 
-    `state` is its `PathState`. Times are in seconds.
+    `state` is its `PathState`, `contact_at` when a target last sent anything on a
+    direct connection, and `recovered_at` when the last partition ended. Times are in
+    seconds.
     """
 
     def __init__(self):
@@ -82,9 +87,9 @@
         self._failures = {}
         self._breaks = {}
         self._down_until = {}
+        self.recovered_at = -math.inf
         self._contact_since = None
         self._recovery = MIN_RECOVERY
-        self._recovered_at = -math.inf
 
     # Observations.
 
@@ -116,7 +121,6 @@
           service_count: The number of services with targets.
           now: The current time.
         """
-        self._contact_since = None
         self._failures = {
             key: failure
             for key, failure in self._failures.items()
@@ -127,7 +131,11 @@
             self._note_break(incarnation, now)
         elif verdict is PathVerdict.DOWN:
             self._down_until[incarnation] = now + DOWN_TTL
-        self._judge(service_count, now)
+        self._judge(verdict, service_count, now)
+
+    def note_probe_failed(self):
+        """Record that a path which is known to be broken still is."""
+        self._contact_since = None
 
     def _note_break(self, incarnation, now):
         former = self._breaks.get(incarnation, _Break(now, 0.0))
@@ -136,31 +144,38 @@
         seconds = min(MAX_BREAK, max(MIN_BREAK, 2.0 * former.seconds))
         self._breaks[incarnation] = _Break(now + seconds, seconds)
 
-    def _judge(self, service_count, now):
+    def _judge(self, verdict, service_count, now):
         """Decide whether the failures since the last contact concern all targets."""
-        bypassed = self._count(PathVerdict.BYPASSED)
-        if bypassed >= MIN_BYPASSED:
-            self._leave(PathState.PARTITIONED, now)
-        elif not bypassed and self.state is PathState.CONNECTED:
-            services = {failure.service for failure in self._failures.values()}
-            is_general = len(services) >= min(MIN_SERVICES, service_count)
-            if is_general and len(self._failures) >= MIN_UNREACHED:
-                self._leave(PathState.ISOLATED, now)
-
-    def _count(self, verdict):
-        return sum(f.verdict is verdict for f in self._failures.values())
+        failures = self._failures.values()
+        bypassed_at = [
+            f.failed_at for f in failures if f.verdict is PathVerdict.BYPASSED
+        ]
+        if verdict is PathVerdict.BYPASSED:
+            # A single gateway that reaches a target ends an isolation.
+            least = 1 if self.state is PathState.ISOLATED else MIN_BYPASSED
+            if len(bypassed_at) >= least:
+                self._leave(PathState.PARTITIONED, now)
+            return
+        since = max(bypassed_at, default=-math.inf)
+        unreached = [f for f in failures if f.failed_at > since]
+        services = {failure.service for failure in unreached}
+        is_general = len(services) >= min(MIN_SERVICES, service_count)
+        first_at = min((f.failed_at for f in unreached), default=now)
+        is_lasting = now - first_at >= MIN_ISOLATION_SPAN
+        if is_general and is_lasting and len(unreached) >= MIN_UNREACHED:
+            self._leave(PathState.ISOLATED, now)
 
     def _leave(self, state, now):
         """Enter a state in which targets are not reached directly."""
         if self.state is PathState.CONNECTED:
-            is_relapse = now - self._recovered_at < RELAPSE_WINDOW
+            is_relapse = now - self.recovered_at < RELAPSE_WINDOW
             longer = min(MAX_RECOVERY, 2.0 * self._recovery)
             self._recovery = longer if is_relapse else MIN_RECOVERY
         self.state = state
 
     def _recover(self, now):
         self.state = PathState.CONNECTED
-        self._recovered_at = now
+        self.recovered_at = now
         self._contact_since = None
         self._breaks = {}
 
@@ -196,6 +211,16 @@
         is_known_down = self._down_until.get(incarnation, -math.inf) > now
         return self.state is not PathState.CONNECTED or not is_known_down
 
+    def is_cause(self, incarnation, now):
+        """Return whether silence of a target is due to this host's path."""
+        if self.prefers_tunnel(incarnation, now):
+            return True
+        failure = self._failures.get(incarnation)
+        if failure is None or failure.verdict is PathVerdict.DOWN:
+            return False
+        is_bypassed = failure.verdict is PathVerdict.BYPASSED
+        return is_bypassed or self.is_own_failure_likely(incarnation)
+
     def is_own_failure_likely(self, incarnation):
         """Return whether targets other than this one failed too since a contact."""
         return bool(self._failures.keys() - {incarnation})
--- a/packages/plumsaddle-core/plumsaddle_core/ops/peer_table.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/peer_table.py
@@ -69,13 +69,15 @@
 
     `incarnation` is that of its latest update, None if it has not sent one.
     `link_rate` is the capacity of its network link in bytes per second, 0 if unknown.
-    Times are in seconds.
+    `is_gateway` tells whether it opens connections to targets for other hosts. Times
+    are in seconds.
     """
 
     last_message_at: float
     incarnation: int | None = None
     link_rate: float = 0.0
     store_status: StoreStatus = StoreStatus.TOLD
+    is_gateway: bool = False
     avoided_until: float = 0.0
 
 
@@ -124,11 +126,17 @@
         known.incarnation = incarnation
         return is_first
 
-    def update(self, address, link_rate, store_status):
+    def update(self, address, link_rate, store_status, is_gateway=False):
         """Update what a known host reports of itself."""
         known = self._known[address]
         known.link_rate = link_rate
         known.store_status = store_status
+        known.is_gateway = is_gateway
+
+    def gateways(self, now):
+        """Return the addresses of the live gateways, and the number of live hosts."""
+        live = self.live_addresses(now)
+        return [a for a in live if self._known[a].is_gateway], len(live)
 
     def add_candidate(self, address, now):
         """
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -12,6 +12,7 @@
 from plumsaddle_core.limits.targets import max_token_wait
 from plumsaddle_core.ops.attempt import NOT_SENT, Attempt
 from plumsaddle_core.ops.choice import ChoiceRule
+from plumsaddle_core.ops.paths import PathState
 from plumsaddle_core.ops.urgency import max_wait_fraction
 
 from .clock import now
@@ -29,6 +30,10 @@
 # Maximum estimated failure probability of the target of a hedge. A target about which
 # nothing is known fails a fifth of its requests.
 MAX_HEDGE_FAILURE_PROBABILITY = 0.25
+# Seconds after which an isolated host may have found a path, and the longest time that
+# is added at random so that callers don't return together.
+ISOLATED_RETRY_AFTER = 0.5
+ISOLATED_RETRY_SPREAD = 0.5
 # Number of sends without a byte written after which a request is refused.
 MAX_UNREACHABLE = 3
 
@@ -319,19 +324,31 @@
         Returns:
           A `Refusal` if no target may be used, otherwise None.
         """
+        if self._knowledge.paths.state is PathState.ISOLATED:
+            if retry_cause is not None:
+                return self._refusal_of_retry(RefusalCause.NO_PATH)
+            spread = self._knowledge.rng.uniform(0.0, ISOLATED_RETRY_SPREAD)
+            return self._refuse(RefusalCause.NO_PATH, ISOLATED_RETRY_AFTER + spread)
         if not self._knowledge.is_queueing:
             return self._send_now(retry_cause)
         cause = await self._turns.send(retry_cause, self._aborted)
         if cause is None:
             return None
         if retry_cause is not None:
-            # The outcome of the former send decides on the refusal, which is logged.
             self._unsent_cause = cause
-            return Refusal(cause, not self._attempt.is_known_not_run())
+            return self._refusal_of_retry(cause)
         if cause is RefusalCause.HELD:
             return self.check_hold() or self._refuse(RefusalCause.NOT_RUN)
         return self._refuse(cause)
 
+    def _refusal_of_retry(self, cause):
+        """
+        Return the `Refusal` of a further send, which is not logged.
+
+        The outcome of the former send decides on the refusal that is.
+        """
+        return Refusal(cause, not self._attempt.is_known_not_run())
+
     def _send_now(self, retry_cause):
         """
         Start a send to the best of the remaining targets.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
@@ -9,42 +9,44 @@
 import functools
 import logging
 
-from plumsaddle_core.ops.paths import PathVerdict
+from plumsaddle_core.ops.paths import PathState
 
 from .clock import now
-from .target_connection import TargetConnection, connect
+from .target_connection import TargetConnection
 
 log = logging.getLogger("paths")
+
 # More idle connections would use up the target's own connection limit for nothing, as a
 # host has only a few requests in flight at one target.
 MAX_IDLE_PER_TARGET = 8
-# Seconds. Far longer than a connection takes inside a data centre, so a target that
-# exceeds it is down, unreachable or overloaded.
-CONNECT_TIMEOUT = 0.3
 
 
 class ConnectionPool:
     """
     The connections of one host, by target incarnation.
 
+    `on_idle_lost` is called when a direct connection without a request was reset.
+
     Args:
+      connector: The `Connector`.
       paths: The `HostPaths`.
-      service_count: Returns the number of services with targets.
-      create_connection: As the method of the event loop, which is used if None.
+      gateways: The `Gateways`.
     """
 
-    def __init__(self, paths, service_count, create_connection=None):
+    def __init__(self, connector, paths, gateways):
+        self._connector = connector
         self._paths = paths
-        self._service_count = service_count
-        self.create_connection = create_connection
+        self._gateways = gateways
         self._idle = {}
         self._busy = {}
+        self.on_idle_lost = lambda: None
 
     def has_idle(self, incarnation, max_idle):
         """Return whether `acquire` would return a connection."""
         at = now()
         return any(
-            connection.is_reusable(at, max_idle)
+            self._is_usable(connection, incarnation, at)
+            and connection.is_reusable(at, max_idle)
             for connection in self._idle.get(incarnation, ())
         )
 
@@ -62,66 +64,67 @@
         idle = self._idle.get(incarnation, [])
         while idle:
             connection = idle.pop()
-            if connection.is_reusable(at, max_idle):
+            is_usable = self._is_usable(connection, incarnation, at)
+            if is_usable and connection.is_reusable(at, max_idle):
                 self._busy.setdefault(incarnation, set()).add(connection)
                 return connection
             connection.close()
         return None
 
-    async def open(self, target, timeout=CONNECT_TIMEOUT):
-        """Return a new `TargetConnection` to a target, or a `ConnectFailure`."""
+    def _is_usable(self, connection, incarnation, at):
+        """Return whether the way that a connection takes is to be used."""
+        if connection.gateway is None:
+            return self._paths.state is PathState.CONNECTED
+        if not self._gateways.is_known(connection.gateway, at):
+            return False
+        is_lingering = at < self._paths.recovered_at + connection.linger
+        return is_lingering or self._paths.prefers_tunnel(incarnation, at)
 
-        connection = await connect(
-            target.address,
-            timeout,
-            functools.partial(
-                TargetConnection,
-                functools.partial(self._note_closed, target.incarnation),
-                self._note_contact,
-            ),
-            self.create_connection,
-        )
-        if not isinstance(connection, TargetConnection):
-            self._note_failed(target)
-        else:
-            self._paths.note_connected(target.incarnation, now())
-            if not connection.is_closed:
-                self._busy.setdefault(target.incarnation, set()).add(connection)
+    async def open(self, target):
+        """Return a new `TargetConnection` to a target, or a `ConnectFailure`."""
+        connection = await self._connector.open(target, self._on_closed(target))
+        return self._add_busy(target, connection)
+
+    async def probe(self, target):
+        """Try a broken path; what it opens is pooled."""
+        connection = await self._connector.probe(target, self._on_closed(target))
+        if connection is not None:
+            self.release_unused(target.incarnation, connection)
+
+    def _on_closed(self, target):
+        return functools.partial(self._note_closed, target.incarnation)
+
+    def _add_busy(self, target, connection):
+        is_open = isinstance(connection, TargetConnection) and not connection.is_closed
+        if is_open:
+            self._busy.setdefault(target.incarnation, set()).add(connection)
         return connection
 
-    def _note_contact(self):
-        former = self._paths.state
-        self._paths.note_contact(now())
-        self._log_change(former)
-
-    def _note_failed(self, target):
-        former = self._paths.state
-        self._paths.note_failed(
-            target.incarnation,
-            target.service,
-            PathVerdict.UNCONFIRMED,
-            self._service_count(),
-            now(),
-        )
-        self._log_change(former)
-
-    def _log_change(self, former):
-        """Log a changed `PathState` with the evidence."""
-        if self._paths.state is not former:
-            extra = {
-                "state": self._paths.state.value,
-                "former": former.value,
-                "targets": list(self._paths.failed_targets),
-                "contact_age": round(now() - self._paths.contact_at, 3),
-            }
-            log.warning("paths changed", extra=extra)
-
     def _note_closed(self, incarnation, connection, exc):
         if exc is not None and connection.exchange is None:
             extra = {"target": incarnation, "cause": type(exc).__name__}
             log.info("idle connection lost", extra=extra)
+            if connection.gateway is None:
+                self.on_idle_lost()
         self._remove(incarnation, connection)
 
+    def handle_path_change(self, state):
+        """
+        Stop using direct connections once no target is reached.
+
+        Requests that may be repeated are ended, so that they are sent another way at
+        once. The others may still be answered if the partition ends.
+        """
+        if state is PathState.CONNECTED:
+            return
+        for connections in list(self._idle.values()):
+            for connection in [c for c in connections if c.gateway is None]:
+                connection.close()
+        for connections in list(self._busy.values()):
+            for connection in list(connections):
+                if connection.gateway is None and connection.is_repeatable:
+                    connection.cut()
+
     def release(self, incarnation, connection):
         """End a connection's exchange, and pool the connection if it is reusable."""
         connection.end_exchange()
@@ -140,7 +143,8 @@
 
     def close_expired(self, listed):
         """
-        Close idle connections that timed out or whose target is no longer listed.
+        Close idle connections that timed out, whose target is no longer listed, or
+        whose gateway is not needed or lost.
 
         Args:
           listed: The incarnations of all listed targets.
@@ -148,7 +152,9 @@
         at = now()
         for incarnation, idle in list(self._idle.items()):
             for connection in list(idle):
-                if incarnation not in listed or not connection.is_reusable(at):
+                is_usable = self._is_usable(connection, incarnation, at)
+                is_listed = incarnation in listed
+                if not (is_listed and is_usable and connection.is_reusable(at)):
                     idle.remove(connection)
                     connection.close()
             if not idle:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/crash_detector.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/crash_detector.py
@@ -143,7 +143,7 @@
         self._metrics.connections.inc({"service": target.service})
         if connection is ConnectFailure.REFUSED:
             self.note_refused(target)
-        elif connection is not ConnectFailure.NO_RESPONSE:
+        elif not isinstance(connection, ConnectFailure):
             self._pool.release_unused(target.incarnation, connection)
             self._pop_unresolved(target.incarnation)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -23,6 +23,8 @@
 from aiohttp import web
 from returns.result import Failure
 
+from plumsaddle_core.ops.paths import PathState
+
 from ..platform import wire
 from ..platform.nodefile import check_host_settings
 from ..platform.store import Store, make_session
@@ -30,12 +32,15 @@
 from .callers import FrontServer
 from .clock import now
 from .connection_pool import ConnectionPool
+from .connector import Connector
 from .crash_detector import CrashDetector
 from .events import configure_logging
 from .feed import RARE_CHANGES, Feed
 from .front import Front
+from .gateway import Gateway
 from .host_state import HostState
 from .metrics import EdgeMetrics
+from .path_prober import PathProber
 from .peers import PeerProtocol
 from .relay import Relay
 from .sender import Sender
@@ -89,9 +94,6 @@
         rng = random.Random(os.urandom(16))
         self.metrics = EdgeMetrics(settings.id)
         self.knowledge = HostState(settings, rng)
-        self.pool = ConnectionPool(
-            self.knowledge.paths, lambda: self.knowledge.registry.service_count
-        )
         self._store_session = make_session()
         self.store = Store(self._store_session, f"http://{settings.store_address}")
         registry = self.knowledge.registry
@@ -102,43 +104,20 @@
         )
         suspects = self.knowledge.shared.suspects
         self.stored_suspects = StoredSuspects(self.store, suspects, store_access)
+        self._feeds = self._make_feeds(rng)
+        self.peers = PeerProtocol(
+            settings, self.knowledge.shared, store_access, self._feeds, rng
+        )
+        self._set_up_paths(rng)
         self.crash_detector = CrashDetector(
             self.knowledge, self.pool, self.metrics, self.stored_suspects.schedule_write
         )
-        sender = Sender(self.knowledge, self.pool, self.metrics, self.crash_detector)
+        sender = Sender(
+            self.knowledge, self.pool, self.metrics, self.crash_detector, self._prober
+        )
         relay = Relay(self.knowledge, sender, self.metrics, self.crash_detector)
         self._relay = relay
         self.front = Front(self.knowledge, relay, self.metrics)
-        self._feeds = [
-            Feed(
-                self.store,
-                wire.OPERATOR_TOPIC,
-                store_access,
-                self.knowledge.apply_operator_records,
-                self.knowledge.apply_operator_records,
-                rng,
-            ),
-            Feed(
-                self.store,
-                wire.TARGETS_TOPIC,
-                store_access,
-                self.knowledge.apply_target_listing,
-                self.knowledge.apply_target_changes,
-                rng,
-            ),
-            Feed(
-                self.store,
-                SUSPECTS_TOPIC,
-                store_access,
-                self.stored_suspects.apply_page,
-                self.stored_suspects.apply_page,
-                rng,
-                RARE_CHANGES,
-            ),
-        ]
-        self.peers = PeerProtocol(
-            settings, self.knowledge.shared, store_access, self._feeds, rng
-        )
         operator_feed = self._feeds[0]
         self.knowledge.subscribe(
             self.peers.send_update_soon, self._on_target_restart, operator_feed.age
@@ -148,6 +127,55 @@
         self._front_server = None
         self.stop = asyncio.Event()
 
+    def _make_feeds(self, rng):
+        """Return the feeds of the operators' records, targets and suspects."""
+        knowledge, suspects = self.knowledge, self.stored_suspects
+        operators, listing, changes = (
+            knowledge.apply_operator_records,
+            knowledge.apply_target_listing,
+            knowledge.apply_target_changes,
+        )
+        apply_suspects = suspects.apply_page
+        access = self.store_access
+        return [
+            Feed(self.store, wire.OPERATOR_TOPIC, access, operators, operators, rng),
+            Feed(self.store, wire.TARGETS_TOPIC, access, listing, changes, rng),
+            Feed(
+                self.store,
+                SUSPECTS_TOPIC,
+                access,
+                apply_suspects,
+                apply_suspects,
+                rng,
+                RARE_CHANGES,
+            ),
+        ]
+
+    def _set_up_paths(self, rng):
+        """Make the parts that open connections to targets, also for other hosts."""
+        knowledge, gateways = self.knowledge, self.peers.gateways
+        self.connector = Connector(
+            self.settings.id,
+            knowledge.paths,
+            gateways,
+            lambda: knowledge.registry.service_count,
+            rng,
+            self.metrics,
+        )
+        self.pool = ConnectionPool(self.connector, knowledge.paths, gateways)
+        self._prober = PathProber(self.pool, knowledge.paths, knowledge.registry, rng)
+        self.gateway = Gateway(knowledge, self.connector, self.metrics)
+        self.peers.is_gateway = self.gateway.is_available
+        self.connector.on_failed = self._prober.note_failed
+        self.connector.on_change = self._note_path_change
+        self.pool.on_idle_lost = self._prober.check_soon
+
+    def _note_path_change(self, state):
+        """Tell other hosts at once whether this one can be a gateway."""
+        self.metrics.partitioned.set({}, state is not PathState.CONNECTED)
+        self.pool.handle_path_change(state)
+        self.peers.announce_paths()
+
     async def run(self):
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         loop = asyncio.get_running_loop()
@@ -163,6 +191,7 @@
     async def start(self):
         """Open the listeners and start the background tasks."""
         await self.peers.open()
+        await self.gateway.open()
         self._front_server = FrontServer(self.front, self.knowledge)
         operator_server = web.Server(self._handle_operator_request, access_log=None)
         self._servers = [
@@ -174,6 +203,7 @@
             *(feed.run() for feed in self._feeds),
             self._run_housekeeping(),
             self._run_peer_updates(),
+            self._prober.run(),
         ):
             task = loop.create_task(coroutine)
             task.add_done_callback(_log_task_failure)
@@ -201,6 +231,8 @@
     async def drain(self):
         """Serve until no new connections arrive, then finish requests and close."""
         self.front.drain()
+        self.gateway.drain()
+        self.peers.announce_paths()
         deadline = now() + self.settings.bounds.grace - SHUTDOWN_MARGIN
         await asyncio.sleep(min(DRAIN_LISTEN_TIME, max(0.0, deadline - now())))
         self._servers[0].close()
@@ -210,7 +242,11 @@
             # as in flight only after the next iteration of the event loop.
             self._front_server.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
-            is_idle = not (self.front.in_flight or self._front_server.is_serving)
+            is_idle = not (
+                self.front.in_flight
+                or self._front_server.is_serving
+                or self.gateway.tunnel_count
+            )
         if not is_idle:
             self._relay.refuse_in_flight()
             await asyncio.sleep(FINAL_ANSWER_TIME)
@@ -225,6 +261,8 @@
             server.close()
         self._front_server.close_idle()
         self.peers.close()
+        self._prober.close()
+        self.gateway.close()
         self.pool.close_idle()
         await self._store_session.close()
 
@@ -235,6 +273,7 @@
             self.knowledge.expire(at)
             self.knowledge.notices.tick(at)
             self.pool.close_expired(self.knowledge.registry.incarnations())
+            self.gateway.tick(at)
             self.crash_detector.tick(at)
             self.stored_suspects.evict_expired(at)
             self.stored_suspects.schedule_write()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
@@ -53,6 +53,7 @@
     called with the current time and the address of a host that has sent its first
     update, `answer_hello` with those of a host that has asked for addresses, and
     `send_state` with the time and addresses to send this host's state to.
+    `note_gateways` is called with another data centre, its gateways and the time.
     """
 
     send: Callable
@@ -62,6 +63,7 @@
     note_new_peer: Callable
     answer_hello: Callable
     send_state: Callable
+    note_gateways: Callable
 
 
 class MessageHandler:
@@ -173,7 +175,12 @@
             self._shared.limits.membership.note_delivered(sent_at)
 
     def _apply_heartbeat(self, heartbeat, address, at):
-        self._peer_table.update(address, heartbeat.link_rate, heartbeat.store_status)
+        self._peer_table.update(
+            address,
+            heartbeat.link_rate,
+            heartbeat.store_status,
+            heartbeat.is_gateway,
+        )
         self._add_candidates(heartbeat.members, at)
         self._remote.remote_hosts.add_candidates(heartbeat.remote_hosts, at)
         self._reader_role.apply_heartbeat(heartbeat, at)
@@ -221,8 +228,12 @@
         has_run_records = self._add_run_records(update.run_records, False, at)
         has_limits = self._merge_limits(update.limits, update.host, False, at)
         has_draining = self._merge_draining(update.draining, update.host, False, at)
+        gateways = [a for a in update.gateways if is_address(a)]
+        if update.data_centre != self._settings.data_centre:
+            self._callbacks.note_gateways(update.data_centre, gateways, at)
         return (
             self._shared.apply_remote_update(to_remote_update(update), at)
+            or bool(gateways)
             or has_run_records
             or has_limits
             or has_draining
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -57,7 +57,8 @@
     `link_rate` is in bytes per second. `read_offsets` holds the next offset by topic of
     the store, and the seconds since the store confirmed it. `recovery_age` is the
     seconds since the store became available again. A hub also lists `members` of its
-    data centre and a few `remote_hosts` per other data centre.
+    data centre and a few `remote_hosts` per other data centre. `is_gateway` tells
+    whether it opens connections to targets for other hosts.
     """
 
     link_rate: BytesPerSecond
@@ -66,6 +67,7 @@
     recovery_age: Seconds
     members: list[str] = []
     remote_hosts: dict[str, list[str]] = {}
+    is_gateway: bool = False
 
 
 class HostUpdate(msgspec.Struct, array_like=True, tag="w"):
@@ -140,7 +142,8 @@
     """
     An update for other data centres, forwarded once in each of them.
 
-    Its last three fields are as in `HostUpdate`.
+    `run_records`, `limits` and `draining` are as in `HostUpdate`. `gateways` holds the
+    addresses of a few gateways of its data centre.
     """
 
     host: str
@@ -152,6 +155,7 @@
     run_records: list[RunFields] = []
     limits: list[LimitFields] = []
     draining: list[str] = []
+    gateways: list[str] = []
 
 
 class DataCentreLoad(msgspec.Struct, array_like=True, tag="l"):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -32,6 +32,12 @@
         self.connections = make(
             Counter, "connections_total", "Connections opened to targets."
         )
+        self.tunnels = make(
+            Counter, "tunnels_total", "Requests for tunnels, by side and status."
+        )
+        self.partitioned = make(
+            Gauge, "partitioned", "Whether no target is reached directly."
+        )
         self.waiting = make(
             Gauge, "waiting", "Requests that wait for a target, by service and rank."
         )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from plumsaddle_core.core.features import Feature
+from plumsaddle_core.ops.gateways import Gateways
 from plumsaddle_core.ops.pacing import SendPacer
 from plumsaddle_core.ops.peer_table import PeerTable
 from plumsaddle_core.utils.pending import MAX_ROWS
@@ -89,6 +90,8 @@
     def __init__(
         self, settings, shared, store_access, feeds, rng=random, call_later=None
     ):
+        # Returns whether this host opens connections to targets for others.
+        self.is_gateway = lambda: False
         self._settings = settings
         self._shared = shared
         self._rng = rng
@@ -126,8 +129,10 @@
                 self._note_new_peer,
                 self._answer_hello,
                 self._send_state,
+                lambda *args: self.gateways.note_remote(*args),
             ),
         )
+        self.gateways = Gateways(self._peer_table.gateways, rng)
         self._bundle_sent_at = 0.0
         self._load_total_sent_at = 0.0
         self._transport = None
@@ -182,15 +187,24 @@
         self._pick_hub(at)
         self._send_update(at, self._make_heartbeat(at))
         if self._is_hub() and self._may_act_alone(at):
-            self._remote.send_update(
-                at, self._shared.tags_used_since(at - REMOTE_UPDATE_INTERVAL)
-            )
+            used_tags = self._shared.tags_used_since(at - REMOTE_UPDATE_INTERVAL)
+            self._remote.send_update(at, used_tags, self._own_gateways(at))
         else:
             # The hub sends the evidence on behalf of the data centre.
             self._shared.evidence.next_batch()
         if not len(self._peer_table) or self._remote.remote_hosts.needs_more(at):
             self._send_hello(at)
 
+    def _own_gateways(self, at):
+        """Return the gateways of this data centre."""
+        others, _ = self._peer_table.gateways(at)
+        return [*others, self._settings.peer_address] if self.is_gateway() else others
+
+    def announce_paths(self):
+        """Send a heartbeat now, since this host has begun or ceased to be a gateway."""
+        at = now()
+        self._send_update(at, self._make_heartbeat(at))
+
     def _make_heartbeat(self, at):
         members, remote_hosts = [], {}
         if self._is_hub():
@@ -205,6 +219,7 @@
             self._reader_role.recovery_age(at),
             members,
             remote_hosts,
+            self.is_gateway(),
         )
 
     def _send_hello(self, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/refusals.py
@@ -39,6 +39,7 @@
     QUEUE_FULL = "queue-full"
     WAITED_IN_VAIN = "waited"
     NO_RETRY = "no-retry"
+    NO_PATH = "no-path"
 
 
 class Refusal(NamedTuple):
@@ -77,6 +78,7 @@
     RefusalCause.QUEUE_FULL: (503, 502),
     RefusalCause.WAITED_IN_VAIN: (503, 504),
     RefusalCause.NO_RETRY: (503, 502),
+    RefusalCause.NO_PATH: (503, 502),
 }
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
@@ -15,6 +15,8 @@
 REMOTE_ANTI_ENTROPY_ROWS = 20
 # Seconds until a host of another data centre is sent all notices again.
 NOTICES_INTERVAL = 5.0
+# Gateways that a periodic update names, drawn at random.
+GATEWAYS_PER_UPDATE = 4
 
 
 class RemoteSender:
@@ -84,13 +86,14 @@
             update.is_forwarded = True
             self._send(encode(update), address)
 
-    def send_update(self, at, used_tags=None):
+    def send_update(self, at, used_tags=None, gateways=()):
         """
         Send pending evidence, run records and notices, and the tags in use.
 
         Args:
           at: The current time, in seconds.
           used_tags: In the periodic update, the tags of targets in use.
+          gateways: In the periodic update, the gateways of this data centre.
         """
         settings = self._settings
         self._sent_record_count = self._shared.suspects.local_record_count
@@ -104,7 +107,10 @@
         limits = self._notice_rows(shared.limits.advertised, is_periodic)
         draining = self._notice_rows(shared.availability, is_periodic)
         update = self._make_update(at)
-        if evidence or used_tags or update.run_records or limits or draining:
+        count = min(GATEWAYS_PER_UPDATE, len(gateways))
+        update.gateways = self._rng.sample(list(gateways), count)
+        has_notices = update.run_records or limits or draining
+        if evidence or used_tags or has_notices or update.gateways:
             update.evidence, update.used_tags = evidence, used_tags or []
             update.limits, update.draining = [tuple(row) for row in limits], draining
             self._send_to_data_centres(encode(update), at)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -26,6 +26,9 @@
 OVERDUE_FACTOR = 3.0
 # The multiple of the expected duration after which an idempotent request is hedged.
 HEDGE_FACTOR = 2.2
+# The multiple of the expected duration after which paths are checked if no target has
+# sent anything since the request was sent.
+CHECK_FACTOR = 1.5
 # Minimum seconds before a send counts as slow. Shorter delays may come from a busy
 # processor or a lost packet and say nothing about the target.
 MIN_SLOW_DURATION = 0.1
@@ -97,16 +100,33 @@
             if timing.is_timer_late:
                 timing.restart(loop.call_later(limit, check_overdue))
             else:
-                self._note_overdue(choice)
+                self._note_overdue(choice, timing)
+
+        def check_contact():
+            if timing.is_direct and self._has_no_contact(timing):
+                self._sender.prober.check_soon()
 
         overdue_timer = loop.call_later(limit, check_overdue)
-        timing = SendTiming(self._request.route.kind, overdue_timer, loop.time)
+        contact_timer = loop.call_later(
+            slow_threshold(CHECK_FACTOR, choice), check_contact
+        )
+        timing = SendTiming(
+            self._request.route.kind,
+            overdue_timer,
+            loop.time,
+            choice.expected_duration,
+        )
         try:
             sent = await self._sender.send(
-                self._request, target, self._suspect_check, timing.note_head
+                self._request,
+                target,
+                self._suspect_check,
+                timing.note_head,
+                timing.note_connected,
             )
         finally:
             timing.stop()
+            contact_timer.cancel()
             fate, seconds = sent.outcome, timing.seconds
             self.is_body_consumed = self.is_body_consumed or sent.is_body_consumed
             when_received(
@@ -117,18 +137,15 @@
                 self._knowledge.limits.release(target)
             else:
                 self._attempt.note_outcome(fate)
-            if fate is SendOutcome.ABANDONED and timing.waited > slow_threshold(
-                HEDGE_FACTOR, choice
-            ):
+            is_slow = timing.waited > slow_threshold(HEDGE_FACTOR, choice)
+            if fate is SendOutcome.ABANDONED and is_slow:
                 fate = SendOutcome.TIMED_OUT
             includes_queueing = (
                 Feature.SERVICE_TIMES in self._knowledge.settings.disabled_features
             )
             service_time = seconds if includes_queueing else seconds / choice.slowdown
             if not timing.is_overdue:
-                self._knowledge.note_outcome(
-                    target, self._request.route, fate, service_time
-                )
+                self._note_outcome(target, fate, service_time, timing)
             elif fate is SendOutcome.SUCCEEDED:
                 self._knowledge.note_late_response(
                     target, self._request.route, service_time
@@ -137,15 +154,21 @@
             self._log_failure(target, sent._replace(outcome=fate), seconds)
         return CompletedSend(target, fate, sent.reply, seconds)
 
-    def _note_overdue(self, choice):
+    def _has_no_contact(self, timing):
+        """Return whether no target has sent anything since a response was expected."""
+        return self._knowledge.paths.contact_at < timing.due_at
+
+    def _note_outcome(self, target, outcome, seconds, timing):
+        """Note the outcome of a send."""
+        self._knowledge.note_outcome(target, self._request.route, outcome, seconds)
+
+    def _note_overdue(self, choice, timing):
         target = choice.candidate.target
         seconds = 0.0
         if self._knowledge.scores_outcomes:
             # The least time that the target takes, from which its pace is learned.
             seconds = slow_threshold(OVERDUE_FACTOR, choice) / choice.slowdown
-        self._knowledge.note_outcome(
-            target, self._request.route, SendOutcome.TIMED_OUT, seconds
-        )
+        self._note_outcome(target, SendOutcome.TIMED_OUT, seconds, timing)
         log.info(
             "stuck",
             extra={
@@ -171,6 +194,7 @@
                 "connection": sent.connection.kind,
                 "age": sent.connection.age,
                 "idle": sent.connection.idle,
+                "gateway": sent.connection.gateway,
             },
         )
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_timing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_timing.py
@@ -22,17 +22,25 @@
 
     `seconds` is its duration, and `waited` the seconds until the target began to
     respond, both set by `stop`. `is_overdue` tells whether it began too late.
+    `connection` is the `TargetConnection`, once there is one, and `due_at` when the
+    response to the request on it is expected. `has_head` tells whether the head of a
+    response has arrived.
 
     Args:
       kind: The `RequestKind`.
       overdue_timer: The `TimerHandle` of when the send is overdue.
       loop_time: The clock of the timer.
+      expected_duration: The expected seconds until the response.
     """
 
-    def __init__(self, kind, overdue_timer, loop_time):
+    def __init__(self, kind, overdue_timer, loop_time, expected_duration=0.0):
         self.seconds = 0.0
         self.waited = None
         self.is_overdue = False
+        self.connection = None
+        self.due_at = 0.0
+        self._expected_duration = expected_duration
+        self.has_head = False
         self._is_download = kind is RequestKind.DOWNLOAD
         self._overdue_timer = overdue_timer
         self._loop_time = loop_time
@@ -51,8 +59,24 @@
         """Replace the timer by one that has just been started."""
         self._overdue_timer = overdue_timer
 
+    def note_connected(self, connection):
+        """Note the connection on which the request is about to be sent."""
+        self.connection = connection
+        self.due_at = now() + self._expected_duration
+
+    @property
+    def is_direct(self):
+        """Whether the request was sent on a connection without a gateway."""
+        return self.connection is not None and self.connection.gateway is None
+
+    @property
+    def is_tunnelled(self):
+        """Whether the request was sent through a gateway."""
+        return self.connection is not None and self.connection.gateway is not None
+
     def note_head(self):
         """Note that the head of the response has arrived."""
+        self.has_head = True
         if self._is_download:
             self._note_begun()
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -34,12 +34,13 @@
     The connection of a send, for the log.
 
     `kind` is `new`, `kept`, or the reason why there was no connection. `age` and `idle`
-    are in seconds.
+    are in seconds. `gateway` is the address of the host through which it goes, if any.
     """
 
     kind: str
     age: float | None = None
     idle: float | None = None
+    gateway: str | None = None
 
 
 class SendResult(NamedTuple):
@@ -64,13 +65,15 @@
       pool: The `ConnectionPool`.
       metrics: The `EdgeMetrics`.
       crash_detector: The `CrashDetector`.
+      prober: The `PathProber`.
     """
 
-    def __init__(self, knowledge, pool, metrics, crash_detector):
+    def __init__(self, knowledge, pool, metrics, crash_detector, prober):
         self._knowledge = knowledge
         self._pool = pool
         self._metrics = metrics
         self._crash_detector = crash_detector
+        self.prober = prober
 
     def has_connection(self, request, incarnation):
         """Return whether there is a pooled connection that a request may use."""
@@ -80,7 +83,14 @@
         """Return whether a request may be sent again while its first send runs."""
         return self._knowledge.downloads.may_send_twice(request)
 
-    async def send(self, request, target, suspect_check, on_head=lambda: None):
+    async def send(
+        self,
+        request,
+        target,
+        suspect_check,
+        on_head=lambda: None,
+        on_connected=lambda connection: None,
+    ):
         """
         Get a connection, send a request, and wait for the response or its first part.
 
@@ -89,6 +99,7 @@
           target: The `Target`.
           suspect_check: The request's `SuspectCheck`.
           on_head: Called when the status and all headers have arrived.
+          on_connected: Called with the connection before the request is sent on it.
         Returns:
           A `SendResult`.
         """
@@ -100,17 +111,23 @@
         if isinstance(connection, ConnectFailure):
             if connection is ConnectFailure.REFUSED:
                 self._crash_detector.note_refused(target)
+            has_path = connection is not ConnectFailure.NO_PATH
             return SendResult(
-                SendOutcome.UNREACHABLE, None, ConnectionInfo(connection.value)
+                SendOutcome.UNREACHABLE if has_path else SendOutcome.UNSENT,
+                None,
+                ConnectionInfo(connection.value),
             )
         at = now()
         age = round(at - connection.opened_at, 3)
         idle = 0.0 if is_new else round(at - connection.last_used_at, 3)
-        info = ConnectionInfo("new" if is_new else "kept", age, idle)
+        kind = "new" if is_new else "kept"
+        info = ConnectionInfo(kind, age, idle, connection.gateway)
         is_too_late = request.deadline <= at or request.caller.is_gone()
         if is_too_late or not self._knowledge.may_send(target, at):
             self._pool.release_unused(target.incarnation, connection)
             return SendResult(SendOutcome.UNSENT, None, info)
+        on_connected(connection)
+        connection.is_repeatable = request.route.kind.is_idempotent
         outcome, reply = await self._exchange(
             request, target, connection, suspect_check, on_head
         )
@@ -157,6 +174,8 @@
                 # The rest of a long error response is not read.
                 return outcome, reply if is_streaming else None
             outcome, reply = classify(exchange)
+            if outcome is SendOutcome.BROKEN and connection.was_cut:
+                outcome = SendOutcome.PATH_LOST
             return outcome, reply
         finally:
             suspect_check.note_outcome(target, exchange, outcome)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -51,6 +51,8 @@
 
     REFUSED = "refused"
     NO_RESPONSE = "silent"
+    # This host reaches no target, so it says nothing about this one.
+    NO_PATH = "no-path"
 
 
 class Exchange:
@@ -150,6 +152,12 @@
 
     def __init__(self, on_closed, on_contact=lambda: None):
         self.transport = None
+        # The address of the host through which the connection goes, if any.
+        self.gateway = None
+        # Whether its request may be sent again while this one is outstanding, and
+        # whether it was ended for that.
+        self.is_repeatable = False
+        self.was_cut = False
         self.exchange = None
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
         self.opened_at = self.last_used_at = now()
@@ -224,6 +232,11 @@
         else:
             self.resume_reading()
 
+    def cut(self):
+        """End a request for which another connection is to be used."""
+        self.was_cut = True
+        self.close()
+
     def close(self):
         """Close the connection without sending what is buffered."""
         self.is_closed = True
