--- a/packages/plumsaddle-core/plumsaddle_core/ops/target_health.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/target_health.py
@@ -71,6 +71,10 @@
         """Apply the `OutcomeRecord` of one of this host's sends."""
         self._update_path(outcome.target, self.apply(outcome, now), now)
 
+    def note_path_failure(self, incarnation, now):
+        """Record that this host's way to a target, perhaps not its own path, failed."""
+        self._update_path(incarnation, MAX_SILENCE_LIKELIHOOD_RATIO, now)
+
     def apply_remote(self, evidence, now):
         """Apply an `Evidence` from another data centre."""
         # Some failures are visible from one data centre only, so remote evidence has
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -436,6 +436,10 @@
         if self.shared.suspects.add(record, now(), is_own=True):
             self._notify(is_urgent=True)
 
+    def note_path_failure(self, target):
+        """Note a send that failed on its way, which says little about its target."""
+        self.shared.health.note_path_failure(target.incarnation, now())
+
     def note_late_response(self, target, route, seconds):
         """Note a complete response to a send whose timeout was already noted."""
         self._note_signal(target, route, HealthSignal.LATE, seconds)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -97,7 +97,8 @@
         limit = slow_threshold(OVERDUE_FACTOR, choice)
 
         def check_overdue():
-            if timing.is_timer_late:
+            # Opening a connection has a timeout of its own.
+            if timing.is_timer_late or timing.connection is None:
                 timing.restart(loop.call_later(limit, check_overdue))
             else:
                 self._note_overdue(choice, timing)
@@ -138,7 +139,8 @@
             else:
                 self._attempt.note_outcome(fate)
             is_slow = timing.waited > slow_threshold(HEDGE_FACTOR, choice)
-            if fate is SendOutcome.ABANDONED and is_slow:
+            has_sent = timing.connection is not None
+            if fate is SendOutcome.ABANDONED and has_sent and is_slow:
                 fate = SendOutcome.TIMED_OUT
             includes_queueing = (
                 Feature.SERVICE_TIMES in self._knowledge.settings.disabled_features
@@ -159,8 +161,24 @@
         return self._knowledge.paths.contact_at < timing.due_at
 
     def _note_outcome(self, target, outcome, seconds, timing):
-        """Note the outcome of a send."""
-        self._knowledge.note_outcome(target, self._request.route, outcome, seconds)
+        """
+        Note the outcome of a send, unless this host's own path is the cause.
+
+        While that is in doubt it is found out first, since other hosts believe what
+        this one reports.
+        """
+        note = functools.partial(
+            self._knowledge.note_outcome, target, self._request.route, outcome, seconds
+        )
+        is_silence = outcome is SendOutcome.TIMED_OUT and not timing.has_head
+        is_reset = outcome is SendOutcome.BROKEN and not timing.has_head
+        if timing.is_tunnelled and (is_silence or is_reset):
+            # Either the target or the gateway may have failed.
+            self._knowledge.note_path_failure(target)
+        elif is_reset or (is_silence and self._has_no_contact(timing)):
+            self._sender.prober.blame_if_reached(target, note)
+        else:
+            note()
 
     def _note_overdue(self, choice, timing):
         target = choice.candidate.target
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_partition_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_partition_test.py
@@ -8,6 +8,9 @@
 import aiohttp
 import pytest
 
+from plumsaddle_core.ops.failure_estimator import PRIOR_FAILING
+from plumsaddle_hosts.edge.clock import now
+
 from .host_link import CUTS, HostLink, connect_through
 from .trial import Trial, in_loop
 
@@ -22,6 +25,8 @@
 MIN_SHARE_OF_OTHERS = 2 / 3
 TOLERATED_FAILURES = 10
 TOLERATED_FAILURE_SHARE = 1 / 50
+# A target is suspected if its failing probability is well above that of an unknown one.
+FAILING = PRIOR_FAILING + 0.1
 
 
 class Partition:
@@ -130,3 +135,27 @@
         results = await partition.load(LOAD)
         assert find_worse_served(results, cut) is None
         assert not find_untrue(partition, during + results)
+
+
+@pytest.mark.parametrize("form", ["hang", "reset", "refused"])
+@in_loop
+async def test_partitioned_hosts_do_not_blame_targets(form):
+    """Guards against sound targets that all hosts avoid for the sake of a few."""
+    cut = set(range(12)) - {3, 5}
+    async with Partition(hosts=12) as partition:
+        await partition.load(1.0)
+        partition.cut(form, cut)
+        await partition.load(1.5)
+        knowledge = partition.trial.hosts[3].knowledge
+        at = now()
+        worst = max(
+            knowledge.shared.failing_probability(incarnation, at)
+            for incarnation in knowledge.registry.incarnations()
+        )
+        assert worst < FAILING
+        crashed = [
+            incarnation
+            for incarnation in knowledge.registry.incarnations()
+            if knowledge.shared.suspects.has_crashed(incarnation)
+        ]
+        assert not crashed
