--- a/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
@@ -38,13 +38,15 @@
       name: The host's id.
       seeds: The hosts' addresses that it asks for others.
       log: An open file for its log; a pipe that `wait_for_line` reads if None.
+      link: The address of the `HostLink` through which it reaches targets, if any.
     """
 
-    def __init__(self, folder, store, name="host-9", seeds=(), log=None):
+    def __init__(self, folder, store, name="host-9", seeds=(), log=None, link=None):
         self.name = name
         self.path = folder / f"{name}.toml"
         self.callers, self.ready = free_port(), free_port()
         self.peers = f"127.0.0.1:{free_port()}"
+        self._link = link
         self._log = asyncio.subprocess.PIPE if log is None else log
         self._values = {
             "name": name,
@@ -73,11 +75,13 @@
             if self.is_running:
                 return
             self._note_disturbance()
+            words = ["plumsaddle_hosts.edge", str(self.path)]
+            if self._link is not None:
+                words = ["plumsaddle_standins.linked_host", str(self.path), self._link]
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "plumsaddle_hosts.edge",
-                str(self.path),
+                *words,
                 stdout=self._log,
                 stderr=self._log,
             )
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -25,6 +25,7 @@
 
 from .callers import HOT, PROMISES, WORKSPACES, Callers, find_broken
 from .downloading import DownloadCallers, cut_at_times
+from .host_link import CUTS, HostLink
 from .host_process import HostProcess
 from .notices_check import find_ignored_notices
 from .store import Fault
@@ -53,9 +54,10 @@
 class Lab:
     """A fleet: the stand-ins of a `Trial` and hosts as processes."""
 
-    def __init__(self, trial, hosts, rng):
+    def __init__(self, trial, hosts, links, rng):
         self.trial = trial
         self.hosts = hosts
+        self.links = links
         self.rng = rng
         self.callers = None
         self.version = 1
@@ -157,6 +159,17 @@
     lab.callers.more = 0.0
 
 
+async def partition(lab, seconds):
+    """Partition some hosts from all targets, in any form, and let them back."""
+    links = lab.rng.sample(lab.links, lab.rng.randint(1, len(lab.links) - 1))
+    form = lab.rng.choice(sorted(CUTS))
+    for link in links:
+        link.cut(CUTS[form])
+    await asyncio.sleep(seconds)
+    for link in links:
+        link.heal()
+
+
 async def storm(lab, seconds):
     """Publish versions in quick succession, with SIGHUP to all hosts beside them."""
     for _ in range(int(seconds * 3)):
@@ -170,7 +183,7 @@
     f.__name__.replace("_", "-"): f
     for f in (
         *(calm, gray, hang, reset, shed, store_away),
-        *(release, roll, kill, freeze, storm, hot),
+        *(release, roll, kill, freeze, storm, hot, partition),
     )
 }
 
@@ -293,14 +306,25 @@
     async with Trial(services=services, targets=TARGETS, hosts=0) as trial:
         for worker in trial.workers.values():
             worker.work = WORK
-        hosts = []
+        hosts, links = [], []
         with (folder / "hosts.log").open("wb") as log:
             for number in range(HOSTS):
                 seeds = [host.peers for host in hosts[:1]]
                 name = f"host-{number}"
-                hosts.append(HostProcess(folder, trial.store_address, name, seeds, log))
+                links.append(HostLink())
+                await links[-1].start()
+                hosts.append(
+                    HostProcess(
+                        folder,
+                        trial.store_address,
+                        name,
+                        seeds,
+                        log,
+                        links[-1].address,
+                    )
+                )
             try:
-                lab = Lab(trial, hosts, rng)
+                lab = Lab(trial, hosts, links, rng)
                 if has_downloads:
                     lab.routes = {**KINDS, **DOWNLOADS}
                 # Before the hosts start, so that none ever serves without keys.
@@ -338,6 +362,9 @@
                     if host.is_running:
                         host.signal(signal.SIGCONT)
                         await host.kill()
+                for link in links:
+                    link.heal()
+                    link.stop()
         broken = find_broken(callers.ended, trial.workers.values(), trial.closed)
         if limit is not None:
             broken += find_exceeded(limit, *limits)
