--- a/packages/plumsaddle-core/plumsaddle_core/ops/peer_table_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/peer_table_test.py
@@ -109,3 +109,14 @@
     table.note_echo(at, at)
     assert table.choose_hub(at)
     assert table.hub == hub
+
+
+def test_live_hosts_that_advertise_it_are_gateways():
+    """Guards against asking hosts that are lost or cannot help for connections."""
+    table = PeerTable(NAMES[0], 0.0)
+    for name, is_gateway in zip(NAMES[1:4], (True, False, True), strict=True):
+        table.note_message(name, 0.0)
+        table.update(name, 0.0, StoreStatus.TOLD, is_gateway)
+    table.note_message(NAMES[1], 2.0)
+    assert table.gateways(1.0) == ([NAMES[1], NAMES[3]], 3)
+    assert table.gateways(2.0) == ([NAMES[1]], 1)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages_test.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from plumsaddle_core.ops.peer_table import StoreStatus
+
 from .messages import (
     DataCentreUpdate,
     Heartbeat,
@@ -68,3 +70,25 @@
     former = FormerDataCentreUpdate("h1", 6, "x", [], [8], limits=LIMITS)
     remote = decode_data_centre_update(msgspec.msgpack.encode(former))
     assert (remote.limits, remote.draining) == (LIMITS, [])
+
+
+class FormerHeartbeat(msgspec.Struct, array_like=True):
+    """`Heartbeat` before it told whether its host is a gateway."""
+
+    link_rate: float
+    store_status: StoreStatus
+    read_offsets: dict
+    recovery_age: float
+    members: list[str] = []
+    remote_hosts: dict = {}
+
+
+def test_heartbeats_of_both_releases_are_read_by_the_other():
+    """Guards against hosts of the former release that are asked for connections."""
+    heartbeat = Heartbeat(1.0, StoreStatus.READING, {}, 0.0, ["a"], {}, True)
+    former = msgspec.msgpack.decode(encode(heartbeat), type=FormerHeartbeat)
+    assert former.members == ["a"]
+    read = msgspec.msgpack.decode(msgspec.msgpack.encode(former), type=Heartbeat)
+    assert not read.is_gateway
+    update = DataCentreUpdate("h1", 6, "x", [], [8], gateways=["1.2.3.4:5"])
+    assert decode_data_centre_update(encode(update)).gateways == ["1.2.3.4:5"]
--- a/packages/plumsaddle-standins/plumsaddle_standins/partition_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/partition_model.py
@@ -10,7 +10,7 @@
 - balancer: partitioned hosts report that they are not ready, and the load balancer
   sends them no new requests after two checks, unless that leaves too few;
 - blind: any host that is known is asked, the own data centre's first;
-- local: hosts advertise that they are gateways; those of the own data centre come first;
+- local: hosts advertise that they are gateways, the own data centre's come first;
 - shared: the same, but gateways of other data centres take part if there are few local
   ones (`ops/gateways.py`).
 """
