--- a/packages/plumsaddle-core/plumsaddle_core/core/features.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/features.py
@@ -17,6 +17,8 @@
     REMOTE_LOAD = "far-load"
     # Failures of the host's own network path are not attributed to the target.
     PATH_EVIDENCE = "paths"
+    # Connections to targets through other hosts.
+    TUNNELS = "tunnels"
     # Trial requests that keep the floor of healthy targets in use.
     FLOOR_TRIALS = "floor-trials"
     # A slow request is also sent to a second target.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/paths.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/paths.py
@@ -222,5 +222,12 @@
         return is_bypassed or self.is_own_failure_likely(incarnation)
 
     def is_own_failure_likely(self, incarnation):
-        """Return whether targets other than this one failed too since a contact."""
-        return bool(self._failures.keys() - {incarnation})
+        """
+        Return whether targets of other services failed too since the last contact.
+
+        Those of one service may fail together, under requests that crash them.
+        """
+        failure = self._failures.get(incarnation)
+        return failure is not None and any(
+            other.service != failure.service for other in self._failures.values()
+        )
--- a/packages/plumsaddle-core/plumsaddle_core/ops/paths_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/paths_test.py
@@ -133,3 +133,14 @@
     assert paths.state is PathState.PARTITIONED
     _fail(paths, TARGETS[2:], PathVerdict.UNCONFIRMED, 0.5 + MIN_ISOLATION_SPAN)
     assert paths.state is PathState.ISOLATED
+
+
+def test_targets_of_one_service_that_fail_together_are_blamed():
+    """Guards against crashes of targets in a row that pass for a broken path."""
+    paths = HostPaths()
+    _fail(paths, TARGETS[:2], PathVerdict.UNCONFIRMED, 0.0)
+    assert not paths.is_own_failure_likely("look-0")
+    _fail(paths, TARGETS[2:3], PathVerdict.UNCONFIRMED, 0.0)
+    assert paths.is_own_failure_likely("look-0")
+    paths.note_contact(0.1)
+    assert not paths.is_own_failure_likely("look-0")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -89,6 +89,10 @@
         self._last_send = None
         self._aborted = asyncio.get_running_loop().create_future()
 
+    async def wait_for_probes(self):
+        """Wait until it is known whether former sends of the request were crashes."""
+        await self._suspect_check.wait_for_probes()
+
     def check_hold(self):
         """Return the refusal of a request that is held back, or None."""
         held_for = self._suspect_check.hold_remaining()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
@@ -112,8 +112,9 @@
         """
         Stop using direct connections once no target is reached.
 
-        Requests that may be repeated are ended, so that they are sent another way at
-        once. The others may still be answered if the partition ends.
+        Requests that may be repeated and have no response yet are ended, so that they
+        are sent another way at once. The others may still be answered if the partition
+        ends.
         """
         if state is PathState.CONNECTED:
             return
@@ -122,7 +123,10 @@
                 connection.close()
         for connections in list(self._busy.values()):
             for connection in list(connections):
-                if connection.gateway is None and connection.is_repeatable:
+                exchange = connection.exchange
+                is_unanswered = exchange is not None and not exchange.has_head
+                is_direct = connection.gateway is None
+                if is_direct and connection.is_repeatable and is_unanswered:
                     connection.cut()
 
     def release(self, incarnation, connection):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connector.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connector.py
@@ -120,31 +120,24 @@
     async def _open_with_fallback(self, target, on_closed):
         loop = asyncio.get_running_loop()
         direct = loop.create_task(self._connect(target, on_closed))
-        tunnel = None
+        tasks = [direct]
+        connection = None
         try:
-            await asyncio.wait({direct}, timeout=FALLBACK_DELAY)
-            if _is_open(direct):
-                self.note_connected(target)
-                return direct.result()
-            if not self._paths.may_ask(target.incarnation, now()):
-                return self._finish(target, await direct, TunnelStatus.UNAVAILABLE)
-            tunnel = loop.create_task(self._open_tunnel(target, on_closed))
-            tasks = {direct, tunnel}
-            while tasks and not any(map(_is_open, (direct, tunnel))):
-                _, tasks = await asyncio.wait(
-                    tasks, return_when=asyncio.FIRST_COMPLETED
-                )
+            await asyncio.wait(tasks, timeout=FALLBACK_DELAY)
+            if not _is_open(direct) and self._paths.may_ask(target.incarnation, now()):
+                tasks.append(loop.create_task(self._open_tunnel(target, on_closed)))
+            connection = await _first_open(tasks)
             if _is_open(direct):
                 self.note_connected(target)
-                return direct.result()
-            if _is_open(tunnel):
+            elif connection is not None:
                 self.note_failed(target, PathVerdict.BYPASSED)
-                return tunnel.result()
-            return self._finish(target, direct.result(), tunnel.result())
+            elif len(tasks) > 1:
+                return self._fail(target, *(task.result() for task in tasks))
+            return connection or direct.result()
         finally:
-            _drop_unused([direct] if tunnel is None else [direct, tunnel])
+            _drop_others(tasks, connection)
 
-    def _finish(self, target, failure, status):
+    def _fail(self, target, failure, status):
         """Return the `ConnectFailure` after both ways have failed."""
         if status is TunnelStatus.UNAVAILABLE:
             self.note_failed(target, PathVerdict.UNCONFIRMED)
@@ -156,7 +149,7 @@
         """
         Return a `ConnectFailure` that no other host has confirmed.
 
-        It says nothing about the target if other targets failed as well.
+        It says nothing about the target if other services are not reached either.
         """
         if self._paths.is_own_failure_likely(target.incarnation):
             return ConnectFailure.NO_PATH
@@ -165,29 +158,21 @@
     async def _open_tunnel(self, target, on_closed):
         """Return a `TunnelledConnection`, or a `TunnelStatus` if there is none."""
         loop = asyncio.get_running_loop()
-        waiting = self._gateways.choose(now())
-        asked, outstanding = [], set()
-        statuses = []
+        tasks = []
+        tunnel = None
         try:
-            while waiting or outstanding:
-                if waiting:
-                    gateway = waiting.pop(0)
-                    task = loop.create_task(self._ask(gateway, target, on_closed))
-                    asked.append(task)
-                    outstanding.add(task)
-                done, outstanding = await asyncio.wait(
-                    outstanding,
-                    timeout=NEXT_GATEWAY_DELAY if waiting else None,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for task in done:
-                    if _is_open(task):
-                        return task.result()
-                    statuses.append(task.result())
+            for gateway in self._gateways.choose(now()):
+                asked = loop.create_task(self._ask(gateway, target, on_closed))
+                tasks.append(asked)
+                await asyncio.wait([asked], timeout=NEXT_GATEWAY_DELAY)
+                if any(map(_is_open, tasks)):
+                    break
+            tunnel = await _first_open(tasks)
         finally:
-            _drop_unused(asked)
-        opinions = [s for s in statuses if s is not TunnelStatus.UNAVAILABLE]
-        return opinions[-1] if opinions else TunnelStatus.UNAVAILABLE
+            _drop_others(tasks, tunnel)
+        statuses = {task.result() for task in tasks if tunnel is None}
+        opinions = statuses - {TunnelStatus.UNAVAILABLE}
+        return tunnel or next(iter(opinions), TunnelStatus.UNAVAILABLE)
 
     async def _ask(self, gateway, target, on_closed):
         """Ask one gateway, and note whether it could help."""
@@ -252,10 +237,17 @@
     return isinstance(task.result(), TargetConnection)
 
 
-def _drop_unused(tasks):
-    """Cancel the tasks that have not ended, and close connections after the first."""
-    opened = [task for task in tasks if _is_open(task)]
-    for task in opened[1:]:
-        task.result().close()
+async def _first_open(tasks):
+    """Return the first connection that any of some tasks opens, or None."""
+    pending = set(tasks)
+    while pending and not any(map(_is_open, tasks)):
+        _, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+    return next((task.result() for task in tasks if _is_open(task)), None)
+
+
+def _drop_others(tasks, connection):
+    """Cancel tasks that have not ended, and close all connections but one."""
     for task in tasks:
+        if _is_open(task) and task.result() is not connection:
+            task.result().close()
         task.cancel()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/crash_detector.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/crash_detector.py
@@ -99,6 +99,16 @@
         """Whether any send is unresolved."""
         return bool(self._unresolved)
 
+    async def wait_for_probes(self, key):
+        """Wait until all targets that broke under a request have been probed."""
+        probes = [
+            self._probes[sent_to]
+            for sent_to, other in self._unresolved
+            if other == key and sent_to in self._probes
+        ]
+        if probes:
+            await asyncio.wait(probes)
+
     def unresolved_count(self, key):
         """Return how many sends of a request are unresolved."""
         return sum(1 for _, other in self._unresolved if other == key)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -23,6 +23,8 @@
 from aiohttp import web
 from returns.result import Failure
 
+from plumsaddle_core.core.features import Feature
+from plumsaddle_core.ops.gateways import Gateways
 from plumsaddle_core.ops.paths import PathState
 
 from ..platform import wire
@@ -154,6 +156,9 @@
     def _set_up_paths(self, rng):
         """Make the parts that open connections to targets, also for other hosts."""
         knowledge, gateways = self.knowledge, self.peers.gateways
+        has_tunnels = Feature.TUNNELS not in self.settings.disabled_features
+        if not has_tunnels:
+            gateways = Gateways(lambda now: ([], 0), rng)
         self.connector = Connector(
             self.settings.id,
             knowledge.paths,
@@ -165,7 +170,8 @@
         self.pool = ConnectionPool(self.connector, knowledge.paths, gateways)
         self._prober = PathProber(self.pool, knowledge.paths, knowledge.registry, rng)
         self.gateway = Gateway(knowledge, self.connector, self.metrics)
-        self.peers.is_gateway = self.gateway.is_available
+        if has_tunnels:
+            self.peers.is_gateway = self.gateway.is_available
         self.connector.on_failed = self._prober.note_failed
         self.connector.on_change = self._note_path_change
         self.pool.on_idle_lost = self._prober.check_soon
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/path_prober.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/path_prober.py
@@ -1,8 +1,8 @@
 """
 Checks this host's paths to targets when they are in doubt, and until they are restored.
 
-Checks open connections to a few targets of different services. Those that work are
-pooled, so that the next requests use them.
+A check opens a connection to one target, and if that fails, to a few of different
+services. Those that work are pooled, so that the next requests use them.
 """
 
 import asyncio
@@ -14,8 +14,10 @@
 from .target_connection import ConnectFailure
 
 log = logging.getLogger("paths")
-# Targets to which a check connects.
+# Further targets to which a host connects after it failed to reach one.
 CHECKED_TARGETS = 3
+# Seconds within which a contact with any target settles a doubt without a check.
+SETTLE_TIME = 0.05
 # Seconds between two checks.
 CHECK_INTERVAL = 0.5
 # Seconds between attempts on a broken path; each is delayed at random by up to as much
@@ -39,23 +41,36 @@
         self._paths = paths
         self._registry = registry
         self._rng = rng
-        self._checked_at = 0.0
+        # When the last checks of one and of several targets began.
+        self._checked_at = {1: 0.0, CHECKED_TARGETS: 0.0}
         self._tasks = set()
 
     def note_failed(self, verdict):
-        """Check other paths if a single target was reached through a gateway only."""
+        """Check other paths if the direct one to a target failed."""
         if verdict is not PathVerdict.DOWN:
-            self.check_soon()
+            self._check_soon(CHECKED_TARGETS)
 
     def check_soon(self):
-        """Check the paths to a few targets, unless that was done just now."""
+        """Check the path to a target, unless that was done just now."""
+        self._check_soon(1)
+
+    def _check_soon(self, count):
         at = now()
-        is_due = at - self._checked_at >= CHECK_INTERVAL
-        if self._paths.state is not PathState.CONNECTED or not is_due:
-            return
-        self._checked_at = at
-        for target in self._pick(CHECKED_TARGETS):
-            self._start(self._connect(target))
+        is_due = at - self._checked_at[count] >= CHECK_INTERVAL
+        if self._paths.state is PathState.CONNECTED and is_due:
+            self._checked_at[count] = at
+            self._start(self._check(count))
+
+    async def _check(self, count):
+        if not await self._has_contact():
+            for target in self._pick(count):
+                self._start(self._connect(target))
+
+    async def _has_contact(self):
+        """Return whether any target sends something within `SETTLE_TIME`."""
+        since = now()
+        await asyncio.sleep(SETTLE_TIME)
+        return self._paths.contact_at >= since
 
     def blame_if_reached(self, target, note):
         """
@@ -70,7 +85,8 @@
     async def _blame_if_reached(self, target, note):
         if self._paths.is_cause(target.incarnation, now()):
             return
-        await self._connect(target)
+        if not await self._has_contact():
+            await self._connect(target)
         if not self._paths.is_cause(target.incarnation, now()):
             note()
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/relay.py
@@ -63,6 +63,7 @@
             self._crash_detector,
             self._waiting,
         )
+        await active.wait_for_probes()
         refusal = active.check_hold()
         if refusal is not None:
             # Held requests affect neither the retry budget nor the service's health.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -28,7 +28,7 @@
 HEDGE_FACTOR = 2.2
 # The multiple of the expected duration after which paths are checked if no target has
 # sent anything since the request was sent.
-CHECK_FACTOR = 1.5
+CHECK_FACTOR = 2.0
 # Minimum seconds before a send counts as slow. Shorter delays may come from a busy
 # processor or a lost packet and say nothing about the target.
 MIN_SLOW_DURATION = 0.1
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -126,6 +126,9 @@
         if is_too_late or not self._knowledge.may_send(target, at):
             self._pool.release_unused(target.incarnation, connection)
             return SendResult(SendOutcome.UNSENT, None, info)
+        if connection.gateway is not None:
+            extra = {"request": request.id.decode("latin-1"), "target": target.id}
+            log.info("tunnelled", extra={**extra, "gateway": connection.gateway})
         on_connected(connection)
         connection.is_repeatable = request.route.kind.is_idempotent
         outcome, reply = await self._exchange(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/suspect_check.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/suspect_check.py
@@ -52,6 +52,15 @@
         """How many incarnations of targets are known to have crashed under it."""
         return self._suspects.crash_count(self.key)
 
+    async def wait_for_probes(self):
+        """
+        Wait for probes of targets that broke under the request.
+
+        Otherwise a caller that repeats it at once would crash a further target.
+        """
+        if not self._is_disabled and self._crash_detector.has_unresolved:
+            await self._crash_detector.wait_for_probes(self.key)
+
     def hold_remaining(self):
         """Return for how many seconds the request is still held back, or 0.0."""
         if self._is_disabled or not len(self._suspects):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
@@ -7,6 +7,7 @@
 from .causes import sum_up_causes, tell_causes
 from .common import DONE, MISTAKE, NOT_KNOWN, fail, read_text, say
 from .events import read_events
+from .host_paths import tell_host_paths
 from .standing import find_key, tell_request, tell_standing
 from .trace import trace_request
 from .workspace import tell_workspace
@@ -47,17 +48,18 @@
     """
     Tell what hosts saw of a target or a workspace, or why a request was held back.
 
-    It exits afterwards.
+    Of a host, it tells when that reached no target by itself. It exits afterwards.
 
     Args:
-      name: The target's id, the workspace's name, the request's key, or the id under
-        which it was refused.
+      name: The target's id, the workspace's name, the host's id, the request's key, or
+        the id under which it was refused.
       logs: The hosts' logs.
     """
     events = _read_logs(logs)
     key = find_key(events, str(name))
     lines = tell_request(events, key) if key else tell_standing(events, str(name))
     lines = lines or tell_workspace(events, str(name))
+    lines = lines or tell_host_paths(events, str(name))
     _tell(lines, f"No line names {name}, and none has a key for it.")
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/causes.py
@@ -27,6 +27,7 @@
     SHED = "refused-by-targets"
     RETRY_DENIED = "retry-denied"
     UNREACHED = "unreached"
+    NO_PATH = "no-path"
     HELD_BACK = "held-back"
     OVER_LIMIT = "over-limit"
     TARGETS_LIMITED = "targets-limited"
@@ -48,6 +49,7 @@
     "queue-full": Loss.QUEUE_FULL,
     "waited": Loss.WAITED_IN_VAIN,
     "unknown-key": Loss.UNKNOWN_KEY,
+    "no-path": Loss.NO_PATH,
 }
 
 
@@ -123,6 +125,8 @@
         return None
     if cause in BY_CAUSE:
         return BY_CAUSE[cause]
+    if last == "path-lost":
+        return Loss.NO_PATH
     if cause == "time-over":
         return Loss.TOO_SLOW
     if cause in ("no-room", "no-target"):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
@@ -41,8 +41,7 @@
     evidence = [
         event
         for event in events
-        if (event.message in TOLD or (event.message in OWN and event.host in hosts))
-        and event.fields.get("target") in targets
+        if _is_evidence(event, hosts, targets)
         and event.fields.get("request") != request_id
         and begin - BEFORE <= event.at <= end
     ]
@@ -58,6 +57,17 @@
     return [_tell(event, begin, request_id) for event in story]
 
 
+def _is_evidence(event, hosts, targets):
+    """Return whether an event tells of a request's targets, or of its way there."""
+    if event.message == "paths changed":
+        return event.host in hosts
+    if event.fields.get("target") not in targets:
+        return False
+    if event.message == "tunnel requested":
+        return event.fields["peer"] in hosts
+    return event.message in TOLD or (event.message in OWN and event.host in hosts)
+
+
 def _tell(event, begin, request_id):
     """Return one event as a line; those of other requests are set in."""
     is_own = event.fields.get("request") == request_id
