--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 
 .PHONY: setup format lint test demo lab crashes measure floor telling quotas limits \
-	notices slopes generate
+	notices paths slopes generate
 
 setup: $(VENV)/ready
 
@@ -65,6 +65,9 @@
 notices: setup
 	$(BIN)/python -m plumsaddle_standins.notice_model
 
+paths: setup
+	$(BIN)/python -m plumsaddle_standins.partition_model
+
 slopes: setup
 	$(BIN)/python -m plumsaddle_standins.slopes
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/paths.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/paths.py
@@ -101,7 +101,9 @@
             return
         if self._contact_since is None:
             self._contact_since = now
-        if now - self._contact_since >= self._recovery:
+        # Partitioned hosts can afford to wait, isolated ones refuse all requests.
+        is_isolated = self.state is PathState.ISOLATED
+        if is_isolated or now - self._contact_since >= self._recovery:
             self._recover(now)
 
     def note_connected(self, incarnation, now):
@@ -221,6 +223,11 @@
         is_bypassed = failure.verdict is PathVerdict.BYPASSED
         return is_bypassed or self.is_own_failure_likely(incarnation)
 
+    def is_unconfirmed(self, incarnation):
+        """Return whether a target failed since a contact and nobody confirmed it."""
+        failure = self._failures.get(incarnation)
+        return failure is not None and failure.verdict is PathVerdict.UNCONFIRMED
+
     def is_own_failure_likely(self, incarnation):
         """
         Return whether targets of other services failed too since the last contact.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/paths_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/paths_test.py
@@ -144,3 +144,13 @@
     assert paths.is_own_failure_likely("look-0")
     paths.note_contact(0.1)
     assert not paths.is_own_failure_likely("look-0")
+
+
+def test_an_isolated_host_serves_from_its_first_contact_on():
+    """Guards against refusals that last longer than the reason for them."""
+    paths = HostPaths()
+    _fail(paths, TARGETS[:3], PathVerdict.UNCONFIRMED, 0.0)
+    _fail(paths, TARGETS[3:], PathVerdict.UNCONFIRMED, MIN_ISOLATION_SPAN)
+    assert paths.state is PathState.ISOLATED
+    paths.note_contact(1.0)
+    assert paths.state is PathState.CONNECTED
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/gateway.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/gateway.py
@@ -27,6 +27,8 @@
 log = logging.getLogger("gateway")
 # Tunnels at the same time. Each takes two descriptors and up to two socket buffers.
 MAX_TUNNELS = 512
+# Seconds that a turn of the event loop takes on a host that is too busy to help others.
+MAX_TURN = 0.05
 # Seconds within which a request must have arrived.
 REQUEST_TIMEOUT = 1.0
 # Seconds for the connection to the target, less than hosts wait for it.
@@ -120,8 +122,12 @@
           The `TunnelStatus`, and the connected `_TargetEnd` or None.
         """
         target = self._knowledge.registry.targets.get(request.target)
+        turn_started_at = now()
+        await asyncio.sleep(0)
+        is_busy = now() - turn_started_at > MAX_TURN
         if (
-            not self.is_available()
+            is_busy
+            or not self.is_available()
             or len(self._tunnels) >= MAX_TUNNELS
             or target is None
             or target.address != request.address
@@ -138,7 +144,8 @@
         if not isinstance(end, ConnectFailure):
             self._connector.note_connected(target)
             return TunnelStatus.OPENED, end
-        self._connector.note_failed(target, PathVerdict.UNCONFIRMED)
+        # This starts a check, but is no reason to refuse this host's own callers.
+        self._connector.on_failed(PathVerdict.UNCONFIRMED)
         if self._knowledge.paths.contact_at < started_at:
             # This host may be partitioned as well, so it can't tell.
             return TunnelStatus.UNAVAILABLE, None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/path_prober.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/path_prober.py
@@ -43,6 +43,7 @@
         self._rng = rng
         # When the last checks of one and of several targets began.
         self._checked_at = {1: 0.0, CHECKED_TARGETS: 0.0}
+        self._checks = {}
         self._tasks = set()
 
     def note_failed(self, verdict):
@@ -59,12 +60,11 @@
         is_due = at - self._checked_at[count] >= CHECK_INTERVAL
         if self._paths.state is PathState.CONNECTED and is_due:
             self._checked_at[count] = at
-            self._start(self._check(count))
+            self._checks[count] = self._start(self._check(count))
 
     async def _check(self, count):
         if not await self._has_contact():
-            for target in self._pick(count):
-                self._start(self._connect(target))
+            await asyncio.gather(*map(self._connect, self._pick(count)))
 
     async def _has_contact(self):
         """Return whether any target sends something within `SETTLE_TIME`."""
@@ -74,19 +74,30 @@
 
     def blame_if_reached(self, target, note):
         """
-        Call a function that blames a target, unless only other hosts reach the target.
+        Call a function that blames a target, unless this host's path is the cause.
 
         Args:
-          target: The `Target`.
+          target: The `Target`, which was silent or reset a connection.
           note: The function.
         """
-        self._start(self._blame_if_reached(target, note))
+        self._start(self._blame(target, note, True))
 
-    async def _blame_if_reached(self, target, note):
+    def blame_if_unreached(self, target, note):
+        """As `blame_if_reached`, for a target to which no connection was opened."""
+        if self._paths.is_unconfirmed(target.incarnation):
+            self._start(self._blame(target, note, False))
+        else:
+            note()
+
+    async def _blame(self, target, note, must_connect):
         if self._paths.is_cause(target.incarnation, now()):
             return
-        if not await self._has_contact():
+        if must_connect and not await self._has_contact():
             await self._connect(target)
+        check = self._checks.get(CHECKED_TARGETS)
+        if self._paths.is_unconfirmed(target.incarnation) and check is not None:
+            # Other targets tell whether this one or the path has failed.
+            await asyncio.wait([check])
         if not self._paths.is_cause(target.incarnation, now()):
             note()
 
@@ -125,6 +136,7 @@
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
+        return task
 
     def _finish(self, task):
         self._tasks.discard(task)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -172,12 +172,16 @@
         )
         is_silence = outcome is SendOutcome.TIMED_OUT and not timing.has_head
         is_reset = outcome is SendOutcome.BROKEN and not timing.has_head
-        if timing.is_tunnelled and (is_silence or is_reset):
+        if outcome is SendOutcome.UNREACHABLE:
+            self._sender.prober.blame_if_unreached(target, note)
+        elif not (is_silence or is_reset):
+            note()
+        elif timing.is_tunnelled:
             # Either the target or the gateway may have failed.
             self._knowledge.note_path_failure(target)
-        elif is_reset or (is_silence and self._has_no_contact(timing)):
+        elif is_reset or self._has_no_contact(timing):
             self._sender.prober.blame_if_reached(target, note)
-        else:
+        elif not self._knowledge.paths.is_cause(target.incarnation, now()):
             note()
 
     def _note_overdue(self, choice, timing):
