--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connector.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connector.py
@@ -170,9 +170,10 @@
             tunnel = await _first_open(tasks)
         finally:
             _drop_others(tasks, tunnel)
-        statuses = {task.result() for task in tasks if tunnel is None}
-        opinions = statuses - {TunnelStatus.UNAVAILABLE}
-        return tunnel or next(iter(opinions), TunnelStatus.UNAVAILABLE)
+        if tunnel is not None:
+            return tunnel
+        statuses = {task.result() for task in tasks}
+        return next(filter(statuses.__contains__, FAILURES), TunnelStatus.UNAVAILABLE)
 
     async def _ask(self, gateway, target, on_closed):
         """Ask one gateway, and note whether it could help."""
