--- a/packages/plumsaddle-standins/plumsaddle_standins/host_link.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_link.py
@@ -143,10 +143,12 @@
 
 def reset(writer):
     """Reset a connection; closing it would look like an ordinary end."""
+    if writer.transport.is_closing():
+        writer.transport.abort()
+        return
+    option = struct.pack("ii", 1, 0)
     sock = writer.get_extra_info("socket")
-    if sock is not None:
-        option = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
     writer.transport.abort()
 
 
