--- a/packages/plumsaddle-core/plumsaddle_core/ops/gateways.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/gateways.py
@@ -10,7 +10,7 @@
 MAX_GATEWAYS_TO_ASK = 3
 # Seconds for which a gateway that failed is not asked.
 FAILED_TTL = 1.0
-# Seconds after which gateways that another data centre named are forgotten.
+# Seconds after which gateways that another data centre has not named again expire.
 REMOTE_TTL = 4.0
 # Partitioned hosts that one gateway of the same data centre may have to carry.
 MAX_HOSTS_PER_GATEWAY = 2.0
@@ -32,10 +32,11 @@
         self._remote = {}
         self._failed_at = {}
 
-    def note_remote(self, data_centre, addresses, now):
-        """Record the gateways that another data centre has named."""
-        if addresses:
-            self._remote[data_centre] = (tuple(addresses), now)
+    def note_remote(self, addresses, now):
+        """Record gateways that another data centre has named, a few of all its own."""
+        named = self._remote.items()
+        self._remote = {a: at for a, at in named if now - at < REMOTE_TTL}
+        self._remote.update(dict.fromkeys(addresses, now))
 
     def note_failed(self, address, now):
         """Record that a gateway did not respond or could not help."""
@@ -65,12 +66,7 @@
         return address in local or address in self._remote_addresses(now)
 
     def _remote_addresses(self, now):
-        return [
-            address
-            for addresses, noted_at in self._remote.values()
-            if now - noted_at < REMOTE_TTL
-            for address in addresses
-        ]
+        return [a for a, at in self._remote.items() if now - at < REMOTE_TTL]
 
     def _shuffle(self, addresses):
         """Return the addresses that have not failed, in random order."""
--- a/packages/plumsaddle-core/plumsaddle_core/ops/gateways_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/gateways_test.py
@@ -13,8 +13,8 @@
 
 def _gateways(local=LOCAL, others=2):
     gateways = Gateways(lambda now: (local, others), random.Random(1))
-    gateways.note_remote("y", REMOTE[:1], 0.0)
-    gateways.note_remote("z", REMOTE[1:], 0.0)
+    gateways.note_remote(REMOTE[:1], 0.0)
+    gateways.note_remote(REMOTE[1:], 0.0)
     return gateways
 
 
@@ -47,3 +47,13 @@
     gateways.note_failed(LOCAL[0], 2.0)
     gateways.note_worked(LOCAL[0])
     assert LOCAL[0] in gateways.choose(2.1)
+
+
+def test_a_remote_gateway_stays_known_between_two_namings():
+    """Guards against tunnels that are dropped each second, as others are named."""
+    gateways = Gateways(lambda now: ([], 0), random.Random(1))
+    gateways.note_remote(REMOTE[:1], 0.0)
+    gateways.note_remote(REMOTE[1:], 1.0)
+    assert all(gateways.is_known(address, 1.0) for address in REMOTE)
+    assert not gateways.is_known(REMOTE[0], REMOTE_TTL)
+    assert gateways.is_known(REMOTE[1], REMOTE_TTL)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
@@ -53,7 +53,7 @@
     called with the current time and the address of a host that has sent its first
     update, `answer_hello` with those of a host that has asked for addresses, and
     `send_state` with the time and addresses to send this host's state to.
-    `note_gateways` is called with another data centre, its gateways and the time.
+    `note_gateways` is called with gateways of another data centre and the time.
     """
 
     send: Callable
@@ -230,7 +230,7 @@
         has_draining = self._merge_draining(update.draining, update.host, False, at)
         gateways = [a for a in update.gateways if is_address(a)]
         if update.data_centre != self._settings.data_centre:
-            self._callbacks.note_gateways(update.data_centre, gateways, at)
+            self._callbacks.note_gateways(gateways, at)
         return (
             self._shared.apply_remote_update(to_remote_update(update), at)
             or bool(gateways)
--- a/packages/plumsaddle-standins/plumsaddle_standins/partition_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/partition_model.py
@@ -215,7 +215,7 @@
             if centre != host.centre:
                 seeming = [h for h in hosts if self._seems_gateway(host, h)]
                 sample = self.rng.sample(seeming, min(4, len(seeming)))
-                host.gateways.note_remote(centre, sample, self.at)
+                host.gateways.note_remote(sample, self.at)
         for gateway in host.gateways.choose(self.at)[:MAX_GATEWAYS_TO_ASK]:
             self.counts["asked"] += 1
             if not gateway.is_cut:
