--- a/packages/plumsaddle-core/plumsaddle_core/ops/paths.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/paths.py
@@ -50,9 +50,8 @@
 
 
 class PathVerdict(enum.Enum):
-    """What became of connecting to a target. Values appear in log lines."""
+    """What is known of a target to which no direct connection was opened."""
 
-    DIRECT = "direct"
     # Only another host reached the target.
     BYPASSED = "bypassed"
     # No other host reached it either.
@@ -119,7 +118,7 @@
         Args:
           incarnation: The target's incarnation.
           service: The target's service.
-          verdict: The `PathVerdict`, which is not `DIRECT`.
+          verdict: The `PathVerdict`.
           service_count: The number of services with targets.
           now: The current time.
         """
@@ -156,7 +155,7 @@
             # A single gateway that reaches a target ends an isolation.
             least = 1 if self.state is PathState.ISOLATED else MIN_BYPASSED
             if len(bypassed_at) >= least:
-                self._leave(PathState.PARTITIONED, now)
+                self._enter(PathState.PARTITIONED, now)
             return
         since = max(bypassed_at, default=-math.inf)
         unreached = [f for f in failures if f.failed_at > since]
@@ -165,9 +164,9 @@
         first_at = min((f.failed_at for f in unreached), default=now)
         is_lasting = now - first_at >= MIN_ISOLATION_SPAN
         if is_general and is_lasting and len(unreached) >= MIN_UNREACHED:
-            self._leave(PathState.ISOLATED, now)
+            self._enter(PathState.ISOLATED, now)
 
-    def _leave(self, state, now):
+    def _enter(self, state, now):
         """Enter a state in which targets are not reached directly."""
         if self.state is PathState.CONNECTED:
             is_relapse = now - self.recovered_at < RELAPSE_WINDOW
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/tunnel.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/tunnel.py
@@ -39,8 +39,8 @@
     # What became of the gateway's connection to the target.
     REFUSED = 1
     NO_RESPONSE = 2
-    # The gateway did not try: it is draining, full or partitioned itself, or does not
-    # know the target.
+    # The gateway cannot tell: it is draining, full, busy or partitioned itself, or does
+    # not know the target.
     UNAVAILABLE = 3
 
 
