Log the store's era and what a host ignores as earlier than its own offset

The logs of the incident could not tell records that were lost on their way from records that a host ignored, because its offset was beyond the restored log's end, and no line said that the store had come back from a copy. A host now logs each change of the store's era with the call that showed it, and once for each offset that a reader reports an earlier one or that it ignores earlier records.

No logic has been changed.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -113,6 +113,7 @@
         self._next_offset = None
         self._read_task = None
         self._behind_since = None
+        self._logged_offset = None
         self._has_reader_offset = False
         # When a reader last reported that this host is up to date.
         self._reported_at = -math.inf
@@ -184,6 +185,8 @@
         if self._next_offset is None:
             self._apply_first_offset(offset, at - age)
             return
+        if offset < self._next_offset:
+            self._log_ignored("reader reports an earlier offset", offset)
         if offset <= self._next_offset:
             self._reported_at = max(self._reported_at, at - age)
             self.confirmed_at = max(self.confirmed_at, at - age)
@@ -221,6 +224,8 @@
           at: The current time, in seconds.
         """
         if self._next_offset is None or next_offset <= self._next_offset:
+            if self._next_offset is not None and next_offset < self._next_offset:
+                self._log_ignored("ignoring earlier records", next_offset)
             return
         if start > self._next_offset:
             # An earlier datagram was lost or is late.
@@ -231,6 +236,13 @@
         self._apply(Page(records, next_offset))
         self.wake()
 
+    def _log_ignored(self, event, offset):
+        """Log, once for each offset, that another host's offset is below the own."""
+        if offset != self._logged_offset:
+            self._logged_offset = offset
+            fields = {"topic": self._topic, "at": self._next_offset, "peer": offset}
+            log.info(event, extra=fields)
+
     def _apply(self, page):
         """Apply a page of changes, without those that this host already has."""
         new_records = [
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -11,6 +11,7 @@
 
 import base64
 import enum
+import logging
 import socket
 import struct
 from typing import NamedTuple
@@ -23,6 +24,7 @@
 
 from . import wire
 
+log = logging.getLogger("store")
 # In seconds; long enough for one retransmission of a lost packet.
 CONNECT_TIMEOUT = 0.8
 # In seconds, without the time that a read waits for records. Calls take a few
@@ -118,6 +120,8 @@
         self._session = session
         self._url = url.rstrip("/")
         self._append_timeout = append_timeout
+        # The era of the latest response.
+        self._era = None
 
     async def append(self, topic, data):
         """
@@ -275,6 +279,7 @@
             async with self._session.request(
                 method, self._url + path, params=query, timeout=limits, data=body
             ) as resp:
+                self._note_era(wire.decode_era(resp.headers), path, query)
                 data = await resp.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Failure(StoreError.UNREACHABLE)
@@ -288,6 +293,21 @@
         is_undone = resp.status in (429, 503, 507)
         return Failure(StoreError.BUSY if is_undone else StoreError.UNAVAILABLE)
 
+    def _note_era(self, era, path, query):
+        """Log that the store has come back from a copy, and what was asked of it."""
+        if self._era is not None and era != self._era:
+            log.warning(
+                "store era changed",
+                extra={
+                    "era": era,
+                    "former": self._era,
+                    "call": path,
+                    "topic": query["topic"],
+                    "at": query.get("from"),
+                },
+            )
+        self._era = era
+
 
 def make_session():
     """Return a session whose connections use TCP keep-alive."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -47,6 +47,9 @@
 KEEP_ALIVE = "Keep-Alive"
 # A header of requests to targets: the name of the request's workspace.
 WORKSPACE = "Tenant"
+# A header of the store's responses: a number that grows each time the store comes back
+# from an older copy of itself.
+STORE_ERA = "Store-Era"
 
 # Topics and keys of the store.
 OPERATOR_TOPIC = "keyed.op"
@@ -145,6 +148,15 @@
     return None
 
 
+_match_era = re.compile(r"[0-9]{1,15}", re.ASCII).fullmatch
+
+
+def decode_era(headers):
+    """Return the era in the headers of a store's response; 0 if it names none."""
+    text = headers.get(STORE_ERA, "").strip()
+    return int(text) if _match_era(text) else 0
+
+
 _match_decimal = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
 _FLAGS = {b"1": True, b"0": False}
 _NO_NOTICES = TargetNotices()
