--- a/packages/plumsaddle-standins/plumsaddle_standins/store.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/store.py
@@ -3,12 +3,15 @@
 
 It keeps topics in memory and serves appends, reads that wait, listings of keyed topics
 and trims. `fault` switches what goes wrong: see `Fault`. A silent fault also holds on
-to calls that are waiting already, as a dead connection does.
+to calls that are waiting already, as a dead connection does. `restore` replaces all
+topics by an earlier copy and begins a new era; calls that are being served go on with
+the former topics and answer in the former era.
 
 As a process of its own it takes `PUT /control` with a JSON object of any of these:
 
     {"fault": a value of `Fault`, "delay": seconds before each answer,
-     "keep": records to keep of each topic, "hosts": rows of the list of hosts}
+     "keep": records to keep of each topic, "hosts": rows of the list of hosts,
+     "copy": true to take a copy, "restore": true to come back from the last copy}
 
 A row of hosts has `id`, `address`, `role` (`entry` or `target`) and `state`.
 """
@@ -63,6 +66,14 @@
         self.producers = {}
         self.grown = asyncio.Event()
 
+    def copy(self):
+        """Return a copy with the same records, for which nobody waits."""
+        copied = Topic()
+        copied.records, copied.end = list(self.records), self.end
+        copied.newest = dict(self.newest)
+        copied.producers = dict(self.producers)
+        return copied
+
     @property
     def first(self):
         """The first retained offset."""
@@ -90,10 +101,14 @@
 
     Args:
       calls_most: Calls that a second may have before 429, or None for any number.
+      era: The first era, or None for a store that names none.
     """
 
-    def __init__(self, calls_most=None):
+    def __init__(self, calls_most=None, era=1):
         self.topics = {}
+        self.era = era
+        self._copies = {}
+        self._written = {}
         self._fault = Fault.NONE
         self._changed = asyncio.Event()
         self.delay = 0.0
@@ -121,8 +136,26 @@
 
     def put(self, topic, key, value):
         """Write a key of a keyed topic, as the operator and the targets do."""
+        self._written[topic, key] = value
         return self.topic(topic).append(join_record(key, value), True)
 
+    def take_copy(self):
+        """Copy all topics, for `restore`."""
+        self._copies = {name: topic.copy() for name, topic in self.topics.items()}
+
+    def restore(self):
+        """Come back from the last copy: what was written since is gone."""
+        self.topics = {name: topic.copy() for name, topic in self._copies.items()}
+        if self.era is not None:
+            self.era += 1
+
+    def rewrite(self):
+        """Write again what the operator and the targets wrote and a copy lacks."""
+        for (topic, key), value in list(self._written.items()):
+            newest = self.topic(topic).newest.get(key)
+            if (newest.data if newest is not None else b"") != value:
+                self.put(topic, key, value)
+
     def compact(self, topic):
         """Delete all records of a topic; the newest of each key stay listed."""
         self.topic(topic).records.clear()
@@ -149,13 +182,14 @@
             loop = asyncio.get_running_loop()
             self.calls.append((loop.time(), request.path, dict(request.query)))
             if self._is_over(loop.time()):
-                return web.Response(status=429)
+                return self._in_era(web.Response(status=429), self.era)
             if self.delay:
                 await asyncio.sleep(self.delay)
             refusal = await self._fail(request)
             if refusal is not None:
-                return refusal
-            resp = await serve(request)
+                return self._in_era(refusal, self.era)
+            era = self.era
+            resp = self._in_era(await serve(request), era)
             if self.fault is Fault.SILENT:
                 await asyncio.sleep(FOREVER)
             if self.fault is Fault.OUT:
@@ -166,6 +200,12 @@
 
         return guarded
 
+    def _in_era(self, resp, era):
+        """Add the era to a response, and return it."""
+        if era is not None:
+            resp.headers["Store-Era"] = str(era)
+        return resp
+
     def _is_over(self, at):
         if self.calls_most is None:
             return False
@@ -199,6 +239,10 @@
             self.fault = Fault(change["fault"])
         self.delay = change.get("delay", self.delay)
         self.keep = change.get("keep", self.keep)
+        if change.get("copy"):
+            self.take_copy()
+        if change.get("restore"):
+            self.restore()
         for row in change.get("hosts", []):
             self._put_host(row)
         self.trim()
@@ -244,7 +288,7 @@
     async def _read(self, request):
         topic = self.topic(request.query["topic"])
         start = int(request.query["from"])
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             return web.json_response({"first": topic.first}, status=410)
         wait = int(request.query.get("wait_ms", "0")) / 1000
         end_at = asyncio.get_running_loop().time() + wait
