Compare offsets of the store only within one era

What callers saw: 200 by a version that had been replaced two seconds before (CONFIG).

Cause: the store came back from an older copy and gave out offsets again. Hosts that do not read the store themselves kept the offset of the former log. A reader's lower offset counted as proof that they were up to date, and the records that it forwarded as known.

Ruled out: lost datagrams (30 hosts missed the same two pages, and none read for itself after 0.15 s, as hosts with a gap do); lower version numbers (24 exceeds 21).

A position is now an era and an offset (core, topic_position). Every answer of the store carries its era; a page or report of another era is neither applied nor taken as proof, and a later era makes each feed of the host list its topic again. Readers announce it at once and name their era; a report of a later era by another host causes a listing, whose answer settles whether it is in force, so a wrong message causes one listing. Answers of a former era that arrive late are ignored. Hosts of the former release get no offsets from a reader that has seen a restoration, and so read the store for themselves.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -6,9 +6,12 @@
 burst. While the store is unavailable, one feed of a host retries and the others wait.
 
 Most hosts don't read after the listing. Two readers in each data centre forward the
-changes that they read, and report every second the offset that the store confirmed.
+changes that they read, and report every second the position that the store confirmed.
 A host reads from the store itself when it has no recent report from a reader, or when
 it is missing changes that a reader has.
+
+When the store has come back from an older copy, each host lists the topic again: what
+it knows may be lost there, and a later record may have an offset that it knows.
 """
 
 import asyncio
@@ -18,6 +21,8 @@
 
 from returns.result import Failure
 
+from plumsaddle_core.ops.topic_position import Relation, TopicPosition
+
 from ..platform.store import Page, StoreError
 from .clock import now
 from .store_access import READER_STATUS_TTL
@@ -55,6 +60,9 @@
 # longer than a slow answer, and well below the two seconds within which a change must
 # be known.
 MAX_READ_LAG = 0.5
+# Bound, in seconds, of the random time before a host lists a topic because another host
+# has reported a restored store, so that hundreds of hosts don't list it at once.
+MAX_LISTING_DELAY = 0.4
 # Seconds that a host waits for missing changes before it reads them itself, since
 # datagrams of two readers may arrive out of order.
 REORDER_GRACE = 0.15
@@ -110,30 +118,38 @@
         self._timing = timing or ReadTiming(
             MIN_READ_WAIT, MAX_READ_WAIT, READER_STATUS_TTL
         )
-        self._next_offset = None
+        self._position = TopicPosition()
+        # Whether another host has reported a restored store, and when the topic may be
+        # listed then.
+        self._is_listing_scheduled = False
+        self._list_at = -math.inf
+        # Whether the current or latest call is a listing.
+        self._is_listing = False
         self._read_task = None
         self._behind_since = None
-        self._logged_offset = None
+        self._logged_position = None
         self._has_reader_offset = False
         # When a reader last reported that this host is up to date.
         self._reported_at = -math.inf
         self._wakeup = asyncio.Event()
         # Whether the current read was started as a reader, and whether it was cancelled
-        # because the host is no longer one.
+        # because the host is no longer one or must list the topic instead.
         self._is_reader_read = False
         self._is_read_abandoned = False
         self.answered_at = None
-        # When the store last confirmed to this host or to a reader that `next_offset`
-        # is the end of the topic. A new reader reports what it received from others
-        # until its own first read is answered.
+        # When the store last confirmed to this host or to a reader that `position` is
+        # the end of the topic. A new reader reports what it received from others until
+        # its own first read is answered.
         self.confirmed_at = -math.inf
+        store_access.subscribe(self._note_era)
 
     def subscribe(self, on_read):
         """
         Register a callback for each page that this host reads from the store.
 
         Args:
-          on_read: Called with the topic and a `Page`, which may be empty.
+          on_read: Called with the topic and a `Page`, which may be empty. It is empty
+            after a listing of a restored store.
         """
         self._on_read = on_read
 
@@ -142,18 +158,27 @@
         """Return the topic's name."""
         return self._topic
 
+    @property
+    def position(self):
+        """Return the `Position` of the next read, or None while a listing is due."""
+        return None if self._position.must_list else self._position.current
+
     @property
     def next_offset(self):
         """Return the offset of the next read, or 0 before the first page."""
-        return self._next_offset or 0
+        current = self._position.current
+        return current.offset if current is not None else 0
 
     def age(self, at):
         """
         Return the seconds since the store confirmed that this host is up to date.
 
-        The age is infinite while the host is known to be missing changes.
+        The age is infinite while the host is known to be missing changes, or while it
+        must list the topic.
         """
-        return math.inf if self._behind_since is not None else at - self.confirmed_at
+        if self._behind_since is not None or self._position.must_list:
+            return math.inf
+        return at - self.confirmed_at
 
     def wake(self):
         """Check again whether to read, after a change of what readers do or report."""
@@ -170,9 +195,9 @@
 
     # Updates from other hosts.
 
-    def note_reader_offset(self, offset, age, at):
+    def note_reader_offset(self, offset, age, at, era=None):
         """
-        Apply the end offset of the topic that the store confirmed to a reader.
+        Apply the end of the topic that the store confirmed to a reader.
 
         A dead connection to the store looks like a topic without changes. The offsets
         of readers reveal it sooner than keep-alive probes.
@@ -181,81 +206,126 @@
           offset: The reader's `next_offset`.
           age: Seconds since the store confirmed it.
           at: The current time, in seconds.
+          era: The era of the offset, or None if the reader doesn't know eras.
         """
-        if self._next_offset is None:
-            self._apply_first_offset(offset, at - age)
+        if self._position.current is None:
+            self._apply_first_offset(offset, at - age, era)
             return
-        if offset < self._next_offset:
-            self._log_ignored("reader reports an earlier offset", offset)
-        if offset <= self._next_offset:
+        relation = self._position.compare(era, offset)
+        if relation is Relation.UP_TO_DATE:
             self._reported_at = max(self._reported_at, at - age)
             self.confirmed_at = max(self.confirmed_at, at - age)
             self.wake()
-            return
+        elif relation is Relation.BEHIND:
+            self._note_behind_reader(offset, at)
+        else:
+            self._note_other_era(relation, era, offset, at)
+
+    def _note_behind_reader(self, offset, at):
+        """Read missing changes, also if a read is waiting for them."""
         if self._behind_since is None:
             self._behind_since = at
             self.wake()
         elif self._read_task is not None and at - self._behind_since > MAX_READ_LAG:
-            log.warning(
-                "feed is behind a reader",
-                extra={"topic": self._topic, "at": self._next_offset, "peer": offset},
-            )
+            fields = {"topic": self._topic, "at": self.next_offset, "peer": offset}
+            log.warning("feed is behind a reader", extra=fields)
             self._behind_since = None
             self._read_task.cancel()
 
-    def _apply_first_offset(self, offset, reported_at):
+    def _apply_first_offset(self, offset, reported_at, era):
         """Apply the end offset of a topic that this host has not listed yet."""
         if not self._timing.start_wait:
             return
         if offset == 0:
-            self._next_offset = 0
+            self._position.start_empty(era)
             self._reported_at = self.confirmed_at = reported_at
         self._has_reader_offset = True
         self.wake()
 
-    def apply_page(self, start, records, next_offset, at):
+    def apply_page(self, start, records, next_offset, at, era=None):
         """
         Apply changes that a reader has read.
 
+        Those of a restored store are applied at once, since a host that can't reach it
+        would not get them otherwise; the listing holds them as well.
+
         Args:
           start: The offset at which its read started.
           records: A list of `KeyedRecord`.
           next_offset: The offset of its next read.
           at: The current time, in seconds.
+          era: The era of the read, or None if the reader doesn't know eras.
         """
-        if self._next_offset is None or next_offset <= self._next_offset:
-            if self._next_offset is not None and next_offset < self._next_offset:
-                self._log_ignored("ignoring earlier records", next_offset)
+        relation = self._position.compare(era, next_offset)
+        if relation is Relation.BEHIND:
+            if start <= self.next_offset:
+                self._reported_at = self.confirmed_at = at
+                self._apply(Page(records, next_offset, self._position.current.era))
+            else:
+                # An earlier datagram was lost or is late.
+                self._behind_since = self._behind_since or at
+            self.wake()
+        elif relation is Relation.RESTORED:
+            self._on_changes(Page(records, next_offset, era))
+            self._note_other_era(relation, era, next_offset, at)
+        elif relation is not Relation.UP_TO_DATE:
+            self._note_other_era(relation, era, next_offset, at)
+
+    def _note_other_era(self, relation, era, offset, at):
+        """Handle a position of another era, or one that may be of another era."""
+        if relation is Relation.UNLISTED:
             return
-        if start > self._next_offset:
-            # An earlier datagram was lost or is late.
+        if (era, offset) != self._logged_position:
+            self._logged_position = (era, offset)
+            fields = {
+                "topic": self._topic,
+                "relation": relation.value,
+                "era": self._position.current.era,
+                "at": self.next_offset,
+                "peer_era": era,
+                "peer": offset,
+            }
+            log.info("reader is in another era", extra=fields)
+        if relation is Relation.RESTORED:
+            self._schedule_listing(at)
+        elif relation is Relation.UNCLEAR:
+            # A read shows whether the store has been restored.
             self._behind_since = self._behind_since or at
             self.wake()
-            return
-        self._reported_at = self.confirmed_at = at
-        self._apply(Page(records, next_offset))
-        self.wake()
 
-    def _log_ignored(self, event, offset):
-        """Log, once for each offset, that another host's offset is below the own."""
-        if offset != self._logged_offset:
-            self._logged_offset = offset
-            fields = {"topic": self._topic, "at": self._next_offset, "peer": offset}
-            log.info(event, extra=fields)
+    def _schedule_listing(self, at):
+        """List the topic soon, instead of a read that is waiting."""
+        if not self._is_listing_scheduled:
+            self._is_listing_scheduled = True
+            self._list_at = at + self._rng.uniform(0.0, MAX_LISTING_DELAY)
+        self._abandon_read()
+        self._wakeup.set()
+
+    def _note_era(self, era):
+        """List the topic if another feed of this host was answered in a later era."""
+        if self._position.note_era(era):
+            self._list_at = -math.inf
+            self._abandon_read()
+            self._wakeup.set()
+
+    def _abandon_read(self):
+        if self._read_task is not None and not self._is_listing:
+            self._is_read_abandoned = True
+            self._read_task.cancel()
 
     def _apply(self, page):
         """Apply a page of changes, without those that this host already has."""
         new_records = [
-            record for record in page.records if record.offset >= self._next_offset
+            record for record in page.records if record.offset >= self.next_offset
         ]
-        self._next_offset = max(self._next_offset, page.next_offset)
+        self._position.advance(page.next_offset)
         self._behind_since = None
         if new_records:
-            self._on_changes(Page(new_records, self._next_offset))
+            self._on_changes(Page(new_records, self.next_offset, page.era))
 
     def _follows_readers(self, at):
         """Return whether readers follow the store for this host."""
-        if self._next_offset is None or self.store_access.is_reader:
+        if self._position.must_list or self.store_access.is_reader:
             return False
         if self._behind_since is not None and at - self._behind_since >= REORDER_GRACE:
             return False
@@ -270,31 +340,63 @@
             if self._follows_readers(now()):
                 await self._wait_for_readers()
                 continue
+            if self._position.must_list and now() < self._list_at:
+                await self._wait_until(self._list_at)
+                continue
             result = await self._poll()
             if isinstance(result, Failure):
                 result = await self._retry(result.failure())
-            if result is None:
-                continue
-            page = result.unwrap()
-            is_first_answer = self.answered_at is None
-            self.answered_at = self.confirmed_at = now()
-            self.store_access.note_answer(self.answered_at)
-            if self._next_offset is None:
-                self._next_offset = page.next_offset
-                self._behind_since = None
-                self._on_listing(page)
-                if is_first_answer:
-                    self._reported_at = (
-                        self.answered_at
-                        + FIRST_LISTING_TTL
-                        - self._timing.reader_status_ttl
-                    )
-                continue
-            self._apply(page)
-            if self._on_read is not None:
-                self._on_read(self._topic, page)
-            if page.records:
-                await asyncio.sleep(PAUSE_AFTER_PAGE)
+            if result is not None:
+                await self._handle_answer(result.unwrap())
+
+    async def _handle_answer(self, page):
+        """Apply a page that the store has answered with."""
+        self.answered_at = now()
+        self.store_access.note_answer(self.answered_at, page.era)
+        if self._is_listing:
+            is_accepted = self._apply_listing(page)
+        else:
+            is_accepted = self._position.accept_read(page.era)
+            if is_accepted:
+                self.confirmed_at = self.answered_at
+                self._apply(page)
+                self._notify_read(page)
+        if is_accepted and page.records and not self._is_listing:
+            await asyncio.sleep(PAUSE_AFTER_PAGE)
+        elif not (is_accepted or self._position.must_list):
+            # It was answered before a restoration that this host knows of already.
+            fields = {"topic": self._topic, "era": page.era, "at": self.next_offset}
+            log.warning("ignoring answer of a former era", extra=fields)
+            await asyncio.sleep(MIN_RETRY_DELAY)
+
+    def _apply_listing(self, page):
+        """Apply a listing, and return whether it is of the era in force."""
+        former = self._position.current
+        if not self._position.accept_listing(page.era, page.next_offset):
+            return False
+        self._is_listing_scheduled = False
+        self._behind_since = None
+        self.confirmed_at = self.answered_at
+        self._on_listing(page)
+        self._reported_at = max(
+            self._reported_at,
+            self.answered_at + FIRST_LISTING_TTL - self._timing.reader_status_ttl,
+        )
+        if former is not None and page.era > former.era:
+            fields = {
+                "topic": self._topic,
+                "era": page.era,
+                "at": page.next_offset,
+                "former_era": former.era,
+                "former": former.offset,
+            }
+            log.warning("store restored", extra=fields)
+            self._notify_read(page._replace(records=[]))
+        return True
+
+    def _notify_read(self, page):
+        if self._on_read is not None:
+            self._on_read(self._topic, page)
 
     async def _wait_for_first_offset(self):
         """Wait for a reader to report the topic as empty."""
@@ -327,7 +429,7 @@
 
         Returns:
           The result of the call, a `Failure` if `note_reader_offset` cancelled it, or
-          None if readers have taken over.
+          None if readers have taken over or the topic must be listed instead.
         """
         self._is_reader_read = self.store_access.is_reader
         self._is_read_abandoned = False
@@ -358,9 +460,11 @@
         return max(0.0, wait - elapsed)
 
     async def _fetch(self, wait):
-        if self._next_offset is None:
+        self._is_listing = self._position.must_list
+        if self._is_listing:
+            self._position.begin_listing()
             return await self._store.list_newest(self._topic)
-        return await self._store.read(self._topic, self._next_offset, wait)
+        return await self._store.read(self._topic, self.next_offset, wait)
 
     async def _retry(self, error):
         """
@@ -382,7 +486,7 @@
                         "listing topic again",
                         extra={"topic": self._topic, "cause": error.value},
                     )
-                    self._next_offset = None
+                    self._position.require_listing()
                 else:
                     self.store_access.note_failure(now())
                     jitter = self._rng.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -27,14 +27,15 @@
 class ScriptedStore:
     """A store whose reads return what the test puts into `answers`."""
 
-    def __init__(self):
+    def __init__(self, era=0):
         self.answers = asyncio.Queue()
         self.listings = 0
         self.reads = []
+        self.era = era
 
     async def list_newest(self, topic):
         self.listings += 1
-        return Success(Page([], 10 * self.listings))
+        return Success(Page([], 10 * self.listings, self.era))
 
     async def read(self, topic, offset, wait):
         self.reads.append((offset, wait))
@@ -55,14 +56,14 @@
 
 
 @contextlib.asynccontextmanager
-async def _following_feed():
+async def _following_feed(era=0):
     """Run a feed of a topic that readers report to end at offset 10."""
-    store = ScriptedStore()
+    store = ScriptedStore(era)
     topic_feed, pages = _make_feed(store, is_reader=False)
     task = asyncio.ensure_future(topic_feed.run())
     await _run_ready_tasks()
-    store.answers.put_nowait(Success(Page([], 10)))
-    topic_feed.note_reader_offset(10, 0.0, clock())
+    store.answers.put_nowait(Success(Page([], 10, era)))
+    topic_feed.note_reader_offset(10, 0.0, clock(), era)
     await _run_ready_tasks()
     yield store, topic_feed, pages
     task.cancel()
@@ -135,6 +136,7 @@
 
 
 RECORD = KeyedRecord(10, "t-1", b"entry")
+RNG = random.Random(2)
 
 
 def test_a_host_that_follows_readers_makes_no_calls(monkeypatch):
@@ -404,3 +406,115 @@
         task.cancel()
 
     asyncio.run(run())
+
+
+def _report_lower_offset(topic_feed):
+    topic_feed.note_reader_offset(7, 0.0, clock(), 2)
+
+
+def _report_same_offset(topic_feed):
+    topic_feed.note_reader_offset(10, 0.0, clock(), 2)
+
+
+def _forward_records(topic_feed):
+    topic_feed.apply_page(6, [RECORD._replace(offset=6)], 7, clock(), 2)
+
+
+@pytest.mark.parametrize(
+    "report", [_report_lower_offset, _report_same_offset, _forward_records]
+)
+def test_a_host_lists_again_when_a_reader_is_in_a_later_era(monkeypatch, report):
+    """Guards against skipping records whose offsets a restored store reuses."""
+    monkeypatch.setattr(feed, "MAX_LISTING_DELAY", 0.02)
+    monkeypatch.setattr(feed, "FIRST_LISTING_TTL", 2.0)
+
+    async def run():
+        async with _following_feed(era=1) as (store, topic_feed, _):
+            store.era = 2
+            report(topic_feed)
+            assert topic_feed.age(clock()) > 1000.0
+            await asyncio.sleep(0.1)
+            assert store.listings == 2
+            assert topic_feed.position == (2, 20)
+            # A datagram that has been on its way since before the restoration.
+            topic_feed.note_reader_offset(25, 0.0, clock(), 1)
+            topic_feed.apply_page(20, [RECORD._replace(offset=20)], 21, clock(), 1)
+            assert topic_feed.position == (2, 20)
+            assert not store.reads
+
+    asyncio.run(run())
+
+
+def test_a_read_in_a_later_era_causes_a_listing_of_all_topics():
+    """Guards against a log that has grown past the host's offset when it reads."""
+
+    async def run():
+        store = ScriptedStore(era=1)
+        topic_feed, pages = _make_feed(store)
+        access, listed = topic_feed.store_access, []
+        other = Feed(
+            ScriptedStore(era=1), "u", access, listed.append, listed.append, RNG
+        )
+        tasks = [asyncio.ensure_future(f.run()) for f in (topic_feed, other)]
+        await _run_ready_tasks()
+        store.era = other._store.era = 2
+        store.answers.put_nowait(Success(Page([RECORD], 11, 2)))
+        await asyncio.sleep(0.05)
+        assert pages == [Page([], 10, 1), Page([], 20, 2)]
+        assert listed == [Page([], 10, 1), Page([], 20, 2)]
+        for task in tasks:
+            task.cancel()
+
+    asyncio.run(run())
+
+
+def test_a_reader_without_eras_makes_a_host_ask_the_store(monkeypatch):
+    """Guards against following a reader of a former release after a restoration."""
+    monkeypatch.setattr(feed, "REORDER_GRACE", 0.01)
+
+    async def run():
+        async with _following_feed(era=1) as (store, topic_feed, _):
+            topic_feed.note_reader_offset(7, 0.0, clock())
+            await asyncio.sleep(0.05)
+            assert store.reads[1:] == [(10, 0.0)]
+            store.era = 2
+            store.answers.put_nowait(Failure(StoreError.TRIMMED))
+            await asyncio.sleep(0.05)
+            assert topic_feed.position == (2, 20)
+
+    asyncio.run(run())
+
+
+def test_a_reader_announces_a_restored_store(monkeypatch):
+    """Guards against hosts that learn of it with the next regular heartbeat only."""
+
+    async def run():
+        store, forwarded = ScriptedStore(era=1), []
+        topic_feed, _ = _make_feed(store)
+        topic_feed.subscribe(lambda topic, page: forwarded.append(page))
+        task = asyncio.ensure_future(topic_feed.run())
+        await _run_ready_tasks()
+        store.era = 2
+        store.answers.put_nowait(Failure(StoreError.TRIMMED))
+        await _run_ready_tasks()
+        assert forwarded == [Page([], 20, 2)]
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_an_answer_of_a_former_era_is_not_applied(monkeypatch):
+    """Guards against records of before a restoration that arrive after its listing."""
+
+    async def run():
+        store = ScriptedStore(era=2)
+        topic_feed, pages = _make_feed(store)
+        task = asyncio.ensure_future(topic_feed.run())
+        await _run_ready_tasks()
+        store.answers.put_nowait(Success(Page([RECORD], 11, 1)))
+        await asyncio.sleep(0.05)
+        assert pages == [Page([], 10, 2)]
+        assert topic_feed.position == (2, 10)
+        task.cancel()
+
+    asyncio.run(run())
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -59,6 +59,10 @@
     seconds since the store became available again. A hub also lists `members` of its
     data centre and a few `remote_hosts` per other data centre. `is_gateway` tells
     whether it opens connections to targets for other hosts.
+
+    `store_era` is the era of the offsets, None if the host doesn't know eras. Once the
+    store has come back from an older copy, they are in `restored_offsets`: hosts that
+    don't know eras would misread them, and read the store themselves without them.
     """
 
     link_rate: BytesPerSecond
@@ -68,6 +72,8 @@
     members: list[str] = []
     remote_hosts: dict[str, list[str]] = {}
     is_gateway: bool = False
+    store_era: Count | None = None
+    restored_offsets: dict[str, tuple[Count, Seconds]] = {}
 
 
 class HostUpdate(msgspec.Struct, array_like=True, tag="w"):
@@ -128,7 +134,8 @@
     Changes of a topic of the store, forwarded by a reader.
 
     `compressed` holds all records from `start_offset` up to `next_offset`, exclusive.
-    `recovery_age` is the seconds since the store became available again.
+    `recovery_age` is the seconds since the store became available again. `era` is that
+    of the offsets, None if the reader doesn't know eras.
     """
 
     topic: str
@@ -136,6 +143,7 @@
     next_offset: Count
     recovery_age: Seconds
     compressed: bytes
+    era: Count | None = None
 
 
 class DataCentreUpdate(msgspec.Struct, array_like=True, tag="f"):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -212,14 +212,18 @@
             live = self._peer_table.live_addresses(at)
             members = self._rng.sample(live, min(HOSTS_PER_HEARTBEAT, len(live)))
             remote_hosts = self._remote.remote_hosts.sample(at)
+        offsets = self._reader_role.read_offsets(at)
+        is_restored = self._reader_role.has_been_restored
         return Heartbeat(
             self._settings.link_rate or 0.0,
             self._reader_role.store_status(at),
-            self._reader_role.read_offsets(at),
+            {} if is_restored else offsets,
             self._reader_role.recovery_age(at),
             members,
             remote_hosts,
             self.is_gateway(),
+            self._reader_role.store_era,
+            offsets if is_restored else {},
         )
 
     def _send_hello(self, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/readers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/readers.py
@@ -68,7 +68,8 @@
 
         Returns:
           The next offset by topic, and the seconds since the store confirmed it. Empty
-          unless this host is a reader with access to the store.
+          unless this host is a reader with access to the store. Offsets of a former era
+          are left out.
         """
         if self._store_access.status(at) is not StoreStatus.READING:
             return {}
@@ -76,8 +77,20 @@
             topic: (feed.next_offset, max(0.0, at - feed.confirmed_at))
             for topic, feed in self._feeds.items()
             if feed.confirmed_at > -math.inf
+            and feed.position is not None
+            and feed.position.era == self._store_access.era
         }
 
+    @property
+    def store_era(self):
+        """The era of `read_offsets`, or None if this host hasn't reached the store."""
+        return self._store_access.era
+
+    @property
+    def has_been_restored(self):
+        """Whether this host has seen the store come back from an older copy."""
+        return self._store_access.has_been_restored
+
     def recovery_age(self, at):
         """Return the seconds since this host regained access to the store."""
         return min(MAX_RECOVERY_AGE, max(0.0, at - self._store_access.recovered_at))
@@ -99,7 +112,9 @@
             )
             return
         recovery_age = self.recovery_age(now())
-        records = Records(topic, start, page.next_offset, recovery_age, compressed)
+        records = Records(
+            topic, start, page.next_offset, recovery_age, compressed, page.era
+        )
         self._send(encode(records), *self._peer_table.addresses())
 
     # At the other hosts.
@@ -111,12 +126,17 @@
             return
         records = decode_records(message.compressed)
         self._store_access.note_recovery(at - message.recovery_age)
-        feed.apply_page(message.start_offset, records, message.next_offset, at)
+        feed.apply_page(
+            message.start_offset, records, message.next_offset, at, message.era
+        )
 
     def apply_heartbeat(self, heartbeat, at):
         """Apply the store state in a host's heartbeat."""
         if heartbeat.store_status is StoreStatus.READING:
             self._store_access.note_recovery(at - heartbeat.recovery_age)
-        for topic, (offset, age) in heartbeat.read_offsets.items():
+        offsets = heartbeat.restored_offsets or heartbeat.read_offsets
+        for topic, (offset, age) in offsets.items():
             if topic in self._feeds:
-                self._feeds[topic].note_reader_offset(offset, age, at)
+                self._feeds[topic].note_reader_offset(
+                    offset, age, at, heartbeat.store_era
+                )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/store_access.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/store_access.py
@@ -29,13 +29,27 @@
       on_unavailable: Called with the current time when the store becomes unavailable.
       on_available: Called with the current time when it answers again.
       on_recovery: Called with the time at which it recovered for another host.
+      on_restored: Called with the current time when it has answered in a later era,
+        which means that it has come back from an older copy.
     """
 
-    def __init__(self, on_unavailable, on_available, on_recovery):
+    def __init__(
+        self,
+        on_unavailable,
+        on_available,
+        on_recovery,
+        on_restored=lambda at: None,
+    ):
         self._lock = asyncio.Lock()
         self._on_unavailable = on_unavailable
         self._on_available = on_available
         self._on_recovery = on_recovery
+        self._on_restored = on_restored
+        self._on_era = []
+        # The latest era in which the store has answered this host, or None.
+        self.era = None
+        # Whether that era has changed since the start.
+        self.has_been_restored = False
         self._failing_feeds = 0
         self._failed_at = -math.inf
         self._answered_at = -math.inf
@@ -61,10 +75,26 @@
         self.is_reader = is_reader
         return has_changed
 
-    def note_answer(self, at):
-        """Record a successful call to the store."""
+    def subscribe(self, on_era):
+        """Register a function to call with each later era of the store."""
+        self._on_era.append(on_era)
+
+    def note_answer(self, at, era=0):
+        """Record a successful read of the store, and the era of the answer."""
         self._answered_at = at
         self._failed_at = -math.inf
+        self.note_era(at, era)
+
+    def note_era(self, at, era):
+        """Record the era of an answer."""
+        if self.era is None:
+            self.era = era
+        elif era > self.era:
+            self.era = era
+            self.has_been_restored = True
+            self._on_restored(at)
+            for on_era in self._on_era:
+                on_era(era)
 
     def note_failure(self, at):
         """Record a failed call to the store."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -69,11 +69,15 @@
 
 
 class LogPage(NamedTuple):
-    """Records of a plain topic, and the first and next offsets of the whole topic."""
+    """
+    Records of a plain topic, the first and next offsets of the whole topic, and the era
+    of the store (see `Page`).
+    """
 
     first: int
     next: int
     records: list[LogRecord]
+    era: int = 0
 
 
 class Trimmed(NamedTuple):
@@ -100,10 +104,30 @@
 
 
 class Page(NamedTuple):
-    """Records of a keyed topic, and the offset of the next read."""
+    """
+    Records of a keyed topic, and the offset of the next read.
+
+    `era` grows each time the store comes back from an older copy; it then gives out
+    offsets again. It is 0 if the store names none.
+    """
 
     records: list[KeyedRecord]
     next_offset: int
+    era: int = 0
+
+
+class Appended(NamedTuple):
+    """An append that the store has accepted: the first offset, and the era."""
+
+    offset: int
+    era: int = 0
+
+
+class Response(NamedTuple):
+    """The body of a successful call, and the era of the store."""
+
+    data: bytes
+    era: int
 
 
 class Store:
@@ -131,16 +155,10 @@
           topic: The topic's name.
           data: The record's bytes.
         Returns:
-          A `Success` of the offset, or a `Failure` of a `StoreError`. Unless the
+          A `Success` of an `Appended`, or a `Failure` of a `StoreError`. Unless the
           error `is_undone`, the record may be in the log or still be added.
         """
-        result = await self._append(topic, [data])
-        if isinstance(result, Failure):
-            return result
-        try:
-            return Success(int(msgspec.json.decode(result.unwrap())["offset"]))
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
-            return Failure(StoreError.UNREADABLE)
+        return await self._append(topic, [data])
 
     async def put(self, topic, values):
         """
@@ -150,7 +168,7 @@
           topic: The topic's name.
           values: The bytes by key; empty bytes delete the key.
         Returns:
-          A `Success`, or a `Failure` of a `StoreError` as for `append`.
+          As `append`.
         """
         records = []
         for key, value in values.items():
@@ -159,12 +177,18 @@
         return await self._append(topic, records)
 
     async def _append(self, topic, records):
-        """Return a `Success` of the response body, or a `Failure`."""
         query = {"topic": topic, "part": "0"}
         body = b"".join(RECORD_PREFIX.pack(len(data)) + data for data in records)
-        return await self._call(
+        result = await self._call(
             "POST", "/log-append", query, self._append_timeout, body
         )
+        if isinstance(result, Failure):
+            return result
+        data, era = result.unwrap()
+        try:
+            return Success(Appended(int(msgspec.json.decode(data)["offset"]), era))
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+            return Failure(StoreError.UNREADABLE)
 
     async def read_log(self, topic, offset, wait):
         """
@@ -183,14 +207,13 @@
             result = await self._read_raw(topic, offset, 0)
         if isinstance(result, Failure):
             return _as_store_error(result)
+        data, era = result.unwrap()
         try:
-            end, first = PAGE_PREFIX.unpack_from(result.unwrap())
-            records = [
-                LogRecord(*row) for row in _split_records(result.unwrap(), offset)
-            ]
+            end, first = PAGE_PREFIX.unpack_from(data)
+            records = [LogRecord(*row) for row in _split_records(data, offset)]
         except struct.error:
             return Failure(StoreError.UNREADABLE)
-        return Success(LogPage(first, end, records))
+        return Success(LogPage(first, end, records, era))
 
     async def list_hosts(self):
         """Return a `Success` of a list of `Listed`, or a `Failure`."""
@@ -216,26 +239,28 @@
         Returns:
           A `Success` of a `Page`, or a `Failure` of a `StoreError`. The pages of a long
           listing are no consistent snapshot, so the next read starts at the end of
-          the log as of the first page.
+          the log as of the first page. All pages are of one era.
         """
-        records = []
-        next_offset = None
+        pages = []
         query = {"topic": topic, "part": "0"}
         while True:
             result = await self._call("GET", "/log-newest", query, CALL_TIMEOUT)
             if isinstance(result, Failure):
                 return result
+            data, era = result.unwrap()
             try:
-                page = msgspec.json.decode(result.unwrap())
-                records += [_decode_item(item) for item in page["items"]]
-                has_more = page["has_more"]
-                if next_offset is None:
-                    next_offset = int(page["end"])
+                page, has_more = _decode_listing(data, era)
             except (msgspec.DecodeError, KeyError, TypeError, ValueError):
                 return Failure(StoreError.UNREADABLE)
-            if not has_more or not records:
-                return Success(Page(records, next_offset))
-            query["after"] = records[-1].key
+            if pages and pages[0].era != era:
+                pages = []
+                del query["after"]
+                continue
+            pages.append(page)
+            if not has_more or not page.records:
+                records = [record for page in pages for record in page.records]
+                return Success(pages[0]._replace(records=records))
+            query["after"] = page.records[-1].key
 
     async def read(self, topic, offset, wait):
         """
@@ -251,13 +276,14 @@
         result = await self._read_raw(topic, offset, wait)
         if isinstance(result, Failure):
             return _as_store_error(result)
+        data, era = result.unwrap()
         try:
-            return Success(_decode_page(result.unwrap(), offset))
+            return Success(_decode_page(data, offset, era))
         except (struct.error, ValueError, IndexError):
             return Failure(StoreError.UNREADABLE)
 
     async def _read_raw(self, topic, offset, wait):
-        """Return a `Success` of a read's response body, or a `Failure`."""
+        """Return a `Success` of a `Response`, or a `Failure`."""
         query = {
             "topic": topic,
             "part": "0",
@@ -271,22 +297,23 @@
         Send a request to the store.
 
         Returns:
-          A `Success` of the response body, or a `Failure` of a `StoreError` or, for
-          records that were deleted, of a `Trimmed`.
+          A `Success` of a `Response`, or a `Failure` of a `StoreError` or, for records
+          that were deleted, of a `Trimmed`.
         """
         limits = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_TIMEOUT)
         try:
             async with self._session.request(
                 method, self._url + path, params=query, timeout=limits, data=body
             ) as resp:
-                self._note_era(wire.decode_era(resp.headers), path, query)
+                era = wire.decode_era(resp.headers)
+                self._note_era(era, path, query)
                 data = await resp.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Failure(StoreError.UNREACHABLE)
         except (TimeoutError, aiohttp.ClientError, OSError):
             return Failure(StoreError.UNAVAILABLE)
         if resp.status == 200:
-            return Success(data)
+            return Success(Response(data, era))
         if resp.status == 410:
             return Failure(_decode_trimmed(data))
         # Only these statuses guarantee that the call had no effect.
@@ -328,6 +355,13 @@
     return sock
 
 
+def _decode_listing(data, era):
+    """Decode one page of a listing, and whether more follow."""
+    page = msgspec.json.decode(data)
+    records = [_decode_item(item) for item in page["items"]]
+    return Page(records, int(page["end"]), era), page["has_more"]
+
+
 def _decode_item(item):
     """Decode one item of a listing."""
     value = base64.b64decode(item["value"])
@@ -360,10 +394,10 @@
         offset += 1
 
 
-def _decode_page(data, offset):
+def _decode_page(data, offset, era=0):
     """Decode the keyed records of a read that started at `offset`."""
     records = [_decode_record(*row) for row in _split_records(data, offset)]
-    return Page(records, offset + len(records))
+    return Page(records, offset + len(records), era)
 
 
 def _decode_record(offset, data):
