Do not go back to entries of targets that a restored store has kept

What callers would see: requests to a target that drains, or that has left, after the store has come back from a copy (DRAIN).

Comparing by era as well would let the copy undo what hosts knew: a target that was draining or had left would be ready again.

The registry compares positions with eras. An incarnation that was draining stays so; one that had left is used when its entry is written again, or if the store still lists it after the time in which it removes silent targets. Targets that the copy lacks stay usable for the grace period of lapsed entries, since they are written again.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -7,11 +7,19 @@
 removed around a recovery, they stay usable for a grace period and are removed if they
 are not listed again by its end. If only a few are missing, this host alone was
 disconnected and those targets have left: they are removed at once.
+
+The store may also come back from an older copy. Entries that are missing there are
+written again, so those targets stay usable for the grace period. Entries that are there
+again although their targets had left or were draining say nothing new: a target that
+had left is used only if its entry is written again, or outlasts the time in which the
+store removes silent targets, and one that was draining is not used.
 """
 
 import math
+from typing import NamedTuple
 
-from ..core.traffic import TargetState
+from ..core.traffic import Target, TargetState
+from .topic_position import Position
 
 # Seconds for which lapsed entries stay usable after the store's recovery. The entries
 # of live targets are back within two seconds of it. Hosts
@@ -21,6 +29,22 @@
 # Removals of more than this fraction of the ready targets count as a lapse. Releases
 # and scaling remove fewer during a short disconnection.
 LAPSE_FRACTION = 0.4
+# Seconds for which a removed target is remembered, in case the store comes back from a
+# copy that lists it.
+REMOVAL_MEMORY = 60.0
+# Seconds after a restoration within which the store has removed the entry of a target
+# that doesn't renew it.
+RELISTED_GRACE = 6.0
+# Seconds after a restoration for which a target that was draining counts as such. By
+# then it has exited.
+DRAINING_MEMORY = 60.0
+
+
+class RelistedTarget(NamedTuple):
+    """A target that had left, as a restored store lists it."""
+
+    target: Target
+    position: Position
 
 
 class Registry:
@@ -29,13 +53,19 @@
     def __init__(self):
         self.targets = {}
         self.by_service = {}
-        self.next_offset = 0
         # Incremented with each change of the listed targets.
         self.revision = 0
-        self._offsets = {}
+        self._positions = {}
         self._lapsing = {}
         self._unavailable_since = None
         self._recovered_at = -math.inf
+        self._restored_at = -math.inf
+        # When targets were removed, by incarnation.
+        self._removed_at = {}
+        # Incarnations that had left, and that were draining, at the last restoration.
+        self._left_before = frozenset()
+        self._draining_before = frozenset()
+        self._relisted = {}
 
     def note_store_unavailable(self, now):
         """Record that the store did not respond."""
@@ -52,19 +82,58 @@
         """Record when the store recovered for another host."""
         self._recovered_at = max(self._recovered_at, recovered_at)
 
-    def put(self, target, offset, now):
+    def note_store_restored(self, now):
+        """Record that the store has come back from an older copy."""
+        self._restored_at = now
+        self._left_before = frozenset(self._removed_at)
+        self._draining_before = frozenset(
+            target.incarnation
+            for target in self.targets.values()
+            if target.state is TargetState.DRAINING
+        )
+
+    def put(self, target, position, now):
         """
         Add or replace a target's entry.
 
         Args:
           target: The `Target`.
-          offset: The entry's offset in the log; older entries are ignored.
+          position: The entry's `Position` in the log; older entries are ignored.
           now: The current time in seconds.
         Returns:
           The target's previous entry if the target has restarted, else None.
         """
-        if self._is_old(target.id, offset):
+        if self._is_old(target.id, position):
+            return None
+        if self._has_left(target, position, now):
+            self._relisted[target.id] = RelistedTarget(target, position)
             return None
+        self._relisted.pop(target.id, None)
+        if (
+            target.incarnation in self._draining_before
+            and now < self._restored_at + DRAINING_MEMORY
+        ):
+            target = target._replace(state=TargetState.DRAINING)
+        return self._put(target)
+
+    def _has_left(self, target, position, now):
+        """
+        Return whether an entry is probably from before its target has left.
+
+        An entry that was written since the listing is a new one.
+        """
+        relisted = self._relisted.get(target.id)
+        return (
+            target.incarnation in self._left_before
+            and now < self._restored_at + RELISTED_GRACE
+            and (relisted is None or position <= relisted.position)
+        )
+
+    def is_relisted(self, target_id):
+        """Return whether a target that had left is listed again, and isn't used yet."""
+        return target_id in self._relisted
+
+    def _put(self, target):
         self._lapsing.pop(target.id, None)
         previous = self.targets.get(target.id)
         if previous is not None and previous.service != target.service:
@@ -77,14 +146,15 @@
         )
         return previous if has_restarted else None
 
-    def reject(self, target_id, offset):
+    def reject(self, target_id, position):
         """
         Remove a target whose latest entry is invalid, until the next valid entry.
         """
-        if self._is_old(target_id, offset) or target_id not in self.targets:
+        if self._is_old(target_id, position) or target_id not in self.targets:
             return
         self._lapsing.pop(target_id, None)
-        self._remove(self.targets[target_id])
+        self._unlist(self.targets.pop(target_id))
+        self.revision += 1
 
     @property
     def service_count(self):
@@ -95,46 +165,66 @@
         """Return the incarnations of all listed targets."""
         return {target.incarnation for target in self.targets.values()}
 
-    def drop(self, removed, now):
+    def drop(self, removed, now, is_listing=False):
         """
         Remove targets whose entries were removed in one batch.
 
         Args:
-          removed: A dictionary of target id to the offset of the removal.
+          removed: A dictionary of target id to the `Position` of the removal.
           now: The current time in seconds.
+          is_listing: Whether they are missing in a listing, which a restored store
+            lacks if it has lost them.
         """
-        ids = [
-            target_id
-            for target_id, offset in removed.items()
-            if not self._is_old(target_id, offset) and target_id in self.targets
-        ]
-        ready = [t for t in self.targets.values() if t.state is TargetState.READY]
-        end = self._recovered_at + LAPSE_GRACE
-        is_lapse = now < end and len(ids) > LAPSE_FRACTION * len(ready)
+        ids = []
+        for target_id, position in removed.items():
+            if self._is_old(target_id, position):
+                continue
+            self._relisted.pop(target_id, None)
+            if target_id in self.targets:
+                ids.append(target_id)
+        end = max(self._recovered_at, self._restored_at) + LAPSE_GRACE
+        is_lost = is_listing and now < self._restored_at + LAPSE_GRACE
+        is_lapse = is_lost or self._is_lapse(ids, now)
         for target_id in ids:
             target = self.targets[target_id]
             if is_lapse and target.state is TargetState.READY:
                 self._lapsing[target_id] = end
             else:
                 self._lapsing.pop(target_id, None)
-                self._remove(target)
+                self._remove(target, now)
+
+    def _is_lapse(self, ids, now):
+        """Return whether so many entries are missing that they have lapsed."""
+        ready = [t for t in self.targets.values() if t.state is TargetState.READY]
+        is_recent = now < self._recovered_at + LAPSE_GRACE
+        return is_recent and len(ids) > LAPSE_FRACTION * len(ready)
 
-    def missing(self, ids, offset):
+    def missing(self, ids, position):
         """
         Return the targets that a full listing lacks, in the form that `drop` takes.
 
         Args:
           ids: The listed target ids.
-          offset: The end of the log when the listing began.
+          position: The `Position` of the log's end when the listing began.
         """
-        return {key: offset for key in self.targets if key not in ids}
+        known = self.targets.keys() | self._relisted.keys()
+        return dict.fromkeys(known - set(ids), position)
 
     def expire(self, now):
         """Remove targets whose grace period has ended, and return their ids."""
+        if now >= self._restored_at + RELISTED_GRACE:
+            for relisted in self._relisted.values():
+                self._put(relisted.target)
+            self._relisted = {}
+        self._removed_at = {
+            incarnation: at
+            for incarnation, at in self._removed_at.items()
+            if now - at < REMOVAL_MEMORY
+        }
         expired = [key for key, end in self._lapsing.items() if end <= now]
         for target_id in expired:
             del self._lapsing[target_id]
-            self._remove(self.targets[target_id])
+            self._remove(self.targets[target_id], now)
         return expired
 
     def usable(self, service):
@@ -142,14 +232,16 @@
         listed = self.by_service.get(service, {})
         return [t for t in listed.values() if t.state is TargetState.READY]
 
-    def _is_old(self, target_id, offset):
-        if offset < self._offsets.get(target_id, -1):
+    def _is_old(self, target_id, position):
+        known = self._positions.get(target_id)
+        if known is not None and position < known:
             return True
-        self._offsets[target_id] = offset
+        self._positions[target_id] = position
         return False
 
-    def _remove(self, target):
+    def _remove(self, target, now):
         self.revision += 1
+        self._removed_at[target.incarnation] = now
         del self.targets[target.id]
         self._unlist(target)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -24,6 +24,7 @@
 from plumsaddle_core.ops.registry import Registry
 from plumsaddle_core.ops.route_table import build_route_table, choose_service
 from plumsaddle_core.ops.shared_state import SharedState
+from plumsaddle_core.ops.topic_position import Position
 from plumsaddle_core.ops.urgency import (
     priorities_by_service,
     ranks_by_service,
@@ -201,29 +202,33 @@
         """Apply a full listing of the targets."""
         at = now()
         names = {record.key for record in page.records if record.value is not None}
-        self._apply_targets(page, at, self.registry.missing(names, page.next_offset))
+        end = Position(page.era, page.next_offset)
+        missing = self.registry.missing(names, end)
+        self._apply_targets(page, at, missing, is_listing=True)
         self.has_targets = True
 
     def apply_target_changes(self, page):
         """Apply changes to the list of targets."""
         self._apply_targets(page, now(), {})
 
-    def _apply_targets(self, page, at, removed):
+    def _apply_targets(self, page, at, removed, is_listing=False):
         """
         Apply a page of entries.
 
         Args:
           page: The `Page`.
           at: The current time, in seconds.
-          removed: Offsets by id of further targets that were removed.
+          removed: Positions by id of further targets that were removed.
+          is_listing: Whether the page lists all targets.
         """
         for record in page.records:
+            position = Position(page.era, record.offset)
             if record.value is None:
-                removed[record.key] = record.offset
+                removed[record.key] = position
                 continue
             removed.pop(record.key, None)
-            self._apply_entry(record, at)
-        self.registry.drop(removed, at)
+            self._apply_entry(record, position, at)
+        self.registry.drop(removed, at, is_listing)
         for target_id in removed:
             log.info("unlisted", extra={"target": target_id})
         incarnations = self.registry.incarnations()
@@ -231,20 +236,21 @@
         self.paths.evict(incarnations, at)
         self.notices.evict(incarnations)
 
-    def _apply_entry(self, record, at):
+    def _apply_entry(self, record, position, at):
         """Apply one entry, which may be invalid."""
         result = wire.decode_target(record.key, record.value, at)
         if isinstance(result, Failure):
-            self.registry.reject(record.key, record.offset)
+            self.registry.reject(record.key, position)
             log.error(
                 "ignoring invalid target entry",
                 extra={"target": record.key, "cause": result.failure()},
             )
             return
         target = result.unwrap()
-        former = self.registry.put(target, record.offset, at)
+        former = self.registry.put(target, position, at)
+        is_relisted = self.registry.is_relisted(target.id)
         log.info(
-            "listed",
+            "relisted" if is_relisted else "listed",
             extra={
                 "target": target.id,
                 "born": target.started_at,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -103,6 +103,7 @@
             registry.note_store_unavailable,
             registry.note_store_available,
             registry.note_store_recovery,
+            registry.note_store_restored,
         )
         suspects = self.knowledge.shared.suspects
         self.stored_suspects = StoredSuspects(self.store, suspects, store_access)
