Write again what a restored store has lost of suspect requests

What callers would see: a starting host sends a request that crashes targets, which all others hold back; or an operator's release is undone, and a request is held once more after its time was over.

Cause: the topic of suspect requests is written by hosts alone, so what is lost there is gone for good. A record counted as stored since its write was accepted, and an expired or released one was read again as new.

After a listing in a later era the hosts that observed a request, and the readers, write lost records again; readers repeat removals. A write that was accepted in a former era is repeated. Crashes of expired requests are remembered like those of released ones.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/suspects.py
@@ -57,7 +57,7 @@
 MAX_RECORDS = 24
 
 
-# Crashes of released requests that are remembered.
+# Crashes of released and expired requests that are remembered.
 MAX_RELEASED = 1000
 
 
@@ -70,15 +70,21 @@
 
 
 class _SuspectRequest:
-    """What is known of one request; `is_own` if this host observed any of it."""
+    """
+    What is known of one request.
+
+    `is_own` if this host observed any of it, `is_lost` if the platform's store has lost
+    a record of it.
+    """
 
-    __slots__ = ("answered", "crashed", "is_own", "last_crash_at", "stored")
+    __slots__ = ("answered", "crashed", "is_lost", "is_own", "last_crash_at", "stored")
 
     def __init__(self):
         self.crashed = set()
         self.answered = set()
         self.last_crash_at = -math.inf
         self.is_own = False
+        self.is_lost = False
         # The incarnations that the platform's store has recorded.
         self.stored = frozenset()
 
@@ -106,7 +112,8 @@
         self._recent = deque()
         self.local_record_count = 0
         self._recent_crashes = {}
-        # Pairs of key and incarnation of the crashes before a release, oldest first.
+        # Pairs of key and incarnation of the crashes of requests that were released or
+        # have expired, oldest first.
         self._released = {}
         self._held_until = {}
         self._is_up_to_date = True
@@ -170,6 +177,28 @@
             self.add(record, now, is_local=False)
         if key in self._suspects:
             self._suspects[key].stored = frozenset(crashed) | frozenset(answered)
+            self._suspects[key].is_lost = False
+
+    def note_restored(self, listed):
+        """
+        Record what the platform's store lists after it has come back from a copy.
+
+        Records that it has lost are to be written again, and those to be removed again
+        that had been released or had expired.
+
+        Args:
+          listed: By key the incarnations that crashed.
+        Returns:
+          The keys to remove.
+        """
+        for key, suspect in self._suspects.items():
+            if not suspect.stored <= set(listed.get(key, ())) | suspect.answered:
+                suspect.stored, suspect.is_lost = frozenset(), True
+        return [
+            key
+            for key, crashed in listed.items()
+            if crashed and all((key, i) in self._released for i in crashed)
+        ]
 
     def drop(self, key):
         """
@@ -180,9 +209,7 @@
         """
         suspect = self._suspects.pop(key, None)
         if suspect is not None:
-            self._released.update(dict.fromkeys((key, i) for i in suspect.crashed))
-            while len(self._released) > MAX_RELEASED:
-                del self._released[next(iter(self._released))]
+            self._disregard(key, suspect)
         self._recent = deque(row for row in self._recent if row[1].key != key)
         self._is_up_to_date = False
 
@@ -194,8 +221,9 @@
           The keys of the removed requests of which the platform's store has a record.
         """
         expired = {k: s for k, s in self._suspects.items() if s.expires_at <= now}
-        for key in expired:
+        for key, suspect in expired.items():
             del self._suspects[key]
+            self._disregard(key, suspect)
         if expired:
             self._is_up_to_date = False
         crashes = self._recent_crashes.items()
@@ -207,6 +235,12 @@
         self._prune_recent(now - GOSSIP_WINDOW)
         return [key for key, suspect in expired.items() if suspect.stored]
 
+    def _disregard(self, key, suspect):
+        """Let the crashes of a removed request count no more."""
+        self._released.update(dict.fromkeys((key, i) for i in suspect.crashed))
+        while len(self._released) > MAX_RELEASED:
+            del self._released[next(iter(self._released))]
+
     def _evict_excess(self, new_key):
         if len(self._suspects) <= MAX_REQUESTS:
             return
@@ -232,7 +266,7 @@
         recent = self._prune_recent(now - GOSSIP_WINDOW)
         return [record for _, record, _, is_local in recent if is_local][-MAX_RECORDS:]
 
-    def unsaved(self):
+    def unsaved(self, rewrites_lost=False):
         """
         Return what this host should write to the platform's store.
 
@@ -240,13 +274,16 @@
         all others have lost their state. A single crash is mostly coincidence and not
         worth a write.
 
+        Args:
+          rewrites_lost: Whether this host also writes what others had written and the
+            store has lost.
         Returns:
           By key the sorted incarnations that crashed, and those that answered.
         """
         return {
             key: (sorted(suspect.crashed), sorted(suspect.answered))
             for key, suspect in self._suspects.items()
-            if suspect.is_own
+            if (suspect.is_own or (rewrites_lost and suspect.is_lost))
             and len(suspect.crashed) >= MIN_CRASHES_TO_STORE
             and not suspect.crashed | suspect.answered <= suspect.stored
         }
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -138,7 +138,6 @@
             knowledge.apply_target_listing,
             knowledge.apply_target_changes,
         )
-        apply_suspects = suspects.apply_page
         access = self.store_access
         return [
             Feed(self.store, wire.OPERATOR_TOPIC, access, operators, operators, rng),
@@ -147,8 +146,8 @@
                 self.store,
                 SUSPECTS_TOPIC,
                 access,
-                apply_suspects,
-                apply_suspects,
+                suspects.apply_listing,
+                suspects.apply_page,
                 rng,
                 RARE_CHANGES,
             ),
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
@@ -51,9 +51,20 @@
         self._suspects = suspects
         self._store_access = store_access
         self._write_task = None
+        # The era of the last listing, and the keys to remove from the store.
+        self._era = None
+        self._keys_to_remove = set()
+
+    def apply_listing(self, page):
+        """Apply a `Page` that lists the topic; it may be that of a restored store."""
+        if self._era is not None and page.era > self._era:
+            listed = dict(filter(None, map(_crashes_of, page.records)))
+            self._keys_to_remove |= set(self._suspects.note_restored(listed))
+        self._era = page.era
+        self.apply_page(page)
 
     def apply_page(self, page):
-        """Apply a `Page` of the topic, a listing or changes."""
+        """Apply a `Page` of changes."""
         for record in page.records:
             if record.value is None:
                 self._suspects.drop(record.key)
@@ -78,15 +89,18 @@
         """
         if self._write_task is not None:
             return
-        unsaved = self._suspects.unsaved()
+        unsaved = self._suspects.unsaved(rewrites_lost=self._store_access.is_reader)
         if unsaved:
             self._start_write(self._write(unsaved))
 
     def evict_expired(self, at):
         """Evict expired records here and, if this host is a reader, in the store."""
-        expired_keys = self._suspects.evict_expired(at)
-        if expired_keys and self._store_access.is_reader and self._write_task is None:
-            self._start_write(self._store.put(TOPIC, dict.fromkeys(expired_keys, b"")))
+        self._keys_to_remove |= set(self._suspects.evict_expired(at))
+        if self._write_task is not None:
+            return
+        keys, self._keys_to_remove = self._keys_to_remove, set()
+        if keys and self._store_access.is_reader:
+            self._start_write(self._store.put(TOPIC, dict.fromkeys(keys, b"")))
 
     def _start_write(self, write):
         self._write_task = asyncio.get_running_loop().create_task(write)
@@ -111,6 +125,11 @@
         }
         result = await self._store.put(TOPIC, values)
         is_written = not isinstance(result, Failure)
+        if is_written:
+            era = result.unwrap().era
+            self._store_access.note_era(now(), era)
+            # What was accepted before a restoration that is known by now is lost.
+            is_written = era == self._store_access.era
         log.info(
             "record write finished",
             extra={"keys": list(unsaved), "is_written": is_written},
@@ -121,3 +140,11 @@
             if key in self._suspects:
                 last_crash_at = self._suspects.last_crash_at(key)
                 self._suspects.add_stored(key, crashed, answered, last_crash_at)
+
+
+def _crashes_of(record):
+    """Return a record's key and the incarnations that crashed, or None."""
+    try:
+        return record.key, decode_record(record.value).ended
+    except (msgspec.DecodeError, UnicodeDecodeError, TypeError):
+        return None
