Get versions of the configuration from other hosts of the data centre

What callers would see: after the store has come back from an older copy, a starting host serves by a version that all others have left, till the operator writes again; and a host that the store is silent to serves an old version for up to eight seconds, while hosts beside it have the newer one.

Cause: a host knew of versions from the store alone, or from records that readers forward once. Evidence: on the code before, a started host served version 1 among hosts with version 4, and a host without the store, which missed one datagram, got neither of two versions.

Heartbeats tell which version a host has in force. A host that lacks one for 0.3 s asks one that has it, part by part. One host is enough as the source: the store had accepted the version before any host had it, and versions only grow. A starting host applies the version that it found in the store once another host has told that it runs no newer one, once all others that it hears of are starting too, or after 0.3 s without a word.

Metrics newest_version and store_era show a host that lags, and a restored store; the log line of a version tells whether it came from the store or from a host.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -74,6 +74,14 @@
         self.settings = settings
         self.rng = rng
         self.cfg = None
+        # The record of the configuration in force.
+        self.cfg_data = b""
+        # The configuration found in the store before one is in force, its record, and
+        # when it was found.
+        self._first = None
+        self._first_data = b""
+        self._first_at = math.inf
+        self.may_begin_with = lambda version, listed_at, now: True
         self._has_downloads = False
         self._decoder = wire.ConfigurationDecoder()
         self.route_table = {}
@@ -131,6 +139,11 @@
         self._on_restart = on_restart
         self.configuration_age = configuration_age
 
+    @property
+    def version(self):
+        """The version of the configuration in force, or 0."""
+        return self.cfg.version if self.cfg is not None else 0
+
     @property
     def is_complete(self):
         """Whether both a configuration and the list of targets were received."""
@@ -161,15 +174,44 @@
 
     def apply_operator_records(self, page):
         """Apply a `Page` of the operators' records."""
+        at = now()
         for record in page.records:
             if record.key == wire.CONFIGURATION_KEY and record.value is not None:
-                self._apply_configuration(record.value)
+                self._note_stored_version(record.value, at)
 
-    def _apply_configuration(self, data):
+    def _note_stored_version(self, data, at):
+        cfg = self._decode_configuration(data)
+        if cfg is None:
+            return
+        if self.cfg is not None:
+            self._apply_configuration(cfg, data, "store")
+            return
+        if self._first is None:
+            self._first_at = at
+        if self._first is None or cfg.version > self._first.version:
+            self._first, self._first_data = cfg, data
+        self.apply_first_version(at)
+
+    def apply_first_version(self, at):
+        """Apply the version found in the store, unless others may have a newer one."""
+        if self._first is None or self.cfg is not None:
+            return
+        if self.may_begin_with(self._first.version, self._first_at, at):
+            self._apply_configuration(self._first, self._first_data, "store")
+
+    def apply_received_version(self, data):
+        """Apply the record of a version that another host has in force."""
+        cfg = self._decode_configuration(data)
+        if cfg is not None:
+            self._apply_configuration(cfg, data, "host")
+
+    def _decode_configuration(self, data):
         cfg = self._decoder.decode(data)
         if cfg is None:
             log.error("cannot decode configuration", extra={"bytes": len(data)})
-            return
+        return cfg
+
+    def _apply_configuration(self, cfg, data, source):
         former = self.cfg.version if self.cfg else None
         if former is not None and cfg.version <= former:
             log.info(
@@ -178,6 +220,8 @@
             )
             return
         self.cfg = cfg
+        self.cfg_data = data
+        self._first, self._first_data = None, b""
         self._has_downloads = cfg.has_downloads
         self.shared.health.set_scheduling(self.scores_outcomes)
         self.route_table = build_route_table(cfg.routes)
@@ -196,7 +240,8 @@
             name: size for name, size in self._response_bytes.items() if name in names
         }
         self._response_bytes = retained
-        log.info("version", extra={"version": cfg.version, "former": former})
+        fields = {"version": cfg.version, "former": former, "source": source}
+        log.info("version", extra=fields)
 
     def apply_target_listing(self, page):
         """Apply a full listing of the targets."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -109,8 +109,15 @@
         self.stored_suspects = StoredSuspects(self.store, suspects, store_access)
         self._feeds = self._make_feeds(rng)
         self.peers = PeerProtocol(
-            settings, self.knowledge.shared, store_access, self._feeds, rng
+            settings,
+            self.knowledge.shared,
+            store_access,
+            self._feeds,
+            rng,
+            knowledge=self.knowledge,
         )
+        if settings.has_seeds:
+            self.knowledge.may_begin_with = self.peers.versions.reports.may_begin_with
         self._set_up_paths(rng)
         self.crash_detector = CrashDetector(
             self.knowledge, self.pool, self.metrics, self.stored_suspects.schedule_write
@@ -285,9 +292,12 @@
             self.stored_suspects.schedule_write()
             self.peers.send_heartbeat(at)
             self._reload_if_changed()
-            cfg = self.knowledge.cfg
-            if cfg is not None:
-                self.metrics.version.set({}, cfg.version)
+            version = self.knowledge.version
+            if version:
+                self.metrics.version.set({}, version)
+            newest = max(version, self.peers.versions.reports.newest())
+            self.metrics.newest_version.set({}, newest)
+            self.metrics.store_era.set({}, self.store_access.era or 0)
             self.metrics.in_flight.set({}, self.front.in_flight)
             self.metrics.callers.note(self._front_server)
             self.metrics.note_downloads(self.knowledge.downloads)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
@@ -26,6 +26,8 @@
     HostUpdate,
     Members,
     Records,
+    VersionPart,
+    VersionRequest,
     decode_data_centre_update,
     decode_host_update,
     decompress_bundle,
@@ -78,10 +80,19 @@
       remote: The `RemoteSender`.
       buffer: The `BundleBuffer` of updates to forward.
       callbacks: The `Callbacks`.
+      versions: The `VersionExchange`.
     """
 
     def __init__(
-        self, settings, shared, peer_table, reader_role, remote, buffer, callbacks
+        self,
+        settings,
+        shared,
+        peer_table,
+        reader_role,
+        remote,
+        buffer,
+        callbacks,
+        versions,
     ):
         self._settings = settings
         self._shared = shared
@@ -90,6 +101,7 @@
         self._remote = remote
         self._buffer = buffer
         self._callbacks = callbacks
+        self._versions = versions
 
     def _is_hub(self):
         """Whether this host considers itself the hub."""
@@ -129,6 +141,10 @@
             self._handle_bundle(decompress_bundle(message), address, at)
         elif isinstance(message, Records):
             self._reader_role.apply_records(message, at)
+        elif isinstance(message, VersionRequest):
+            self._versions.answer(message, address)
+        elif isinstance(message, VersionPart):
+            self._versions.add_part(message, address, at)
         elif isinstance(message, DataCentreUpdate):
             self._handle_data_centre_update(message, address, at)
         elif isinstance(message, DataCentreLoad):
@@ -184,6 +200,7 @@
         self._add_candidates(heartbeat.members, at)
         self._remote.remote_hosts.add_candidates(heartbeat.remote_hosts, at)
         self._reader_role.apply_heartbeat(heartbeat, at)
+        self._versions.note_report(address, heartbeat.version, at)
 
     def _handle_bundle(self, bundle, address, at):
         """Apply a hub's bundle, and forward it to this host's clients."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -63,6 +63,8 @@
     `store_era` is the era of the offsets, None if the host doesn't know eras. Once the
     store has come back from an older copy, they are in `restored_offsets`: hosts that
     don't know eras would misread them, and read the store themselves without them.
+    `version` is the configuration in force, 0 if there is none yet, None if the host
+    doesn't tell.
     """
 
     link_rate: BytesPerSecond
@@ -74,6 +76,7 @@
     is_gateway: bool = False
     store_era: Count | None = None
     restored_offsets: dict[str, tuple[Count, Seconds]] = {}
+    version: Count | None = None
 
 
 class HostUpdate(msgspec.Struct, array_like=True, tag="w"):
@@ -146,6 +149,30 @@
     era: Count | None = None
 
 
+class VersionRequest(msgspec.Struct, array_like=True, tag="v"):
+    """
+    A request for a part of the receiver's configuration.
+
+    `version` is that of the parts received so far, 0 if there are none.
+    """
+
+    version: Count
+    part: Count
+
+
+class VersionPart(msgspec.Struct, array_like=True, tag="p"):
+    """
+    A part of the sender's configuration.
+
+    The parts from 0 to `count`, exclusive, are the compressed record of `version`.
+    """
+
+    version: Count
+    part: Count
+    count: Count
+    data: bytes
+
+
 class DataCentreUpdate(msgspec.Struct, array_like=True, tag="f"):
     """
     An update for other data centres, forwarded once in each of them.
@@ -190,6 +217,8 @@
     | Bundle
     | CompressedBundle
     | Records
+    | VersionRequest
+    | VersionPart
     | DataCentreUpdate
     | DataCentreLoad
 )
@@ -266,14 +295,24 @@
     Raises:
       msgspec.DecodeError: If the data is invalid.
     """
-    return decode_bundle(_decompress(compressed.data))
+    return decode_bundle(decompress(compressed.data))
 
 
-def _decompress(data):
+def decompress(data):
+    """
+    Return decompressed bytes.
+
+    Raises:
+      msgspec.DecodeError: If the data is invalid.
+    """
+    decompressor = zlib.decompressobj()
     try:
-        return zlib.decompressobj().decompress(data, MAX_DECOMPRESSED_SIZE)
+        decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_SIZE)
     except zlib.error as exc:
         raise msgspec.DecodeError(str(exc)) from exc
+    if not decompressor.eof:
+        raise msgspec.DecodeError("compressed data is truncated or too long")
+    return decompressed
 
 
 # Compressed bytes of records per datagram. Datagrams of many packets are lost more
@@ -296,4 +335,4 @@
     Raises:
       msgspec.DecodeError: If the data is invalid.
     """
-    return [KeyedRecord(*row) for row in _decode_rows(_decompress(compressed))]
+    return [KeyedRecord(*row) for row in _decode_rows(decompress(compressed))]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -51,6 +51,12 @@
             Histogram, "wait_seconds", "Waits for a target.", buckets=BUCKETS
         )
         self.version = make(Gauge, "version", "The configuration in force.")
+        self.newest_version = make(
+            Gauge, "newest_version", "The newest configuration that any host reports."
+        )
+        self.store_era = make(
+            Gauge, "store_era", "Times that the store has come back from a copy."
+        )
         self.in_flight = make(Gauge, "in_flight", "Requests in flight.")
         self.callers = CallerMetrics(make)
         self.held_bytes = make(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -43,6 +43,7 @@
 from .readers import ReaderRole
 from .remote_sender import RemoteSender
 from .unconfirmed import UnconfirmedUpdates
+from .version_exchange import VersionExchange
 
 log = logging.getLogger("peers")
 # Addresses that a hub's heartbeat lists, drawn at random each time.
@@ -85,10 +86,18 @@
       rng: A `random.Random`, which selects addresses to list and remote receivers.
       call_later: Called with seconds and a function to call then; the running loop's
         if None.
+      knowledge: The `HostState` whose configuration is exchanged, or None.
     """
 
     def __init__(
-        self, settings, shared, store_access, feeds, rng=random, call_later=None
+        self,
+        settings,
+        shared,
+        store_access,
+        feeds,
+        rng=random,
+        call_later=None,
+        knowledge=None,
     ):
         # Returns whether this host opens connections to targets for others.
         self.is_gateway = lambda: False
@@ -114,6 +123,7 @@
             settings, shared, self._incarnation, self._send, rng
         )
         self._buffer = BundleBuffer()
+        self.versions = VersionExchange(knowledge, self._send, rng)
         self._handler = MessageHandler(
             settings,
             shared,
@@ -131,6 +141,7 @@
                 self._send_state,
                 lambda *args: self.gateways.note_remote(*args),
             ),
+            self.versions,
         )
         self.gateways = Gateways(self._peer_table.gateways, rng)
         self._bundle_sent_at = 0.0
@@ -224,6 +235,7 @@
             self.is_gateway(),
             self._reader_role.store_era,
             offsets if is_restored else {},
+            self.versions.own_version,
         )
 
     def _send_hello(self, at):
@@ -247,6 +259,7 @@
         """
         if self._pick_hub(at):
             self._repeat_unconfirmed(at)
+        self.versions.tick(at)
         self._reader_role.update(self._may_act_alone(at), at)
         if self._is_hub():
             if self._buffer.clients(at):
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_restored_store_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_restored_store_test.py
@@ -140,3 +140,22 @@
             await asyncio.sleep(0.02)
         assert served
         assert set(served) == {restored.version}
+
+
+@in_loop
+async def test_a_host_without_the_store_gets_versions_from_other_hosts():
+    """Guards against a host that serves an old version which all others have left."""
+
+    async def hang(*args):
+        await asyncio.sleep(3600)
+
+    async with RestoredStore(hosts=9) as restored:
+        alone = next(
+            host for host in restored.trial.hosts if not host.store_access.is_reader
+        )
+        alone.store.read = alone.store.list_newest = hang
+        for feed in alone._feeds:
+            # A datagram is lost before the first version, and none closes the gap.
+            feed.apply_page = lambda *args: None
+        await restored.publish_more(2)
+        assert not restored.late
