Read the own interface's streams again when the log comes back from a copy

Cause: all safety rests on the order of records in the log, and an accepted record was taken to be there for good. The offsets of folds, and the success of appends, were of another history.

The tail compares eras; in a later one the fold starts again from the log's first record, so that its state depends on the log alone. The first host that has read it appends EraStarted with its time: an order whose key is older, and unknown, may have run by records that are lost, and is refused as unknown; claims that were appended before the era had started are not won. Hosts write their own lost claims and outcomes again at once, and after a random time what is still missing of others, as entries that merge in any order. Until then what they knew answers repeated requests. An append that was answered in a former era is repeated. The version in force is appended again; it takes precedence over a proposal that was accepted without knowledge of it.

Peers name the era of the offset of a version that they hand on, and one of another era is applied without it.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/fold.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/fold.py
@@ -6,6 +6,10 @@
 offset, which another host wrote to the log. Folding is deterministic, so every
 checkpoint of a stream leads to the same state, and any of them will do. A checkpoint
 never replaces a complete state, so one written late by a frozen host reverts nothing.
+
+The log may also come back from an older copy, and gives out offsets again. The fold is
+then restarted, so that its state depends only on the log as it is now. What the former
+state held and the log has lost is appended again as events.
 """
 
 from typing import Any, NamedTuple
@@ -46,17 +50,31 @@
     """
 
     def __init__(self, new_state, apply, restore):
-        self.state = new_state()
+        self._new_state = new_state
+        self._apply = apply
+        self._restore = restore
+        self._reset()
+
+    def _reset(self):
+        self.state = self._new_state()
         self.complete = False
         self.next_offset = Offset(0)
         self.newest_checkpoint = -1
         self._is_started = False
-        self._new_state = new_state
-        self._apply = apply
-        self._restore = restore
         self._buffered = []
         self._parts = {}
 
+    def restart(self):
+        """
+        Start again from the log's first record.
+
+        Returns:
+          The former state, or None if it was not complete.
+        """
+        former = self.state if self.complete else None
+        self._reset()
+        return former
+
     def begin_read(self, first):
         """
         Check the first offset that the log still has.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/orders.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/orders.py
@@ -11,6 +11,12 @@
 Keys contain their creation time (UUIDv7). Keys up to the horizon, which is set by a
 record, are forgotten, and a claim with such a key is void. A wrong clock may move the
 horizon too far and cause refusals, but never a second execution.
+
+The log may come back from an older copy. A key that was created before may have been
+claimed, and its order run, by records that are lost. The first claim in the new era is
+therefore preceded by an `EraStarted` with the time up to which keys are uncertain: such
+a key is not run unless it was known as free before, which no host can tell. Hosts also
+append the entries that they know and the log has lost.
 """
 
 import enum
@@ -81,6 +87,24 @@
     key_time: int
 
 
+class EraStarted(NamedTuple):
+    """
+    The log has come back from a copy, and has reached this era.
+
+    Keys up to `key_time`, in Unix milliseconds, may have been claimed in records that
+    are lost. It is 0 at the beginning of a log.
+    """
+
+    era: int
+    key_time: int
+
+
+class RestoredEntry(NamedTuple):
+    """An `Entry` that the log has lost, as a list of its fields."""
+
+    fields: list
+
+
 class Ping(NamedTuple):
     """Marks a batch that a host retries, so that it finds the batch in the log."""
 
@@ -106,14 +130,29 @@
 
 
 class Orders:
-    """The entries by key, and the time up to which keys are forgotten."""
+    """
+    The entries by key, and the times up to which keys are forgotten and uncertain.
+
+    `era` is the latest era of the log that has started.
+    """
 
     def __init__(self):
         self.entries = {}
         self.horizon = 0
+        self.era = 0
+        self.uncertain_until = 0
+
+    def is_uncertain(self, key, key_time):
+        """Return whether a key may have been claimed by a record that is lost."""
+        if key_time > self.uncertain_until:
+            return False
+        entry = self.entries.get(key)
+        return entry is None or entry.state is ClaimState.FREE
 
 
 OPEN_STATES = (ClaimState.CLAIMED, ClaimState.UNKNOWN)
+# The states of one claim in the order in which it reaches them.
+PROGRESS = (ClaimState.CLAIMED, ClaimState.UNKNOWN, ClaimState.FREE, ClaimState.DONE)
 
 
 def apply_event(orders, event, offset):
@@ -229,6 +268,49 @@
     }
 
 
+def _apply_era_started(orders, event):
+    orders.era = max(orders.era, event.era)
+    orders.uncertain_until = max(orders.uncertain_until, event.key_time)
+
+
+def _apply_restored_entry(orders, event):
+    restored = entry_from_fields(event.fields)
+    if restored.key_time <= orders.horizon:
+        return
+    entry = orders.entries.get(restored.key)
+    if is_ahead(restored, entry):
+        orders.entries[restored.key] = restored._replace(
+            void_claims=_merge_void_claims(restored, entry)
+        )
+
+
+def is_ahead(entry, other):
+    """
+    Return whether an entry is a later state of its key than another one, or None.
+
+    Of two claims, that is later to which the other one is void. If neither is known to
+    the other, one of them was made without knowledge of lost records and was not sent.
+    """
+    if other is None:
+        return True
+    if entry.claim_id != other.claim_id:
+        if other.claim_id in entry.void_claims or entry.claim_id in other.void_claims:
+            return other.claim_id in entry.void_claims
+        if ClaimState.FREE in (entry.state, other.state):
+            return other.state is ClaimState.FREE is not entry.state
+    return PROGRESS.index(entry.state) > PROGRESS.index(other.state)
+
+
+def _merge_void_claims(entry, other):
+    """Return the void claims of an entry that takes the place of another one."""
+    if other is None:
+        return entry.void_claims
+    void_claims = {*entry.void_claims, *other.void_claims, other.claim_id}
+    if entry.state is not ClaimState.FREE:
+        void_claims.discard(entry.claim_id)
+    return tuple(sorted(void_claims))
+
+
 HANDLERS = {
     Claim: _apply_claim,
     Done: _apply_done,
@@ -236,6 +318,8 @@
     Released: _apply_released,
     Settled: _apply_settled,
     Horizon: _apply_horizon,
+    EraStarted: _apply_era_started,
+    RestoredEntry: _apply_restored_entry,
 }
 
 
@@ -251,20 +335,27 @@
     orders = Orders()
     orders.horizon = items[0]
     for fields in items[1:]:
-        entry = Entry(*fields)
-        entry = entry._replace(
-            state=ClaimState(entry.state), void_claims=tuple(entry.void_claims)
-        )
+        entry = entry_from_fields(fields)
         orders.entries[entry.key] = entry
     return orders
 
 
+def entry_from_fields(fields):
+    """Return the `Entry` that `entry_fields` returned the fields of."""
+    entry = Entry(*fields)
+    return entry._replace(
+        state=ClaimState(entry.state), void_claims=tuple(entry.void_claims)
+    )
+
+
+def entry_fields(entry):
+    """Return the fields of an `Entry` in a form that can be encoded."""
+    return [*entry[:6], entry.state.value, *entry[7:]]
+
+
 def dump_orders(orders):
     """Return the orders as items of a checkpoint."""
-    entries = (
-        [*entry[:6], entry.state.value, *entry[7:]] for entry in orders.entries.values()
-    )
-    return [orders.horizon, *entries]
+    return [orders.horizon, *map(entry_fields, orders.entries.values())]
 
 
 def new_order_fold():
--- a/packages/plumsaddle-core/plumsaddle_core/utils/codec.py
+++ b/packages/plumsaddle-core/plumsaddle_core/utils/codec.py
@@ -11,8 +11,18 @@
 import msgspec
 
 from ..ops.fold import Checkpoint
-from ..ops.orders import Claim, Done, Horizon, Ping, Released, Settled, Unknown
-from ..ops.versions import Proposal
+from ..ops.orders import (
+    Claim,
+    Done,
+    EraStarted,
+    Horizon,
+    Ping,
+    Released,
+    RestoredEntry,
+    Settled,
+    Unknown,
+)
+from ..ops.versions import Proposal, RestoredVersion
 
 EVENT_TYPES = {
     "proposal": Proposal,
@@ -24,6 +34,9 @@
     "settled": Settled,
     "horizon": Horizon,
     "ping": Ping,
+    "era-started": EraStarted,
+    "restored-entry": RestoredEntry,
+    "restored-version": RestoredVersion,
 }
 EVENT_TAGS = {event_type: tag for tag, event_type in EVENT_TYPES.items()}
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/checkpoints.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/checkpoints.py
@@ -9,8 +9,8 @@
 import uuid
 
 from plumsaddle_core.ops.fold import Checkpoint
-from plumsaddle_core.ops.orders import Horizon, dump_orders
-from plumsaddle_core.ops.versions import dump_versions
+from plumsaddle_core.ops.orders import EraStarted, Horizon, dump_orders
+from plumsaddle_core.ops.versions import RestoredVersion, dump_versions
 
 ITEMS_MOST = 500
 
@@ -52,7 +52,7 @@
         self._due[batcher.stream] = (fold.newest_checkpoint, due)
 
     def _records(self, fold, dump):
-        """Return the records of a checkpoint, led by the horizon for orders."""
+        """Return the records of a checkpoint, led by the era, and orders' horizon."""
         if fold.next_offset == 0:
             return []
         items = dump(fold.state)
@@ -66,9 +66,18 @@
             [Checkpoint(name, as_of, number, len(parts), part)]
             for number, part in enumerate(parts)
         ]
+        if fold.state.era:
+            records.insert(0, [_era_event(fold.state, dump)])
         if dump is dump_orders and self._host.applied:
             window = self._host.applied.cfg.order_window
             horizon = int((time.time() - window) * 1000)
             if horizon > fold.state.horizon:
                 records.insert(0, [Horizon(horizon)])
         return records
+
+
+def _era_event(state, dump):
+    """Return the event that tells the era of a stream's state."""
+    if dump is dump_orders:
+        return EraStarted(state.era, state.uncertain_until)
+    return RestoredVersion(state.era, *state.current)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -20,7 +20,11 @@
 from plumsaddle_core.ops.ejection import set_draining, suspects_itself, update_health
 from plumsaddle_core.ops.members import Member, Members
 from plumsaddle_core.ops.routing import build_routes
-from plumsaddle_core.ops.versions import new_version_fold
+from plumsaddle_core.ops.versions import (
+    Version,
+    new_version_fold,
+    restored_version,
+)
 from plumsaddle_core.parser.configuration import check_configuration
 from plumsaddle_core.transfers.byte_budget import ByteBudget
 from plumsaddle_core.utils.timers import Timers
@@ -45,6 +49,11 @@
 KEEP_EVERY = 0.02
 PROBE_EVERY = 1.0
 CHECKPOINT_LOOK_EVERY = 5.0
+# Bound, in seconds, of the random time after which a host tells in the log what is in
+# force in its era, and the wait of a host that has started since the log came back from
+# a copy: hosts that know more come first.
+MAX_RESTORE_DELAY = 1.0
+STARTED_RESTORE_DELAY = 3.0
 MEMBERS_MOST = 16
 ROWS_MOST = 200
 MARKS_MOST = 50
@@ -103,7 +112,11 @@
             self._feed_config,
             self._on_config_page,
             settings.platform.read_wait,
+            self._on_config_era,
         )
+        # The version that was in force before the log came back from a copy.
+        self._former_version = None
+        self._is_restore_due = False
         self.config_batcher = Batcher(
             self.append, CONFIG_STREAM, self.incarnation, self.rng
         )
@@ -178,11 +191,44 @@
     def _on_config_page(self, is_hole):
         if is_hole:
             log.error("config: Versions were missed. The former one stays in force.")
+        if self._is_restore_due and self.config_tail.is_caught_up:
+            self._is_restore_due = False
+            delay = self.rng.uniform(0.0, MAX_RESTORE_DELAY)
+            if self._former_version is None and self.versions.state.era:
+                delay = STARTED_RESTORE_DELAY
+            asyncio.get_running_loop().call_later(delay, self._restore_version)
         self._apply_current()
 
-    def adopt_version(self, items, as_of):
-        """Take the version in force from another host, if it is newer."""
-        if self.versions.adopt([items], as_of):
+    def _on_config_era(self, era, is_first):
+        self.config_batcher.era = era
+        self._is_restore_due = era > 0
+        if not is_first:
+            former = self.versions.restart()
+            self._former_version = former.current if former is not None else None
+
+    def _restore_version(self):
+        """Tell in the log what was in force before it came back from a copy."""
+        if not self.versions.complete:
+            return
+        state, era = self.versions.state, self.config_tail.era
+        event = restored_version(self._former_version or state.current, state, era)
+        if event is not None:
+            log.warning("config: Version %d is written again.", event.number)
+            self.config_batcher.deliver([event])
+
+    def adopt_version(self, items, as_of, era):
+        """
+        Take the version in force from another host, if it is newer.
+
+        Args:
+          items: The fields of a `Version`.
+          as_of: The offset of the last record that it includes.
+          era: The era of that offset.
+        """
+        if self.config_tail.era not in (None, era):
+            # Its offset means nothing here.
+            self._apply_if_newer(Version(*items))
+        elif self.versions.adopt([items], as_of):
             log.info("config: Version %d came from another host.", items[0])
             self._apply_current()
 
@@ -194,9 +240,12 @@
         here already, and a version that this release can't read is left alone: in
         both cases the former one goes on serving, and `status` shows it.
         """
-        current = self.versions.state.current
+        if self.versions.complete:
+            self._apply_if_newer(self.versions.state.current)
+
+    def _apply_if_newer(self, current):
         applied = self.applied.number if self.applied else 0
-        if not self.versions.complete or current.number <= applied:
+        if current.number <= applied and not self._is_replaced(current):
             return
         if self.unusable and self.unusable[0] == current.number:
             return
@@ -213,6 +262,23 @@
         self.unusable = None
         self._apply(current, result.unwrap())
 
+    def _is_replaced(self, current):
+        """
+        Return whether the log has another text for the version in force.
+
+        It lost that version, and accepted another one before a host that knew of it
+        could tell.
+        """
+        if self.applied is None or current.number != self.applied.number:
+            return False
+        state = self.versions.state
+        is_settled = self.versions.complete and state.era == self.config_tail.era
+        is_other = current.id not in ("", self.applied.id)
+        if is_settled and is_other and current.id == state.current.id:
+            log.error("config: Version %d was lost and replaced.", current.number)
+            return True
+        return False
+
     def _apply(self, current, cfg):
         now = asyncio.get_running_loop().time()
         fresh = {}
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/shards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/shards.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import time
 
 from returns.result import Failure, Success
 
@@ -22,6 +23,12 @@
 SHARDS = 1
 CLAIM_WAIT = 3.0
 SURFACE_WAIT = 0.5
+# Seconds by which callers' clocks may be ahead of this host's.
+MAX_KEY_LEAD = 2.0
+# Bounds, in seconds, of the random time after which a host writes again what the log
+# has lost of other hosts' claims.
+MIN_RESTORE_DELAY = 0.5
+MAX_RESTORE_DELAY = 1.5
 
 
 def stream_name(number):
@@ -54,9 +61,21 @@
         self.claims = Claims(self.fold, host, is_gone)
         self.batcher = Batcher(append, self.stream, host, rng)
         self.tail = Tail(
-            platform, self.stream, self.fold, self._feed, self._on_page, wait
+            platform,
+            self.stream,
+            self.fold,
+            self._feed,
+            self._on_page,
+            wait,
+            self._on_era,
         )
+        self._rng = rng
         self._waiters = {}
+        # The time up to which keys may have been claimed by records that the log has
+        # lost, until the era has started in the log.
+        self._uncertain_until = None
+        # Whether this host has yet to write again what the log has lost.
+        self._is_restoring = False
 
     def _feed(self, record):
         decisions, releases = self.claims.feed(record)
@@ -74,6 +93,38 @@
     def _on_page(self, is_hole):
         if is_hole:
             log.error("orders: The state of %s is not complete any more.", self.stream)
+        if self.tail.is_caught_up and self.fold.complete:
+            self._write_restored()
+
+    def _on_era(self, era, is_first):
+        self.batcher.era = era
+        now = time.time()
+        self._uncertain_until = int((now + MAX_KEY_LEAD) * 1000)
+        if is_first:
+            self.claims.era = era
+        else:
+            self.claims.restore(era)
+            self._is_restoring = True
+
+    def _write_restored(self):
+        """Start the era in the log, and write again what it has lost."""
+        if self._uncertain_until is not None:
+            self.deliver(self.claims.begin_era(self._uncertain_until))
+            self._uncertain_until = None
+        if not self._is_restoring:
+            return
+        self._is_restoring = False
+        own = self.claims.own_lost_events()
+        log.warning("orders: %d events of %s are written again.", len(own), self.stream)
+        self.deliver(own)
+        delay = self._rng.uniform(MIN_RESTORE_DELAY, MAX_RESTORE_DELAY)
+        asyncio.get_running_loop().call_later(delay, self._write_lost)
+
+    def _write_lost(self):
+        lost = self.claims.lost_events()
+        if lost:
+            log.warning("orders: %d entries of others are restored.", len(lost))
+        self.deliver(lost)
 
     def is_away(self):
         """Return whether the log is known not to answer at the moment."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/peers/exchange.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/peers/exchange.py
@@ -63,7 +63,12 @@
         current = fold.state.current
         as_of = fold.next_offset - 1
         await stream.send_message(
-            pb.VersionAnswer(is_known=True, as_of=as_of, **current._asdict())
+            pb.VersionAnswer(
+                is_known=True,
+                as_of=as_of,
+                era=self._host.config_tail.era or 0,
+                **current._asdict(),
+            )
         )
 
     async def Keep(self, stream):  # noqa: N802 - as above.
@@ -147,6 +152,7 @@
             self._host.adopt_version(
                 [answer.number, answer.id, answer.text, answer.author, answer.note],
                 answer.as_of,
+                answer.era,
             )
 
     def open_keep(self, address):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/batch.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/batch.py
@@ -55,6 +55,8 @@
         self.appends = 0
         self.bytes = 0
         self.is_unavailable = False
+        # The era of the log as it was last read, 0 if it names none.
+        self.era = 0
         self._append = append
         self._rng = rng
         self._queue = []
@@ -120,6 +122,9 @@
             self._wake.clear()
             data, count = self._next_batch()
             result = await self._append(self.stream, data)
+            if not isinstance(result, Failure) and result.unwrap().era < self.era:
+                # Accepted before the log came back from a copy, which lacks it.
+                result = Failure(StoreError.UNAVAILABLE)
             self.appends += 1
             self.bytes += len(data)
             items, self._queue = self._queue[:count], self._queue[count:]
