Publish only once the log tells what is in force in its era

What operators would see: after the log came back from a copy, a second text is accepted as version 2, and all hosts are said to have it in force, although they run the first text of that number.

Cause: the command line took what the copy holds for all that was accepted. It now waits until a host has told what is in force in the present era of the log, and takes no verdict on its proposal before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/cli.py
@@ -104,6 +104,12 @@
 
 async def _publish(text, base, note, wait, session, platform, cfg):
     history = await _read_history(platform)
+    if not await history.wait_until_told(VERDICT_WAIT):
+        fail(
+            "The log has come back from an older copy, and no host has told yet what "
+            "was in force. Try again when a host runs.",
+            NOT_KNOWN,
+        )
     base = history.current.number if base is None else int(base)
     proposal = Proposal(uuid.uuid4().hex, base, text, getpass.getuser(), note)
     appended = await platform.append(CONFIG_STREAM, encode_events([proposal]))
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/log.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/log.py
@@ -14,6 +14,8 @@
 from ..daemon.host import CONFIG_STREAM
 
 READ_PAUSE = 0.2
+# Seconds to wait for a host to tell what is in force in a log without any era.
+FIRST_ERA_WAIT = 3.0
 
 
 class History:
@@ -27,6 +29,8 @@
     def __init__(self, platform):
         self.fold = new_version_fold()
         self.versions = {}
+        # The era of the log, or None before it was read.
+        self.era = None
         self._platform = platform
 
     @property
@@ -36,7 +40,7 @@
 
     async def catch_up(self):
         """
-        Read to the tail.
+        Read to the tail, from the start if the log came back from an older copy.
 
         Returns:
           A `Success` of the fold's completeness, or a `Failure` of `StoreError`.
@@ -48,12 +52,43 @@
             if isinstance(result, Failure):
                 return result
             page = result.unwrap()
+            if self.era is not None and page.era != self.era:
+                self.fold.restart()
+                self.versions = {}
+                self.era = page.era
+                continue
+            self.era = page.era
             self.fold.begin_read(page.first)
             for raw in page.records:
                 self._feed(raw)
             if self.fold.next_offset >= page.next:
                 return Success(self.fold.complete)
 
+    @property
+    def is_restored(self):
+        """Whether the log came back from a copy, and no host has told what it lost."""
+        return 0 < self.fold.state.era < self.era
+
+    async def wait_until_told(self, seconds):
+        """
+        Read on until a host has told what is in force in the present era of the log.
+
+        A log in which no host has told that of any era may be one without hosts.
+
+        Args:
+          seconds: The most seconds to wait.
+        Returns:
+          Whether the log can be trusted.
+        """
+        now = time.monotonic()
+        until = now + seconds
+        if not self.fold.state.era:
+            until = now + min(seconds, FIRST_ERA_WAIT)
+        while self.fold.state.era < self.era and time.monotonic() < until:
+            await asyncio.sleep(READ_PAUSE)
+            await self.catch_up()
+        return not self.is_restored
+
     def _feed(self, raw):
         self.fold.feed(Record(raw.offset, decode_events(raw.data)))
         if self.fold.complete and self.current.number:
@@ -76,6 +111,8 @@
         while True:
             await self.catch_up()
             verdict = self.fold.state.results.get(proposal.id)
+            if self.is_restored:
+                verdict = None
             if verdict is not None or time.monotonic() >= until:
                 return verdict
             await asyncio.sleep(READ_PAUSE)
