Ask for other hosts' versions with the first message of a starting host

Cause: a starting host waited for a heartbeat, and hosts that start together send each other none. Kept: any answer is enough, and 0.05 s without one. An established host answers within some milliseconds, before the store's listings do; with no established host nobody knows a newer version.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/version_reports.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/version_reports.py
@@ -18,10 +18,9 @@
 # Seconds after which a report expires. Hosts report once a second.
 REPORT_TTL = 3.5
 # Seconds that a starting host waits for a report, and for a version that others have.
-FIRST_REPORT_WAIT = 0.3
+# Other hosts answer its first message within some milliseconds.
+FIRST_REPORT_WAIT = 0.05
 FIRST_VERSION_WAIT = 1.0
-# Starting hosts from which it concludes that all hosts are starting.
-MIN_STARTING_HOSTS = 2
 
 
 class Report(NamedTuple):
@@ -91,6 +90,5 @@
         newest = self.newest()
         if newest:
             return version >= newest or now - listed_at >= FIRST_VERSION_WAIT
-        if len(self._reports) >= MIN_STARTING_HOSTS:
-            return True
-        return now - listed_at >= FIRST_REPORT_WAIT
+        # Hosts without a version are starting as well, and would wait for each other.
+        return bool(self._reports) or now - listed_at >= FIRST_REPORT_WAIT
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -117,7 +117,7 @@
             knowledge=self.knowledge,
         )
         if settings.has_seeds:
-            self.knowledge.may_begin_with = self.peers.versions.reports.may_begin_with
+            self.knowledge.may_begin_with = self.peers.versions.may_begin_with
         self._set_up_paths(rng)
         self.crash_detector = CrashDetector(
             self.knowledge, self.pool, self.metrics, self.stored_suspects.schedule_write
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
@@ -150,7 +150,7 @@
         elif isinstance(message, DataCentreLoad):
             self._handle_load(message, address, at)
         elif isinstance(message, Members):
-            self._handle_members(message, at)
+            self._handle_members(message, address, at)
         else:
             self._handle_hello(message, address, at)
 
@@ -321,6 +321,7 @@
 
     def _handle_hello(self, hello, address, at):
         """Answer a host that asks for addresses; bring it up to date if it is new."""
+        self._versions.note_report(address, hello.version, at)
         remote_hosts = self._remote.remote_hosts.sample(at)
         if hello.data_centre == self._settings.data_centre:
             # The list may be truncated, and all others are reached through the hub.
@@ -335,12 +336,13 @@
             own = [*self._peer_table.addresses(), self._settings.peer_address]
             remote_hosts[self._settings.data_centre] = own[-HOSTS_PER_MESSAGE:]
         known = [a for a in known if a != address]
-        self._callbacks.send(
-            encode(Members(known[:MAX_NAMED_HOSTS], remote_hosts)), address
-        )
+        version = self._versions.own_version
+        members = Members(known[:MAX_NAMED_HOSTS], remote_hosts, version)
+        self._callbacks.send(encode(members), address)
 
-    def _handle_members(self, members, at):
+    def _handle_members(self, members, address, at):
         """Add listed hosts; without a hub, send them this host's state at once."""
+        self._versions.note_report(address, members.version, at)
         new = self._add_candidates(members.addresses, at)
         if new and self._is_hub():
             self._callbacks.send_state(at, new)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -36,18 +36,28 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag="h"):
-    """A request for the addresses of the other hosts of the sender's data centre."""
+    """
+    A request for the addresses of the other hosts of the sender's data centre.
+
+    `version` is as in `Heartbeat`.
+    """
 
     host: str
     data_centre: str
     address: str
+    version: Count | None = None
 
 
 class Members(msgspec.Struct, array_like=True, tag="m"):
-    """An answer to `Hello`: hosts of its data centre, and a few of each other one."""
+    """
+    An answer to `Hello`: hosts of its data centre, and a few of each other one.
+
+    `version` is as in `Heartbeat`.
+    """
 
     addresses: list[str]
     remote_hosts: dict[str, list[str]] = {}
+    version: Count | None = None
 
 
 class Heartbeat(msgspec.Struct, array_like=True):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -123,7 +123,7 @@
             settings, shared, self._incarnation, self._send, rng
         )
         self._buffer = BundleBuffer()
-        self.versions = VersionExchange(knowledge, self._send, rng)
+        self.versions = VersionExchange(knowledge, self._send, rng, self._call_later)
         self._handler = MessageHandler(
             settings,
             shared,
@@ -241,7 +241,14 @@
     def _send_hello(self, at):
         """Ask the seeds and known hosts of other data centres for addresses."""
         settings = self._settings
-        hello = encode(Hello(settings.id, settings.data_centre, settings.peer_address))
+        hello = encode(
+            Hello(
+                settings.id,
+                settings.data_centre,
+                settings.peer_address,
+                self.versions.own_version,
+            )
+        )
         addresses = set(settings.seeds)
         for sample in self._remote.remote_hosts.sample(at).values():
             addresses.update(sample)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/version_exchange.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/version_exchange.py
@@ -9,8 +9,9 @@
 import logging
 import zlib
 
-from plumsaddle_core.ops.version_reports import VersionReports
+from plumsaddle_core.ops.version_reports import FIRST_REPORT_WAIT, VersionReports
 
+from .clock import now
 from .messages import VersionPart, VersionRequest, decompress, encode
 
 log = logging.getLogger("versions")
@@ -38,11 +39,13 @@
       knowledge: The `HostState`, or None to exchange nothing.
       send: Called with bytes and addresses.
       rng: A `random.Random`.
+      call_later: Called with seconds and a function to call then.
     """
 
-    def __init__(self, knowledge, send, rng):
+    def __init__(self, knowledge, send, rng, call_later):
         self._knowledge = knowledge
         self._send = send
+        self._call_later = call_later
         self.reports = VersionReports(rng)
         self._download = None
         # The version that the compressed bytes are of.
@@ -61,6 +64,14 @@
         self.reports.note(address, version, at)
         self.tick(at)
 
+    def may_begin_with(self, version, listed_at, at):
+        """As `VersionReports.may_begin_with`; it is called again in time if not."""
+        if self.reports.may_begin_with(version, listed_at, at):
+            return True
+        if at == listed_at:
+            self._call_later(FIRST_REPORT_WAIT, lambda: self.tick(now()))
+        return False
+
     def tick(self, at):
         """Ask for a newer version if there is one, and apply a first one if it may."""
         if self._knowledge is None:
