Let the lab's store come back from older copies, and watch versions

The pattern restore does it in series; RESTORES=1 lets it happen beside any pattern. In all runs the lab now polls which version each host has in force: none may fall, and each is due two seconds after it was published on a host that was undisturbed, with an undisturbed store, for three.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 demo: setup
 	$(BIN)/python -m plumsaddle_standins.demo
 
-# make lab PATTERN=gray SECONDS=15 SEED=1 OUT=gray.png LIMIT=3 NOTICES=1 PIPELINING=0.3
+# make lab PATTERN=gray SECONDS=15 SEED=1 OUT=gray.png LIMIT=3 NOTICES=1 RESTORES=1
 PATTERN ?= random
 SECONDS ?= 15
 SEED ?= 1
@@ -38,6 +38,7 @@
 	$(BIN)/python -m plumsaddle_standins.lab $(PATTERN) --seconds $(SECONDS) \
 		--seed $(SEED) --out $(OUT) $(if $(LIMIT),--limit $(LIMIT)) \
 		$(if $(NOTICES),--notices) $(if $(DOWNLOADS),--downloads) \
+		$(if $(RESTORES),--restores) \
 		$(if $(PIPELINING),--pipelining $(PIPELINING))
 
 # make crashes HOSTS=40 SEED=1 RUNS=50
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -7,6 +7,7 @@
     python -m plumsaddle_standins.lab random --notices
     python -m plumsaddle_standins.lab random --downloads
     python -m plumsaddle_standins.lab random --pipelining 0.3
+    python -m plumsaddle_standins.lab random --restores
 
 Hosts are real processes; the store, the targets and the callers are stand-ins in this
 one. The last line counts what callers saw, and the exit code is 1 if a promise was
@@ -30,6 +31,7 @@
 from .notices_check import find_ignored_notices
 from .store import Fault
 from .trial import DOWNLOADS, KINDS, OPERATOR, Trial, configuration
+from .version_watch import VersionWatch
 from .windows import LIMIT_HOLDS_AFTER, LIMIT_WINDOW, most_in_window, tolerated
 from .worker import Mode
 
@@ -49,6 +51,13 @@
 # Mean seconds between two notices of targets, and how long a target drains.
 NOTICE_PAUSE = 1.0
 DRAIN_SECONDS = (2.5, 5.0)
+# Mean seconds between two restorations of the store, and bounds of how old its copy is
+# and how long it is away.
+RESTORE_PAUSE = 3.0
+COPY_AGE = (0.2, 2.0)
+RESTORE_AWAY = (0.0, 0.8)
+# Seconds after which the operator and the targets write again what was lost.
+REWRITTEN_AFTER = 0.3
 
 
 class Lab:
@@ -61,6 +70,8 @@
         self.rng = rng
         self.callers = None
         self.version = 1
+        # Pairs of time and version.
+        self.published = []
         self.routes = KINDS
 
     def any_target(self):
@@ -76,6 +87,8 @@
         self.version += 1
         text = configuration(self.version, routes=self.routes, workspaces=WORKSPACES)
         self.trial.store.put(OPERATOR, "config", text)
+        now = asyncio.get_running_loop().time()
+        self.published.append((now, self.version))
 
 
 async def calm(lab, seconds):
@@ -120,6 +133,42 @@
     lab.trial.store.fault = Fault.NONE
 
 
+async def restore(lab, seconds):
+    """Let the store lose what is written, come back, and lose more, in series."""
+    end = asyncio.get_running_loop().time() + seconds
+    while True:
+        await _restore_once(lab, lab.rng)
+        if asyncio.get_running_loop().time() >= end:
+            return
+
+
+async def _restore_once(lab, rng):
+    """Let the store come back from an older copy, and write again what it lost."""
+    store = lab.trial.store
+    store.take_copy()
+    age = rng.uniform(*COPY_AGE)
+    for _ in range(rng.randint(0, 3)):
+        lab.publish()
+        await asyncio.sleep(age / 3)
+    away = rng.uniform(*RESTORE_AWAY)
+    if rng.random() < 0.5:
+        store.fault = rng.choice((Fault.OUT, Fault.RESET, Fault.BUSY))
+        await asyncio.sleep(away)
+    store.restore()
+    store.fault = Fault.NONE
+    await asyncio.sleep(REWRITTEN_AFTER)
+    store.rewrite()
+    lab.publish()
+
+
+async def restore_at_times(lab, seconds, rng):
+    """Let the store come back from older copies at random moments."""
+    end = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < end:
+        await _restore_once(lab, rng)
+        await asyncio.sleep(rng.expovariate(1 / RESTORE_PAUSE))
+
+
 async def release(lab, seconds):
     """Replace the orders' targets, one after the other."""
     for worker in lab.trial.of("act"):
@@ -183,15 +232,16 @@
     f.__name__.replace("_", "-"): f
     for f in (
         *(calm, gray, hang, reset, shed, store_away),
-        *(release, roll, kill, freeze, storm, hot, partition),
+        *(release, roll, kill, freeze, storm, hot, partition, restore),
     )
 }
+# With these, each seed would draw other faults; they are played by themselves.
+NOT_AT_RANDOM = {hot.__name__, restore.__name__}
 
 
 async def at_random(lab, seconds):
     """Let patterns begin at random moments, so that they overlap, and end them all."""
-    # A hot workspace by itself: with it, each seed would draw other faults.
-    names = sorted(PATTERNS.keys() - {hot.__name__})
+    names = sorted(PATTERNS.keys() - NOT_AT_RANDOM)
     running = []
     loop = asyncio.get_running_loop()
     end = loop.time() + seconds
@@ -293,6 +343,7 @@
     has_notices=False,
     has_downloads=False,
     pipelining=0.0,
+    has_restores=False,
 ):
     """
     Play one pattern.
@@ -335,6 +386,8 @@
                     hosts, rate, random.Random(seed + 1), pipelining
                 )
                 reviving = asyncio.create_task(_revive(hosts))
+                watch = VersionWatch(hosts, trial.store)
+                watching = asyncio.create_task(watch.run())
                 faults = asyncio.create_task(_disturb(lab, pattern, seconds))
                 if limit is not None:
                     limits = name_limits(trial, limit)
@@ -343,6 +396,10 @@
                     noticing = asyncio.create_task(
                         give_notices(trial, seconds, notice_rng)
                     )
+                if has_restores:
+                    restoring = asyncio.create_task(
+                        restore_at_times(lab, seconds, random.Random(seed + 4))
+                    )
                 if has_downloads:
                     rng = random.Random(seed + 3)
                     downloaders = DownloadCallers(hosts, rng)
@@ -356,7 +413,10 @@
                 await faults
                 if has_notices:
                     await noticing
+                if has_restores:
+                    await restoring
                 reviving.cancel()
+                watching.cancel()
             finally:
                 for host in hosts:
                     if host.is_running:
@@ -366,6 +426,7 @@
                     link.heal()
                     link.stop()
         broken = find_broken(callers.ended, trial.workers.values(), trial.closed)
+        broken += watch.find_broken(lab.published)
         if limit is not None:
             broken += find_exceeded(limit, *limits)
         if has_notices:
@@ -422,6 +483,7 @@
     notices=False,
     downloads=False,
     pipelining=0.0,
+    restores=False,
 ):
     """
     Play a pattern and tell what callers saw.
@@ -438,6 +500,7 @@
         and read them slowly or not at all.
       pipelining: The share of callers that send several requests at once on one
         connection.
+      restores: Whether the store also comes back from older copies at random moments.
     """
     if pattern not in PATTERNS and pattern != "random":
         print(f"The patterns are: random, {', '.join(PATTERNS)}.", file=sys.stderr)
@@ -453,6 +516,7 @@
             notices,
             downloads,
             pipelining,
+            restores,
         )
         ended, broken = asyncio.run(playing)
     if out is not None:
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -85,6 +85,15 @@
     assert whole > 0.7 * len(ended)
 
 
+def test_no_version_falls_or_is_late_while_the_store_is_restored(tmp_path):
+    """Guards against old versions on hosts of a store that comes back from copies."""
+    playing = play("random", 9.0, SEED, 40.0, tmp_path, has_restores=True)
+    ended, broken = asyncio.run(playing)
+    assert not broken
+    whole = sum(1 for end in ended if end.status == 200)
+    assert whole > 0.7 * len(ended)
+
+
 def test_the_check_finds_what_breaks_a_promise():
     worker = WorkerStandin("act-0", "act")
     worker.runs.update({"twice": 2, "ran": 1, "unsent": 1, "again": 2, "half": 1})
--- a/packages/plumsaddle-standins/plumsaddle_standins/store.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/store.py
@@ -108,6 +108,8 @@
         self.topics = {}
         self.era = era
         self._copies = {}
+        # When a fault began or ended or the store was restored, on the loop's clock.
+        self._disturbed_at = []
         self._written = {}
         self._fault = Fault.NONE
         self._changed = asyncio.Event()
@@ -124,10 +126,19 @@
 
     @fault.setter
     def fault(self, fault):
+        self._note_disturbance()
         self._fault = fault
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _note_disturbance(self):
+        self._disturbed_at.append(asyncio.get_running_loop().time())
+
+    def was_disturbed(self, since, until):
+        """Return whether there was a fault or a restoration between two times."""
+        has_changed = any(since <= at <= until for at in self._disturbed_at)
+        return has_changed or self._fault is not Fault.NONE
+
     def topic(self, name):
         """Return a topic, which is created on first use."""
         if name not in self.topics:
@@ -146,6 +157,7 @@
     def restore(self):
         """Come back from the last copy: what was written since is gone."""
         self.topics = {name: topic.copy() for name, topic in self._copies.items()}
+        self._note_disturbance()
         if self.era is not None:
             self.era += 1
 
