--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONHASHSEED := 0
 
 .PHONY: setup format lint test demo lab crashes measure floor telling quotas limits \
-	notices paths slopes generate
+	notices paths restores slopes generate
 
 setup: $(VENV)/ready
 
@@ -69,6 +69,9 @@
 paths: setup
 	$(BIN)/python -m plumsaddle_standins.partition_model
 
+restores: setup
+	$(BIN)/python -m plumsaddle_standins.restore_model
+
 slopes: setup
 	$(BIN)/python -m plumsaddle_standins.slopes
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -144,7 +144,7 @@
         self._session = session
         self._url = url.rstrip("/")
         self._append_timeout = append_timeout
-        # The era of the latest response.
+        # The latest era that a response has named, or None.
         self._era = None
 
     async def append(self, topic, data):
@@ -305,8 +305,7 @@
             async with self._session.request(
                 method, self._url + path, params=query, timeout=limits, data=body
             ) as resp:
-                era = wire.decode_era(resp.headers)
-                self._note_era(era, path, query)
+                era = self._note_era(wire.decode_era(resp.headers), path, query)
                 data = await resp.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Failure(StoreError.UNREACHABLE)
@@ -321,8 +320,15 @@
         return Failure(StoreError.BUSY if is_undone else StoreError.UNAVAILABLE)
 
     def _note_era(self, era, path, query):
-        """Log that the store has come back from a copy, and what was asked of it."""
-        if self._era is not None and era != self._era:
+        """
+        Log that the store has come back from a copy, and what was asked of it.
+
+        Returns:
+          The era; a response that names none is taken to be of the latest one.
+        """
+        if era is None:
+            return self._era or 0
+        if self._era is not None and era > self._era:
             log.warning(
                 "store era changed",
                 extra={
@@ -333,7 +339,8 @@
                     "at": query.get("from"),
                 },
             )
-        self._era = era
+        self._era = max(era, self._era or 0)
+        return era
 
 
 def make_session():
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -152,9 +152,9 @@
 
 
 def decode_era(headers):
-    """Return the era in the headers of a store's response; 0 if it names none."""
+    """Return the era in the headers of a store's response, or None."""
     text = headers.get(STORE_ERA, "").strip()
-    return int(text) if _match_era(text) else 0
+    return int(text) if _match_era(text) else None
 
 
 _match_decimal = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/afterwards.py
@@ -8,6 +8,7 @@
 from .common import DONE, MISTAKE, NOT_KNOWN, fail, read_text, say
 from .events import read_events
 from .host_paths import tell_host_paths
+from .host_versions import tell_host_versions
 from .standing import find_key, tell_request, tell_standing
 from .trace import trace_request
 from .workspace import tell_workspace
@@ -48,7 +49,8 @@
     """
     Tell what hosts saw of a target or a workspace, or why a request was held back.
 
-    Of a host, it tells when that reached no target by itself. It exits afterwards.
+    Of a host, it tells when that reached no target by itself, and which versions it had
+    in force and where it got them. It exits afterwards.
 
     Args:
       name: The target's id, the workspace's name, the host's id, the request's key, or
@@ -59,7 +61,9 @@
     key = find_key(events, str(name))
     lines = tell_request(events, key) if key else tell_standing(events, str(name))
     lines = lines or tell_workspace(events, str(name))
-    lines = lines or tell_host_paths(events, str(name))
+    lines = lines or (
+        tell_host_paths(events, str(name)) + tell_host_versions(events, str(name))
+    )
     _tell(lines, f"No line names {name}, and none has a key for it.")
 
 
