Do not start from a checkpoint of a former era of the log

A checkpoint that was under way when the log came back from a copy states an offset of the former log. A host that starts from it would skip the restored log's records up to that offset. Its id now names the era; one that is appended after a later era has started, or that states an offset beyond its own, is not used. Found by reading the code for positions that are kept or sent; the test failed before.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims_restored_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims_restored_test.py
@@ -9,7 +9,7 @@
 from ..core.data import Outcome
 from ..core.reasons import Reason
 from .claims import Claims, Replay
-from .fold import Record
+from .fold import Checkpoint, Record, checkpoint_id
 from .orders import (
     Claim,
     ClaimState,
@@ -236,6 +236,26 @@
     assert fleet.hosts[0].orders.entries["k"].state is ClaimState.DONE
 
 
+@pytest.mark.parametrize(
+    "records",
+    [
+        # It is of an offset that the log had before, and has not reached again.
+        [(), (Checkpoint(checkpoint_id(1, "x"), 7, 0, 1, [0]),)],
+        # It was appended after the era had started.
+        [(EraStarted(2, 9),), (Checkpoint(checkpoint_id(1, "x"), 4, 0, 1, [0]),)],
+    ],
+)
+def test_a_checkpoint_of_a_former_era_is_not_used(records):
+    """Guards against a state that skips records of the restored log."""
+    fold = new_order_fold()
+    fold.begin_read(5)
+    for offset, events in enumerate(records, 5):
+        fold.feed(Record(offset, events))
+    assert not fold.complete
+    fold.feed(Record(7, (Checkpoint(checkpoint_id(2, "y"), 6, 0, 1, [0]),)))
+    assert fold.complete
+
+
 def test_a_log_without_eras_needs_no_start_of_one():
     log = Log()
     log.era = 0
--- a/packages/plumsaddle-core/plumsaddle_core/ops/fold.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/fold.py
@@ -25,7 +25,11 @@
 
 
 class Checkpoint(NamedTuple):
-    """One of the parts of the state after the record at the offset `as_of`."""
+    """
+    One of the parts of the state after the record at the offset `as_of`.
+
+    The id is that of `checkpoint_id`, which names the era of the offset.
+    """
 
     id: str
     as_of: int
@@ -34,6 +38,17 @@
     items: Any
 
 
+def checkpoint_id(era, name):
+    """Return the id of a checkpoint, with the era of its offset."""
+    return f"{era}.{name}"
+
+
+def _era_of(checkpoint):
+    """Return the era of a checkpoint's offset, or -1 if it names none."""
+    era, dot, _ = checkpoint.id.partition(".")
+    return int(era) if dot and era.isdecimal() else -1
+
+
 class Fold:
     """
     The state of one stream.
@@ -63,6 +78,8 @@
         self._is_started = False
         self._buffered = []
         self._parts = {}
+        # The latest era that has started in the log, as its records tell, or -1.
+        self._started_era = -1
 
     def restart(self):
         """
@@ -115,8 +132,9 @@
         if not self.complete:
             self._buffered.append(record)
         for event in record.events:
+            self._started_era = max(self._started_era, getattr(event, "era", -1))
             if isinstance(event, Checkpoint):
-                self._add_part(event)
+                self._add_part(event, record.offset)
             elif self.complete:
                 self._apply(self.state, event, record.offset)
 
@@ -145,8 +163,11 @@
             return self._buffered[0].offset
         return self.next_offset
 
-    def _add_part(self, checkpoint):
+    def _add_part(self, checkpoint, offset):
         """Add a part, and start from its checkpoint once all parts have been read."""
+        if checkpoint.as_of >= offset or _era_of(checkpoint) < self._started_era:
+            # It was written before the log came back from a copy, and appended after.
+            return
         self.newest_checkpoint = max(self.newest_checkpoint, checkpoint.as_of)
         if self.complete or checkpoint.as_of < self._first_buffered() - 1:
             return
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/checkpoints.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/checkpoints.py
@@ -8,7 +8,7 @@
 import time
 import uuid
 
-from plumsaddle_core.ops.fold import Checkpoint
+from plumsaddle_core.ops.fold import Checkpoint, checkpoint_id
 from plumsaddle_core.ops.orders import EraStarted, Horizon, dump_orders
 from plumsaddle_core.ops.versions import RestoredVersion, dump_versions
 
@@ -47,11 +47,11 @@
             due = now + every * rng.uniform(1, 1.5)
         if fold.complete and now >= due and not batcher.pending():
             due = now + every * rng.uniform(1, 1.5)
-            for events in self._records(fold, dump):
+            for events in self._records(fold, dump, batcher.era):
                 batcher.deliver(events)
         self._due[batcher.stream] = (fold.newest_checkpoint, due)
 
-    def _records(self, fold, dump):
+    def _records(self, fold, dump, era):
         """Return the records of a checkpoint, led by the era, and orders' horizon."""
         if fold.next_offset == 0:
             return []
@@ -60,7 +60,7 @@
             items[start : start + ITEMS_MOST]
             for start in range(0, len(items), ITEMS_MOST)
         ]
-        name = uuid.uuid4().hex
+        name = checkpoint_id(era, uuid.uuid4().hex)
         as_of = fold.next_offset - 1
         records = [
             [Checkpoint(name, as_of, number, len(parts), part)]
