Keep what was known before the first of several restorations of the log

Two restorations in a row: the own interface took the version and the entries that the log led to in between for what was in force and known before. A host now tells the version that it has in force itself, and an entry gives way only to a later state of its key.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
@@ -252,9 +252,11 @@
         former = self.fold.restart()
         if former is None:
             return
-        entries = ((key, former.entries.get(key)) for key in set(self._recent_keys))
-        self._former.update((key, entry) for key, entry in entries if entry)
-        self._former_claims = frozenset(
+        for key in set(self._recent_keys):
+            entry = former.entries.get(key)
+            if entry is not None and is_ahead(entry, self._former.get(key)):
+                self._former[key] = entry
+        self._former_claims |= frozenset(
             entry.claim_id
             for entry in former.entries.values()
             if entry.host == self.host
--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims_restored_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims_restored_test.py
@@ -236,6 +236,28 @@
     assert fleet.hosts[0].orders.entries["k"].state is ClaimState.DONE
 
 
+def test_two_restorations_in_a_row_lose_no_outcome():
+    """Guards against forgetting a lost outcome when the log goes back once more."""
+    fleet = Fleet()
+    host = fleet.hosts[0]
+    host.ask("k", 5)
+    fleet.read()
+    fleet.log.take_copy()
+    assert host.send() == ["k"]
+    host.finish()
+    fleet.read()
+    for _ in range(2):
+        fleet.now += 10
+        fleet.log.restore()
+        # The host reads the claim, but not yet that its outcome is written again.
+        host.read()
+    fleet.log.append(host.claims.lost_events())
+    fleet.read()
+    fleet.hosts.append(fleet.start())
+    fleet.read()
+    assert isinstance(fleet.hosts[-1].ask("k", 5), Replay)
+
+
 @pytest.mark.parametrize(
     "records",
     [
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -114,8 +114,11 @@
             settings.platform.read_wait,
             self._on_config_era,
         )
-        # The version that was in force before the log came back from a copy.
-        self._former_version = None
+        # The `Version` in force on this host.
+        self._in_force = None
+        # Whether this host has seen the log come back from a copy, and whether it has
+        # yet to tell what is in force.
+        self._has_seen_restore = False
         self._is_restore_due = False
         self.config_batcher = Batcher(
             self.append, CONFIG_STREAM, self.incarnation, self.rng
@@ -194,7 +197,7 @@
         if self._is_restore_due and self.config_tail.is_caught_up:
             self._is_restore_due = False
             delay = self.rng.uniform(0.0, MAX_RESTORE_DELAY)
-            if self._former_version is None and self.versions.state.era:
+            if self.versions.state.era and not self._has_seen_restore:
                 delay = STARTED_RESTORE_DELAY
             asyncio.get_running_loop().call_later(delay, self._restore_version)
         self._apply_current()
@@ -203,15 +206,15 @@
         self.config_batcher.era = era
         self._is_restore_due = era > 0
         if not is_first:
-            former = self.versions.restart()
-            self._former_version = former.current if former is not None else None
+            self._has_seen_restore = True
+            self.versions.restart()
 
     def _restore_version(self):
         """Tell in the log what was in force before it came back from a copy."""
         if not self.versions.complete:
             return
         state, era = self.versions.state, self.config_tail.era
-        event = restored_version(self._former_version or state.current, state, era)
+        event = restored_version(self._in_force or state.current, state, era)
         if event is not None:
             log.warning("config: Version %d is written again.", event.number)
             self.config_batcher.deliver([event])
@@ -297,6 +300,7 @@
                 state.update(service, cfg.hosts_max, now)
             fresh[service.name] = state
         self.services = fresh
+        self._in_force = current
         self.applied = Applied(current.number, current.id, cfg, build_routes(cfg))
         self.metrics.version.set({}, current.number)
         self._set_leaving(now)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -363,7 +363,7 @@
                 self._notify_read(page)
         if is_accepted and page.records and not self._is_listing:
             await asyncio.sleep(PAUSE_AFTER_PAGE)
-        elif not (is_accepted or self._position.must_list):
+        elif not is_accepted and page.era < self._position.current.era:
             # It was answered before a restoration that this host knows of already.
             fields = {"topic": self._topic, "era": page.era, "at": self.next_offset}
             log.warning("ignoring answer of a former era", extra=fields)
