Write lost records again also where the topic was never listed, and in small records

Found by reading the change as a newcomer would:

- a host that was told at its start that the topic of suspects is empty had no era to compare with, and wrote nothing again after a restoration (test failed before);
- on the own interface all lost entries went into one append, which the platform refuses beyond 256 kB a record, and entries were written before the fold was complete.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
@@ -285,10 +285,8 @@
         First come the entries that the log has lost, then the outcomes of claims that
         it may have lost or not have applied.
         """
-        self._drop_restored()
-        own = [entry for entry in self._former.values() if entry.host == self.host]
-        restored = [RestoredEntry(entry_fields(entry)) for entry in own]
-        return restored + list(self._outcomes.values())
+        own = [event for event, host in self._lost_entries() if host == self.host]
+        return own + list(self._outcomes.values())
 
     def lost_events(self):
         """
@@ -296,13 +294,16 @@
 
         Other hosts write their own claims again, so little is left after a while.
         """
-        self._drop_restored()
-        return [RestoredEntry(entry_fields(entry)) for entry in self._former.values()]
+        return [event for event, _ in self._lost_entries()]
 
-    def _drop_restored(self):
-        """Drop what is known of the former era once the log has it."""
+    def _lost_entries(self):
+        """
+        Return pairs of a `RestoredEntry` that the log lacks and the host of its claim.
+
+        What the log has is dropped here.
+        """
         if not self.fold.complete:
-            return
+            return []
         orders = self.fold.state
         self._former = {
             key: entry
@@ -310,6 +311,10 @@
             if is_ahead(entry, orders.entries.get(key))
             and entry.key_time > orders.horizon
         }
+        return [
+            (RestoredEntry(entry_fields(entry)), entry.host)
+            for entry in self._former.values()
+        ]
 
     def start_sending(self, claim_id):
         """
--- a/packages/plumsaddle-core/plumsaddle_core/ops/orders.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/orders.py
@@ -14,8 +14,8 @@
 
 The log may come back from an older copy. A key that was created before may have been
 claimed, and its order run, by records that are lost. The first claim in the new era is
-therefore preceded by an `EraStarted` with the time up to which keys are uncertain: such
-a key is not run unless it was known as free before, which no host can tell. Hosts also
+therefore preceded by an `EraStarted` with the time up to which keys are uncertain: an
+order with such a key is not run any more unless the log has its entry. Hosts also
 append the entries that they know and the log has lost.
 """
 
@@ -297,7 +297,7 @@
         if other.claim_id in entry.void_claims or entry.claim_id in other.void_claims:
             return other.claim_id in entry.void_claims
         if ClaimState.FREE in (entry.state, other.state):
-            return other.state is ClaimState.FREE is not entry.state
+            return entry.state is not ClaimState.FREE
     return PROGRESS.index(entry.state) > PROGRESS.index(other.state)
 
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -134,6 +134,7 @@
         return target_id in self._relisted
 
     def _put(self, target):
+        self._removed_at.pop(target.incarnation, None)
         self._lapsing.pop(target.id, None)
         previous = self.targets.get(target.id)
         if previous is not None and previous.service != target.service:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/shards.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/shards.py
@@ -116,7 +116,7 @@
         self._is_restoring = False
         own = self.claims.own_lost_events()
         log.warning("orders: %d events of %s are written again.", len(own), self.stream)
-        self.deliver(own)
+        self._deliver_each(own)
         delay = self._rng.uniform(MIN_RESTORE_DELAY, MAX_RESTORE_DELAY)
         asyncio.get_running_loop().call_later(delay, self._write_lost)
 
@@ -124,7 +124,12 @@
         lost = self.claims.lost_events()
         if lost:
             log.warning("orders: %d entries of others are restored.", len(lost))
-        self.deliver(lost)
+        self._deliver_each(lost)
+
+    def _deliver_each(self, events):
+        """Append events that may be too many for one record."""
+        for event in events:
+            self.deliver([event])
 
     def is_away(self):
         """Return whether the log is known not to answer at the moment."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
@@ -51,7 +51,7 @@
         self._suspects = suspects
         self._store_access = store_access
         self._write_task = None
-        # The era of the last listing, and the keys to remove from the store.
+        # The era in which records were read or written, and the keys to remove.
         self._era = None
         self._keys_to_remove = set()
 
@@ -65,6 +65,7 @@
 
     def apply_page(self, page):
         """Apply a `Page` of changes."""
+        self._note_first_era(page.era)
         for record in page.records:
             if record.value is None:
                 self._suspects.drop(record.key)
@@ -72,6 +73,11 @@
             else:
                 self._apply_record(record)
 
+    def _note_first_era(self, era):
+        """Note the era of the first record, if the topic has never been listed."""
+        if self._era is None:
+            self._era = era
+
     def _apply_record(self, record):
         try:
             decoded = decode_record(record.value)
@@ -127,6 +133,7 @@
         is_written = not isinstance(result, Failure)
         if is_written:
             era = result.unwrap().era
+            self._note_first_era(era)
             self._store_access.note_era(now(), era)
             # What was accepted before a restoration that is known by now is lost.
             is_written = era == self._store_access.era
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored_test.py
@@ -115,6 +115,26 @@
     assert asyncio.run(run(False)) == []
 
 
+def test_records_of_a_host_that_never_listed_the_topic_are_written_again():
+    """Guards against losing a record in a topic that was reported as empty before."""
+
+    async def run():
+        stored, suspects, store = _make(
+            Success(Appended(0, 1)), Success(Appended(0, 2))
+        )
+        for incarnation in ("a", "b"):
+            suspects.add(RunRecord("k", incarnation, True), now(), is_own=True)
+        stored.schedule_write()
+        await asyncio.sleep(0.01)
+        stored._store_access.note_era(now(), 2)
+        stored.apply_listing(Page([], 0, 2))
+        stored.schedule_write()
+        await asyncio.sleep(0.01)
+        return len(store.written)
+
+    assert asyncio.run(run()) == 2
+
+
 def test_a_write_that_was_accepted_before_a_restoration_is_repeated():
     """Guards against taking a record for stored that the store has lost."""
 
