--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry_test.py
@@ -121,11 +121,14 @@
 
 def test_a_target_that_had_come_back_is_used_in_a_restored_store():
     """Guards against losing a target that was removed and listed again before."""
-    registry = _restored(removed=[1])
+    registry = _filled(0)
+    registry.put(_target(1), Position(1, 1), 0.0)
+    registry.drop({"t1": Position(1, 60)}, 9.0)
     registry.put(_target(1), Position(1, 70), 9.5)
     registry.note_store_restored(10.0)
     registry.put(_target(1), Position(2, 1), 10.1)
     assert not registry.is_relisted("t1")
+    assert _ids(registry) == {"t1"}
 
 
 def test_targets_that_a_restored_store_has_lost_stay_for_a_while():
