Let a starting host leave keys certain in an era that has started

What callers would see on the own interface: order-unknown (409) for fresh orders whenever a host starts, for two seconds and the time since the key was made.

Cause: a host that found its era started in the log, with nothing uncertain, took the log for one that had lost records, and made all keys up to now uncertain.

Only a host that has seen the log come back writes a time into an era that has started.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims.py
@@ -271,11 +271,11 @@
             by lost records.
         """
         orders = self.fold.state
-        has_lost = self._has_been_restored or orders.era > 0
-        is_started = orders.era >= self.era and (orders.uncertain_until or not has_lost)
-        if not self.fold.complete or is_started:
+        is_known = orders.uncertain_until > 0 or not self._has_been_restored
+        if not self.fold.complete or (orders.era >= self.era and is_known):
             return []
         # Before the first era there is nothing to lose.
+        has_lost = orders.era > 0 or self._has_been_restored
         return [EraStarted(self.era, key_time if has_lost else 0)]
 
     def own_lost_events(self):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims_restored_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims_restored_test.py
@@ -278,6 +278,18 @@
     assert fold.complete
 
 
+def test_a_starting_host_makes_no_key_uncertain_in_an_era_that_has_started():
+    """Guards against refused orders of the last seconds whenever a host starts."""
+    fleet = Fleet()
+    fleet.now = 100
+    fleet.hosts.append(fleet.start())
+    fleet.read()
+    fleet.read()
+    assert fleet.hosts[0].orders.uncertain_until == 0
+    assert fleet.run(fleet.hosts[0], "k", 90) is None
+    assert fleet.sent == ["k"]
+
+
 def test_a_log_without_eras_needs_no_start_of_one():
     log = Log()
     log.era = 0
