List a topic again if the store is restored once more during a listing

Found by reading the change once more: if another topic's answer showed a further restoration while a listing was under way, the listing that was due was forgotten, and the topic stayed in the era between, until its own next read. The new test failed before. Only eras that rise reach this code.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/topic_position.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/topic_position.py
@@ -48,10 +48,11 @@
     def __init__(self):
         self.current = None
         self._is_listing_due = False
-        # The latest era that another host named, as of now and of the last listing's
-        # start, and the latest one of which a listing showed that it isn't in force.
+        # The latest era that an answer or another host named, as of now and of the last
+        # listing's start.
         self._claimed_era = -1
         self._claim_to_check = -1
+        # The latest era of which a listing showed that it isn't in force.
         self._disproved_era = -1
 
     @property
@@ -103,7 +104,9 @@
     def note_era(self, era):
         """Note the era of an answer; return whether it shows a restoration."""
         is_later = self.current is not None and era > self.current.era
-        self._is_listing_due = self._is_listing_due or is_later
+        if is_later:
+            self._claimed_era = max(self._claimed_era, era)
+            self._is_listing_due = True
         return is_later
 
     def begin_listing(self):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/topic_position_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/topic_position_test.py
@@ -69,6 +69,19 @@
     assert not position.must_list
 
 
+def test_a_restoration_that_another_topic_shows_during_a_listing_causes_another():
+    """Guards against a topic that stays in the era between two restorations."""
+    position = _make()
+    position.note_era(2)
+    position.begin_listing()
+    position.note_era(3)
+    assert position.accept_listing(2, 10)
+    assert position.must_list
+    position.begin_listing()
+    assert position.accept_listing(3, 8)
+    assert not position.must_list
+
+
 def test_earlier_offsets_of_hosts_without_eras_are_unclear():
     """Guards against following a reader of a former release into another era."""
     position = _make()
