Let a hedge's test hang the target that is asked

It let the target hang that one request had reached before, and expected the next three to reach it too. A failed run with each send written down shows why that is wrong: 'first' reached file-1, and all three later ones reached file-0 and were answered 200 within 17 ms. Both targets were equally fast, so either may be chosen; nothing was late and nothing was to be hedged.

Now the first target that runs the request hangs, whichever it is. The check is as strict: that request must be hedged and answered whole from the other target (before, at least one of three), and the next two are answered whole while that target hangs. A form in which each of three requests finds its first target hanging was tried and not kept: both targets have hung then, and the second request ends with 504.

--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_downloads_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_downloads_test.py
@@ -221,6 +221,21 @@
         assert await _read_all(stalled[0]) < len(LONG_BODY)
 
 
+async def _ask_a_hanging_target(trial, request_id):
+    """Let the first target that runs a request hang, and return the response."""
+
+    def ran():
+        return [worker for worker in trial.of("file") if worker.runs[request_id]]
+
+    trial.set_mode("file", Mode.HANG)
+    asking = asyncio.create_task(trial.ask("/file/a", request_id))
+    await until(ran)
+    (late,) = ran()
+    trial.set_mode("file", Mode.LONG)
+    late.mode = Mode.HANG
+    return await asking
+
+
 @in_loop
 async def test_a_target_that_begins_late_is_hedged_and_one_that_has_begun_is_not():
     """Guards against two copies of a large response on the host's link."""
@@ -228,15 +243,12 @@
         for number in range(3):
             asks = (trial.ask("/file/a", f"id-{number}-{n}") for n in range(6))
             await asyncio.gather(*asks)
-        await trial.ask("/file/a", "first")
-        preferred = next(w for w in trial.of("file") if w.runs["first"])
-        preferred.mode = Mode.HANG
-        runs = 0
-        for number in range(3):
+        status, _, body = await _ask_a_hanging_target(trial, "late-0")
+        assert (status, body) == (200, LONG_BODY)
+        assert sum(w.runs["late-0"] for w in trial.of("file")) == 2
+        for number in (1, 2):
             status, _, body = await trial.ask("/file/a", f"late-{number}")
             assert (status, body) == (200, LONG_BODY)
-            runs += sum(w.runs[f"late-{number}"] for w in trial.of("file"))
-        assert runs > 3
         trial.set_mode("file", Mode.HEAD_ONLY)
         request_id = "begun"
         asking = asyncio.create_task(trial.ask("/file/a", request_id, left=900))
