--- a/packages/plumsaddle-core/plumsaddle_core/ops/version_reports.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/version_reports.py
@@ -1,5 +1,5 @@
 """
-The versions of the configuration that the other hosts of a data centre have in force.
+The versions of the configuration that other hosts have in force.
 
 A host that lacks a version that others run gets it from one of them: the store may be
 out of its reach, or may have come back from an older copy that lacks it. One host is
