Keep a target that had left unused after two restorations

A target that leaves is remembered. If a restored store lists it again, it stays unused for 6 s, unless its entry is written again, which its later position shows. A second restoration within that time lists it in a later era, so its position was later too, and the target was used: callers' requests would have been sent to a target that has gone.

Positions noted in a former copy are now forgotten at each restoration; the entry of the next copy is held back anew. The test failed before (t1 was usable) and passes now.

Only a store whose era rises reaches the line.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -86,6 +86,8 @@
         """Record that the store has come back from an older copy."""
         self._restored_at = now
         self._left_before = frozenset(self._removed_at)
+        # Positions in former copies don't tell whether an entry is new.
+        self._relisted = {}
         self._draining_before = frozenset(
             target.incarnation
             for target in self.targets.values()
--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry_test.py
@@ -107,6 +107,17 @@
     assert _ids(registry) == {"t0", "t2"}
 
 
+def test_a_target_that_had_left_is_not_used_after_two_restorations():
+    """Guards against taking the second copy's entry for one written since the first."""
+    registry = _restored(removed=[1])
+    registry.put(_target(1), Position(2, 1), 10.1)
+    registry.note_store_restored(12.0)
+    registry.put(_target(1), Position(3, 1), 12.1)
+    assert _ids(registry) == {"t0", "t2"}
+    registry.expire(10.0 + RELISTED_GRACE)
+    assert _ids(registry) == {"t0", "t2"}
+
+
 def test_a_target_that_is_listed_again_and_alive_is_used():
     """Guards against losing a target that had only lapsed before the restoration."""
     for is_written_again in (False, True):
