--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,13 +1,14 @@
 """
-Uploads that are on their way while their host is stopped.
+Long idempotent requests while a worker is slow.
 
-Six clients hold open connections. A host gets SIGTERM, and each client sends an upload
-of 300 KB at 200 KB/s, between 2.0 and 2.7 s later. Its last byte leaves the client
-before the host has been stopped for 4.3 s; the grace period is 6 s.
+Clients send lookups with a body of 1 MB in chunks, on a safe route. Then one worker of
+ten works five times as long for 6.5 s. Each worker answers with the length and the
+digest of the body that it ran.
 """
 
 import asyncio
-import signal
+import hashlib
+import os
 import sys
 import time
 from pathlib import Path
@@ -17,144 +18,131 @@
 
 import standins  # noqa: E402
 
-CLIENTS = 6
-BODY_BYTES = 300_000
-BYTES_PER_SECOND = 200_000
-PIECE = 10_000
-FIRST_AT, APART = 2.0, 0.14
+WORKERS = 10
+BODY_BYTES = 1_000_000
+PIECE = 50_000
 DEADLINE_MS = 4000
-WORK_SECONDS = 0.36
-LOSS_SLACK = 0.2
-GRACE = 6.0
+WORK_SECONDS = 0.41
+SLOWNESS = 5.0
+SLOW_SECONDS = 6.5
+PER_SECOND = 16
+WARM_UP_SECONDS = 5.0
 ROUTES = {
-    "scan": {
-        "host": "scan.example",
-        "path_prefix": "/scan/",
-        "route_type": "upload",
+    "lookup": {
+        "host": "lookup.example",
+        "path_prefix": "/files/",
+        "route_type": "safe",
         "timeout_ms": DEADLINE_MS,
         "target_latency_ms": 1200,
-        "priority": 1,
-        "service": "intake",
-        "max_attempts": 1,
+        "priority": 2,
+        "service": "records",
+        "max_attempts": 2,
     }
 }
 
 
-def head_of(request_id, length):
-    """Return the head of an upload."""
-    return (
-        f"POST /scan/ledger HTTP/1.1\r\nHost: scan.example\r\n"
-        f"Request-Id: {request_id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
-        f"Content-Length: {length}\r\n\r\n"
-    ).encode()
+def summary_of(body):
+    """Return what tells one body from another."""
+    return f"{len(body)} bytes {hashlib.sha256(body).hexdigest()[:12]}"
 
 
-class Upload:
-    """One client with its open connection, and what became of its upload."""
+class Lookups:
+    """The requests of the clients, and what became of them."""
 
-    def __init__(self, number, host, record):
-        self.id = f"upload-{number}"
+    def __init__(self, host, record):
         self._host, self._record = host, record
-        self._reader = self._writer = None
-        self.last_byte_at = self.sent_at = self.ended_at = 0.0
-        self.status = None
-        self.end = "not sent"
-
-    async def warm_up(self):
-        """Open the connection with a small upload, which is answered."""
-        self._reader, self._writer = await standins.connect(self._host.callers)
-        self._writer.write(head_of(f"{self.id}-first", 100) + bytes(100))
-        message = await standins.read_message(self._reader)
-        self._record.note(f"{self.id}-first is answered: {message.start}")
-
-    async def send(self, start):
-        """Send the upload at a time, read the answer, and note how it ended."""
-        await asyncio.sleep(start - time.monotonic())
-        answer = asyncio.create_task(standins.read_message(self._reader))
-        self.sent_at = time.monotonic()
-        self._record.note(f"{self.id} is sent, {BODY_BYTES} bytes")
-        try:
-            await self._send_body()
-        except ConnectionError as exc:
-            self._record.note(f"{self.id} can't be sent: {type(exc).__name__}")
-        message = None
+        self.sent = {}
+        self.answers = {}
+
+    async def send(self, request_id):
+        """Send a request on a new connection and read its answer."""
+        body = os.urandom(BODY_BYTES)
+        self.sent[request_id] = summary_of(body)
+        self._record.note(f"{request_id} is sent: {self.sent[request_id]}")
+        reader, writer = await standins.connect(self._host.callers)
         try:
-            async with asyncio.timeout_at(
-                asyncio.get_running_loop().time()
-                + self.sent_at
-                + DEADLINE_MS / 1000
-                - time.monotonic()
-            ):
-                message = await answer
-            how = "reset" if self._reader.exception() else "closed"
-            self.end = f"{how} without an answer"
-        except TimeoutError:
-            self.end = "no answer by the client's deadline"
-        self.ended_at = time.monotonic()
-        if message is not None:
-            self.status = message.start.split(" ")[1]
-            self.end = f"answered: {message.start}, whole: {message.is_whole}"
-        after = self.ended_at - self.last_byte_at
-        self._record.note(f"{self.id} {self.end}, {after:.2f} s after its last byte")
-        self._writer.close()
-
-    async def _send_body(self):
-        self._writer.write(head_of(self.id, BODY_BYTES))
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                await _write(writer, request_id, body)
+                message = await standins.read_message(reader)
+        except (ConnectionError, TimeoutError) as exc:
+            self._record.note(f"{request_id} has no answer: {type(exc).__name__}")
+            return
+        finally:
+            writer.close()
+        status = "none" if message is None else message.start.split(" ")[1]
+        text = b"" if message is None else message.body
+        self.answers[request_id] = status, text.decode("latin-1")
+        self._record.note(f"{request_id} is answered: {status}, {text!r}")
+
+    async def send_for(self, seconds, name):
+        """Send requests at a steady rate, and wait for their answers."""
         began = time.monotonic()
-        for sent in range(0, BODY_BYTES, PIECE):
-            self._writer.write(bytes(PIECE))
-            await self._writer.drain()
-            due = began + (sent + PIECE) / BYTES_PER_SECOND
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-        self.last_byte_at = time.monotonic()
-        self._record.note(f"{self.id} has sent its last byte")
+        tasks = []
+        for number in range(int(seconds * PER_SECOND)):
+            await asyncio.sleep(began + number / PER_SECOND - time.monotonic())
+            tasks.append(asyncio.create_task(self.send(f"{name}-{number}")))
+        await asyncio.gather(*tasks)
+
+
+async def _write(writer, request_id, body):
+    head = (
+        "POST /files/many HTTP/1.1\r\nHost: lookup.example\r\n"
+        f"Request-Id: {request_id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    writer.write(head.encode())
+    for start in range(0, len(body), PIECE):
+        piece = body[start : start + PIECE]
+        writer.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+
+
+class Work:
+    """The work of all workers, of which one may be slow."""
+
+    def __init__(self, record):
+        self._record = record
+        self.slow_worker = None
+        self.ran = []
 
-    @property
-    def is_lost(self):
-        """Whether the connection ended without an answer after the whole request."""
-        is_unanswered = self.end.endswith("without an answer")
-        return is_unanswered and self.ended_at > self.last_byte_at + LOSS_SLACK
+    def of(self, worker_id):
+        """Return the work of one worker."""
+
+        async def work(message):
+            request_id = message.headers["request-id"]
+            body = summary_of(message.body)
+            self.ran.append((request_id, worker_id, body))
+            is_slow = worker_id == self.slow_worker
+            await asyncio.sleep(WORK_SECONDS * (SLOWNESS if is_slow else 1.0))
+            return body.encode()
+
+        return work
 
 
 async def play(record):
-    """Play the case, and return the uploads."""
+    """Play the case, and return the lookups and the work."""
     store = standins.StoreStandIn()
     await store.start()
-
-    async def work(message):
-        await asyncio.sleep(WORK_SECONDS)
-        return b"stored"
-
-    standins.put_configuration(store, 7, ROUTES, ["intake"])
-    workers = [
-        standins.WorkerStandIn(store, record, "intake", f"i-{number}", work)
-        for number in range(3)
-    ]
-    for worker in workers:
+    standins.put_configuration(store, 7, ROUTES, ["records"])
+    work = Work(record)
+    for number in range(WORKERS):
+        worker_id = f"i-{number}"
+        worker = standins.WorkerStandIn(
+            store, record, "records", worker_id, work.of(worker_id)
+        )
         await worker.start()
     host = standins.EdgeHost(store.address)
     try:
         await host.start()
         await asyncio.sleep(standins.CONTACT_TIME)
-        uploads = [Upload(number, host, record) for number in range(CLIENTS)]
-        for upload in uploads:
-            await upload.warm_up()
-        await asyncio.sleep(standins.CONTACT_TIME)
-        stopped_at = time.monotonic()
-        if standins.has_trouble():
-            host.send_signal(signal.SIGTERM)
-            record.note("the host gets SIGTERM")
-        await asyncio.gather(
-            *(
-                upload.send(stopped_at + FIRST_AT + APART * number)
-                for number, upload in enumerate(uploads)
-            )
-        )
+        lookups = Lookups(host, record)
+        await lookups.send_for(WARM_UP_SECONDS, "first")
         if standins.has_trouble():
-            left = stopped_at + GRACE - time.monotonic()
-            code = await asyncio.wait_for(host.process.wait(), max(0.5, left))
-            record.note(f"the host has ended with code {code}")
-        return uploads, workers
+            work.slow_worker = "i-3"
+            record.note(f"i-3 works {SLOWNESS} times as long for {SLOW_SECONDS} s")
+        await lookups.send_for(SLOW_SECONDS, "then")
+        return lookups, work
     finally:
         await host.close()
 
@@ -162,18 +150,20 @@
 async def main():
     """Return the exit code."""
     record = standins.Record(FOLDER / "record.txt")
-    uploads, workers = await play(record)
-    runs = sum(
-        worker.runs.get(upload.id, 0) for worker in workers for upload in uploads
-    )
-    lost = [upload for upload in uploads if upload.is_lost]
-    served = sum(upload.status == "200" for upload in uploads)
+    lookups, work = await play(record)
+    changed = [run for run in work.ran if lookups.sent.get(run[0]) != run[2]]
+    for request_id, worker_id, body in changed:
+        sent = lookups.sent.get(request_id)
+        record.note(f"{worker_id} ran {request_id} with {body}, sent were {sent}")
+    served = [r for r, (status, _) in lookups.answers.items() if status == "200"]
+    wrong = [r for r in served if lookups.answers[r][1] != lookups.sent[r]]
     record.note(
-        f"{len(uploads)} uploads: {served} served, {runs} run, {len(lost)} lost"
+        f"{len(lookups.sent)} requests: {len(served)} served, {len(changed)} run with"
+        f" a changed body, {len(wrong)} answered 200 for a changed body"
     )
-    if not standins.has_trouble() and served < len(uploads):
+    if not standins.has_trouble() and len(served) < len(lookups.sent):
         return 2
-    return 1 if lost else 0
+    return 1 if changed else 0
 
 
 if __name__ == "__main__":
