Show that long answers that stop half-way are held past the route's timeout

Two workers of fifteen stop after 100 KB of 150 KB in 45 % of their answers for 6.5 s, and later two others.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+cd "$(dirname "$0")" && exec python3 run.py
