--- a/review/1/run.py
+++ b/review/1/run.py
@@ -162,14 +162,9 @@
         f" a changed body, {len(wrong)} answered 200 for a changed body"
     )
     if not standins.has_trouble() and len(served) < len(lookups.sent):
-        return 2
+        return standins.EXIT_NOT_RUN
     return 1 if changed else 0
 
 
 if __name__ == "__main__":
-    try:
-        code = asyncio.run(main())
-    except (OSError, RuntimeError, TimeoutError) as exc:
-        print(f"could not run: {exc!r}")
-        code = 2
-    sys.exit(code)
+    standins.run_case(main)
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -172,14 +172,9 @@
         f"{len(uploads)} uploads: {served} served, {runs} run, {len(lost)} lost"
     )
     if not standins.has_trouble() and served < len(uploads):
-        return 2
+        return standins.EXIT_NOT_RUN
     return 1 if lost else 0
 
 
 if __name__ == "__main__":
-    try:
-        code = asyncio.run(main())
-    except (OSError, RuntimeError, TimeoutError) as exc:
-        print(f"could not run: {exc!r}")
-        code = 2
-    sys.exit(code)
+    standins.run_case(main)
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -174,15 +174,10 @@
         f" timeout, {len(late)} of these without a final answer {SLACK} s after it"
     )
     if not standins.has_trouble() and served < len(lookups):
-        return 2
+        return standins.EXIT_NOT_RUN
     is_broken = len(late) >= LEAST_COUNT and len(late) > LEAST_FRACTION * len(long)
     return 1 if is_broken else 0
 
 
 if __name__ == "__main__":
-    try:
-        code = asyncio.run(main())
-    except (OSError, RuntimeError, TimeoutError) as exc:
-        print(f"could not run: {exc!r}")
-        code = 2
-    sys.exit(code)
+    standins.run_case(main)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import struct
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -23,6 +24,9 @@
 RUN_COMMAND = ["python3", "-S", "-m", "plumsaddle_hosts.edge"]
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 CONTACT_TIME = 3.0
+# Seconds for which a case may run.
+MAX_RUN_TIME = 110.0
+EXIT_NOT_RUN = 2
 SETTINGS = """
 id = "edge-a-1"
 data_centre = "zone-a"
@@ -394,3 +398,24 @@
 def has_trouble():
     """Return whether the case runs with its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+def run_case(main):
+    """
+    Run a case and exit with its code, or with 2 if it couldn't run.
+
+    Args:
+      main: A coroutine function that returns 1 if the rule was broken, 0 if it held,
+        and 2 if the case can't tell.
+    """
+
+    async def run():
+        async with asyncio.timeout(MAX_RUN_TIME):
+            return await main()
+
+    try:
+        code = asyncio.run(run())
+    except Exception as exc:
+        print(f"could not run: {exc!r}")
+        code = EXIT_NOT_RUN
+    sys.exit(code)
