--- a/review/1/run.py
+++ b/review/1/run.py
@@ -19,10 +19,13 @@
 
 import standins  # noqa: E402
 
+# With TROUBLE=0 no worker is slow, and the case must pass.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 WORKERS = 15
 SLOW_WORKERS = 2
 BODY_BYTES = 1_000_000
 PIECE = 50_000
+TIMEOUT_MS = 1500
 DEADLINE_MS = 4000
 WORK_SECONDS = 0.41
 SLOWNESS = 5.0
@@ -34,7 +37,7 @@
         "host": "lookup.example",
         "path_prefix": "/files/",
         "route_type": "safe",
-        "timeout_ms": DEADLINE_MS,
+        "timeout_ms": TIMEOUT_MS,
         "target_latency_ms": 1200,
         "priority": 2,
         "service": "records",
@@ -145,7 +148,7 @@
         await asyncio.sleep(standins.CONTACT_TIME)
         lookups = Lookups(host, record)
         await lookups.send_for(WARM_UP_SECONDS, "first")
-        if standins.has_trouble():
+        if HAS_TROUBLE:
             work.slow_workers = work.busiest(SLOW_WORKERS)
             names = ", ".join(sorted(work.slow_workers))
             record.note(f"{names} work {SLOWNESS} times as long for {SLOW_SECONDS} s")
@@ -169,7 +172,7 @@
         f"{len(lookups.sent)} requests: {len(served)} served, {len(changed)} run with"
         f" a changed body, {len(wrong)} answered 200 for a changed body"
     )
-    if not standins.has_trouble() and len(served) < len(lookups.sent):
+    if not HAS_TROUBLE and len(served) < len(lookups.sent):
         return standins.EXIT_NOT_RUN
     return 1 if changed else 0
 
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -17,6 +18,8 @@
 
 import standins  # noqa: E402
 
+# With TROUBLE=0 the host gets no SIGTERM, and the case must pass.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 6
 BODY_BYTES = 300_000
 BYTES_PER_SECOND = 200_000
@@ -141,7 +144,7 @@
             await upload.warm_up()
         await asyncio.sleep(standins.CONTACT_TIME)
         stopped_at = time.monotonic()
-        if standins.has_trouble():
+        if HAS_TROUBLE:
             host.send_signal(signal.SIGTERM)
             record.note("the host gets SIGTERM")
         await asyncio.gather(
@@ -150,7 +153,7 @@
                 for number, upload in enumerate(uploads)
             )
         )
-        if standins.has_trouble():
+        if HAS_TROUBLE:
             left = stopped_at + GRACE - time.monotonic()
             code = await asyncio.wait_for(host.process.wait(), max(0.5, left))
             record.note(f"the host has ended with code {code}")
@@ -171,7 +174,7 @@
     record.note(
         f"{len(uploads)} uploads: {served} served, {runs} run, {len(lost)} lost"
     )
-    if not standins.has_trouble() and served < len(uploads):
+    if not HAS_TROUBLE and served < len(uploads):
         return standins.EXIT_NOT_RUN
     return 1 if lost else 0
 
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import os
 import signal
 import socket
 import sys
@@ -19,6 +20,8 @@
 
 import standins  # noqa: E402
 
+# With TROUBLE=0 the host gets no SIGTERM, and the case must pass.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 6
 REQUESTS = 10
 EVERY_SECONDS = 0.1
@@ -28,13 +31,14 @@
 PIECE = 4000
 BYTES_PER_SECOND = 40_000
 WORK_SECONDS = 0.11
+TIMEOUT_MS = 2000
 DEADLINE_MS = 4000
 ROUTES = {
     "notes": {
         "host": "notes.example",
         "path_prefix": "/notes/",
         "route_type": "safe",
-        "timeout_ms": DEADLINE_MS,
+        "timeout_ms": TIMEOUT_MS,
         "target_latency_ms": 800,
         "priority": 1,
         "service": "roadwatch",
@@ -165,7 +169,7 @@
         await asyncio.gather(*(asyncio.to_thread(c.warm_up) for c in clients))
         await asyncio.sleep(standins.CONTACT_TIME)
         stopped_at = time.monotonic()
-        if standins.has_trouble():
+        if HAS_TROUBLE:
             host.send_signal(signal.SIGTERM)
             record.note("the host gets SIGTERM")
         await asyncio.gather(
@@ -194,7 +198,7 @@
         f"{sent} requests sent, {answered} answered whole, {len(lost)} run by a worker"
         f" whose connection ended without the whole answer: {' '.join(lost)}"
     )
-    if not standins.has_trouble() and answered < CLIENTS * REQUESTS:
+    if not HAS_TROUBLE and answered < CLIENTS * REQUESTS:
         return standins.EXIT_NOT_RUN
     return 1 if lost else 0
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -413,11 +413,6 @@
     return await asyncio.open_connection(ip, int(port), limit=2**20)
 
 
-def has_trouble():
-    """Return whether the case runs with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(main):
     """
     Run a case and exit with its code, or with 2 if it couldn't run.
