--- a/review/3/run.py
+++ b/review/3/run.py
@@ -60,6 +60,8 @@
         self._socket.settimeout(DEADLINE_MS / 1000)
         self.received = bytearray()
         self.sent = []
+        self._sent_at = {}
+        self._ended_at = 0.0
         self.answered = []
         # Whether an answer of which the head was read says that the connection ends.
         self.is_announced = False
@@ -81,6 +83,7 @@
             % (request_id.encode(), DEADLINE_MS)
         )
         self.sent.append(request_id)
+        self._sent_at[request_id] = time.monotonic()
 
     def _take_answers(self):
         """Take complete answers from what was received, and return how many."""
@@ -105,6 +108,7 @@
         sender = threading.Thread(target=self._send_all, args=(time.monotonic(),))
         sender.start()
         self.end = self._read(time.monotonic() + DEADLINE_MS / 1000)
+        self._ended_at = time.monotonic()
         sender.join()
         self._socket.close()
         left = len(self.received)
@@ -138,10 +142,22 @@
             time.sleep(len(data) / BYTES_PER_SECOND)
         return "left at its deadline"
 
-    @property
-    def was_cut(self):
-        """Whether the connection ended before the client left."""
-        return self.end not in ("all answered", "left at its deadline")
+    def lost(self, ran):
+        """
+        Return the requests that the rule counts, of those that a worker has run.
+
+        Their connection ended without the whole answer, before the client left and
+        before the route's timeout.
+        """
+        if self.end in ("all answered", "left at its deadline"):
+            return []
+        return [
+            request_id
+            for request_id in self.sent
+            if request_id in ran
+            and request_id not in self.answered
+            and self._ended_at - self._sent_at[request_id] < TIMEOUT_MS / 1000
+        ]
 
 
 async def play(record):
@@ -187,11 +203,7 @@
     """Return the exit code."""
     record = standins.Record(FOLDER / "record.txt")
     clients, ran = await play(record)
-    lost = []
-    for client in clients:
-        unanswered = [r for r in client.sent if r not in client.answered and r in ran]
-        if client.was_cut:
-            lost += unanswered
+    lost = [request_id for client in clients for request_id in client.lost(ran)]
     sent = sum(len(client.sent) for client in clients)
     answered = sum(len(client.answered) for client in clients)
     record.note(
