Log what a stopping host leaves undelivered or ignored on callers' connections

The logs told neither: they named nothing between 'shutdown requested' and 'host stopped', so a body that had not arrived, one that was thrown away and an answer that was cut could not be told apart.

Now a connection that is closed while the host drains is logged with the bytes that its caller has not acknowledged, those that were not read, and those that were read and dropped; one that is open at the end is logged as well, with what has arrived of its request.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
+import logging
 
 from ..front.pipelining import CallerConnection, CallerHooks, CallerServer
 from .clock import now
 
+log = logging.getLogger("front")
 # Above any configured limit on headers, which `Front` checks.
 MAX_PARSER_LINE = 131072
 # Seconds for which the rest of a refused body is read. Closing a connection with unread
@@ -56,6 +58,9 @@
 
     def connection_lost(self, exc):
         self._stop_timer()
+        if self._hooks.is_draining():
+            extra = {**self.log_fields(), "cause": None if exc is None else repr(exc)}
+            log.info("connection closed", extra=extra)
         super().connection_lost(exc)
 
     def _is_waiting(self):
@@ -108,6 +113,11 @@
             else:
                 conn.force_close()
 
+    def log_open(self):
+        """Log the connections that are open at the end of the shutdown."""
+        for conn in self.connections:
+            log.warning("connection left open", extra=conn.log_fields())
+
     def __call__(self):
         cfg = self._knowledge.cfg
         return FrontConnection(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -263,6 +263,7 @@
         if not is_idle:
             self._relay.refuse_in_flight()
             await asyncio.sleep(FINAL_ANSWER_TIME)
+            self._front_server.log_open()
         await self.close()
         log.info("host stopped", extra={"in_flight": self.front.in_flight})
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -28,6 +28,8 @@
     PipelinedRequest,
 )
 
+from .socket_state import undelivered_bytes, unread_bytes
+
 HEAD_END = b"\r\n\r\n"
 # Seconds between two checks whether a caller has left whose connection is not read.
 HANGUP_INTERVAL = 0.2
@@ -139,6 +141,10 @@
     _is_sealed = False
     _is_closing = False
     _hangup_timer = None
+    # Bytes that arrived and were not parsed, because no further request is read.
+    _ignored_bytes = 0
+    # `transport` is None as soon as the connection is closed.
+    _open_transport = None
 
     def __init__(self, server, **options):
         super().__init__(server, **options)
@@ -174,10 +180,30 @@
             return False
         return True
 
+    def log_fields(self):
+        """Return what log lines tell of the connection."""
+        fields = {"ignored": self._ignored_bytes}
+        if self._open_transport is not None:
+            fields["undelivered"] = undelivered_bytes(self._open_transport)
+            fields["unread"] = unread_bytes(self._open_transport)
+        request = self._current_request
+        if request is not None:
+            fields["received"] = request.content.total_bytes
+            fields["is_received"] = request.content.is_eof()
+        return fields
+
     # Reading.
 
+    def connection_made(self, transport):
+        self._open_transport = transport
+        super().connection_made(transport)
+
     def data_received(self, data):
         """Parse data, as far as the connection may have further requests."""
+        if self._close or self._force_close:
+            # aiohttp drops it.
+            self._ignored_bytes += len(data)
+            return
         if not data or self._is_single(data):
             self._feed(data)
             return
@@ -215,6 +241,7 @@
         if self._is_in_body():
             return True
         if self._is_sealed:
+            self._ignored_bytes += len(self._unread)
             self._unread = b""
             return False
         if self._pipeline is not None:
@@ -412,6 +439,7 @@
             self._hangup_timer.cancel()
         self._unread = b""
         self._close_pipeline()
+        self._open_transport = None
         super().connection_lost(exc)
 
 
