Serve bodies that still arrive while a host drains

Cause: 3.2 s after SIGTERM `FrontServer.close_idle` called aiohttp's `close()` on connections with a request in progress. From then on aiohttp drops what arrives on them, also the rest of a body. The requests had not been passed to the relay, so they were not among those that are refused at the end.

Why it works: such connections are left alone, and close with their response, since the host drains. A body is awaited as long as its request can still be served, and refused with 503 (not run) once it can't; late requests without a body likewise. Heads that have arrived in part are awaited too.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
@@ -46,6 +46,11 @@
         self._on_head_timeout = on_head_timeout
         self._head_timer = None
 
+    @property
+    def is_receiving(self):
+        """Whether a request has arrived, in part or whole, that has no response yet."""
+        return self.is_serving or self._head_timer is not None
+
     def data_received(self, data):
         super().data_received(data)
         if not self._is_waiting():
@@ -100,19 +105,22 @@
 
     def close_idle(self):
         """
-        Close idle connections at once, and the others after their last response.
+        Close the connections that wait for a request.
 
-        The shutdown of aiohttp leaves idle connections open without reading from them,
-        so a further request would never be answered.
+        The others close with their response, since the host drains. aiohttp's own
+        `close` would drop what is still to arrive of a body.
         """
         for conn in self.connections:
             if conn.has_followers:
                 conn.seal()
-            elif conn.is_serving or self._front.is_busy(conn.transport):
-                conn.close()
-            else:
+            elif not (conn.is_receiving or self._front.is_busy(conn.transport)):
                 conn.force_close()
 
+    @property
+    def is_receiving(self):
+        """Whether any connection has a request without a response."""
+        return any(conn.is_receiving for conn in self.connections)
+
     def log_open(self):
         """Log the connections that are open at the end of the shutdown."""
         for conn in self.connections:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -1,8 +1,7 @@
 """
 The HTTP handler for callers: validates requests, and returns responses or refusals.
 
-Short bodies are read completely before a target is chosen, so that a slow caller does
-not occupy a slot and a failed request can be retried. Longer bodies are streamed.
+While the host drains, it serves what can be done before its grace period ends.
 """
 
 import asyncio
@@ -11,9 +10,9 @@
 
 from aiohttp import web
 from multidict import CIMultiDict
+from returns.result import Failure
 
 from plumsaddle_core.core.traffic import Reply
-from plumsaddle_core.ops.fingerprint import MAX_HASHED_BODY
 from plumsaddle_core.ops.route_table import choose_service, find_route
 from plumsaddle_core.ops.workspaces import key_digest, read_key, short_digest
 
@@ -28,11 +27,10 @@
     position_field,
 )
 from .refusals import Refusal, RefusalCause, http_status
+from .request_body import MAX_WHOLE_BODY, BodyReader, read_rest
 from .response_stream import wait_to_write, write_long
 
 log = logging.getLogger("front")
-# Bodies up to this many bytes are read completely, and the request key includes them.
-MAX_WHOLE_BODY = MAX_HASHED_BODY
 # Total bytes of bodies that a host buffers; further requests are refused. It is a third
 # of the memory of the smallest hosts.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
@@ -75,11 +73,18 @@
         self._order_tasks = set()
         # The number of requests in flight on each connection.
         self._busy_transports = Counter()
+        self._bodies = BodyReader()
         self._draining_since = None
 
-    def drain(self):
-        """Close connections after their responses; soon refuse further requests."""
+    def drain(self, end):
+        """
+        Close connections after their responses; soon refuse further requests.
+
+        Args:
+          end: When the remaining requests are refused, in seconds on the host's clock.
+        """
         self._draining_since = now()
+        self._bodies.drain(end)
 
     @property
     def is_draining(self):
@@ -222,6 +227,9 @@
         """Read the body or its first part within the limits, and run the request."""
         reserved = 0
         deadline = started_at + time_limit
+        service = choose_service(route, self._knowledge.rng)
+        times = self._knowledge.shared.times
+        typical_duration = times.typical_duration(service, route.name)
         try:
             room = MAX_BUFFERED_BYTES - self._buffered_bytes
             expected = min(MAX_WHOLE_BODY, request.content_length or 0)
@@ -231,35 +239,55 @@
             self._buffered_bytes += reserved
             body, is_whole = b"", True
             if request.can_read_body:
-                async with asyncio.timeout(deadline - now()):
-                    body, is_whole = await _read_start(request.content)
+                result = await self._bodies.read_start(
+                    request.content, request.content_length, deadline, typical_duration
+                )
+                if isinstance(result, Failure):
+                    return self._refuse(request, result.failure(), 0.0)
+                body, is_whole = result.unwrap()
+            if not self._bodies.may_begin(typical_duration, now()):
+                return self._refuse(request, RefusalCause.DRAINING, 0.0)
             self._buffered_bytes += len(body) - reserved
             reserved = len(body)
             if len(body) > self._knowledge.cfg.limits.body_bytes:
                 return self._refuse(request, RefusalCause.BODY_TOO_LARGE)
             proxy_request = self._make_proxy_request(
-                request, route, owner, request_id, started_at, deadline, body, is_whole
+                request,
+                route,
+                service,
+                owner,
+                request_id,
+                started_at,
+                deadline,
+                body,
+                is_whole,
             )
             return await self._run(proxy_request)
-        except TimeoutError:
-            return self._refuse(request, RefusalCause.BODY_TOO_SLOW)
         except web.RequestPayloadError:
             return self._refuse(request, RefusalCause.BODY_BROKEN)
         finally:
             self._buffered_bytes -= reserved
 
     def _make_proxy_request(
-        self, request, route, owner, request_id, started_at, deadline, body, is_whole
+        self,
+        request,
+        route,
+        service,
+        owner,
+        request_id,
+        started_at,
+        deadline,
+        body,
+        is_whole,
     ):
         max_rest = self._knowledge.cfg.limits.body_bytes - len(body)
-        service = choose_service(route, self._knowledge.rng)
         return ProxyRequest(
             request_id.encode("latin-1"),
             request.method,
             request.raw_path,
             request.raw_headers,
             body,
-            None if is_whole else _read_rest(request.content, max_rest),
+            None if is_whole else read_rest(request.content, max_rest),
             len(body) if is_whole else request.content_length,
             route,
             service,
@@ -344,31 +372,6 @@
     return min(int(text) / 1000, maximum)
 
 
-async def _read_start(content):
-    """Return the first part of a body, and whether it is the whole body."""
-    parts = bytearray()
-    while len(parts) <= MAX_WHOLE_BODY:
-        part = await content.readany()
-        if not part:
-            return bytes(parts), True
-        parts += part
-    return bytes(parts), False
-
-
-async def _read_rest(content, maximum):
-    """
-    Yield the parts of a streamed body that follow the first one.
-
-    The size limit of a body without a Content-Length is enforced here. A part of it may
-    have been sent by then, so the request fails like an aborted upload.
-    """
-    while part := await content.readany():
-        maximum -= len(part)
-        if maximum < 0:
-            raise web.RequestPayloadError("body exceeds the size limit")
-        yield part
-
-
 def _forwarded_headers(pairs):
     """Return the headers of a response that are forwarded to the caller."""
     connection_names = connection_header_names(pairs)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -243,10 +243,10 @@
 
     async def drain(self):
         """Serve until no new connections arrive, then finish requests and close."""
-        self.front.drain()
+        deadline = now() + self.settings.bounds.grace - SHUTDOWN_MARGIN
+        self.front.drain(deadline)
         self.gateway.drain()
         self.peers.announce_paths()
-        deadline = now() + self.settings.bounds.grace - SHUTDOWN_MARGIN
         await asyncio.sleep(min(DRAIN_LISTEN_TIME, max(0.0, deadline - now())))
         self._servers[0].close()
         is_idle = False
@@ -257,7 +257,7 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
             is_idle = not (
                 self.front.in_flight
-                or self._front_server.is_serving
+                or self._front_server.is_receiving
                 or self.gateway.tunnel_count
             )
         if not is_idle:
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
@@ -0,0 +1,123 @@
+"""
+Reads the bodies of requests, within the time that their callers and the host have.
+
+Short bodies are read completely before a target is chosen, so that a slow caller does
+not occupy a slot and a failed request can be retried. Longer bodies are streamed.
+"""
+
+import asyncio
+
+from aiohttp import web
+from returns.result import Failure, Success
+
+from plumsaddle_core.ops.draining import (
+    BodyProgress,
+    latest_start,
+    may_buffer,
+    may_stream,
+)
+from plumsaddle_core.ops.fingerprint import MAX_HASHED_BODY
+
+from .clock import now
+from .refusals import RefusalCause
+
+# Bodies up to this many bytes are read completely, and the request key includes them.
+MAX_WHOLE_BODY = MAX_HASHED_BODY
+
+
+class _Read:
+    """A body that is being read, and the timeout of its reading."""
+
+    def __init__(self, deadline, typical_duration, scope):
+        self.deadline = deadline
+        self.start_by = deadline
+        self._typical_duration = typical_duration
+        self._scope = scope
+
+    def drain(self, end):
+        self.start_by = min(self.deadline, latest_start(end, self._typical_duration))
+
+    def schedule(self):
+        """Let the reading end when the request can't be sent any more."""
+        if not self._scope.expired():
+            loop = asyncio.get_running_loop()
+            self._scope.reschedule(loop.time() + self.start_by - now())
+
+
+class BodyReader:
+    """Reads the bodies of one host's requests."""
+
+    def __init__(self):
+        self._reads = set()
+        self._end = None
+
+    def drain(self, end):
+        """Read no longer than a request may still be sent before a time."""
+        self._end = end
+        for read in self._reads:
+            read.drain(end)
+            read.schedule()
+
+    def may_begin(self, typical_duration, at):
+        """Return whether a request may be sent to a target now."""
+        return self._end is None or at <= latest_start(self._end, typical_duration)
+
+    async def read_start(self, content, length, deadline, typical_duration):
+        """
+        Read a body, or the first part of a long one.
+
+        Args:
+          content: The stream of the body.
+          length: Its bytes, or None if that is unknown.
+          deadline: When its caller's time is up, in seconds on the host's clock.
+          typical_duration: That of its route, in seconds.
+        Returns:
+          A `Success` of the bytes and whether they are the whole body, or a `Failure`
+          of the `RefusalCause` of the request.
+        """
+        read = None
+        try:
+            async with asyncio.timeout(None) as scope:
+                read = _Read(deadline, typical_duration, scope)
+                if self._end is not None:
+                    read.drain(self._end)
+                read.schedule()
+                self._reads.add(read)
+                return await self._read_parts(content, length, read)
+        except TimeoutError:
+            is_draining = read.start_by < deadline
+            return Failure(
+                RefusalCause.DRAINING if is_draining else RefusalCause.BODY_TOO_SLOW
+            )
+        finally:
+            self._reads.discard(read)
+
+    async def _read_parts(self, content, length, read):
+        began_at = now()
+        body = bytearray()
+        while len(body) <= MAX_WHOLE_BODY:
+            part = await content.readany()
+            if not part:
+                return Success((bytes(body), True))
+            body += part
+            if self._end is not None:
+                at = now()
+                progress = BodyProgress(len(body), length, at - began_at)
+                may_wait = may_buffer if len(body) <= MAX_WHOLE_BODY else may_stream
+                if not may_wait(progress, read.start_by, at):
+                    return Failure(RefusalCause.DRAINING)
+        return Success((bytes(body), False))
+
+
+async def read_rest(content, max_bytes):
+    """
+    Yield the parts of a streamed body that follow the first one.
+
+    The size limit of a body without a Content-Length is enforced here. A part of it may
+    have been sent by then, so the request fails like an aborted upload.
+    """
+    while part := await content.readany():
+        max_bytes -= len(part)
+        if max_bytes < 0:
+            raise web.RequestPayloadError("body exceeds the size limit")
+        yield part
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_shutdown_test.py
@@ -0,0 +1,112 @@
+"""
+A host that is stopped beside callers that send or read slowly.
+"""
+
+import asyncio
+
+import pytest
+
+from plumsaddle_hosts.utils.addresses import split_address
+
+from .pacing import send_in_pieces, upload_head
+from .pipelining import Pipe
+from .trial import OPERATOR, Trial, configuration, in_loop, until
+
+SCAN = bytes(range(250)) * 1200
+# Beyond what a host buffers of a body, so it is streamed.
+LONG_SCAN = SCAN * 3
+
+
+async def _open(trial):
+    return await Pipe.open(*split_address(trial.hosts[0].settings.caller_address))
+
+
+async def _start(trial, work=0.3):
+    """Set the time that targets work, and a timeout of routes that outlasts bodies."""
+    for worker in trial.workers.values():
+        worker.work = work
+    trial.store.put(OPERATOR, "config", configuration(2, timeout=4.0))
+    await until(lambda: trial.hosts[0].knowledge.cfg.version == 2)
+
+
+async def _upload(pipe, request_id, body, begins, seconds, is_chunked=False):
+    """Upload a body in pieces from some seconds on, and return the response."""
+    await asyncio.sleep(begins)
+    length = None if is_chunked else len(body)
+    pipe.send(upload_head("/up/a", request_id, length))
+    sending = asyncio.ensure_future(send_in_pieces(pipe, body, seconds, is_chunked))
+    try:
+        return await asyncio.wait_for(pipe.receive(), 5.0)
+    finally:
+        sending.cancel()
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+@in_loop
+async def test_uploads_that_still_arrive_are_served(is_chunked):
+    """Guards against a host that drops the rest of bodies while it is stopped."""
+    forms = {
+        "early": (SCAN, 0.8, 2.7),
+        "late": (SCAN, 2.2, 1.5),
+        "long": (LONG_SCAN, 1.5, 2.2),
+        "fast": (SCAN, 2.7, 0.2),
+        "under-way": (LONG_SCAN, 0.0, 3.5),
+    }
+    async with Trial(services=("up",), grace=6.0) as trial:
+        await _start(trial)
+        pipes = {name: await _open(trial) for name in forms}
+        uploads = [
+            asyncio.ensure_future(_upload(pipes[name], name, *form, is_chunked))
+            for name, form in forms.items()
+        ]
+        await asyncio.sleep(0.05)
+        draining = asyncio.ensure_future(trial.hosts[0].drain())
+        trial.at_end(draining)
+        answers = await asyncio.gather(*uploads)
+        assert [answer and answer.status for answer in answers] == [200] * len(forms)
+        seen = {s.id: s.body for worker in trial.workers.values() for s in worker.seen}
+        assert seen == {name: body for name, (body, _, _) in forms.items()}
+        await draining
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+@in_loop
+async def test_uploads_that_can_not_be_served_in_time_are_refused(is_chunked):
+    """Guards against uploads that end with their host, without an answer."""
+    forms = {
+        "slow": (SCAN, 0.2, 9.0),
+        "long": (LONG_SCAN, 0.2, 9.0),
+        "late": (SCAN, 1.2, 2.9),
+    }
+    async with Trial(services=("up",), grace=4.0) as trial:
+        await _start(trial)
+        pipes = {name: await _open(trial) for name in forms}
+        draining = asyncio.ensure_future(trial.hosts[0].drain())
+        trial.at_end(draining)
+        answers = await asyncio.gather(
+            *(
+                _upload(pipes[name], name, *form, is_chunked)
+                for name, form in forms.items()
+            )
+        )
+        assert [answer and answer.status for answer in answers] == [503] * len(forms)
+        assert all("retry-after" in answer.headers for answer in answers)
+        assert not any(worker.seen for worker in trial.workers.values())
+        await draining
+
+
+@in_loop
+async def test_a_head_that_still_arrives_is_answered():
+    """Guards against closing a connection in the middle of a head."""
+    async with Trial(services=("up",), grace=6.0) as trial:
+        pipe = await _open(trial)
+        head = upload_head("/up/a", "id-1", 0)
+        draining = asyncio.ensure_future(trial.hosts[0].drain())
+        trial.at_end(draining)
+        await asyncio.sleep(2.8)
+        pipe.send(head[:30])
+        await asyncio.sleep(0.8)
+        pipe.send(head[30:])
+        answer = await pipe.receive()
+        assert (answer.status, answer.headers["connection"]) == (503, "close")
+        await draining
