Let a streamed body be sent only once

Cause: a body over 512 KB is streamed from one generator. That it was used up was known only when a send had ended, and only retries asked. A hedge starts while the first send is outstanding: it sent the kept part, iterated over what was left, which was nothing, and ended the body as if it were whole.

Ruled out: retries after failures (no send had failed).

Why it works: the rest of a body is a `BodyStream` that can be taken once, and counts as taken before the first byte of a send is written. Hedges, retries and the sender ask it, and there is no other way to its parts. The first form checked only before the wait for the hedge; a hedge then began in one of two tests, and the sender stopped it. It is checked after the wait as well.

Weighed: keeping bodies of up to 4 MB whole, so that they can be hedged.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -128,7 +128,9 @@
             if not done:
                 if self._time_left() <= 0:
                     return self._give_up(RefusalCause.DEADLINE_EXCEEDED)
-                await self._hedge()
+                # The first send may have begun with a streamed body meanwhile.
+                if self._may_hedge():
+                    await self._hedge()
                 continue
             # Responses that have arrived are returned even if the request is aborted.
             for task in done - {self._aborted}:
@@ -170,6 +172,7 @@
             and Feature.HEDGING not in self._knowledge.settings.disabled_features
             and self._request.route.kind.is_idempotent
             and self._attempt.may_send()
+            and not self._request.is_body_taken
             and self._suspect_check.may_hedge()
         )
 
@@ -208,8 +211,7 @@
             return self._give_up(RefusalCause.CALLER_GONE)
         if not self._suspect_check.may_retry():
             return self._final_result(completed)
-        if not self._attempt.may_send() or self._send_runner.is_body_consumed:
-            # The part of a streamed body that was read is not kept.
+        if not self._attempt.may_send() or self._request.is_body_taken:
             return self._final_result(completed)
         # Where requests are queued, one that the budget denies now waits for it.
         if not self._knowledge.is_queueing and not self._may_spend_retry():
@@ -430,6 +432,7 @@
                 "limit": self._knowledge.limits.rate(target),
                 "wait": round(choice.candidate.wait, 3),
                 "version": self._knowledge.cfg.version,
+                **({} if request.rest is None else {"streamed": True}),
                 **({} if reason is None else {"reason": reason.value}),
             },
         )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -27,7 +27,7 @@
     position_field,
 )
 from .refusals import Refusal, RefusalCause, http_status
-from .request_body import MAX_WHOLE_BODY, BodyReader, read_rest
+from .request_body import MAX_WHOLE_BODY, BodyReader, BodyStream
 from .response_stream import wait_to_write, write_long
 
 log = logging.getLogger("front")
@@ -287,7 +287,7 @@
             request.raw_path,
             request.raw_headers,
             body,
-            None if is_whole else read_rest(request.content, max_rest),
+            None if is_whole else BodyStream(request.content, max_rest),
             len(body) if is_whole else request.content_length,
             route,
             service,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -46,8 +46,8 @@
     """
     A request to forward.
 
-    `body` is the whole body, or its first part if `rest` is an asynchronous iterator
-    over the others. `length` is the length of the body, or None if it is unknown. Times
+    `body` is the whole body, or its first part if `rest` is the `BodyStream` of the
+    others. `length` is the length of the body, or None if it is unknown. Times
     are in seconds on the host's clock; `deadline` is the earlier of the caller's
     deadline and the route's timeout. `urgency` is 1.0 for the most urgent requests of a
     service. `position` is the number of requests before it on its connection that had
@@ -70,6 +70,11 @@
     urgency: float = 1.0
     position: int = 0
 
+    @property
+    def is_body_taken(self):
+        """Whether a send has begun with a streamed body, which can't be repeated."""
+        return self.rest is not None and self.rest.is_taken
+
 
 def position_field(position):
     """Return the log field of a request's position, if others were before it."""
@@ -131,15 +136,21 @@
     return connection_names
 
 
-async def frame_body(request):
-    """Yield the parts of a streamed body, framed as the head announced."""
+async def frame_body(request, parts):
+    """
+    Yield what follows the head of a streamed request, framed as the head announced.
+
+    Args:
+      request: The `ProxyRequest`.
+      parts: The parts of its `rest`.
+    """
     if request.length is not None:
-        async for part in request.rest:
+        async for part in parts:
             yield part
         return
     if request.body:
         yield _chunk(request.body)
-    async for part in request.rest:
+    async for part in parts:
         yield _chunk(part)
     yield b"0\r\n\r\n"
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
@@ -109,15 +109,37 @@
         return Success((bytes(body), False))
 
 
-async def read_rest(content, max_bytes):
+class BodyStream:
     """
-    Yield the parts of a streamed body that follow the first one.
+    The rest of a long body, which is read while it is sent and can be read only once.
 
-    The size limit of a body without a Content-Length is enforced here. A part of it may
-    have been sent by then, so the request fails like an aborted upload.
+    `is_taken` tells whether a send has begun with it, so that no other one may.
+
+    Args:
+      content: The stream of the body, whose first part was read.
+      max_bytes: The most bytes of the rest.
     """
-    while part := await content.readany():
-        max_bytes -= len(part)
-        if max_bytes < 0:
-            raise web.RequestPayloadError("body exceeds the size limit")
-        yield part
+
+    def __init__(self, content, max_bytes):
+        self.is_taken = False
+        self._content = content
+        self._max_bytes = max_bytes
+
+    def take(self):
+        """
+        Return the parts, as an asynchronous iterator.
+
+        The size limit of a body without a Content-Length is enforced here. A part of it
+        may have been sent by then, so the request fails like an aborted upload.
+        """
+        assert not self.is_taken, "a streamed body was taken twice"
+        self.is_taken = True
+        return self._read()
+
+    async def _read(self):
+        left = self._max_bytes
+        while part := await self._content.readany():
+            left -= len(part)
+            if left < 0:
+                raise web.RequestPayloadError("body exceeds the size limit")
+            yield part
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -47,8 +47,6 @@
     """
     The sends of one request.
 
-    `is_body_consumed` tells whether a streamed body was sent, which cannot be repeated.
-
     Args:
       request: The `ProxyRequest`.
       knowledge: The `HostState`.
@@ -58,7 +56,6 @@
     """
 
     def __init__(self, request, knowledge, sender, attempt, suspect_check):
-        self.is_body_consumed = False
         self._request = request
         self._knowledge = knowledge
         self._sender = sender
@@ -129,7 +126,6 @@
             timing.stop()
             contact_timer.cancel()
             fate, seconds = sent.outcome, timing.seconds
-            self.is_body_consumed = self.is_body_consumed or sent.is_body_consumed
             when_received(
                 sent.reply, functools.partial(self._knowledge.note_send_end, target)
             )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -44,16 +44,11 @@
 
 
 class SendResult(NamedTuple):
-    """
-    The result of a send.
-
-    `is_body_consumed` tells whether a streamed body was sent, which cannot be repeated.
-    """
+    """The result of a send."""
 
     outcome: SendOutcome
     reply: Reply | None = None
     connection: ConnectionInfo = ConnectionInfo("none")
-    is_body_consumed: bool = False
 
 
 class Sender:
@@ -123,7 +118,8 @@
         kind = "new" if is_new else "kept"
         info = ConnectionInfo(kind, age, idle, connection.gateway)
         is_too_late = request.deadline <= at or request.caller.is_gone()
-        if is_too_late or not self._knowledge.may_send(target, at):
+        may_send = self._knowledge.may_send(target, at) and not request.is_body_taken
+        if is_too_late or not may_send:
             self._pool.release_unused(target.incarnation, connection)
             return SendResult(SendOutcome.UNSENT, None, info)
         if connection.gateway is not None:
@@ -134,13 +130,14 @@
         outcome, reply = await self._exchange(
             request, target, connection, suspect_check, on_head
         )
-        return SendResult(outcome, reply, info, request.rest is not None)
+        return SendResult(outcome, reply, info)
 
     async def _exchange(self, request, target, connection, suspect_check, on_head):
         """Send on a connection and return the outcome and the `Reply` or None."""
         sent_at = now()
         downloads = self._knowledge.downloads
         buffer = downloads.open_buffer(request, connection)
+        parts = None if request.rest is None else request.rest.take()
 
         def handle_head(head):
             on_head()
@@ -155,8 +152,8 @@
         outcome = None
         is_streaming = False
         try:
-            if request.rest is not None:
-                sending = asyncio.ensure_future(_send_body(connection, request))
+            if parts is not None:
+                sending = asyncio.ensure_future(_send_body(connection, request, parts))
                 await exchange.wait_for_body(MAX_BUFFERED_BODY)
                 sending.cancel()
             elif buffer is not None:
@@ -216,7 +213,7 @@
     return MAX_IDLE if request.route.kind.is_idempotent else MAX_ORDER_IDLE
 
 
-async def _send_body(connection, request):
+async def _send_body(connection, request, parts):
     """
     Stream a body to a target.
 
@@ -224,7 +221,7 @@
     not wait for the rest.
     """
     try:
-        await connection.send_body(frame_body(request))
+        await connection.send_body(frame_body(request, parts))
     except (web.RequestPayloadError, OSError) as exc:
         log.info(
             "upload aborted",
