Deliver the last responses of our own interface before its process ends

Callers of plumsaddle's own interface that read slowly were reset within a response when their host got SIGTERM, as on the platform (docs/incidents/reset-responses.md).

Cause: the daemon ended as soon as no request was in flight, while responses were on their way.

Why it works: the drain closes idle connections and waits until no connection is left. `close_idle` is now the same for both interfaces, and the connection alone tells whether it waits for a response; the count by transport in `Front` is gone.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -448,9 +448,9 @@
         return None
 
     @property
-    def is_serving(self):
-        """Whether a caller's request was read that has no response yet."""
-        return self.in_flight > 0 or self.caller_server.is_serving
+    def has_callers(self):
+        """Whether a caller waits for a response, or is about to receive one."""
+        return self.in_flight > 0 or bool(self.caller_server.connections)
 
     async def flush(self, seconds):
         """Wait until the outcomes of all orders are in the log."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
@@ -113,7 +113,8 @@
     host.is_stopping = True
     await site.stop()
     log.info("daemon: Not listening any more. %d are in flight.", host.in_flight)
-    while host.is_serving or any(s.claims.open_claims() for s in host.shards):
+    while host.has_callers or any(s.claims.open_claims() for s in host.shards):
+        host.caller_server.close_idle()
         await asyncio.sleep(LOOK_EVERY)
     if not await host.flush(FLUSH_FOR):
         log.error("daemon: The log is away. Some outcomes could not be written.")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
@@ -44,7 +44,7 @@
 
     @property
     def is_receiving(self):
-        """Whether a request has arrived, in part or whole, that has no response yet."""
+        """As in `CallerConnection`; the head may have arrived in part."""
         return self.is_serving or self._head_timer is not None
 
     def data_received(self, data):
@@ -97,22 +97,9 @@
         super().__init__(
             hooks, knowledge.settings.pipeline_limits, DEFAULT_IDLE_TIMEOUT
         )
-        self._front = front
+        self._note_head_timeout = front.note_head_timeout
         self._knowledge = knowledge
 
-    def close_idle(self):
-        """
-        Close the connections that wait for a request.
-
-        The others close with their response, since the host drains. aiohttp's own
-        `close` would drop what is still to arrive of a body.
-        """
-        for conn in self.connections:
-            if conn.has_followers:
-                conn.seal()
-            elif not (conn.is_receiving or self._front.is_busy(conn.transport)):
-                conn.force_close()
-
     def log_open(self):
         """Log the connections that are open at the end of the shutdown."""
         for conn in self.connections:
@@ -123,7 +110,7 @@
         return FrontConnection(
             self,
             cfg.limits.header_timeout if cfg else None,
-            self._front.note_head_timeout,
+            self._note_head_timeout,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=cfg.limits.idle_timeout if cfg else DEFAULT_IDLE_TIMEOUT,
             access_log=None,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-from collections import Counter
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -57,7 +56,7 @@
 
 class Front:
     """
-    The HTTP handler for callers.
+    The HTTP handler for callers; `in_flight` counts the requests that it handles.
 
     Args:
       knowledge: The `HostState`.
@@ -71,8 +70,7 @@
         self._metrics = metrics
         self._buffered_bytes = 0
         self._order_tasks = set()
-        # The number of requests in flight on each connection.
-        self._busy_transports = Counter()
+        self.in_flight = 0
         self._bodies = BodyReader()
         self._draining_since = None
 
@@ -91,15 +89,6 @@
         """Whether the host is draining."""
         return self._draining_since is not None
 
-    @property
-    def in_flight(self):
-        """The number of requests in flight."""
-        return self._busy_transports.total()
-
-    def is_busy(self, transport):
-        """Return whether a connection has a request in flight."""
-        return transport in self._busy_transports
-
     def is_repeatable(self, message):
         """Return whether a request may run again, or is refused without its body."""
         host = message.headers.get("Host", "")
@@ -119,14 +108,12 @@
             # The caller disconnected while the request was read and cannot receive a
             # response, so the request is not forwarded.
             return web.Response(status=503)
-        self._busy_transports[transport] += 1
+        self.in_flight += 1
         try:
             result = await self._process(request, started_at)
             return await self._respond(request, result)
         finally:
-            self._busy_transports[transport] -= 1
-            if not self._busy_transports[transport]:
-                del self._busy_transports[transport]
+            self.in_flight -= 1
             self._metrics.seconds.observe({}, now() - started_at)
 
     async def _process(self, request, started_at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -172,6 +172,11 @@
         is_in_turn = self._message_in_turn is not None
         return self.has_followers or (is_in_turn and not self._is_closing)
 
+    @property
+    def is_receiving(self):
+        """Whether to wait for the response to a request that has arrived."""
+        return self.is_serving
+
     def seal(self):
         """Read no further requests; the last that was read closes the connection."""
         self._is_sealed = True
@@ -494,10 +499,18 @@
         self.pipelines = HostPipelines(limits)
         self._options = options
 
-    @property
-    def is_serving(self):
-        """Whether any connection has a request without a response."""
-        return any(conn.is_serving for conn in self.connections)
+    def close_idle(self):
+        """
+        Close the connections that wait for a request.
+
+        The others close with their response, since the host drains. aiohttp's own
+        `close` would drop what is still to arrive of a body.
+        """
+        for conn in self.connections:
+            if conn.has_followers:
+                conn.seal()
+            elif not conn.is_receiving:
+                conn.force_close()
 
     def __call__(self):
         return CallerConnection(self, loop=self._loop, **self._options)
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_test.py
@@ -7,6 +7,7 @@
 
 import concurrent.futures
 import http.client
+import io
 import json
 import os
 import random
@@ -723,3 +724,51 @@
     closing = [reply.headers["Connection"] for reply in replies]
     assert closing == [None, None, None, "close"]
     assert entry.process.wait(30) == 0
+
+
+def read_slowly(conn, bytes_per_second):
+    """Yield the bodies of the answers on a connection until it ends."""
+    received = bytearray()
+    while data := conn.recv(4000):
+        received += data
+        while (end := received.find(b"\r\n\r\n") + 4) >= 4:
+            headers = http.client.parse_headers(
+                io.BytesIO(received[received.index(b"\r\n") + 2 :])
+            )
+            size = end + int(headers["Content-Length"])
+            if len(received) < size:
+                break
+            yield json.loads(received[end:size])
+            del received[:size]
+        time.sleep(len(data) / bytes_per_second)
+
+
+def test_stop_delivers_answers_to_a_slow_reader(fleet):
+    """Guards against a process that ends before its answers have been received."""
+    entry = fleet.start_host(leave_wait=0.2)
+    fleet.wait_ready(entry)
+    ip, port = entry.callers.removeprefix("http://").split(":")
+    names = ("look-1", "look-2", "look-3")
+    served_before = sum(fleet.look(name)["served"] for name in names)
+    with socket.socket() as conn:
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        conn.settimeout(10.0)
+        conn.connect((ip, int(port)))
+        entry.process.terminate()
+        reading = start(lambda: list(read_slowly(conn, 40_000)))
+        for number in range(6):
+            path = f"/look/{number}?padding=20000"
+            try:
+                conn.sendall(head("GET", path, X_Request_Id=str(number)))
+            except ConnectionError:
+                break
+            time.sleep(0.1)
+        answers = reading.result(20)
+    fleet.entries.remove(entry)
+    ran = [answer["echo"] for answer in answers]
+    assert ran
+    assert ran == [str(number) for number in range(len(ran))]
+    assert {len(answer["padding"]) for answer in answers} == {20000}
+    assert entry.process.wait(20) == 0
+    served = sum(fleet.look(name)["served"] for name in names)
+    assert served - served_before == len(ran)
