Let the lab and a soak draw slow bodies, slow readers and kept connections

The lab could not draw what the review's cases need: bodies that arrive in pieces, with a length and in chunks, slow readers with several requests on a connection, and callers that use a connection until its host ends it, each beside SIGTERM.

`make soak` stops hosts (once and twice), kills them, sends SIGHUP and publishes versions in series and overlapping, while targets are slow or reject; `make lab PACED=1` adds the same callers to its patterns. Both look for bodies that ran changed, doubled runs, broken promises, and requests that end without a response around a planned stop.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/plumsaddle-core packages/plumsaddle-hosts packages/plumsaddle-standins
 export PYTHONHASHSEED := 0
 
-.PHONY: setup format lint test demo lab crashes measure floor telling quotas limits \
+.PHONY: setup format lint test demo lab soak crashes measure floor telling quotas limits \
 	notices paths restores slopes generate
 
 setup: $(VENV)/ready
@@ -29,21 +29,28 @@
 demo: setup
 	$(BIN)/python -m plumsaddle_standins.demo
 
-# make lab PATTERN=gray SECONDS=15 SEED=1 OUT=gray.png LIMIT=3 NOTICES=1 RESTORES=1
+# make lab PATTERN=gray SECONDS=15 SEED=1 OUT=gray.png LIMIT=3 NOTICES=1 RESTORES=1 PACED=1
 PATTERN ?= random
 SECONDS ?= 15
 SEED ?= 1
 OUT ?= lab.png
+RUNS ?= 1
 lab: setup
 	$(BIN)/python -m plumsaddle_standins.lab $(PATTERN) --seconds $(SECONDS) \
 		--seed $(SEED) --out $(OUT) $(if $(LIMIT),--limit $(LIMIT)) \
 		$(if $(NOTICES),--notices) $(if $(DOWNLOADS),--downloads) \
 		$(if $(RESTORES),--restores) \
-		$(if $(PIPELINING),--pipelining $(PIPELINING))
+		$(if $(PIPELINING),--pipelining $(PIPELINING)) $(if $(PACED),--paced)
+
+# make soak SEED=1 RUNS=50 SECONDS=20 SOAK_HOSTS=3 CALLERS=24
+SOAK_HOSTS ?= 3
+CALLERS ?= 24
+soak: setup
+	$(BIN)/python -m plumsaddle_standins.soak --seed $(SEED) --runs $(RUNS) \
+		--seconds $(SECONDS) --hosts $(SOAK_HOSTS) --callers $(CALLERS)
 
 # make crashes HOSTS=40 SEED=1 RUNS=50
 HOSTS ?= 40
-RUNS ?= 1
 crashes: setup
 	$(BIN)/python -m plumsaddle_standins.crashes --hosts $(HOSTS) --seed $(SEED) \
 		--runs $(RUNS)
--- a/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
@@ -58,8 +58,11 @@
         }
         self.write_settings()
         self.process = None
-        # When the process was started or sent a signal, on the loop's clock.
+        # When the process was started or sent a signal, on the loop's clock, and of these
+        # when it was asked to end, and when it was disturbed without a plan.
         self.disturbed_at = []
+        self.stopped_at = []
+        self.killed_at = []
         self._starting = asyncio.Lock()
         self.is_wanted = False
 
@@ -95,14 +98,24 @@
         """Kill the process; its log is read to the end, else waiting never ends."""
         self.is_wanted = False
         if self.is_running:
+            self.note_kill()
             self.process.kill()
         await self.process.communicate()
 
     def signal(self, number):
         """Send the process a signal, if it runs."""
-        if self.is_running:
-            self._note_disturbance()
-            self.process.send_signal(number)
+        if not self.is_running:
+            return
+        self._note_disturbance()
+        if number is signal.SIGTERM:
+            self.stopped_at.append(self.disturbed_at[-1])
+        elif number is not signal.SIGHUP:
+            self.note_kill()
+        self.process.send_signal(number)
+
+    def note_kill(self):
+        """Note that the host is disturbed without a plan."""
+        self.killed_at.append(asyncio.get_running_loop().time())
 
     def _note_disturbance(self):
         self.disturbed_at.append(asyncio.get_running_loop().time())
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -8,6 +8,7 @@
     python -m plumsaddle_standins.lab random --downloads
     python -m plumsaddle_standins.lab random --pipelining 0.3
     python -m plumsaddle_standins.lab random --restores
+    python -m plumsaddle_standins.lab roll --paced
 
 Hosts are real processes; the store, the targets and the callers are stand-ins in this
 one. The last line counts what callers saw, and the exit code is 1 if a promise was
@@ -29,6 +30,7 @@
 from .host_link import CUTS, HostLink
 from .host_process import HostProcess
 from .notices_check import find_ignored_notices
+from .paced_callers import NOTES, ROUTES, PacedCallers, find_all_broken
 from .store import Fault
 from .trial import DOWNLOADS, KINDS, OPERATOR, Trial, configuration
 from .version_watch import VersionWatch
@@ -212,10 +214,13 @@
     """Partition some hosts from all targets, in any form, and let them back."""
     links = lab.rng.sample(lab.links, lab.rng.randint(1, len(lab.links) - 1))
     form = lab.rng.choice(sorted(CUTS))
-    for link in links:
+    hosts = [lab.hosts[lab.links.index(link)] for link in links]
+    for host, link in zip(hosts, links, strict=True):
+        host.note_kill()
         link.cut(CUTS[form])
     await asyncio.sleep(seconds)
-    for link in links:
+    for host, link in zip(hosts, links, strict=True):
+        host.note_kill()
         link.heal()
 
 
@@ -344,6 +349,7 @@
     has_downloads=False,
     pipelining=0.0,
     has_restores=False,
+    is_paced=False,
 ):
     """
     Play one pattern.
@@ -353,10 +359,16 @@
       A list of `Ended`, and the broken promises as texts.
     """
     rng = random.Random(seed)
-    services = (*SERVICES, "file") if has_downloads else SERVICES
+    services = (
+        *SERVICES,
+        *(("file",) if has_downloads else ()),
+        *(("note",) if is_paced else ()),
+    )
     async with Trial(services=services, targets=TARGETS, hosts=0) as trial:
         for worker in trial.workers.values():
             worker.work = WORK
+        for worker in trial.of("note"):
+            worker.body = NOTES
         hosts, links = [], []
         with (folder / "hosts.log").open("wb") as log:
             for number in range(HOSTS):
@@ -377,7 +389,9 @@
             try:
                 lab = Lab(trial, hosts, links, rng)
                 if has_downloads:
-                    lab.routes = {**KINDS, **DOWNLOADS}
+                    lab.routes = {**lab.routes, **DOWNLOADS}
+                if is_paced:
+                    lab.routes = {**lab.routes, **ROUTES}
                 # Before the hosts start, so that none ever serves without keys.
                 lab.publish()
                 await asyncio.gather(*(host.start() for host in hosts))
@@ -405,7 +419,12 @@
                     downloaders = DownloadCallers(hosts, rng)
                     downloading = asyncio.create_task(downloaders.run(seconds))
                     cutting = asyncio.create_task(cut_at_times(trial.of("file"), rng))
+                if is_paced:
+                    paced = PacedCallers(hosts, random.Random(seed + 5))
+                    pacing = asyncio.create_task(paced.run(seconds))
                 await callers.run(seconds)
+                if is_paced:
+                    await pacing
                 if has_downloads:
                     await downloading
                     cutting.cancel()
@@ -425,7 +444,12 @@
                 for link in links:
                     link.heal()
                     link.stop()
-        broken = find_broken(callers.ended, trial.workers.values(), trial.closed)
+        workers = trial.workers.values()
+        if is_paced:
+            callers.ended += paced.ended
+        broken = find_broken(callers.ended, workers, trial.closed)
+        if is_paced:
+            broken += find_all_broken(paced.exchanged, workers, hosts)
         broken += watch.find_broken(lab.published)
         if limit is not None:
             broken += find_exceeded(limit, *limits)
@@ -484,6 +508,7 @@
     downloads=False,
     pipelining=0.0,
     restores=False,
+    paced=False,
 ):
     """
     Play a pattern and tell what callers saw.
@@ -501,6 +526,8 @@
       pipelining: The share of callers that send several requests at once on one
         connection.
       restores: Whether the store also comes back from older copies at random moments.
+      paced: Whether callers also keep connections open, send bodies in pieces, and
+        several requests at once whose responses they read slowly.
     """
     if pattern not in PATTERNS and pattern != "random":
         print(f"The patterns are: random, {', '.join(PATTERNS)}.", file=sys.stderr)
@@ -517,6 +544,7 @@
             downloads,
             pipelining,
             restores,
+            paced,
         )
         ended, broken = asyncio.run(playing)
     if out is not None:
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -85,6 +85,15 @@
     assert whole > 0.7 * len(ended)
 
 
+def test_no_promise_breaks_while_bodies_and_responses_take_their_time(tmp_path):
+    """Guards against bodies and responses that are lost on hosts that are stopped."""
+    playing = play("roll", 8.0, SEED, 40.0, tmp_path, is_paced=True)
+    ended, broken = asyncio.run(playing)
+    assert not broken
+    whole = sum(1 for end in ended if end.status == 200)
+    assert whole > 0.8 * len(ended)
+
+
 def test_no_version_falls_or_is_late_while_the_store_is_restored(tmp_path):
     """Guards against old versions on hosts of a store that comes back from copies."""
     playing = play("random", 9.0, SEED, 40.0, tmp_path, has_restores=True)
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/soak_test.py
@@ -0,0 +1,78 @@
+"""
+Short soaks, and the check of what they look for.
+"""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from .paced_callers import Exchanged, digest, find_all_broken
+from .soak import play
+from .worker import Seen, WorkerStandin
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_promise_breaks_beside_stops_and_slow_callers(seed, tmp_path):
+    """Guards against responses and bodies that are lost when hosts are stopped."""
+    ended, broken = asyncio.run(play(12.0, seed, tmp_path))
+    assert not broken
+    assert sum(end.is_whole for end in ended) > 0.6 * len(ended)
+
+
+def _exchanged(request_id, **fields):
+    at = {"began_at": 101.0, "sent_at": 101.5, "ended_at": 102.5}
+    request = Exchanged(
+        request_id,
+        path="/up/a",
+        host="host-0",
+        status=None,
+        is_whole=False,
+        digest=digest(b"body"),
+        **at,
+    )
+    return request._replace(**fields)
+
+
+def test_the_check_finds_what_is_lost_or_changed():
+    worker = WorkerStandin("up-0", "up")
+    for request_id in ("lost", "killed", "changed", "twice", "promised", "ran-behind"):
+        worker.runs[request_id] = worker.done[request_id] = 1
+    worker.runs["at-work"] = 1
+    worker.runs["twice"] = 2
+    body = b"another"
+    worker.seen = [Seen("changed", "POST", "/up/a", {}, body, 102.0)]
+    hosts = [
+        SimpleNamespace(name="host-0", stopped_at=[100.0], killed_at=[]),
+        SimpleNamespace(name="host-1", stopped_at=[100.0], killed_at=[99.0]),
+        SimpleNamespace(name="host-2", stopped_at=[], killed_at=[]),
+    ]
+    exchanged = [
+        _exchanged("lost"),
+        _exchanged("never-sent"),
+        _exchanged("ran-behind", is_behind=True),
+        # All that follows is allowed, but for the last four.
+        _exchanged("killed", host="host-1"),
+        _exchanged("not-stopped", host="host-2"),
+        _exchanged("incomplete", sent_at=None),
+        _exchanged("at-once", ended_at=101.6),
+        _exchanged("behind", is_behind=True),
+        _exchanged("late", ended_at=103.1),
+        _exchanged("gave-up", has_left=True),
+        _exchanged("at-work", began_at=102.9, sent_at=103.8, ended_at=104.7),
+        _exchanged("changed", status=200, is_whole=True),
+        _exchanged("twice", status=500),
+        _exchanged("promised", status=503),
+        _exchanged("half", status=200),
+    ]
+    broken = find_all_broken(exchanged, [worker], hosts)
+    assert {line.partition(":")[0] for line in broken} == {
+        "lost",
+        "never-sent",
+        "ran-behind",
+        "changed",
+        "twice",
+        "promised",
+        "half",
+        "at-work",
+    }
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -364,7 +364,7 @@
     """Return a request's whole body."""
     if "chunked" in headers.get("transfer-encoding", ""):
         body = b""
-        while size := int(await reader.readline(), 16):
+        while size := int(await reader.readuntil(b"\r\n"), 16):
             body += await reader.readexactly(size)
             await reader.readline()
         await reader.readline()
