--- a/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
@@ -58,8 +58,8 @@
         }
         self.write_settings()
         self.process = None
-        # When the process was started or sent a signal, on the loop's clock, and of these
-        # when it was asked to end, and when it was disturbed without a plan.
+        # Times on the loop's clock: when the process was started or sent a signal, when
+        # it was asked to end, and when it was disturbed without a plan.
         self.disturbed_at = []
         self.stopped_at = []
         self.killed_at = []
