End responses that stop half-way by their deadline

Cause: such a response is handed on once 64 KB are there; from then on nothing watched the deadline. `ReplyRest.read` waited without a limit.

Why it works: each read has the request's deadline. Beyond it the target must send something within 0.25 s, so that a slow caller receives what is there and nobody waits for a target that has stopped.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -15,6 +15,10 @@
 from .downloads import DownloadRest
 
 log = logging.getLogger("front")
+# Seconds in which more of a response must arrive once its caller's time is up.
+LATE_READ_TIME = 0.25
+# Seconds in which a caller must take a part of a response.
+WRITE_TIME = 15.0
 
 
 class CutCause(enum.Enum):
@@ -84,12 +88,28 @@
 
 
 async def _write_parts(request, response, reply):
-    """Write a reply as it comes, and return why it was cut, or None."""
+    """
+    Write a reply as it comes, and return why it was cut, or None.
+
+    Beyond the deadline it goes on as long as the target sends: a slow caller receives
+    what is there, but nobody waits for a target that has stopped.
+    """
     await response.prepare(request)
-    await response.write(reply.body)
-    while part := await reply.rest.read():
-        await response.write(part)
-    return CutCause.TARGET if part is None else None
+    part = reply.body
+    while True:
+        try:
+            async with asyncio.timeout(WRITE_TIME):
+                await response.write(part)
+        except TimeoutError:
+            return CutCause.CALLER
+        try:
+            time_left = reply.rest.deadline - now()
+            async with asyncio.timeout(max(LATE_READ_TIME, time_left)):
+                part = await reply.rest.read()
+        except TimeoutError:
+            return CutCause.DEADLINE
+        if not part:
+            return CutCause.TARGET if part is None else None
 
 
 async def _write_download(request, response, rest):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -167,9 +167,8 @@
             else:
                 await exchange.wait_for_body(MAX_BUFFERED_BODY)
             if exchange.outcome is None and exchange.has_head:
-                outcome, reply = classify_head(
-                    exchange, ReplyRest(exchange, connection)
-                )
+                rest = ReplyRest(exchange, connection, request.deadline)
+                outcome, reply = classify_head(exchange, rest)
                 is_streaming = outcome is SendOutcome.SUCCEEDED
                 # The rest of a long error response is not read.
                 return outcome, reply if is_streaming else None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -62,9 +62,11 @@
     Args:
       exchange: The `Exchange`.
       connection: Its `TargetConnection`, which `close` closes.
+      deadline: When the caller's time is up, in seconds on the host's clock.
     """
 
-    def __init__(self, exchange, connection):
+    def __init__(self, exchange, connection, deadline):
+        self.deadline = deadline
         self._exchange = exchange
         self._connection = connection
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -34,6 +34,7 @@
     LONG = "long"
     LONG_UNSIGNED = "long-unsigned"
     LONG_CUT = "long-cut"
+    LONG_STALL = "long-stall"
     CUT = "cut"
     GARBAGE = "garbage"
     TWICE = "twice"
@@ -55,7 +56,7 @@
 SEND_BUFFER = 131072
 # Seconds for which a request runs that ends its target.
 CRASH_AFTER = 0.02
-LONG_MODES = {Mode.LONG, Mode.LONG_UNSIGNED, Mode.LONG_CUT}
+LONG_MODES = {Mode.LONG, Mode.LONG_UNSIGNED, Mode.LONG_CUT, Mode.LONG_STALL}
 
 
 class Deadly(NamedTuple):
@@ -251,6 +252,8 @@
                     return False
                 self.done[request_id] += 1
                 goes_on = await self._reply(request_id, writer, mode)
+                if mode is Mode.LONG_STALL:
+                    return await self._take_time(request_id, reader, FOR_EVER)
                 if mode in LONG_MODES:
                     goes_on = await self._wait_until_read(writer) and goes_on
                 return goes_on
@@ -305,7 +308,7 @@
         if mode in LONG_MODES:
             is_signed = mode is not Mode.LONG_UNSIGNED
             whole = self._answer(request_id, 200, LONG_BODY, is_signed=is_signed)
-        if mode is Mode.LONG_CUT:
+        if mode in (Mode.LONG_CUT, Mode.LONG_STALL):
             writer.write(whole[:-100000])
             return False
         if mode is Mode.HEAD_ONLY:
