--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -298,7 +298,11 @@
         task = asyncio.get_running_loop().create_task(self._relay.run(proxy_request))
         self._order_tasks.add(task)
         task.add_done_callback(self._order_tasks.discard)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(_drop_reply)
+            raise
 
     def _refuse(self, request, cause, retry_delay=None, **fields):
         log.info(
@@ -350,6 +354,18 @@
             reply.rest.close()
 
 
+def _drop_reply(task):
+    """Close the connection to the target of a reply that has no caller any more."""
+    if task.cancelled():
+        return
+    if task.exception() is not None:
+        log.error("order failed", exc_info=task.exception())
+        return
+    result = task.result()
+    if isinstance(result, Reply) and result.rest is not None:
+        result.rest.close()
+
+
 def _parse_time_limit(text, maximum):
     """Return the time limit of a request in seconds, or None if it is malformed."""
     if text is None:
