Send elsewhere if a new connection is lost before its request

Cause: `Sender.send` wrote to a connection that had been lost after it was opened. Its end had been reported already, so the exchange never ended.

Evidence: the new test, in which the first new connection is lost. Before, it failed for an order, an upload and a look-up; now all three are served by another connection and run once. Nothing was written, so sending again is safe for orders too.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -117,6 +117,9 @@
         idle = 0.0 if is_new else round(at - connection.last_used_at, 3)
         kind = "new" if is_new else "kept"
         info = ConnectionInfo(kind, age, idle, connection.gateway)
+        if connection.is_closed:
+            # The target has reset it before anything was sent.
+            return SendResult(SendOutcome.UNREACHABLE, None, info)
         is_too_late = request.deadline <= at or request.caller.is_gone()
         may_send = self._knowledge.may_send(target, at) and not request.is_body_taken
         if is_too_late or not may_send:
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_faults_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_faults_test.py
@@ -250,3 +250,30 @@
         assert answer.split(b" ")[1] == b"400"
         await asyncio.sleep(0.1)
         assert not [seen for worker in trial.of("act") for seen in worker.seen]
+
+
+@pytest.mark.parametrize(
+    "path, method", [("/act/a", "POST"), ("/up/a", "POST"), ("/look/a", "GET")]
+)
+@in_loop
+async def test_a_new_connection_that_is_lost_at_once_costs_no_time(path, method):
+    """Guards against waiting for the response to a request that was never sent."""
+    async with Trial(targets=2) as trial:
+        pool = trial.hosts[0].pool
+        real_open = pool.open
+        lost = []
+
+        async def open_and_lose(target):
+            connection = await real_open(target)
+            if not lost:
+                lost.append(target.id)
+                connection.transport.abort()
+                await asyncio.sleep(0.05)
+            return connection
+
+        pool.open = open_and_lose
+        began = time.monotonic()
+        status, _, _ = await trial.ask(path, "id-1", method)
+        assert (status, len(lost)) == (200, 1)
+        assert time.monotonic() - began < 0.5
+        assert sum(worker.runs["id-1"] for worker in trial.workers.values()) == 1
