Keep headers that targets need whatever a Connection header names

A caller that named Request-Id and Host in its Connection header had both taken out of what the target got (seen by the review). Such a header may name only what concerns one connection (RFC 9110, 7.6.1); a target needs the id, the host, the type of the body and the credentials, and a caller the signature of its response.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -7,7 +7,7 @@
 from plumsaddle_core.core.traffic import Route, Workspace
 from plumsaddle_core.ops.fingerprint import request_key
 
-from ..front.headers import HOP_BY_HOP
+from ..front.headers import END_TO_END, HOP_BY_HOP
 from ..platform import wire
 
 # Headers that a host sets itself.
@@ -17,6 +17,10 @@
     b"content-length",
     b"expect",
 }
+END_TO_END_HEADERS = {name.encode() for name in END_TO_END} | {
+    wire.REQUEST_ID.lower().encode(),
+    wire.SIGNATURE.lower().encode(),
+}
 DROPPED_HEADERS = {name.encode() for name in HOP_BY_HOP} | OWN_HEADERS
 # Targets trust the workspace header, and must not learn the callers' keys.
 DROPPED_HEADERS_WITH_KEYS = DROPPED_HEADERS | {
@@ -133,7 +137,7 @@
     for name, value in headers:
         if name.lower() == b"connection":
             connection_names.update(part.strip().lower() for part in value.split(b","))
-    return connection_names
+    return connection_names - END_TO_END_HEADERS
 
 
 async def frame_body(request, parts):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/headers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/headers.py
@@ -25,6 +25,14 @@
 REASON = "Plumsaddle-Reason"
 REPLAYED = "Plumsaddle-Replayed"
 TARGET_STATE = "X-Target-State"
+# Headers that a Connection header can't name, since the other end needs them.
+END_TO_END = {
+    "authorization",
+    "content-encoding",
+    "content-type",
+    "host",
+    KEY.lower(),
+}
 OWN = {OUTCOME.lower(), REASON.lower(), REPLAYED.lower()}
 LEAVING_STATES = {"draining", "leaving"}
 
@@ -44,7 +52,7 @@
         for value in headers.getall("Connection", ())
         for name in value.split(",")
     }
-    stopped = HOP_BY_HOP | OWN | named | set(without)
+    stopped = HOP_BY_HOP | OWN | (named - END_TO_END) | set(without)
     return CIMultiDict(
         (name, value) for name, value in headers.items() if name.lower() not in stopped
     )
