Answer Expect: 100-continue on the platform's path

Evidence: both forms of the new test failed before (no interim response within 1 s): a body that is kept and one that is streamed. A request that is refused for its route gets the refusal at once, without an interim response.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -34,6 +34,7 @@
 # of the memory of the smallest hosts.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 MIN_RETRY_AFTER = 0.05
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Retry delay in seconds while the configuration is too old to reject an unknown key.
 KEYS_RETRY_AFTER = 0.5
 # Seconds for which a draining host still accepts requests. The load balancer may route
@@ -226,6 +227,7 @@
             self._buffered_bytes += reserved
             body, is_whole = b"", True
             if request.can_read_body:
+                _invite_body(request)
                 result = await self._bodies.read_start(
                     request.content, request.content_length, deadline, typical_duration
                 )
@@ -354,6 +356,15 @@
             reply.rest.close()
 
 
+def _invite_body(request):
+    """Answer a caller that waits for a word before it sends its body."""
+    if request.headers.get("Expect", "").lower() != "100-continue":
+        return
+    transport = request.transport
+    if transport is not None and not transport.is_closing():
+        transport.write(CONTINUE_RESPONSE)
+
+
 def _drop_reply(task):
     """Close the connection to the target of a reply that has no caller any more."""
     if task.cancelled():
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_long_bodies_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_long_bodies_test.py
@@ -90,3 +90,22 @@
             answer = await _look_up(trial, f"id-{number}", 0.05, is_chunked)
             assert answer.status == 200
         assert _long_bodies(trial) == [True] * 4
+
+
+@pytest.mark.parametrize("path, size", [("/look/a", 4000), ("/up/a", 1_000_000)])
+@in_loop
+async def test_a_caller_that_waits_to_send_its_body_is_told_to(path, size):
+    """Guards against a request that waits for its body until its time is up."""
+    async with Trial() as trial:
+        address = trial.hosts[0].settings.caller_address
+        pipe = await Pipe.open(*split_address(address))
+        expect = ["Expect: 100-continue"]
+        pipe.send(upload_head(path, "id-1", size, more=expect))
+        interim = await asyncio.wait_for(pipe.reader.readuntil(b"\r\n\r\n"), 1.0)
+        assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+        pipe.send(LONG_BODY[:size])
+        assert (await asyncio.wait_for(pipe.receive(), 2.0)).status == 200
+        # A refusal needs no body.
+        pipe.send(upload_head("/none/a", "id-2", size, more=expect))
+        assert (await asyncio.wait_for(pipe.receive(), 1.0)).status == 404
+        pipe.close()
