Await bodies until their latest start while a host drains, whatever their pace

Uploads with a pause in their body were refused by a draining host though they would have arrived in time.

Cause: after 0.5 s a body whose pace so far was too slow was refused, so that its caller could turn elsewhere early. A pause looks like a slow pace.

Refusals by pace are dropped for bodies that are kept; a streamed one can't be refused truly later, and its pace still decides before its first byte is sent.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/draining.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/draining.py
@@ -12,8 +12,6 @@
 DURATION_FACTOR = 2.0
 # Seconds in which a refusal reaches a caller that is still sending.
 REFUSAL_TIME = 0.5
-# Seconds of a body that show its pace.
-MIN_PACE_TIME = 0.5
 
 
 class BodyProgress(NamedTuple):
@@ -51,26 +49,16 @@
     return end - max(REFUSAL_TIME, DURATION_FACTOR * typical_duration)
 
 
-def may_buffer(progress, start_by, at):
+def may_stream(progress, start_by, at):
     """
-    Return whether to wait for the rest of a body that is kept until it is whole.
+    Return whether to send a request while the rest of its body arrives.
 
-    Until then it can be refused at any time, so it is refused early only if its pace is
-    known.
+    A body that is kept until it is whole needs no such estimate: its request can be
+    refused at any time.
 
     Args:
-      progress: Its `BodyProgress`.
-      start_by: What `latest_start` returned for its request.
+      progress: The `BodyProgress` of its body.
+      start_by: What `latest_start` returned for the request.
       at: The current time, in seconds.
     """
-    is_known = progress.length is not None and progress.seconds >= MIN_PACE_TIME
-    return at + (progress.time_left() if is_known else 0.0) <= start_by
-
-
-def may_stream(progress, start_by, at):
-    """
-    Return whether to send a request while the rest of its body arrives.
-
-    Args: as for `may_buffer`.
-    """
     return at + progress.time_left() <= start_by
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
@@ -10,12 +10,7 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
-from plumsaddle_core.ops.draining import (
-    BodyProgress,
-    latest_start,
-    may_buffer,
-    may_stream,
-)
+from plumsaddle_core.ops.draining import BodyProgress, latest_start, may_stream
 from plumsaddle_core.ops.fingerprint import MAX_HASHED_BODY
 
 from .clock import now
@@ -100,12 +95,11 @@
             if not part:
                 return Success((bytes(body), True))
             body += part
-            if self._end is not None:
-                at = now()
-                progress = BodyProgress(len(body), length, at - began_at)
-                may_wait = may_buffer if len(body) <= MAX_WHOLE_BODY else may_stream
-                if not may_wait(progress, read.start_by, at):
-                    return Failure(RefusalCause.DRAINING)
+        if self._end is not None:
+            at = now()
+            progress = BodyProgress(len(body), length, at - began_at)
+            if not may_stream(progress, read.start_by, at):
+                return Failure(RefusalCause.DRAINING)
         return Success((bytes(body), False))
 
 
