Announce that a response before the end of its body closes the connection

Cause: only responses that are returned as a whole asked whether the body had arrived. aiohttp closed the connection behind the others by itself, which looked idle.

Evidence: the two new cases in pipelining_test.py, for a caller that sends on and one that waits, failed before. Both interfaces ask the same function now.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -182,7 +182,14 @@
         self._is_sealed = True
 
     def ends_after_turn(self):
-        """Return whether the host drains and the response in turn is the last."""
+        """
+        Return whether the response in turn is the last.
+
+        It is if its request has not arrived completely, since the rest of the body
+        would be read as the next request, or if the host drains.
+        """
+        if not self._current_request.content.is_eof():
+            return True
         if not self._hooks.is_draining():
             return False
         if self._messages:
@@ -397,8 +404,9 @@
             raise
         if not response.prepared and self.ends_after_turn():
             response.force_close()
-        self._is_ended_by_caller = not request.keep_alive and request.content.is_eof()
-        self._end_turn(response.keep_alive is False)
+        has_arrived = request.content.is_eof()
+        self._is_ended_by_caller = not request.keep_alive and has_arrived
+        self._end_turn(response.keep_alive is False or not has_arrived)
         return response
 
     def _end_turn(self, is_closing):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining_test.py
@@ -25,8 +25,8 @@
     A server whose handlers wait, and a connection to it.
 
     The path of a request is what its handler does: `/3` answers "3" once `let_go(3)`
-    was called, `/act-3` isn't repeatable, `/close` closes, `/fail` raises, and
-    `/large` streams a long response.
+    was called, `/act-3` isn't repeatable, `/close` closes, `/fail` raises, `/large`
+    streams a long response, and `/early` a short one before it reads the body.
     """
 
     def __init__(self, limits=LIMITS):
@@ -64,8 +64,8 @@
         self.begun.append(path)
         self.positions.append(position_of(request))
         try:
-            if path == "large":
-                return await self._stream(request)
+            if path in ("large", "early"):
+                return await self._stream(request, LARGE if path == "large" else b"z")
             if path == "fail":
                 raise ValueError
             if path != "close":
@@ -79,12 +79,14 @@
             response.force_close()
         return response
 
-    async def _stream(self, request):
+    async def _stream(self, request, body):
         response = web.StreamResponse()
-        response.content_length = len(LARGE)
+        response.content_length = len(body)
         await wait_for_turn(request)
+        if request.protocol.ends_after_turn():
+            response.force_close()
         await response.prepare(request)
-        await response.write(LARGE)
+        await response.write(body)
         return response
 
     def _gate(self, path):
@@ -357,6 +359,7 @@
         b"POST /close HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000\r\n\r\n",
         b"POST /close HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
         b"Content-Length: 9000000\r\n\r\n",
+        b"POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000\r\n\r\n",
     ],
 )
 def test_a_caller_that_sends_on_receives_a_response_that_closes(request_head):
@@ -404,3 +407,16 @@
     assert await service.read() is None
     assert service.begun == ["1"]
     assert not service.server.connections
+
+
+@with_service
+async def test_a_response_before_the_body_has_ended_says_that_it_closes(service):
+    """Guards against a caller whose next request goes to a connection that closes."""
+    head = b"POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+    service.writer.write(head)
+    assert await service.read() == "z close"
+    assert await service.read() is None
+    reader, writer = await service.connect()
+    service.reader, service.writer = reader, writer
+    service.writer.write(head + b"123456789")
+    assert await service.read() == "z"
