Blame nobody for a connection that is lost before its request

Cause: a lost connection was noted as a failure once a new connection to the target could be opened, and a path that accepts and resets passes that check.

Why it works: the outcome is 'unsent', as for a request that is not sent because its target has left in the meantime: the request goes elsewhere, and nothing is noted.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -167,10 +167,8 @@
             self._knowledge.note_outcome, target, self._request.route, outcome, seconds
         )
         is_silence = outcome is SendOutcome.TIMED_OUT and not timing.has_head
-        is_unreached = outcome is SendOutcome.UNREACHABLE
-        is_lost = is_unreached and timing.connection is not None
-        is_reset = is_lost or outcome is SendOutcome.BROKEN and not timing.has_head
-        if is_unreached and not is_lost:
+        is_reset = outcome is SendOutcome.BROKEN and not timing.has_head
+        if outcome is SendOutcome.UNREACHABLE:
             self._sender.prober.blame_if_unreached(target, note)
         elif not (is_silence or is_reset):
             note()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -118,9 +118,8 @@
         kind = "new" if is_new else "kept"
         info = ConnectionInfo(kind, age, idle, connection.gateway)
         if connection.is_closed:
-            # It was reset before anything was sent, by the target or on the way.
-            on_connected(connection)
-            return SendResult(SendOutcome.UNREACHABLE, None, info)
+            # It was lost before anything was sent, which may be the fault of the path.
+            return SendResult(SendOutcome.UNSENT, None, info)
         is_too_late = request.deadline <= at or request.caller.is_gone()
         may_send = self._knowledge.may_send(target, at) and not request.is_body_taken
         if is_too_late or not may_send:
