--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -357,7 +357,7 @@
 
 
 def _invite_body(request):
-    """Answer a caller that waits for a word before it sends its body."""
+    """Send the interim response that `Expect: 100-continue` asks for."""
     if request.headers.get("Expect", "").lower() != "100-continue":
         return
     transport = request.transport
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/caller_transport.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/caller_transport.py
@@ -39,7 +39,7 @@
         self._timer = None
         self._undelivered = 0
         self._progress_at = self._linger_until = 0.0
-        # Each response uses these.
+        # Bound once, since each response uses them.
         self.write = transport.write
         self.writelines = transport.writelines
 
