Cut callers of long responses only if they take nothing

A caller that took more than 15 s for a part of a long response (64 KB, so below 4.3 KB a second) was cut while it was reading; one of our own interface that read nothing was never cut, and held up the shutdown of its host without a limit. Found by reading the change again; not seen by callers.

On the platform's path a caller that reads nothing is cut and its connections are closed (edge_long_responses_test).

Why it works: `write_while_taken` looks at what the kernel has not delivered, as closing connections do. `socket_state` moves to utils/, which both use, and logs what it can't tell; so does a half-close that fails.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -10,15 +10,19 @@
 import logging
 
 from ..platform import wire
-from ..transfers.caller_writes import counted_writes, write_chunk
+from ..transfers.caller_writes import (
+    counted_writes,
+    write_chunk,
+    write_while_taken,
+)
 from .clock import now
 from .downloads import DownloadRest
 
 log = logging.getLogger("front")
 # Seconds in which more of a response must arrive once its caller's time is up.
 LATE_READ_TIME = 0.25
-# Seconds in which a caller must take a part of a response.
-WRITE_TIME = 15.0
+# Seconds without an acknowledgement after which a caller is cut.
+STALL_TIME = 15.0
 
 
 class CutCause(enum.Enum):
@@ -97,10 +101,7 @@
     await response.prepare(request)
     part = reply.body
     while True:
-        try:
-            async with asyncio.timeout(WRITE_TIME):
-                await response.write(part)
-        except TimeoutError:
+        if not await write_while_taken(request, response, part, STALL_TIME):
             return CutCause.CALLER
         try:
             time_left = reply.rest.deadline - now()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/caller_transport.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/caller_transport.py
@@ -8,9 +8,11 @@
 """
 
 import asyncio
+import logging
 
-from .socket_state import undelivered_bytes
+from ..utils.socket_state import undelivered_bytes
 
+log = logging.getLogger("front")
 # Seconds between two checks of a connection that lingers.
 LINGER_INTERVAL = 0.1
 # Seconds for which a connection lingers once its caller has received everything and
@@ -61,8 +63,8 @@
         self._is_lingering = True
         try:
             self._transport.write_eof()
-        except OSError:
-            # The caller has reset the connection.
+        except OSError as exc:
+            log.debug("a caller has reset its connection: %s", exc)
             self._transport.abort()
             return
         self._transport.resume_reading()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -28,8 +28,8 @@
     PipelinedRequest,
 )
 
+from ..utils.socket_state import undelivered_bytes, unread_bytes
 from .caller_transport import CallerTransport
-from .socket_state import undelivered_bytes, unread_bytes
 
 HEAD_END = b"\r\n\r\n"
 # Seconds between two checks whether a caller has left whose connection is not read.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
@@ -23,7 +23,11 @@
 
 from ..back.downloads import Download
 from ..back.sender import FailedTry
-from ..transfers.caller_writes import counted_writes, write_chunk
+from ..transfers.caller_writes import (
+    counted_writes,
+    write_chunk,
+    write_while_taken,
+)
 from .answers import make_problem
 from .headers import OUTCOME, REPLAYED, TIMEOUT, pass_headers
 from .orders import run_order
@@ -37,6 +41,7 @@
     RequestKind.UPLOAD: run_upload,
     RequestKind.DOWNLOAD: functools.partial(run_idempotent, kind=RequestKind.DOWNLOAD),
 }
+STALLED = FailedTry(FailureKind.CALLER, "the caller stopped reading")
 DOT_SEGMENTS = {".", "..", "%2e", "%2e%2e", ".%2e", "%2e."}
 
 
@@ -213,16 +218,23 @@
 
 
 async def _write_parts(host, incoming, resp, answer):
-    """Write an answer as it comes, and return the `FailedTry` that cut it, or None."""
+    """
+    Write an answer as it comes, and return the `FailedTry` that cut it, or None.
+
+    A caller that takes nothing for too long is cut, since it would hold up a shutdown.
+    """
     await resp.prepare(incoming)
-    await resp.write(answer.body)
+    part = answer.body
     while True:
-        part = await answer.rest.read()
-        if isinstance(part, Failure):
-            return part.failure()
-        if not part.unwrap():
+        stall_time = host.settings.callers.stall_timeout
+        if not await write_while_taken(incoming, resp, part, stall_time):
+            return STALLED
+        result = await answer.rest.read()
+        if isinstance(result, Failure):
+            return result.failure()
+        part = result.unwrap()
+        if not part:
             return None
-        await resp.write(part.unwrap())
 
 
 async def _write_download(host, incoming, resp, answer):
@@ -231,9 +243,8 @@
 
     A caller that takes nothing for too long is cut, since the host holds its bytes.
     """
-    stalled = FailedTry(FailureKind.CALLER, "the caller stopped reading")
     if incoming.transport is None:
-        return stalled
+        return STALLED
     with counted_writes(incoming.transport, MAX_SEND_BUFFER):
         await resp.prepare(incoming)
         while True:
@@ -246,5 +257,5 @@
                 async with asyncio.timeout(host.settings.callers.stall_timeout):
                     await write_chunk(incoming, resp, part.unwrap())
             except TimeoutError:
-                return stalled
+                return STALLED
             answer.rest.note_sent(len(part.unwrap()))
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/socket_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/utils/socket_state.py
@@ -5,9 +5,11 @@
 """
 
 import fcntl
+import logging
 import struct
 import termios
 
+log = logging.getLogger("front")
 COUNT = struct.Struct("i")
 
 
@@ -28,6 +30,7 @@
         return 0
     try:
         answer = fcntl.ioctl(sock.fileno(), request, bytes(COUNT.size))
-    except OSError:
+    except OSError as exc:
+        log.debug("the kernel does not tell what a socket holds: %s", exc)
         return 0
     return COUNT.unpack(answer)[0]
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_long_responses_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_long_responses_test.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from plumsaddle_hosts.edge import response_stream
 from plumsaddle_hosts.edge.clock import now
 from plumsaddle_hosts.utils.addresses import split_address
 
@@ -49,3 +50,19 @@
         answer = await asyncio.wait_for(pipe.receive(), 6.0)
         assert answer.body == LONG_BODY[:200_000]
         pipe.close()
+
+
+@in_loop
+async def test_a_caller_that_reads_nothing_is_cut(monkeypatch):
+    """Guards against targets and hosts that hold a response for good."""
+    monkeypatch.setattr(response_stream, "STALL_TIME", 0.2)
+    async with Trial(services=("look",)) as trial:
+        for worker in trial.workers.values():
+            worker.body = LONG_BODY * 10
+        host = trial.hosts[0]
+        pipe = await SlowPipe.open(*split_address(host.settings.caller_address))
+        pipe.send(request_bytes("/look/a", "id-1", left=9000))
+        await until(lambda: host.front.in_flight == 1)
+        await until(lambda: not host.front.in_flight, 3.0)
+        await until(lambda: not host._front_server.connections, 1.0)
+        pipe.close()
