Invite no body that a draining host is about to refuse

A caller that waits for 100 Continue got it, and a 503 behind it, from a host that would serve nothing more before the end of its grace period; it sent its body in vain.

Evidence: the new test in edge_shutdown_test.py got 100 Continue first before, and gets 503 alone now.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -227,7 +227,8 @@
             self._buffered_bytes += reserved
             body, is_whole = b"", True
             if request.can_read_body:
-                _invite_body(request)
+                if self._bodies.may_begin(typical_duration, now()):
+                    _invite_body(request)
                 result = await self._bodies.read_start(
                     request.content, request.content_length, deadline, typical_duration
                 )
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_shutdown_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_shutdown_test.py
@@ -190,3 +190,19 @@
         sending.cancel()
         pipe.close()
         await draining
+
+
+@in_loop
+async def test_a_refused_caller_is_not_told_to_send_its_body():
+    """Guards against an upload that is sent in vain to a host that stops."""
+    async with Trial(services=("up",), grace=2.0) as trial:
+        await _start(trial)
+        pipe = await _open(trial)
+        draining = _drain(trial)
+        await asyncio.sleep(1.4)
+        expect = ["Expect: 100-continue"]
+        pipe.send(upload_head("/up/a", "id-1", len(SCAN), more=expect))
+        answer = await asyncio.wait_for(pipe.reader.readuntil(b"\r\n"), 1.0)
+        assert answer == b"HTTP/1.1 503 Service Unavailable\r\n"
+        pipe.close()
+        await draining
