Keep nothing of what is behind a response that closes its connection

A caller that sends on behind a closing response left what it had sent in the host's memory for as long as the connection lingers: up to 256 KB that was not parsed, and the requests that were.

Why it works: from the closing response on nothing that is behind it is handled, so it is dropped, and what arrives later is not parsed any more.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -220,7 +220,7 @@
 
     def data_received(self, data):
         """Parse data, as far as the connection may have further requests."""
-        if self._force_close or self._open_transport.is_closing():
+        if self._is_closing or self._force_close or self._open_transport.is_closing():
             self._ignored_bytes += len(data)
             self._open_transport.note_ignored()
             return
@@ -261,13 +261,16 @@
         if self._is_in_body():
             return True
         if self._is_sealed:
-            self._ignored_bytes += len(self._unread)
-            self._unread = b""
+            self._drop_unread()
             return False
         if self._pipeline is not None:
             return not self._pipeline.is_full
         return not self._message_in_turn or not self._host_pipelines.is_full
 
+    def _drop_unread(self):
+        self._ignored_bytes += len(self._unread)
+        self._unread = b""
+
     def _is_in_body(self):
         if self._body is not None and self._body[0].is_eof():
             self._body = None
@@ -414,11 +417,13 @@
         self._message_in_turn = None
         if is_closing:
             self._is_closing = True
+            self._drop_unread()
+            self._messages.clear()
         if self._pipeline is not None:
             self._note_response(self._pipeline.first, None, is_closing)
             if is_closing or not self._messages:
                 self._close_pipeline()
-        if self._unread and not is_closing:
+        if self._unread:
             self._feed_unread()
 
     def _close_pipeline(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining_test.py
@@ -420,3 +420,17 @@
     service.reader, service.writer = reader, writer
     service.writer.write(head + b"123456789")
     assert await service.read() == "z"
+
+
+@with_service
+async def test_nothing_is_kept_of_what_is_behind_a_closing_response(service):
+    """Guards against memory for callers that send on while a connection lingers."""
+    service.send("close", *(str(number) for number in range(2000)))
+    assert await service.read() == "close close"
+    (conn,) = service.server.connections
+    service.send("1", "2")
+    await settle()
+    behind = len(b"".join(_get(str(number)) for number in range(2000)))
+    held = len(conn._unread) + sum(len(m.path) for m, _ in conn._messages)
+    assert held == 0
+    assert conn.log_fields()["ignored"] > 0.9 * behind
