--- a/packages/plumsaddle-standins/plumsaddle_standins/paced_callers.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/paced_callers.py
@@ -20,9 +20,9 @@
 NOTES = b"a note " * 3000
 ROUTES = {"/note/": ("safe", "note")}
 TIME_LEFT_MS = 3000
-# Seconds after which a request that was read must not end without a response, and after
-# SIGTERM until which requests may outlast the host, if a target works on them.
+# Seconds after its last byte in which a request may end without having been read.
 LOSS_SLACK = 0.2
+# Seconds after SIGTERM until which a request may begin that outlasts its host.
 EXCUSED_START = 3.0
 # Seconds by which the clocks of a caller and of the rule may differ on a busy machine.
 CLOCK_SLACK = 0.1
