--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -324,9 +324,9 @@
         self._server = None
         self._writers = set()
 
-    async def start(self):
-        """Listen."""
-        port = free_port()
+    async def start(self, port=None):
+        """Listen, at a free port unless one is given."""
+        port = port or free_port()
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = f"127.0.0.1:{port}"
 
