--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -41,7 +41,7 @@
 data_centres = ["depot-heverlee", "depot-kessel"]
 seeds = [{seeds}]
 store = "{store}"
-link_mbps = 1000.0
+link_mbps = {link_mbps}
 memory_mb = 300
 
 [listen]
@@ -362,12 +362,16 @@
                 body = await read_body(reader, headers)
                 writer.write(await self._answer(first, headers, body))
                 await writer.drain()
+                self._note_sent()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
             writer.close()
 
+    def _note_sent(self):
+        """Note that the kernel has taken an answer."""
+
     async def _answer(self, first, headers, body):
         request_id = headers.get("request-id", "")
         if headers.get("target-instance", self.id) != self.id:
@@ -466,9 +470,12 @@
       store: The store's address.
       seeds: The addresses of other hosts that it asks for more.
       centre: Its zone.
+      link_mbps: The capacity of its link.
     """
 
-    def __init__(self, name, folder, store, seeds=(), centre="depot-heverlee"):
+    def __init__(
+        self, name, folder, store, seeds=(), centre="depot-heverlee", link_mbps=1000.0
+    ):
         self.name = name
         self.callers, self.ready, self.peers = (free_port() for _ in range(3))
         self.process = None
@@ -482,6 +489,7 @@
             callers=self.callers,
             ready=self.ready,
             peers=self.peers,
+            link_mbps=link_mbps,
         )
         self._path.write_text(text, encoding="utf-8")
 
@@ -651,10 +659,10 @@
             f"sequence {worker.sequence}"
         )
 
-    async def add_host(self, name, centre="depot-heverlee"):
+    async def add_host(self, name, centre="depot-heverlee", link_mbps=1000.0):
         """Start a host."""
         seeds = [host.address for host in self.hosts[:3]]
-        host = Host(name, self.folder, self.store.address, seeds, centre)
+        host = Host(name, self.folder, self.store.address, seeds, centre, link_mbps)
         self.hosts.append(host)
         await host.start()
         return host
