--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,10 @@
 """
-An old check-in of a worker arrives after the worker has reported that it drains.
+Old check-ins of workers arrive after the workers have reported that they drain.
 
-One of five workers is partitioned from the store for four seconds. A check-in that it
-sent meanwhile is held up. When the partition has healed, the worker reports that it
-drains, and the store acknowledges that; then TCP delivers the check-in that was held
-up. A host must not send the worker requests later than `drain_ms` after the
+Three of fifteen workers are partitioned from the store for four seconds. Check-ins that
+they sent meanwhile are held up. When the partition has healed, they report that they
+drain, and the store acknowledges that; then TCP delivers the check-ins that were held
+up. A host must not send these workers requests later than `drain_ms` after the
 acknowledgement.
 """
 
@@ -17,10 +17,12 @@
 import lab  # noqa: E402
 
 ROUTES = {"/orders/": ("unsafe", "vernietiging", 2000)}
-WORKERS = 5
+WORKERS = 15
+# Workers that are partitioned and leave: a fifth.
+LEAVING = 3
 WORK = 0.31
 # Seconds between two requests of all clients.
-INTERVAL = 0.03
+INTERVAL = 1 / 60.3
 CALM = 6.0
 # The partition, and when in it the check-in is sent.
 CUT_TIME = 4.0
@@ -77,7 +79,35 @@
     record.add(f"the store removes the entry of {leaving.id} after its silence")
     await asyncio.sleep(CUT_TIME - SENT_AFTER - EXPIRY + lab.HEARTBEAT)
     link.is_cut = False
-    record.add("the partition heals")
+    record.add(f"the partition of {leaving.id} heals")
+
+
+async def _leave(deployment, leaving):
+    """Check in for a while, be cut, and leave; return when that was acknowledged."""
+    record = deployment.record
+    link = lab.Link(record, deployment.store)
+    await link.start()
+    checking_in = deployment.spawn(_check_in(link, record, leaving))
+    await asyncio.sleep(CALM)
+    checking_in.cancel()
+    if lab.has_trouble():
+        await _cut(deployment, link, leaving)
+    else:
+        await lab.write_entry(link, record, leaving)
+        await asyncio.sleep(CUT_TIME)
+    await asyncio.sleep(REPORTS_AFTER)
+    leaving.state = "draining"
+    drained_at = await lab.write_entry(link, record, leaving)
+    if drained_at is None:
+        raise lab.NotRunError("the report of draining was not acknowledged")
+    await asyncio.sleep(lab.HEARTBEAT)
+    checking_in = deployment.spawn(_check_in(link, record, leaving))
+    await asyncio.sleep(drained_at + lab.DRAIN + LITTLE_LONGER - record.now())
+    checking_in.cancel()
+    leaving.stop()
+    record.add(f"{leaving.id} exits")
+    deployment.store.put(lab.WORKERS, leaving.id, b"")
+    return drained_at
 
 
 async def play(record):
@@ -89,60 +119,45 @@
             )
             for number in range(WORKERS)
         ]
-        leaving, others = workers[0], workers[1:]
+        leaving, others = workers[:LEAVING], workers[LEAVING:]
         for number in range(2):
             await deployment.add_host(f"edge-{number}")
         await deployment.wait_ready()
-        link = lab.Link(record, deployment.store)
-        await link.start()
         deployment.spawn(_check_in_others(deployment, others))
-        checking_in = deployment.spawn(_check_in(link, record, leaving))
         outcomes = []
         sending = deployment.spawn(_send_orders(deployment, outcomes))
-        await asyncio.sleep(CALM)
-        checking_in.cancel()
-
-        if lab.has_trouble():
-            await _cut(deployment, link, leaving)
-        else:
-            await lab.write_entry(link, record, leaving)
-            await asyncio.sleep(CUT_TIME)
-        await asyncio.sleep(REPORTS_AFTER)
-        leaving.state = "draining"
-        drained_at = await lab.write_entry(link, record, leaving)
-        if drained_at is None:
-            raise lab.NotRunError("the report of draining was not acknowledged")
-        await asyncio.sleep(lab.HEARTBEAT)
-        checking_in = deployment.spawn(_check_in(link, record, leaving))
-        ends_at = drained_at + lab.DRAIN + LITTLE_LONGER
-        await asyncio.sleep(ends_at - record.now())
-        checking_in.cancel()
-        leaving.stop()
-        record.add(f"{leaving.id} exits")
-        deployment.store.put(lab.WORKERS, leaving.id, b"")
+        drained_at = await asyncio.gather(
+            *(_leave(deployment, worker) for worker in leaving)
+        )
         await asyncio.sleep(2.0)
         sending.cancel()
         await asyncio.sleep(2.5)
-        return _judge(record, leaving, outcomes, drained_at, ends_at)
+        return _judge(record, leaving, outcomes, drained_at)
 
 
-def _judge(record, leaving, outcomes, drained_at, ends_at):
+def _judge(record, leaving, outcomes, drained_at):
     """Tell what was seen, and return whether the rule was kept."""
-    too_late = [a for a in leaving.arrivals if a.at > drained_at + lab.DRAIN]
-    cut = {a.id for a in leaving.arrivals if a.at > ends_at - WORK}
+    too_late, cut = [], set()
+    for worker, at in zip(leaving, drained_at, strict=True):
+        bound = at + lab.DRAIN
+        late = [a for a in worker.arrivals if a.at > bound]
+        too_late += late
+        cut |= {
+            a.id for a in late if not a.is_done or a.at > bound + LITTLE_LONGER - WORK
+        }
     done = [task.result() for task in outcomes if not task.cancelled()]
     failed = [o for o in done if o.status != 200]
+    in_all = sum(len(worker.arrivals) for worker in leaving)
     summary = (
-        f"{len(done)} orders, {len(leaving.arrivals)} of them to {leaving.id}; "
-        f"{len(too_late)} arrived there later than drain_ms after the acknowledgement, "
-        f"{len(cut)} of these were cut by its exit; {len(failed)} of all orders were "
-        f"not answered with 200, {len([o for o in failed if o.id in cut])} of these "
-        f"because of that exit"
+        f"{len(done)} orders, {in_all} of them to the leaving workers; "
+        f"{len(too_late)} arrived there later than drain_ms after the acknowledgement; "
+        f"{len(failed)} of all orders were not answered with 200, "
+        f"{len([o for o in failed if o.id in cut])} of these were cut by the exits"
     )
     record.add(summary)
     print(summary)
-    if len(leaving.arrivals) < 10:
-        raise lab.NotRunError("the leaving worker got too few requests")
+    if in_all < 30:
+        raise lab.NotRunError("the leaving workers got too few requests")
     return not too_late
 
 
