--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -16,6 +17,8 @@
 
 import lab  # noqa: E402
 
+# With TROUBLE=0 no worker is partitioned, and the case must pass.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROUTES = {"/orders/": ("unsafe", "vernietiging", 2000)}
 WORKERS = 15
 # Workers that are partitioned and leave: a fifth.
@@ -90,7 +93,7 @@
     checking_in = deployment.spawn(_check_in(link, record, leaving))
     await asyncio.sleep(CALM)
     checking_in.cancel()
-    if lab.has_trouble():
+    if HAS_TROUBLE:
         await _cut(deployment, link, leaving)
     else:
         await lab.write_entry(link, record, leaving)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -17,6 +18,8 @@
 
 import lab  # noqa: E402
 
+# With TROUBLE=0 no worker is partitioned, and the case must pass.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROUTES = {"/lists/": ("safe", "guidance", 4000)}
 WORKERS = 10
 # Workers that are partitioned and start again: a fifth.
@@ -161,7 +164,7 @@
     checking_in = deployment.spawn(_check_in(link, record, worker))
     await asyncio.sleep(CALM)
     checking_in.cancel()
-    link.is_cut = lab.has_trouble()
+    link.is_cut = HAS_TROUBLE
     cut_at = record.now()
     record.add(f"{worker.id} is partitioned from the store: {link.is_cut}")
     await asyncio.sleep(SENT_AFTER)
--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -677,11 +677,6 @@
             raise NotRunError("a host does not become ready") from exc
 
 
-def has_trouble():
-    """Return whether the case is to bring about its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(play, folder):
     """
     Run a case and exit with its result.
