--- a/review/common-3/tenants.py
+++ b/review/common-3/tenants.py
@@ -35,16 +35,18 @@
 class Deployment:
     """Hosts, servers and the store of a deployment, and the tenant's clients."""
 
-    def __init__(self, record, scratch, host_count):
+    def __init__(self, record, scratch, host_count, server_count=SERVERS):
         self.record = record
         self.store = Store()
         self.servers = [
-            Server(f"i-{n}", "look", "zone-a", slots=8) for n in range(SERVERS)
+            Server(f"i-{n}", "look", "zone-a", slots=8) for n in range(server_count)
         ]
         self._scratch = scratch
         self._host_count = host_count
         self.hosts = []
+        # When each request was sent, and how it ended.
         self.sent = {}
+        self.ends = {}
         self.statuses = {}
         self._ids = itertools.count()
         self._clients = []
@@ -81,6 +83,8 @@
 
     def send(self, per_second):
         """Let clients send the tenant's requests, so many a second to each host."""
+        for task in self._clients:
+            task.cancel()
         self._clients = [
             asyncio.create_task(self._send_to(host, per_second)) for host in self.hosts
         ]
@@ -116,6 +120,7 @@
         finally:
             if writer is not None:
                 writer.close()
+        self.ends[request_id] = status
         self.statuses[status] = self.statuses.get(status, 0) + 1
         self.record.note(f"{request_id} to {host.name}: {status}")
 
