--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -408,7 +408,7 @@
         return self._log.read_text(encoding="utf-8") if self._log.exists() else ""
 
 
-def route(name, host, prefix, kind, service, timeout_ms=3000, **more):
+def route(name, host, prefix, kind, service, timeout_ms=4400, **more):
     """Return an entry of a configuration for a route."""
     spec = {
         "host": host,
--- a/review/common-3/tenants.py
+++ b/review/common-3/tenants.py
@@ -25,7 +25,8 @@
 TENANT = "acme"
 KEY = "key-of-acme"
 SITE_HOST = "records.example"
-DEADLINE_MS = 6000
+# Those of the site's orders.
+DEADLINE_MS = 4422
 SERVERS = 4
 SEEDS = 3
 # Seconds before the disruption from which on windows are counted.
@@ -35,8 +36,11 @@
 class Deployment:
     """Hosts, servers and the store of a deployment, and the tenant's clients."""
 
-    def __init__(self, record, scratch, host_count, server_count=SERVERS):
+    def __init__(
+        self, record, scratch, host_count, server_count=SERVERS, route_type="safe"
+    ):
         self.record = record
+        self._route_type = route_type
         self.store = Store()
         self.servers = [
             Server(f"i-{n}", "look", "zone-a", slots=8) for n in range(server_count)
@@ -63,7 +67,7 @@
             "metadata": {"name": TENANT},
             "spec": {"api_keys": [KEY], "rate_per_s": RATE, "burst": BURST},
         }
-        look = route("look", SITE_HOST, "/look/", "safe", "look")
+        look = route("look", SITE_HOST, "/look/", self._route_type, "look")
         self.store.put("keyed.op", "config", configuration(1, [look, tenant]))
         for number in range(self._host_count):
             host = Host(
@@ -90,21 +94,25 @@
         ]
 
     async def _send_to(self, host, per_second):
+        due_at = now()
         while True:
             task = asyncio.create_task(self._ask(host))
             self._requests.add(task)
             task.add_done_callback(self._requests.discard)
-            await asyncio.sleep(random.expovariate(per_second))
+            due_at += random.expovariate(per_second)
+            await asyncio.sleep(max(0.0, due_at - now()))
 
     async def _ask(self, host):
         request_id = f"r{next(self._ids):07d}"
+        is_safe = self._route_type == "safe"
         raw = make_request(
-            "GET",
+            "GET" if is_safe else "POST",
             "/look/a",
             SITE_HOST,
             request_id,
             DEADLINE_MS,
-            more=[f"Authorization: Bearer {KEY}", "Connection: close"],
+            b"" if is_safe else b"an order",
+            [f"Authorization: Bearer {KEY}", "Connection: close"],
         )
         writer = None
         try:
