--- a/review/floor/script.py
+++ b/review/common-3/floor.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "common-3"))
+sys.path.insert(0, str(HERE))
 
 from fleet import BROKEN, HELD, NOT_RUN, now, run  # noqa: E402
 from tenants import Deployment  # noqa: E402
--- a/review/floor/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-cd "$(dirname "$0")" || exit 2
-exec python3 script.py
