--- a/review/8/script.py
+++ b/review/8/script.py
@@ -20,7 +20,10 @@
 # With TROUBLE=0 no host is killed, and the case must pass.
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOSTS = 8
-PER_HOST = 30.0
+# Requests a second to each host: the usual, and 9 times that while the tenant is hot,
+# for 7.2 s.
+USUAL, HOT = 4.0, 36.0
+LEAD_IN, HOT_FOR = 2.2, 7.2
 SETTLE = 12.0
 # Seconds after which the platform starts a process that was killed.
 RESTART_DELAY = 0.3
@@ -36,11 +39,16 @@
         if not await fleet.start():
             record.say("a host did not become ready")
             return NOT_RUN
-        fleet.send(PER_HOST)
+        fleet.send(USUAL)
         await asyncio.sleep(SETTLE)
+        fleet.send(HOT)
+        hot_until = now() + HOT_FOR
+        await asyncio.sleep(LEAD_IN)
         since = now()
         if HAS_TROUBLE and not await lose_seeds(record, fleet, since):
             return NOT_RUN
+        await asyncio.sleep(max(0.0, hot_until - now()))
+        fleet.send(USUAL)
         await asyncio.sleep(AFTER)
     finally:
         await fleet.stop()
