Log which targets of a degraded service get no requests

The logs of the incident can't tell a target that is doubted too much for a trial from one that nobody tries although it counts as healthy, nor what a host takes for the capacity in use. While a service is degraded, each host now logs once a second how many targets it has, the share of the expected healthy capacity in use, and the failing probability of each unused one. find_trial uses the same count; it decides as before.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -13,6 +13,7 @@
 """
 
 from collections import deque
+from typing import NamedTuple
 
 # A service is degraded if more than this fraction of its requests was not served within
 # the window, in seconds, and at least the minimum numbers. Trials must be unlimited
@@ -37,6 +38,19 @@
 MAX_SAVED_TRIALS = 1.0
 
 
+class Coverage(NamedTuple):
+    """
+    How much of a service's capacity is in use, as far as a host knows.
+
+    `share` is the part of the expected healthy capacity that is in use. `unused` holds
+    the failing probability of each target without recent requests, by incarnation.
+    """
+
+    targets: int
+    share: float
+    unused: dict
+
+
 class RecentResults:
     """Counts of a service's requests in a sliding window, and of those not served."""
 
@@ -131,6 +145,29 @@
         return trial
 
 
+def find_coverage(incarnations, failing_probability, last_used_at, now):
+    """
+    Return the `Coverage` of a service.
+
+    Args:
+      incarnations: The incarnations of the service's usable targets.
+      failing_probability: A function that returns the failing probability of
+        an incarnation.
+      last_used_at: A function that returns when an incarnation last got a request.
+      now: The current time in seconds.
+    """
+    capacity = 0.0
+    unused = {}
+    for incarnation in incarnations:
+        failing = failing_probability(incarnation)
+        capacity += 1.0 - failing
+        if now - last_used_at(incarnation) > UNUSED_TIMEOUT:
+            unused[incarnation] = failing
+    idle_capacity = sum(1.0 - failing for failing in unused.values())
+    share = 1.0 - idle_capacity / capacity if capacity else 1.0
+    return Coverage(len(incarnations), share, unused)
+
+
 def find_trial(
     incarnations,
     eligible,
@@ -156,14 +193,9 @@
     Returns:
       An incarnation, or None if no trial is needed or possible.
     """
-    healthy = {
-        incarnation: 1.0 - failing_probability(incarnation)
-        for incarnation in incarnations
-    }
-    unused = [t for t in incarnations if now - last_used_at(t) > UNUSED_TIMEOUT]
-    capacity = sum(healthy.values())
-    in_use = capacity - sum(healthy[t] for t in unused)
-    if not unused or in_use >= (floor_share + FLOOR_MARGIN) * capacity:
+    coverage = find_coverage(incarnations, failing_probability, last_used_at, now)
+    unused = coverage.unused
+    if not unused or coverage.share >= floor_share + FLOOR_MARGIN:
         return None
     candidates = [incarnation for incarnation in unused if incarnation in eligible]
     if not candidates:
@@ -171,5 +203,5 @@
     used_count = len(incarnations) - len(unused)
     if used_count < (floor_share + CAUTIOUS_MARGIN) * len(incarnations):
         max_failing = TRIAL_MAX_FAILING_PROBABILITY
-    best = max(candidates, key=healthy.get)
-    return best if healthy[best] >= 1.0 - max_failing else None
+    best = min(candidates, key=unused.get)
+    return best if unused[best] <= max_failing else None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
@@ -6,6 +6,8 @@
 one target that is due for a trial.
 """
 
+import logging
+
 from plumsaddle_core.core.features import Feature
 from plumsaddle_core.health.probes import Probes
 from plumsaddle_core.ops.choice import (
@@ -14,7 +16,11 @@
     choose_scheduled,
     choose_target,
 )
-from plumsaddle_core.ops.floor import TRIAL_MAX_FAILING_PROBABILITY, Trials
+from plumsaddle_core.ops.floor import (
+    TRIAL_MAX_FAILING_PROBABILITY,
+    Trials,
+    find_coverage,
+)
 from plumsaddle_core.ops.subset import (
     MAX_TARGETS_WITHOUT_SUBSET,
     MIN_SUBSET_SCORE,
@@ -23,12 +29,15 @@
     subset_size,
 )
 
+log = logging.getLogger("floor")
 # The same as `MIN_SUBSET_SCORE` while requests are scheduled: lower scores mean that
 # all targets of the subset are full, slow or probably failing.
 MIN_SCHEDULED_SUBSET_SCORE = 0.85
 # Orders are floor trials while requests are scheduled only of targets that most likely
 # don't fail, unless the service is degraded.
 ORDER_TRIAL_MAX_FAILING_PROBABILITY = 0.2
+# Seconds between two log lines on the unused targets of a degraded service.
+COVERAGE_LOG_INTERVAL = 1.0
 
 
 class TargetSelection:
@@ -45,6 +54,7 @@
         self._rates = {}
         self._trials = Trials()
         self._probes = Probes(state.rng)
+        self._coverage_logged_at = {}
 
     def choose(self, service, profile, excluded, has_connection, at, max_wait=0.0):
         """
@@ -193,6 +203,7 @@
         self, service, usable, at, max_failing=TRIAL_MAX_FAILING_PROBABILITY
     ):
         """Return the local incarnation that needs a trial for the floor, or None."""
+        self._log_coverage(service, usable, at)
         return self._trials.find(
             service,
             lambda: self._trial_incarnations(usable, at),
@@ -202,6 +213,24 @@
             max_failing,
         )
 
+    def _log_coverage(self, service, usable, at):
+        """Log which targets of a degraded service are unused, at intervals."""
+        shared = self._state.shared
+        if at < self._coverage_logged_at.get(service, 0.0) + COVERAGE_LOG_INTERVAL:
+            return
+        if not shared.is_degraded(service, at):
+            return
+        self._coverage_logged_at[service] = at
+        coverage = find_coverage(
+            [target.incarnation for target in usable],
+            lambda incarnation: shared.failing_probability(incarnation, at),
+            shared.last_used_at,
+            at,
+        )
+        unused = {key: round(value, 2) for key, value in coverage.unused.items()}
+        fields = {"service": service, "targets": coverage.targets, "unused": unused}
+        log.info("degraded", extra={**fields, "share": round(coverage.share, 3)})
+
     def _trial_incarnations(self, usable, at):
         """Return all usable incarnations, and those that this host may send trials."""
         local = {
