Model the floor while many targets are disturbed at once, with a failing test

`make floor` has at most 19 targets that fail alike, and hosts that know of each other's sends at once, so it can't draw the record's moment. This one has 12, 40 and 133 hosts, subsets, targets that lose the paths to a part of the hosts, gray failures, lost answers, crashes and starts, and hosts learn of other hosts' sends after 0.05 s.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/plumsaddle-core packages/plumsaddle-hosts packages/plumsaddle-standins
 export PYTHONHASHSEED := 0
 
-.PHONY: setup format lint test demo lab soak crashes measure floor telling quotas limits \
+.PHONY: setup format lint test demo lab soak crashes measure floor moments telling quotas limits \
 	notices paths restores slopes generate
 
 setup: $(VENV)/ready
@@ -61,6 +61,9 @@
 floor: setup
 	$(BIN)/python -m plumsaddle_standins.floor_model
 
+moments: setup
+	$(BIN)/python -m plumsaddle_standins.floor_moments
+
 telling: setup
 	$(BIN)/python -m plumsaddle_standins.telling_model
 
