Space the trials of a target over the hosts of a data centre

What callers saw: while a service is degraded, each request of each host may be a trial, and every host chose the same likeliest idle target until it had heard of the others' sends.

Cause: nothing parts the trials among hosts that don't know of each other's sends yet. Class: hosts decide alike from the same late knowledge.

Now the hosts of a data centre together try a target that is due five times a second, each by a probability from its own rate of requests and the number of hosts, as probes do. A single host tries at once, as before.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -12,9 +12,12 @@
 target as one would send trials to targets that are rightly avoided.
 """
 
+import random
 from collections import deque
 from typing import NamedTuple
 
+from .subset import EventRate
+
 # A service is degraded if more than this fraction of its requests was not served within
 # the window, in seconds, and at least the minimum numbers. Trials must be unlimited
 # before a tenth of the requests is lost. A single request that fails by itself does not
@@ -36,6 +39,10 @@
 # Trials that each request of a host allows for while the service is not degraded.
 TRIALS_PER_REQUEST = 1 / 16
 MAX_SAVED_TRIALS = 1.0
+# Trials a second of a target that needs one, from all hosts of its data centre. Other
+# hosts learn of a trial within about a tenth of a second, and would repeat it until
+# then.
+TRIALS_PER_SECOND = 5.0
 
 
 class Coverage(NamedTuple):
@@ -80,13 +87,20 @@
 
 
 class _TrialBudget:
-    """The trials that a host's requests for one service allow for."""
+    """
+    The trials that a host's requests for one service allow for.
+
+    `rate` is the number of these requests per second.
+    """
 
     def __init__(self):
         self._tokens = MAX_SAVED_TRIALS
+        self._event_rate = EventRate()
+        self.rate = 0.0
 
-    def note_request(self):
+    def note_request(self, now):
         self._tokens = min(MAX_SAVED_TRIALS, self._tokens + TRIALS_PER_REQUEST)
+        self.rate = self._event_rate.note_event(now)
 
     def has_trial(self):
         return self._tokens >= 1.0
@@ -97,9 +111,18 @@
 
 
 class Trials:
-    """Decides which requests of one host are trials, and of which target."""
+    """
+    Decides which requests of one host are trials, and of which target.
 
-    def __init__(self):
+    No host coordinates the trials. Each host tries a target with a probability by which
+    all hosts of the data centre together try it at a given rate.
+
+    Args:
+      rng: A `random.Random`.
+    """
+
+    def __init__(self, rng=random):
+        self._rng = rng
         self._budgets = {}
 
     def find(
@@ -126,7 +149,7 @@
             the service is not degraded and the others suffice for the floor.
         """
         budget = self._budgets.setdefault(service, _TrialBudget())
-        budget.note_request()
+        budget.note_request(now)
         is_degraded = shared.is_degraded(service, now)
         if not budget.has_trial() and not is_degraded:
             return None
@@ -139,11 +162,28 @@
             floor_share,
             now,
             max_failing,
+            lambda due: self._choose(due, budget.rate, shared.live_host_count()),
         )
         if trial is not None:
             budget.spend()
         return trial
 
+    def _choose(self, due, rate, host_count):
+        """
+        Return a target that is due for a trial, or None to leave them to other hosts.
+
+        Args:
+          due: The failing probabilities of the targets, by incarnation.
+          rate: This host's requests for the service per second.
+          host_count: The number of hosts in the data centre.
+        """
+        if host_count == 1:
+            return min(due, key=due.get)
+        if self._rng.random() * rate * host_count >= TRIALS_PER_SECOND * len(due):
+            return None
+        weights = [1.0 - failing for failing in due.values()]
+        return self._rng.choices(list(due), weights)[0]
+
 
 def find_coverage(incarnations, failing_probability, last_used_at, now):
     """
@@ -176,6 +216,7 @@
     floor_share,
     now,
     max_failing=TRIAL_MAX_FAILING_PROBABILITY,
+    choose=lambda due: min(due, key=due.get),
 ):
     """
     Return the incarnation to try so that enough of the healthy capacity is in use.
@@ -190,18 +231,20 @@
       now: The current time in seconds.
       max_failing: Targets whose failing probability is higher get no trials if the
         others suffice for the floor.
+      choose: A function that returns one of the targets that are due, or None. It is
+        passed their failing probabilities by incarnation.
     Returns:
       An incarnation, or None if no trial is needed or possible.
     """
     coverage = find_coverage(incarnations, failing_probability, last_used_at, now)
-    unused = coverage.unused
-    if not unused or coverage.share >= floor_share + FLOOR_MARGIN:
-        return None
-    candidates = [incarnation for incarnation in unused if incarnation in eligible]
-    if not candidates:
+    if coverage.share >= floor_share + FLOOR_MARGIN:
         return None
-    used_count = len(incarnations) - len(unused)
-    if used_count < (floor_share + CAUTIOUS_MARGIN) * len(incarnations):
+    used_count = coverage.targets - len(coverage.unused)
+    if used_count < (floor_share + CAUTIOUS_MARGIN) * coverage.targets:
         max_failing = TRIAL_MAX_FAILING_PROBABILITY
-    best = min(candidates, key=unused.get)
-    return best if unused[best] <= max_failing else None
+    due = {
+        incarnation: failing
+        for incarnation, failing in coverage.unused.items()
+        if incarnation in eligible and failing <= max_failing
+    }
+    return choose(due) if due else None
--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
@@ -2,9 +2,13 @@
 Tests of the trials that keep a service's healthy targets in use.
 """
 
+import random
+from collections import Counter
+
 from .floor import (
     DEGRADED_WINDOW,
     TRIALS_PER_REQUEST,
+    TRIALS_PER_SECOND,
     UNUSED_TIMEOUT,
     RecentResults,
     Trials,
@@ -76,3 +80,26 @@
     assert not results.is_degraded(0.8)
     results.add(10, 2, 0.7 + DEGRADED_WINDOW)
     assert results.is_degraded(0.8 + DEGRADED_WINDOW)
+
+
+def test_many_hosts_do_not_try_the_same_target_at_once():
+    """Each host tried the likeliest idle target, and a failing one lost all of them."""
+    host_count, interval, steps = 40, 0.3, 200
+    rng = random.Random(1)
+    hosts = [(Trials(rng), _many_hosts(host_count)) for _ in range(host_count)]
+    found = Counter()
+    for step in range(steps):
+        for trials, shared in hosts:
+            at = 10.0 + interval * step
+            found[trials.find("s", _two_targets, shared, 0.7, at)] += 1
+    limit = TRIALS_PER_SECOND * interval * steps
+    assert 0.5 * limit < found["a"] < 1.5 * limit
+    assert 0.5 * limit < found["b"] < 1.5 * limit
+
+
+def _many_hosts(count):
+    """Return the state of one of many hosts, with a degraded service."""
+    shared = SharedState(0.2, 10.0, started_at=-100.0)
+    shared.live_host_count = lambda: count
+    shared.is_degraded = lambda service, now: True
+    return shared
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
@@ -52,7 +52,7 @@
         self._state = state
         self._target_orders = {}
         self._rates = {}
-        self._trials = Trials()
+        self._trials = Trials(state.rng)
         self._probes = Probes(state.rng)
         self._coverage_logged_at = {}
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
@@ -400,7 +400,8 @@
 
 
 WAYS = {
-    "ours": lambda rng: Trials(),
+    "ours": Trials,
+    "unspaced": lambda rng: OtherTrials(rng),
     "all": lambda rng: OtherTrials(rng, share=1.0),
     "spaced": lambda rng: OtherTrials(rng, rate=5.0),
     "all, spaced": lambda rng: OtherTrials(rng, share=1.0, rate=5.0),
