Try every idle target of a degraded service

Cause: trials ended when 0.85 of the expected healthy capacity was in use, and never went to targets that fail with more than 0.6. A target in doubt counts little in that sum, so a third and more of all targets could be idle: doubt lasts 4.6 s after the last failure, and the sum was met by targets that were cut off from some hosts, lost answers or had just started. Class: one sum over all, where each part has to hold.

While a service is degraded every target that had no request for 1.5 s now gets a trial, until it fails with more than 0.8, which takes two seconds after the last failure. Other services: as before.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -33,6 +33,9 @@
 UNUSED_TIMEOUT = 1.5
 # Targets whose failing probability is higher get no trials.
 TRIAL_MAX_FAILING_PROBABILITY = 0.6
+# The same while the service is degraded, when every target is to be in use: doubt about
+# a target may outlast its cause, and the targets in use may be the disturbed ones.
+DEGRADED_MAX_FAILING_PROBABILITY = 0.8
 # The part of the targets beyond the floor that must be in use for trials to be limited
 # to targets that fail less.
 CAUTIOUS_MARGIN = 0.05
@@ -154,7 +157,8 @@
         if not budget.has_trial() and not is_degraded:
             return None
         if is_degraded:
-            max_failing = TRIAL_MAX_FAILING_PROBABILITY
+            floor_share = 1.0
+            max_failing = DEGRADED_MAX_FAILING_PROBABILITY
         trial = find_trial(
             *list_targets(),
             lambda incarnation: shared.failing_probability(incarnation, now),
@@ -241,7 +245,7 @@
         return None
     used_count = coverage.targets - len(coverage.unused)
     if used_count < (floor_share + CAUTIOUS_MARGIN) * coverage.targets:
-        max_failing = TRIAL_MAX_FAILING_PROBABILITY
+        max_failing = max(max_failing, TRIAL_MAX_FAILING_PROBABILITY)
     due = {
         incarnation: failing
         for incarnation, failing in coverage.unused.items()
--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
@@ -103,3 +103,20 @@
     shared.live_host_count = lambda: count
     shared.is_degraded = lambda service, now: True
     return shared
+
+
+def test_doubted_targets_are_tried_while_a_service_is_degraded():
+    """Targets in doubt stayed idle for seconds, since the others made up the floor."""
+    targets = [str(number) for number in range(20)]
+    shared = SharedState(0.2, 10.0, started_at=-100.0)
+    for incarnation in targets:
+        shared.note_send_start(incarnation, 10.0)
+    doubted = "19"
+    shared.last_used_at = lambda incarnation: 8.0 if incarnation == doubted else 10.0
+    shared.failing_probability = lambda incarnation, now: (
+        0.75 * (incarnation == doubted)
+    )
+    for _ in range(20):
+        shared.note_request_end("s", False, 10.0)
+    trial = Trials().find("s", lambda: (targets, set(targets)), shared, 0.7, 10.0)
+    assert trial == doubted
