Tell other data centres which services are degraded

Cause: a host judges a service by the results of its own data centre, but its targets there belong to the whole service. Class: a part is taken for the whole.

Updates between data centres now also hold the results of services that are degraded there, and a host adds those to its own results. Only degraded services are named, so a calm fleet sends nothing more.

It costs trials where it applies.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -75,18 +75,24 @@
         self._ended += ended
         self._unserved += unserved
 
-    def is_degraded(self, now):
-        """Return whether too large a share of the requests was not served."""
+    def totals(self, now):
+        """Return the requests that ended in the window, and those not served."""
         while self._entries and self._entries[0][0] <= now - DEGRADED_WINDOW:
             _, ended, unserved = self._entries.popleft()
             self._ended -= ended
             self._unserved -= unserved
-        if (
-            self._ended < DEGRADED_MIN_REQUESTS
-            or self._unserved < DEGRADED_MIN_UNSERVED
-        ):
-            return False
-        return self._unserved > DEGRADED_FRACTION * self._ended
+        return self._ended, self._unserved
+
+    def is_degraded(self, now):
+        """Return whether too large a share of the requests was not served."""
+        return are_degraded(*self.totals(now))
+
+
+def are_degraded(ended, unserved):
+    """Return whether too large a share of the requests that ended was not served."""
+    if ended < DEGRADED_MIN_REQUESTS or unserved < DEGRADED_MIN_UNSERVED:
+        return False
+    return unserved > DEGRADED_FRACTION * ended
 
 
 class _TrialBudget:
--- a/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
@@ -22,7 +22,7 @@
 from ..limits.targets import TargetLimits
 from .availability import Availability
 from .data_centre_retry_budget import DataCentreRetryBudget
-from .floor import RecentResults
+from .floor import RecentResults, are_degraded
 from .peer_updates import (
     Counts,
     Inbox,
@@ -50,6 +50,9 @@
 # Deduplication state of a host in another data centre is kept for this long (seconds),
 # which exceeds the longest delay of a message.
 REMOTE_HOST_TTL = 60.0
+# Results of another data centre are used for this long (seconds). They are sent once a
+# second at least.
+REMOTE_RESULTS_TTL = 2.5
 # Sends shorter than this (seconds) may end before an in-flight table lists them.
 SHORT_SEND = 0.1
 
@@ -117,6 +120,7 @@
         self._peers = {}
         self._peers_in_flight = Counter()
         self._remote_inboxes = {}
+        self._remote_results = {}
         self._remote_loads = RemoteLoads()
         # Pending for the own data centre; `evidence` is for the others.
         self.outcomes = Outbox()
@@ -348,7 +352,35 @@
         if now - self._started_at < STARTUP_GRACE or self._has_lost_hosts(now):
             return True
         results = self._results.get(service)
-        return results is not None and results.is_degraded(now)
+        ended, unserved = (0, 0) if results is None else results.totals(now)
+        if are_degraded(ended, unserved):
+            return True
+        for counts, at in self._remote_results.values():
+            if now - at < REMOTE_RESULTS_TTL and service in counts:
+                ended += counts[service][0]
+                unserved += counts[service][1]
+        return are_degraded(ended, unserved)
+
+    def degraded_results(self, now):
+        """
+        Return the results of the services that are degraded in this data centre.
+
+        Returns:
+          By service, the requests that ended lately and those of them not served.
+        """
+        totals = {name: results.totals(now) for name, results in self._results.items()}
+        return {
+            name: counts for name, counts in totals.items() if are_degraded(*counts)
+        }
+
+    def apply_remote_results(self, data_centre, results, now):
+        """
+        Apply the `degraded_results` of another data centre.
+
+        A service may be degraded as a whole although few of this data centre's requests
+        fail; its targets here are to be in use as well.
+        """
+        self._remote_results[data_centre] = (results, now)
 
     def _has_lost_hosts(self, now):
         """Return whether many of the data centre's hosts are lost or have restarted."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
@@ -248,9 +248,11 @@
         gateways = [a for a in update.gateways if is_address(a)]
         if update.data_centre != self._settings.data_centre:
             self._callbacks.note_gateways(gateways, at)
+            self._shared.apply_remote_results(update.data_centre, update.results, at)
         return (
             self._shared.apply_remote_update(to_remote_update(update), at)
             or bool(gateways)
+            or bool(update.results)
             or has_run_records
             or has_limits
             or has_draining
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -188,7 +188,8 @@
     An update for other data centres, forwarded once in each of them.
 
     `run_records`, `limits` and `draining` are as in `HostUpdate`. `gateways` holds the
-    addresses of a few gateways of its data centre.
+    addresses of a few gateways of its data centre. `results` holds, by service that is
+    degraded there, the requests that ended lately and those of them not served.
     """
 
     host: str
@@ -201,6 +202,7 @@
     limits: list[LimitFields] = []
     draining: list[str] = []
     gateways: list[str] = []
+    results: dict[str, tuple[Count, Count]] = {}
 
 
 class DataCentreLoad(msgspec.Struct, array_like=True, tag="l"):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -196,6 +196,32 @@
         assert other.failure_probability("t", net.at) > 0.45
 
 
+def test_a_service_is_degraded_in_all_data_centres_if_it_is_as_a_whole(net):
+    """Idle targets got no trials where a data centre's own callers were served."""
+    hosts = _fleet(net)
+    for _, shared, _ in hosts:
+        shared._started_at = -100.0
+
+    def end_requests(host, service, served, unserved):
+        for is_served in [True] * served + [False] * unserved:
+            host[1].note_request_end(service, is_served, net.at)
+
+    # The first counts of a host are only a baseline.
+    for host in (hosts[0], hosts[3]):
+        end_requests(host, "act", 1, 0)
+        end_requests(host, "look", 1, 0)
+    net.run(1.5)
+    end_requests(hosts[0], "act", 80, 20)
+    end_requests(hosts[0], "look", 80, 20)
+    end_requests(hosts[3], "act", 95, 5)
+    end_requests(hosts[3], "look", 295, 5)
+    net.run(1.5)
+    assert all(shared.is_degraded("act", net.at) for _, shared, _ in hosts)
+    assert not any(shared.is_degraded("look", net.at) for _, shared, _ in hosts[3:])
+    net.run(4.0)
+    assert not any(shared.is_degraded("act", net.at) for _, shared, _ in hosts)
+
+
 def _crash_target(net, host):
     """Let a target crash during a request of a host."""
     peers, shared, _ = host
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
@@ -109,7 +109,8 @@
         update = self._make_update(at)
         count = min(GATEWAYS_PER_UPDATE, len(gateways))
         update.gateways = self._rng.sample(list(gateways), count)
-        has_notices = update.run_records or limits or draining
+        update.results = shared.degraded_results(at)
+        has_notices = update.run_records or limits or draining or update.results
         if evidence or used_tags or has_notices or update.gateways:
             update.evidence, update.used_tags = evidence, used_tags or []
             update.limits, update.draining = [tuple(row) for row in limits], draining
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
@@ -132,9 +132,10 @@
       case: The `Case`.
       make_trials: Returns the `Trials` of a host, given the run's `random.Random`.
       seed: The run's seed.
+      shares_results: Whether data centres tell each other of degraded services.
     """
 
-    def __init__(self, case, make_trials, seed):
+    def __init__(self, case, make_trials, seed, shares_results=True):
         case = case._replace(
             spell_fails=SPELL_FAILS,
             objective=5.0,
@@ -150,6 +151,7 @@
         self.unreachable = {}
         self.connections = {}
         self.ends = []
+        self.shares_results = shares_results
         self.trials = 0
         self.lost_trials = 0
         self.checked = self.broken = 0
@@ -243,6 +245,15 @@
 
     # Requests.
 
+    def _beat(self, at, centre):
+        super()._beat(at, centre)
+        if not self.shares_results:
+            return
+        results = self.shared_states[centre].degraded_results(at)
+        for other, shared in enumerate(self.shared_states):
+            if other != centre:
+                shared.apply_remote_results(str(centre), results, at)
+
     def _has_connection(self, state, name, at):
         used_at = self.connections.get((state.settings.id, name), -math.inf)
         return at - used_at < IDLE_SECONDS
@@ -401,6 +412,8 @@
 
 WAYS = {
     "ours": Trials,
+    # Data centres judge by their own results alone.
+    "apart": Trials,
     "unspaced": lambda rng: OtherTrials(rng),
     "all": lambda rng: OtherTrials(rng, share=1.0),
     "spaced": lambda rng: OtherTrials(rng, rate=5.0),
@@ -416,7 +429,7 @@
 def run_one(job):
     """Run one fleet with one way and seed, and return the model's counts."""
     hosts, way, seed = job
-    model = MomentModel(FLEETS[hosts], WAYS[way], seed)
+    model = MomentModel(FLEETS[hosts], WAYS[way], seed, way != "apart")
     model.run(SECONDS)
     counts = model.sent, model.served, model.trials, model.lost_trials
     return *counts, model.checked, model.broken, model.worst
