Reject ports of thousands of digits instead of raising

What callers saw (a report of other operators): one odd entry of another writer among the targets, with a port out of range, ended the machines that read the list, or they stopped following it.

Cause: the port's digits were converted before their number was checked, and Python raises ValueError for more than 4,300 digits. The exception left the decoder, which reports errors as values, and ended the feed of targets. Shown by the new case of 5,000 digits; depth, other numbers and ports were rejected already and are now tested through a listing and a change as well.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state_test.py
@@ -135,6 +135,45 @@
     assert host_state.shared.is_degraded("act", at)
 
 
+ENTRY = {
+    "service": "act",
+    "address": "10.0.0.1:8080",
+    "zone": "x",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 1,
+}
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        json.dumps(ENTRY)[:-1] + ', "more": ' + "[" * 100_000 + "]" * 100_000 + "}",
+        json.dumps(ENTRY)[:-1] + ', "more": ' + '{"a": ' * 5000 + "1" + "}" * 5001,
+        json.dumps({**ENTRY, "slots": 10**400}),
+        json.dumps(ENTRY)[:-1] + ', "slots": 1e400}',
+        json.dumps(ENTRY)[:-1] + ', "warmup_left_ms": ' + "9" * 5000 + "}",
+        json.dumps({**ENTRY, "address": "10.0.0.1:65536"}),
+        json.dumps({**ENTRY, "address": "10.0.0.1:" + "9" * 5000}),
+        json.dumps({**ENTRY, "address": "9" * 5000 + ":80"}),
+    ],
+)
+def test_an_odd_entry_of_another_writer_does_not_hide_the_targets(odd):
+    """Hosts stopped following the list, or ended, at an entry they could not decode."""
+    host_state = _host_state(0)
+    entries = {"a": json.dumps(ENTRY), "odd": odd, "z": json.dumps(ENTRY)}
+    records = [
+        KeyedRecord(number, key, value.encode())
+        for number, (key, value) in enumerate(entries.items())
+    ]
+    host_state.apply_target_listing(Page(records, 3))
+    assert {target.id for target in host_state.registry.usable("act")} == {"a", "z"}
+    host_state.apply_target_changes(Page([records[1]._replace(offset=3)], 4))
+    assert {target.id for target in host_state.registry.usable("act")} == {"a", "z"}
+
+
 def _configuration_record(kind):
     route = {
         "host": "h.example",
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire_test.py
@@ -62,6 +62,8 @@
         {"address": "10.0.0.1:"},
         {"address": "10.0.0.1:0"},
         {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:" + "9" * 5000},
+        {"service": [[[[{}]]]]},
         {"address": "10.0.0.1:８０"},
         {"address": "somewhere:80"},
         {"address": 8080},
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/utils/addresses.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/utils/addresses.py
@@ -6,6 +6,8 @@
 import ipaddress
 
 MAX_PORT = 65535
+# Python rejects the conversion of numbers with thousands of digits with an exception.
+MAX_PORT_DIGITS = 5
 # Must exceed the number of hosts and targets that a host communicates with.
 CACHE_SIZE = 4096
 
@@ -19,7 +21,9 @@
 @functools.lru_cache(maxsize=CACHE_SIZE)
 def _is_address(text):
     ip, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+    if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
+        return False
+    if not 0 < int(port) <= MAX_PORT:
         return False
     try:
         ipaddress.IPv4Address(ip)
