Treat deeply nested records and messages as unreadable

Cause: msgspec raises RecursionError, no DecodeError, beyond the depth of the stack. The decoder of target entries handles it; those of suspect requests in the store, of the own interface's log, and of messages between hosts did not, so one record of another writer ended the feed that read it. Class: the same as that of the entries of targets.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/gateway.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/gateway.py
@@ -237,7 +237,7 @@
             self._request_timer.cancel()
             try:
                 request = decode_request(self._received[REQUEST_LENGTH.size : end])
-            except msgspec.DecodeError as exc:
+            except (msgspec.DecodeError, RecursionError) as exc:
                 self._reject(str(exc))
                 return
             del self._received[:end]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/message_handler.py
@@ -368,5 +368,5 @@
     for encoded in encoded_messages:
         try:
             yield encoded, decode_message(encoded)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             log.warning("invalid message", extra={"peer": address, "cause": str(exc)})
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -494,7 +494,7 @@
         address = f"{sender[0]}:{sender[1]}"
         try:
             self._handler.handle(decode(data), data, address, now())
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             log.warning("invalid message", extra={"peer": address, "cause": str(exc)})
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -342,6 +342,7 @@
 @example(encode(["w", "h", "1.2.3.4:5", 1, 1, {"t": 5}, [], {}]))
 @example(encode(["b", [["w", "h", "1.2.3.4:5", 1, 1, {7: -5}, [], {}]], [], [], {}]))
 @example(encode(["z", b"no deflated data"]))
+@example(b"\x99\xa1m\x90\x80\xc0" + b"\x91" * 50_000 + b"\xc0" * 5)
 @example(encode(["b", [7, "w"], [[]], ["y"], {7: 1}]))
 @example(encode(["r", "t", 0, 1, 0.0, b"no deflated data"]))
 @example(encode(["l", "y", "h", 1, 1, {"a": 1}]))
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored.py
@@ -81,7 +81,7 @@
     def _apply_record(self, record):
         try:
             decoded = decode_record(record.value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             log.error("record unreadable", extra={"key": record.key, "cause": str(exc)})
             return
         self._suspects.add_stored(record.key, decoded.ended, decoded.answered, now())
@@ -153,5 +153,5 @@
     """Return a record's key and the incarnations that crashed, or None."""
     try:
         return record.key, decode_record(record.value).ended
-    except (msgspec.DecodeError, UnicodeDecodeError, TypeError):
+    except (msgspec.DecodeError, RecursionError, TypeError, UnicodeDecodeError):
         return None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored_test.py
@@ -49,6 +49,15 @@
     assert suspects.hold_remaining("k", now()) > MIN_HOLD - 1.0
 
 
+def test_a_deeply_nested_record_does_not_hide_others():
+    """An odd record of another writer ended the feed of suspect requests."""
+    stored, suspects, _ = _make()
+    value = _make_record("a").value[:-1] + b', "more": ' + b"[" * 100_000 + b"1"
+    broken = KeyedRecord(1, "x", value + b"]" * 100_000 + b"}")
+    stored.apply_page(Page([broken, _make_record("a", "b", "c", offset=2)], 3))
+    assert suspects.crash_count("k") == 3
+
+
 def test_an_unreadable_record_does_not_hide_others():
     stored, suspects, _ = _make()
     broken = KeyedRecord(1, "x", b"\xff no record")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/held.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/held.py
@@ -36,7 +36,7 @@
 def _tell(record):
     try:
         known = decode_record(record.value)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         return f"{record.key}  unusable: {exc}"
     ended = len(known.ended)
     is_enough = ended - len(known.answered) >= CRASH_THRESHOLD
