End a response whose head, trailers or chunk line have no end

An order waited for its deadline, 2 s, with its one attempt gone, and the host held all of a head or of trailers (124 to 152 MB for two requests; hosts have 200 MB and more).

Cause: the parser keeps an incomplete head, and counts nothing. Interim responses and responses to other requests were skipped for ever.

A connection now counts the bytes since the parser completed a head or a part of a body, and ends the exchange as broken beyond 64 KiB; and what comes before the head of its own response, beyond 4 MB. Ten forms without sockets failed before, each read 5 MB without an outcome; long responses in small chunks, with interim responses and trailers, pass as before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -29,6 +29,12 @@
 MAX_READ_AHEAD = 65536
 # Bytes that are read from a connection at once.
 READ_SIZE = 65536
+# Bytes beyond which a head, the trailers behind a body or the line before a chunk are
+# no part of a response. The parser holds them until they are complete.
+MAX_HEAD_BYTES = 65536
+# Bytes of interim responses, and of responses to other requests, beyond which a target
+# is not going to send the response that is waited for.
+MAX_IGNORED_BYTES = 4_000_000
 # Seconds for which an idle connection is reused if the target sends no `Keep-Alive`
 # timeout.
 DEFAULT_IDLE_TIMEOUT = 3.0
@@ -167,6 +173,10 @@
         self._on_contact = on_contact
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
+        # Bytes since the parser last completed a head or a part of a body.
+        self._incomplete_bytes = 0
+        # Bytes received for the exchange before the head of its response.
+        self._ignored_bytes = 0
         self._ignores_response = False
         self._ends_at_eof = False
         self._is_sending = False
@@ -199,6 +209,7 @@
         """
         assert self.exchange is None, "a connection carries one request at a time"
         self.exchange = Exchange(request_id, on_head, buffer)
+        self._incomplete_bytes = self._ignored_bytes = 0
         self.transport.write(head)
         return self.exchange
 
@@ -279,9 +290,7 @@
             self.close()
             return
         exchange = self.exchange
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        if not self._parse(data):
             self._must_close = True
             exchange.report_head()
             exchange.finish(SendOutcome.BROKEN)
@@ -291,6 +300,19 @@
             self.transport.pause_reading()
         exchange.wake()
 
+    def _parse(self, data):
+        """Parse bytes, and return whether they may belong to a response."""
+        self._incomplete_bytes += len(data)
+        if not self.exchange.has_head:
+            self._ignored_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            return False
+        if self._incomplete_bytes > MAX_HEAD_BYTES:
+            return False
+        return self.exchange.has_head or self._ignored_bytes <= MAX_IGNORED_BYTES
+
     def eof_received(self):
         self._must_close = True
         if self._ends_at_eof and self.exchange is not None:
@@ -314,6 +336,7 @@
         self._headers.append((name, value))
 
     def on_headers_complete(self):
+        self._incomplete_bytes = 0
         exchange = self.exchange
         status = self._parser.get_status_code()
         echoed = _find_header(self._headers, b"request-id")
@@ -335,10 +358,12 @@
             self._update_idle_timeout(exchange.notices.idle_timeout)
 
     def on_body(self, data):
+        self._incomplete_bytes = 0
         if not self._ignores_response:
             self.exchange.body += data
 
     def on_message_complete(self):
+        self._incomplete_bytes = 0
         if not self._parser.should_keep_alive():
             self._must_close = True
         if not self._ignores_response:
