End a body without end by its request's deadline

Cause: beyond the deadline each part had 0.25 s to come, without a total.

A response without a stated length now has 0.25 s in total to wait for its target after the deadline, and a megabyte: what the target had sent by then and a slow caller had kept this host from reading. One with a stated length ends by itself and is delivered late as before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -21,6 +21,9 @@
 log = logging.getLogger("front")
 # Seconds in which more of a response must arrive once its caller's time is up.
 LATE_READ_TIME = 0.25
+# Bytes that a response without a stated length may still bring then. Its target has sent
+# them, and this host has not read them yet.
+MAX_LATE_BYTES = 1_000_000
 # Seconds without an acknowledgement after which a caller is cut.
 STALL_TIME = 15.0
 
@@ -96,21 +99,53 @@
     Write a reply as it comes, and return why it was cut, or None.
 
     Beyond the deadline it goes on as long as the target sends: a slow caller receives
-    what is there, but nobody waits for a target that has stopped.
+    what is there, but nobody waits for a target that has stopped. A response that
+    states no length may have no end, so it gets limits for what comes beyond it.
     """
     await response.prepare(request)
     part = reply.body
+    limit = _LateLimit(reply.rest.deadline)
+    is_limited = response.content_length is None
     while True:
         if not await write_while_taken(request, response, part, STALL_TIME):
             return CutCause.CALLER
+        began = now()
         try:
-            time_left = reply.rest.deadline - now()
-            async with asyncio.timeout(max(LATE_READ_TIME, time_left)):
+            async with asyncio.timeout(max(limit.wait, reply.rest.deadline - began)):
                 part = await reply.rest.read()
         except TimeoutError:
             return CutCause.DEADLINE
         if not part:
             return CutCause.TARGET if part is None else None
+        if is_limited:
+            limit.note_read(len(part), began, now())
+            if limit.is_reached:
+                return CutCause.DEADLINE
+
+
+class _LateLimit:
+    """
+    What a response without a stated length may bring after its deadline.
+
+    `wait` is the number of seconds that is left to wait for its target. The time that
+    the caller takes to read does not count.
+    """
+
+    def __init__(self, deadline):
+        self.wait = LATE_READ_TIME
+        self._bytes = MAX_LATE_BYTES
+        self._deadline = deadline
+
+    @property
+    def is_reached(self):
+        """Whether the response has had all that it may bring."""
+        return self.wait <= 0.0 or self._bytes < 0
+
+    def note_read(self, count, began, ended):
+        """Note a read of some bytes, and when it began and ended."""
+        if ended > self._deadline:
+            self.wait -= ended - max(began, self._deadline)
+            self._bytes -= count
 
 
 async def _write_download(request, response, rest):
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -45,6 +45,7 @@
     CLOSE_IDLE = "close-idle"
     FALSE_BUSY = "false-busy"
     HEAD_ONLY = "head-only"
+    ENDLESS = "endless"
 
 
 # Requests that a stand-in works on at once.
@@ -52,6 +53,8 @@
 FOR_EVER = 3600.0
 # Seconds after which a long answer is cut that nobody reads.
 UNREAD_LIMIT = 2.0
+# Seconds after which an answer without end is given up, if its caller stays.
+ENDLESS_LIMIT = 10.0
 # Bytes that the kernel takes of an answer that nobody reads.
 SEND_BUFFER = 131072
 # Seconds for which a request runs that ends its target.
@@ -118,6 +121,8 @@
         self.mode = Mode.GOOD
         # The body of its good answers.
         self.body = BODY
+        # How an answer without end begins, and the bytes that it repeats.
+        self.endless = b"", b""
         self.idle_limit = 5
         # Requests that hold a slot, and long answers that were cut since unread.
         self.busy = 0
@@ -315,6 +320,8 @@
             writer.write(whole[: -len(BODY)])
             await writer.drain()
             await asyncio.sleep(FOR_EVER)
+        if mode is Mode.ENDLESS:
+            return await self._write_without_end(request_id, writer)
         if mode is Mode.CUT:
             writer.write(whole[:-5])
             return False
@@ -339,6 +346,19 @@
             writer.write(self._answer(request_id, 200, b"a late second answer"))
         return mode is not Mode.CLOSE_IDLE
 
+    async def _write_without_end(self, request_id, writer):
+        """Write bytes until the caller closes, and return whether it stayed."""
+        begin, piece = self.endless
+        writer.write(begin.replace(b"REQUEST-ID", request_id.encode()))
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(ENDLESS_LIMIT):
+                while True:
+                    writer.write(piece)
+                    await writer.drain()
+                    # Other tasks of the test run between two pieces.
+                    await asyncio.sleep(0)
+        return False
+
     def _answer(
         self, request_id, status, body, more="", is_signed=True, is_framed=True
     ):
