--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -21,8 +21,8 @@
 log = logging.getLogger("front")
 # Seconds in which more of a response must arrive once its caller's time is up.
 LATE_READ_TIME = 0.25
-# Bytes that a response without a stated length may still bring then. Its target has sent
-# them, and this host has not read them yet.
+# Bytes that a response without a stated length may still bring then. Its target has
+# sent them, and this host has not read them yet.
 MAX_LATE_BYTES = 1_000_000
 # Seconds without an acknowledgement after which a caller is cut.
 STALL_TIME = 15.0
