Test heads that break off or have no end at the own interface

Its HTTP library ends them: heads cut at every byte are broken, and header values, header lines and trailer lines without end too. These tests passed before; they are guards.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender_test.py
@@ -265,3 +265,37 @@
     answer = result.unwrap()
     assert answer.rest is not None
     assert len(answer.body) > 100
+
+
+@pytest.mark.parametrize("more", [b"Content-Length: 0\r\n", b"Transfer-Encoding: chu"])
+def test_a_head_that_breaks_off_is_broken(more):
+    """Guards against a whole answer for a target that closed within its head."""
+    head = WHOLE.partition(b"Content-Length")[0] + more
+    for end in range(len(head) + 1):
+        result = ask(write_and_close(head[:end]))
+        assert result.failure().kind is FailureKind.BROKEN, head[:end]
+
+
+@pytest.mark.parametrize(
+    "begin, piece",
+    [
+        (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 1000),
+        (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 150),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"X: y\r\n" * 150,
+        ),
+    ],
+)
+def test_a_head_without_end_is_broken(begin, piece):
+    """Guards against heads and trailers that are held without a limit."""
+
+    async def answer(reader, writer):
+        await read_head(reader)
+        writer.write(begin)
+        while True:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    assert ask(answer).failure().kind is FailureKind.BROKEN
