Count requests over a workspace's limit as not served, with or without scheduling

Cause: such refusals counted for the floor only where requests are scheduled.

The unit test has a case without scheduling now, which failed before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -349,9 +349,8 @@
         The floor of a service's targets holds while a part of its requests is not
         served, whatever the reason.
         """
-        if self.is_scheduling:
-            service = choose_service(route, self.rng)
-            self.shared.note_request_end(service, False, at)
+        service = choose_service(route, self.rng)
+        self.shared.note_request_end(service, False, at)
 
     def urgency(self, service, route, workspace):
         """Return the relative urgency of a request in its service, from 0.0 to 1.0."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state_test.py
@@ -122,10 +122,11 @@
     assert host_state.is_scheduling is is_scheduling
 
 
-def test_requests_over_a_limit_count_as_not_served():
+@pytest.mark.parametrize("kind", ["download", "safe"])
+def test_requests_over_a_limit_count_as_not_served(kind):
     """Guards against targets below the floor while a workspace exceeds its limit."""
     host_state = _host_state(2)
-    host_state.apply_operator_records(Page([_configuration_record("download")], 1))
+    host_state.apply_operator_records(Page([_configuration_record(kind)], 1))
     at = now() + 60.0
     for _ in range(10):
         host_state.shared.note_request_end("act", True, at)
