--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -5,8 +5,9 @@
 have recovered since stay idle, because only a request can show that they are healthy
 again. Requests then queue at the others, and when hosts are lost at that moment, the
 retries of their callers meet a service with reduced capacity. So the unused targets of
-a data centre get trial requests, the one most likely healthy first, until nearly all of
-the service's expected healthy capacity is in use.
+a data centre get trial requests, those most likely healthy more often, until nearly all
+of the service's expected healthy capacity is in use. While the service is degraded, all
+of them get some.
 
 A target counts toward the capacity by its probability of being healthy. Counting each
 target as one would send trials to targets that are rightly avoided.
@@ -19,7 +20,7 @@
 from .subset import EventRate
 
 # A service is degraded if more than this fraction of its requests was not served within
-# the window, in seconds, and at least the minimum numbers. Trials must be unlimited
+# the window, in seconds, and at least the minimum numbers. All targets must get trials
 # before a tenth of the requests is lost. A single request that fails by itself does not
 # degrade a service, however few requests there were.
 DEGRADED_FRACTION = 0.085
