Try all idle targets only where a service is degraded as a whole

With some 50 orders of a data centre in the window, the usual 5% of failures often pass 8.5%, and trials of all idle targets then lose further orders.

The floor is about the service.

Data centres now tell each other their results once a second, and those of degraded services with each update. All idle targets are tried while the sum is degraded; while only the own data centre is, trials are as before.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -6,8 +6,8 @@
 again. Requests then queue at the others, and when hosts are lost at that moment, the
 retries of their callers meet a service with reduced capacity. So the unused targets of
 a data centre get trial requests, those most likely healthy more often, until nearly all
-of the service's expected healthy capacity is in use. While the service is degraded, all
-of them get some.
+of the service's expected healthy capacity is in use. While the service is degraded in
+all data centres together, all of them get some.
 
 A target counts toward the capacity by its probability of being healthy. Counting each
 target as one would send trials to targets that are rightly avoided.
@@ -34,8 +34,9 @@
 UNUSED_TIMEOUT = 1.5
 # Targets whose failing probability is higher get no trials.
 TRIAL_MAX_FAILING_PROBABILITY = 0.6
-# The same while the service is degraded, when every target is to be in use: doubt about
-# a target may outlast its cause, and the targets in use may be the disturbed ones.
+# The same while the service is degraded in all data centres together. Every target is
+# to be in use then: doubt about one may outlast its cause, and the targets in use may
+# be the disturbed ones.
 DEGRADED_MAX_FAILING_PROBABILITY = 0.8
 # The part of the targets beyond the floor that must be in use for trials to be limited
 # to targets that fail less.
@@ -161,11 +162,14 @@
         budget = self._budgets.setdefault(service, _TrialBudget())
         budget.note_request(now)
         is_degraded = shared.is_degraded(service, now)
-        if not budget.has_trial() and not is_degraded:
+        is_degraded_overall = shared.is_degraded_overall(service, now)
+        if not (budget.has_trial() or is_degraded or is_degraded_overall):
             return None
-        if is_degraded:
+        if is_degraded_overall:
             floor_share = 1.0
             max_failing = DEGRADED_MAX_FAILING_PROBABILITY
+        elif is_degraded:
+            max_failing = TRIAL_MAX_FAILING_PROBABILITY
         trial = find_trial(
             *list_targets(),
             lambda incarnation: shared.failing_probability(incarnation, now),
--- a/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
@@ -352,35 +352,45 @@
         if now - self._started_at < STARTUP_GRACE or self._has_lost_hosts(now):
             return True
         results = self._results.get(service)
+        return results is not None and results.is_degraded(now)
+
+    def is_degraded_overall(self, service, now):
+        """
+        Return whether too many of the service's requests to all data centres fail.
+
+        A service may be degraded as a whole although few of this data centre's requests
+        fail, and the other way round.
+        """
+        results = self._results.get(service)
         ended, unserved = (0, 0) if results is None else results.totals(now)
-        if are_degraded(ended, unserved):
-            return True
-        for counts, at in self._remote_results.values():
-            if now - at < REMOTE_RESULTS_TTL and service in counts:
-                ended += counts[service][0]
-                unserved += counts[service][1]
+        for counts, at in self._remote_results.get(service, {}).values():
+            if now - at < REMOTE_RESULTS_TTL:
+                ended += counts[0]
+                unserved += counts[1]
         return are_degraded(ended, unserved)
 
-    def degraded_results(self, now):
+    def results(self, now, are_all=True):
         """
-        Return the results of the services that are degraded in this data centre.
+        Return the results of this data centre, for the others.
 
+        Args:
+          now: The current time in seconds.
+          are_all: Whether to include services that are not degraded here.
         Returns:
           By service, the requests that ended lately and those of them not served.
         """
         totals = {name: results.totals(now) for name, results in self._results.items()}
         return {
-            name: counts for name, counts in totals.items() if are_degraded(*counts)
+            name: counts
+            for name, counts in totals.items()
+            if counts[0] and (are_all or are_degraded(*counts))
         }
 
     def apply_remote_results(self, data_centre, results, now):
-        """
-        Apply the `degraded_results` of another data centre.
-
-        A service may be degraded as a whole although few of this data centre's requests
-        fail; its targets here are to be in use as well.
-        """
-        self._remote_results[data_centre] = (results, now)
+        """Apply the latest `results` of another data centre."""
+        for service, counts in results.items():
+            by_data_centre = self._remote_results.setdefault(service, {})
+            by_data_centre[data_centre] = (counts, now)
 
     def _has_lost_hosts(self, now):
         """Return whether many of the data centre's hosts are lost or have restarted."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -188,8 +188,9 @@
     An update for other data centres, forwarded once in each of them.
 
     `run_records`, `limits` and `draining` are as in `HostUpdate`. `gateways` holds the
-    addresses of a few gateways of its data centre. `results` holds, by service that is
-    degraded there, the requests that ended lately and those of them not served.
+    addresses of a few gateways of its data centre. `results` holds, by service, the
+    requests that ended lately and those of them not served: once a second all services,
+    otherwise those that are degraded there.
     """
 
     host: str
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
@@ -109,7 +109,7 @@
         update = self._make_update(at)
         count = min(GATEWAYS_PER_UPDATE, len(gateways))
         update.gateways = self._rng.sample(list(gateways), count)
-        update.results = shared.degraded_results(at)
+        update.results = shared.results(at, are_all=is_periodic)
         has_notices = update.run_records or limits or draining or update.results
         if evidence or used_tags or has_notices or update.gateways:
             update.evidence, update.used_tags = evidence, used_tags or []
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_selection.py
@@ -218,7 +218,8 @@
         shared = self._state.shared
         if at < self._coverage_logged_at.get(service, 0.0) + COVERAGE_LOG_INTERVAL:
             return
-        if not shared.is_degraded(service, at):
+        is_overall = shared.is_degraded_overall(service, at)
+        if not (is_overall or shared.is_degraded(service, at)):
             return
         self._coverage_logged_at[service] = at
         coverage = find_coverage(
@@ -229,7 +230,8 @@
         )
         unused = {key: round(value, 2) for key, value in coverage.unused.items()}
         fields = {"service": service, "targets": coverage.targets, "unused": unused}
-        log.info("degraded", extra={**fields, "share": round(coverage.share, 3)})
+        fields["share"] = round(coverage.share, 3)
+        log.info("degraded", extra={**fields, "overall": is_overall})
 
     def _trial_incarnations(self, usable, at):
         """Return all usable incarnations, and those that this host may send trials."""
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
@@ -245,11 +245,11 @@
 
     # Requests.
 
-    def _beat(self, at, centre):
-        super()._beat(at, centre)
+    def _tell_far(self, at, centre, used):
+        super()._tell_far(at, centre, used)
         if not self.shares_results:
             return
-        results = self.shared_states[centre].degraded_results(at)
+        results = self.shared_states[centre].results(at, are_all=bool(used))
         for other, shared in enumerate(self.shared_states):
             if other != centre:
                 shared.apply_remote_results(str(centre), results, at)
@@ -372,7 +372,7 @@
         self._tokens = min(1.0, self._tokens + TRIALS_PER_REQUEST)
         self._interval += 0.1 * (min(now - self._found_at, 5.0) - self._interval)
         self._found_at = now
-        is_degraded = shared.is_degraded(service, now)
+        is_degraded = shared.is_degraded_overall(service, now)
         if self._tokens < 1.0 and not is_degraded:
             return None
         incarnations, eligible = list_targets()
