Try the likeliest idle target first while a service is not degraded

Cause: with the trials spaced, each of the few that calm times allow went to any idle target up to 0.6, where the likeliest one had got them before.

In calm times the hosts of a data centre together try the likeliest idle target five times a second; while a service is degraded, all that are due.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -177,7 +177,11 @@
             floor_share,
             now,
             max_failing,
-            lambda due: self._choose(due, budget.rate, shared.live_host_count()),
+            lambda due: self._choose(
+                due if is_degraded_overall else _likeliest(due),
+                budget.rate,
+                shared.live_host_count(),
+            ),
         )
         if trial is not None:
             budget.spend()
@@ -193,13 +197,19 @@
           host_count: The number of hosts in the data centre.
         """
         if host_count == 1:
-            return min(due, key=due.get)
+            return next(iter(_likeliest(due)))
         if self._rng.random() * rate * host_count >= TRIALS_PER_SECOND * len(due):
             return None
         weights = [1.0 - failing for failing in due.values()]
         return self._rng.choices(list(due), weights)[0]
 
 
+def _likeliest(due):
+    """Return the target that is most likely healthy, with its failing probability."""
+    best = min(due, key=due.get)
+    return {best: due[best]}
+
+
 def find_coverage(incarnations, failing_probability, last_used_at, now):
     """
     Return the `Coverage` of a service.
