--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
@@ -14,6 +14,7 @@
 them, in parts of a thousand, in which less than 0.7 of the sound targets got requests.
 """
 
+import enum
 import itertools
 import math
 import multiprocessing
@@ -52,6 +53,8 @@
 MIN_UNSERVED, MAX_UNSERVED = 0.1, 0.5
 # Seconds until a host gives up a connection to a target that it can't reach.
 CONNECT_SECONDS = 0.3
+# Seconds for which it then avoids the target, and for which a crashed one is listed.
+AVOIDED_SECONDS, LISTED_SECONDS = 8.0, 2.5
 # Seconds for which a host reuses a connection.
 IDLE_SECONDS = 3.0
 # Seconds until the other hosts of a data centre know of a send.
@@ -61,27 +64,62 @@
 PROCESSES = 4
 
 
+class Kind(enum.Enum):
+    """What a disturbance does to its targets."""
+
+    # They lose the paths to a part of the hosts.
+    CUT = "cut"
+    # They fail a part of their requests.
+    GRAY = "gray"
+    CRASH = "crash"
+    # New ones start instead.
+    START = "start"
+
+
 class Disturbance(NamedTuple):
-    """A part of the targets is disturbed for a while."""
+    """
+    A part of the targets is disturbed for a while.
+
+    `extent` is the share of the hosts that are cut off, or of the requests that fail.
+    """
 
-    kind: str
+    kind: Kind
     share: float
     at: float
     seconds: float
     extent: float
 
 
+class Disturbed(NamedTuple):
+    """The targets of a `Disturbance`, its time, and the hosts that are cut off."""
+
+    disturbance: Disturbance
+    names: set
+    until: float
+    hosts: frozenset
+
+
 def draw_disturbances(rng):
     """Return the disturbances of a moment; the shares are of the targets."""
     at = FIRST_AT
     return (
-        # The extent is the share of the hosts that lose the path, or of the failures.
-        Disturbance("cut", rng.uniform(0.35, 0.45), at + rng.uniform(0, 2), 8.0, 0.2),
-        Disturbance("gray", rng.uniform(0.05, 0.1), at + rng.uniform(0, 2), 5.0, 0.6),
-        Disturbance("gray", rng.uniform(0.05, 0.1), at + rng.uniform(1, 4), 5.0, 0.7),
-        Disturbance("lost", rng.uniform(0.3, 0.5), at + rng.uniform(0, 2), 6.0, 0.3),
-        Disturbance("start", rng.uniform(0.1, 0.2), at + rng.uniform(2, 6), 0.0, 0.0),
-        Disturbance("crash", rng.uniform(0.1, 0.25), at + rng.uniform(4, 9), 5.0, 1.0),
+        Disturbance(
+            Kind.CUT, rng.uniform(0.35, 0.45), at + rng.uniform(0, 2), 8.0, 0.2
+        ),
+        Disturbance(
+            Kind.GRAY, rng.uniform(0.05, 0.1), at + rng.uniform(0, 2), 5.0, 0.6
+        ),
+        Disturbance(
+            Kind.GRAY, rng.uniform(0.05, 0.1), at + rng.uniform(1, 4), 5.0, 0.7
+        ),
+        # Some responses are lost on their way.
+        Disturbance(Kind.GRAY, rng.uniform(0.3, 0.5), at + rng.uniform(0, 2), 6.0, 0.3),
+        Disturbance(
+            Kind.START, rng.uniform(0.1, 0.2), at + rng.uniform(2, 6), 0.0, 0.0
+        ),
+        Disturbance(
+            Kind.CRASH, rng.uniform(0.1, 0.25), at + rng.uniform(4, 9), 5.0, 1.0
+        ),
     )
 
 
@@ -115,7 +153,7 @@
         tag = target_tag(incarnation)
         latest = self._shared.last_used_at(incarnation)
         if latest != self._shared._local_last_used_at.get(tag):
-            # Another data centre has reported it.
+            # Another data centre reported it; updates are delayed only within one.
             return latest
         uses = self._model.uses[self._centre].get(incarnation, ())
         known = next(
@@ -132,21 +170,17 @@
       case: The `Case`.
       make_trials: Returns the `Trials` of a host, given the run's `random.Random`.
       seed: The run's seed.
-      shares_results: Whether data centres tell each other of degraded services.
+      shares_results: Whether data centres tell each other their results.
     """
 
     def __init__(self, case, make_trials, seed, shares_results=True):
-        case = case._replace(
-            spell_fails=SPELL_FAILS,
-            objective=5.0,
-            limit=12.0,
-        )
+        case = case._replace(spell_fails=SPELL_FAILS, objective=5.0, limit=12.0)
         super().__init__(case, seed, is_scheduling=False)
         self.registry = _Registry()
         for worker in self.workers.values():
             self.registry.put(worker.target)
         self.numbers = itertools.count()
-        self.hindrances = []
+        self.disturbed = []
         self.uses = [{} for _ in self.hosts]
         self.unreachable = {}
         self.connections = {}
@@ -179,21 +213,20 @@
     # Disturbances.
 
     def _disturb(self, at, disturbance):
-        kind, share, _, seconds, extent = disturbance
-        if kind == "start":
-            self._start_targets(at, share)
+        if disturbance.kind is Kind.START:
+            self._start_targets(at, disturbance.share)
             return
-        count = math.ceil(share * len(self.registry.targets))
+        count = math.ceil(disturbance.share * len(self.registry.targets))
         names = {t.id for t in self.rng.sample(self.registry.targets, count)}
         hosts = ()
-        if kind == "cut":
+        if disturbance.kind is Kind.CUT:
             everyone = [state.settings.id for state in itertools.chain(*self.hosts)]
-            hosts = self.rng.sample(everyone, math.ceil(extent * len(everyone)))
-        self.hindrances.append(
-            (kind, names, at, at + seconds, extent, frozenset(hosts))
-        )
-        if kind == "crash":
-            self._push(at + 2.5, lambda _: self.registry.remove(names))
+            count = math.ceil(disturbance.extent * len(everyone))
+            hosts = self.rng.sample(everyone, count)
+        until = at + disturbance.seconds
+        self.disturbed.append(Disturbed(disturbance, names, until, frozenset(hosts)))
+        if disturbance.kind is Kind.CRASH:
+            self._push(at + LISTED_SECONDS, lambda _: self.registry.remove(names))
 
     def _start_targets(self, at, share):
         for number in range(math.ceil(share * len(self.workers))):
@@ -214,9 +247,13 @@
             worker.is_failing = lambda t, w=worker: self.spell(w, t) is not None
             self.registry.put(target)
 
-    def _hindrances(self, name, at, after=0.0):
+    def _find_disturbed(self, name, at, after=0.0):
+        """Return what disturbs a target, or did up to some seconds before."""
         return [
-            h for h in self.hindrances if name in h[1] and h[2] <= at < h[3] + after
+            disturbed
+            for disturbed in self.disturbed
+            if name in disturbed.names
+            and disturbed.disturbance.at <= at < disturbed.until + after
         ]
 
     def is_sound(self, worker, at):
@@ -227,7 +264,7 @@
         return (
             listed
             and at - started > WINDOW
-            and not self._hindrances(name, at, SOUND_AFTER)
+            and not self._find_disturbed(name, at, SOUND_AFTER)
         )
 
     def _check_floor(self, at):
@@ -298,9 +335,11 @@
         state.shared.own[name] += 1
         state.shared.own_used_at[name] = at
         self.uses[centre].setdefault(name, []).append(at)
-        hindrances = self._hindrances(name, at)
-        is_cut = any(h[0] == "cut" and host in h[5] for h in hindrances)
-        if is_cut or any(h[0] == "crash" for h in hindrances):
+        is_unreachable = any(
+            disturbed.disturbance.kind is Kind.CRASH or host in disturbed.hosts
+            for disturbed in self._find_disturbed(name, at)
+        )
+        if is_unreachable:
             send = (centre, at, (state, is_trial, choice))
             self._push(at + CONNECT_SECONDS, self._end_unreached, worker, send)
             return
@@ -311,9 +350,9 @@
 
     def _fails(self, worker, at):
         share = self.case.spell_fails if worker.is_failing(at) else ALWAYS_FAILS
-        for kind, _, _, _, extent, _ in self._hindrances(worker.target.id, at):
-            if kind in ("gray", "lost"):
-                share = max(share, extent)
+        for disturbance, *_ in self._find_disturbed(worker.target.id, at):
+            if disturbance.kind is Kind.GRAY:
+                share = max(share, disturbance.extent)
         return self.rng.random() < share
 
     def _end_unreached(self, at, worker, send):
@@ -322,7 +361,7 @@
         name = worker.target.id
         state.shared.note_send_end(name)
         state.shared.own[name] -= 1
-        self.unreachable[state.settings.id, name] = at + 8.0
+        self.unreachable[state.settings.id, name] = at + AVOIDED_SECONDS
         signal = HealthSignal.UNREACHABLE
         self._push(at, self._note_elsewhere, centre, name, signal, CONNECT_SECONDS)
         self.lost_trials += is_trial
@@ -412,8 +451,9 @@
 
 WAYS = {
     "ours": Trials,
-    # Data centres judge by their own results alone.
+    # Data centres judge a service by their own results alone.
     "apart": Trials,
+    # Every host tries the likeliest idle target, until the floor is met.
     "unspaced": lambda rng: OtherTrials(rng),
     "all": lambda rng: OtherTrials(rng, share=1.0),
     "spaced": lambda rng: OtherTrials(rng, rate=5.0),
