--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -178,7 +178,7 @@
             now,
             max_failing,
             lambda due: self._choose(
-                due if is_degraded or is_degraded_overall else _likeliest(due),
+                due if is_degraded_overall else _likeliest(due),
                 budget.rate,
                 shared.live_host_count(),
             ),
