--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor.py
@@ -5,7 +5,7 @@
 have recovered since stay idle, because only a request can show that they are healthy
 again. Requests then queue at the others, and when hosts are lost at that moment, the
 retries of their callers meet a service with reduced capacity. So the unused targets of
-a data centre get trial requests, those most likely healthy more often, until nearly all
+a data centre get trial requests, the one most likely healthy first, until nearly all
 of the service's expected healthy capacity is in use. While the service is degraded in
 all data centres together, all of them get some.
 
--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
@@ -120,3 +120,31 @@
         shared.note_request_end("s", False, 10.0)
     trial = Trials().find("s", lambda: (targets, set(targets)), shared, 0.7, 10.0)
     assert trial == doubted
+
+
+def test_the_likeliest_target_is_tried_first_by_many_hosts():
+    """Targets in doubt took the few trials of calm times, and lost more orders."""
+    rng = random.Random(1)
+    hosts = [(Trials(rng), _many_hosts(40)) for _ in range(40)]
+    found = Counter()
+    for trials, shared in hosts:
+        shared.is_degraded_overall = lambda service, now: False
+        shared.failing_probability = lambda incarnation, now: {"a": 0.5, "b": 0.1}[
+            incarnation
+        ]
+        for step in range(200):
+            found[trials.find("s", _two_targets, shared, 0.7, 10.0 + 0.3 * step)] += 1
+    assert found["b"] and not found["a"]
+
+
+def test_doubted_targets_rest_while_the_service_is_not_degraded_as_a_whole():
+    """A data centre that was degraded by chance lost orders to failing targets."""
+    shared = SharedState(0.2, 10.0, started_at=-100.0)
+    shared.failing_probability = lambda incarnation, now: 0.75
+    for _ in range(20):
+        shared.note_request_end("s", False, 10.0)
+    trials = Trials()
+    assert trials.find("s", _two_targets, shared, 0.7, 10.0) is not None
+    shared.apply_remote_results("y", {"s": (1000, 0)}, 10.0)
+    assert shared.is_degraded("s", 10.0)
+    assert trials.find("s", _two_targets, shared, 0.7, 10.0) is None
