Wait in tests of limits until hosts know the demand on workspaces

Cause: the test. For 0.3 s after the start of a whole fleet hosts assume that the demand of every workspace is three times its rate, since its burst may have been used before; some requests may be refused then, as test_a_workspace_within_its_rate_is_served_after_a_restart says ("Only at first may some be refused"). The test took for granted that hosts need longer than that to know of each other.

The assertions, the requests and their seconds are as they were; only the start of the pressing waits for the end of those 0.3 s.

--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_quota_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_quota_test.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from plumsaddle_core.limits.quotas import START_TIME
+from plumsaddle_hosts.edge.clock import now
+
 from .trial import OPERATOR, Trial, configuration, in_loop, until
 from .windows import most_in_window
 from .worker import Mode
@@ -25,6 +28,9 @@
     await until(
         lambda: all(h.knowledge.shared.live_host_count() == near for h in trial.hosts)
     )
+    # Until then hosts assume that the demand of every workspace is high.
+    started = max(h.knowledge.shared.quotas._started_at for h in trial.hosts)
+    await until(lambda: now() > started + START_TIME)
 
 
 async def _press(trial, seconds, every, key="key-1", path="/look/a"):
