Treat a checkpoint's era of thousands of digits as none

What operators of other systems saw: an odd entry, with a number too large, ended the machines that read the list.

Cause: a checkpoint's id names its era, which was converted without a limit, and Python raises ValueError beyond 4,300 digits. The exception left the fold of the own interface's log.

The test failed with that ValueError before; such a checkpoint counts as one that names no era now.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/claims_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/claims_test.py
@@ -448,6 +448,14 @@
     assert claims.answer_from_log("k2", 200, "a") is None
 
 
+def test_checkpoint_whose_era_is_too_large_is_one_without_an_era():
+    """An odd checkpoint of another writer ended the reader of the orders."""
+    claims = make_claims()
+    claims.fold.begin_read(5)
+    claims.feed(Record(5, (Checkpoint("9" * 5000 + ".x", 4, 0, 1, [0]),)))
+    assert claims.fold.complete
+
+
 def test_claim_that_lost_stays_void_when_the_key_is_free_again():
     """
     Guards against running an order after reporting that another claim holds the key.
--- a/packages/plumsaddle-core/plumsaddle_core/ops/fold.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/fold.py
@@ -16,6 +16,9 @@
 
 from ..core.ids import Offset
 
+# An era of more digits is none; Python rejects numbers with thousands of digits.
+MAX_ERA_DIGITS = 15
+
 
 class Record(NamedTuple):
     """One record of a stream: its offset, and its decoded events."""
@@ -46,7 +49,8 @@
 def _era_of(checkpoint):
     """Return the era of a checkpoint's offset, or -1 if it names none."""
     era, dot, _ = checkpoint.id.partition(".")
-    return int(era) if dot and era.isdecimal() else -1
+    is_era = dot and era.isdecimal() and len(era) <= MAX_ERA_DIGITS
+    return int(era) if is_era else -1
 
 
 class Fold:
