Check the types of an event's fields when it is decoded

What operators of other systems saw: one odd entry ended the machines that read the list, or they stopped following it.

Cause: of an event in the own interface's log only the number of its fields was checked. A checkpoint whose id is a number, for example, raised AttributeError in the fold that every host runs.

Events are converted to their types now, and one that doesn't fit is an UnreadableEvent like one with too few fields; the others of its record are still applied.

--- a/packages/plumsaddle-core/plumsaddle_core/utils/codec.py
+++ b/packages/plumsaddle-core/plumsaddle_core/utils/codec.py
@@ -79,6 +79,6 @@
     if not event_type._field_defaults and len(fields) != len(event_type._fields):
         return UnreadableEvent(tag, fields)
     try:
-        return event_type(*fields)
-    except TypeError:
+        return msgspec.convert(fields, event_type)
+    except msgspec.ValidationError:
         return UnreadableEvent(tag, fields)
