Show where trials of idle targets still come too late, with failing tests

The model of the moments says when undisturbed targets are idle while a tenth of the orders is lost.

Two causes, each with a test without the model: - The window of results is longer than the two seconds that count, so a jump of failures is known 0.03 to 0.08 s before a tenth of two seconds is lost. - Other data centres take the time of a report on a use for that of the use.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
@@ -3,7 +3,9 @@
 """
 
 import random
-from collections import Counter
+from collections import Counter, deque
+
+import pytest
 
 from .floor import (
     DEGRADED_WINDOW,
@@ -82,6 +84,29 @@
     assert results.is_degraded(0.8 + DEGRADED_WINDOW)
 
 
+@pytest.mark.parametrize("interval", [2, 3, 4, 5])
+def test_a_service_is_degraded_before_a_tenth_of_two_seconds_is_lost(interval):
+    """Idle targets got their first trials only when too much had been lost already."""
+    results = RecentResults()
+    recent = deque(maxlen=200)
+    degraded_since = None
+    for step in range(400):
+        # A twentieth of the requests fails, and a larger part after some seconds.
+        is_lost = step % (20 if step < 300 else interval) == 0
+        at = 10.0 + step * 0.01
+        results.add(1, int(is_lost), at)
+        recent.append(is_lost)
+        if not results.is_degraded(at):
+            degraded_since = None
+        elif degraded_since is None:
+            degraded_since = at
+        if step >= 300 and sum(recent) > 0.1 * len(recent):
+            break
+    # Each idle target is tried within about that time.
+    assert degraded_since is not None
+    assert at - degraded_since >= 0.5 / TRIALS_PER_SECOND
+
+
 def test_many_hosts_do_not_try_the_same_target_at_once():
     """Each host tried the likeliest idle target, and a failing one lost all of them."""
     host_count, interval, steps = 40, 0.3, 200
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers_test.py
@@ -230,6 +230,26 @@
     peers.send_update_soon(is_urgent=True)
 
 
+@pytest.mark.parametrize("duration", [0.7, 0.2])
+@pytest.mark.parametrize("signal", [HealthSignal.FAILED, None])
+def test_other_data_centres_know_when_a_target_was_used(net, signal, duration):
+    """Idle targets got their trials late, as a use counted from the report on it."""
+    hosts = _fleet(net)
+    hub = _hub(net, hosts[:3])
+    peers, shared, _ = next(host for host in hosts[:3] if host[2] == hub)
+    net.run(0.35)
+    used_at = net.at
+    shared.note_send_start("t", used_at)
+    net.run(duration)
+    shared.note_send_end("t")
+    if signal is not None:
+        shared.note_outcome("t", "act", "r", signal, duration, net.at)
+        peers.send_update_soon(is_urgent=True)
+    net.run(1.5)
+    for _, other, _ in hosts[3:]:
+        assert abs(other.last_used_at("t") - used_at) < 0.1
+
+
 def test_crash_reaches_all_data_centres_at_once(net):
     """Guards against crashes by one request being counted per data centre."""
     hosts = _fleet(net)
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_moments_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_moments_test.py
@@ -7,7 +7,10 @@
 from .floor_moments import FLEETS, SECONDS, WAYS, MomentModel
 
 
-@pytest.mark.parametrize("hosts, seed", [(40, 4), (40, 14), (40, 22), (133, 6)])
+@pytest.mark.parametrize(
+    "hosts, seed",
+    [(40, 4), (40, 8), (40, 13), (40, 14), (40, 17), (40, 22), (40, 59), (133, 6)],
+)
 def test_undisturbed_targets_get_requests_while_many_others_are_disturbed(hosts, seed):
     """Sound targets that were in doubt were idle while a tenth of the orders failed."""
     model = MomentModel(FLEETS[hosts], WAYS["ours"], seed)
