Tell other data centres when targets were used

What callers saw: idle sound targets got their trials late while a service was degraded, so that its work stayed with the others.

Cause: a data centre told the others once a second which targets it had used in that second, and sent evidence when a request had ended; they took the arrival of either for the time of the use. A target counted as used up to a second, or the length of a request, longer than it was, and was tried that much later than 1.5 s after its last request, while the floor is judged over two seconds.

Evidence: in the model at 12 hosts, the targets' own data centre counted 1.3 to 1.7 s since the last request in windows in which there had been none for two seconds.

Updates carry the age of each use now. Former releases ignore the field, and theirs count as before.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/peer_updates.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/peer_updates.py
@@ -97,13 +97,15 @@
 
 class RemoteUpdate(NamedTuple):
     """
-    A message to other data centres: evidence, and the tags of targets in use.
+    A message to other data centres: evidence, and the targets in use.
+
+    `used` holds pairs of a target's tag and the seconds since its last use.
     """
 
     host: HostId
     incarnation: int
     evidence: tuple[Evidence, ...]
-    used: tuple[int, ...]
+    used: tuple[tuple[int, float], ...]
 
 
 class RemoteLoad(NamedTuple):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/shared_state.py
@@ -22,7 +22,7 @@
 from ..limits.targets import TargetLimits
 from .availability import Availability
 from .data_centre_retry_budget import DataCentreRetryBudget
-from .floor import RecentResults, are_degraded
+from .floor import UNUSED_TIMEOUT, RecentResults, are_degraded
 from .peer_updates import (
     Counts,
     Inbox,
@@ -236,9 +236,21 @@
             for incarnation, count in self._own_in_flight.items()
         }
 
-    def tags_used_since(self, since):
-        """Return the tags of targets that the data centre has sent to since a time."""
-        return [tag for tag, at in self._local_last_used_at.items() if at >= since]
+    def local_use_ages(self, now, incarnations=None):
+        """
+        Return the seconds since the data centre last used targets, by their tags.
+
+        Args:
+          now: The current time in seconds.
+          incarnations: The targets, or None for all. Those that have not been used
+            lately are left out.
+        """
+        used_at = self._local_last_used_at
+        tags = used_at.keys()
+        if incarnations is not None:
+            tags = tags & {target_tag(incarnation) for incarnation in incarnations}
+        ages = {tag: now - used_at[tag] for tag in tags}
+        return {tag: age for tag, age in ages.items() if age <= UNUSED_TIMEOUT}
 
     def _note_used(self, tag, now):
         """Record that a host of the data centre sent to a target."""
@@ -311,11 +323,11 @@
         self._remote_inboxes[update.host] = (inbox, now)
         if inbox.incarnation != update.incarnation:
             inbox.reset(update.incarnation)
-        for tag in update.used:
-            self._last_used_at[tag] = now
+        for tag, age in update.used:
+            known = self._last_used_at.get(tag, -math.inf)
+            self._last_used_at[tag] = max(known, now - age)
         unseen = inbox.unseen(update.evidence)
         for evidence in unseen:
-            self._last_used_at[target_tag(evidence.target)] = now
             self.health.apply_remote(evidence, now)
         return bool(unseen or update.used)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/messages.py
@@ -2,6 +2,7 @@
 The messages that hosts send each other as datagrams, and their codec.
 """
 
+import itertools
 import zlib
 from typing import Annotated
 
@@ -190,7 +191,8 @@
     `run_records`, `limits` and `draining` are as in `HostUpdate`. `gateways` holds the
     addresses of a few gateways of its data centre. `results` holds, by service, the
     requests that ended lately and those of them not served: once a second all services,
-    otherwise those that are degraded there.
+    otherwise those that are degraded there. `use_ages` holds the milliseconds since the
+    last use of each of `used_tags`; former releases send none.
     """
 
     host: str
@@ -204,6 +206,7 @@
     draining: list[str] = []
     gateways: list[str] = []
     results: dict[str, tuple[Count, Count]] = {}
+    use_ages: list[Count] = []
 
 
 class DataCentreLoad(msgspec.Struct, array_like=True, tag="l"):
@@ -263,9 +266,11 @@
 def to_remote_update(update):
     """Convert a `DataCentreUpdate`."""
     evidence = tuple(Evidence(*fields) for fields in update.evidence)
-    return RemoteUpdate(
-        update.host, update.incarnation, evidence, tuple(update.used_tags)
+    ages = itertools.chain(update.use_ages, itertools.repeat(0))
+    used = tuple(
+        (tag, age / 1000) for tag, age in zip(update.used_tags, ages, strict=False)
     )
+    return RemoteUpdate(update.host, update.incarnation, evidence, used)
 
 
 def to_remote_load(load):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -53,8 +53,6 @@
 # Seconds between updates that carry counts, which are large and are evaluated over
 # several seconds.
 COUNTS_INTERVAL = 0.25
-# Seconds between updates of the targets in use to other data centres.
-REMOTE_UPDATE_INTERVAL = 1.0
 # Seconds between load messages to other data centres, and between totals of the remote
 # load to clients. Requests mostly take longer.
 LOAD_INTERVAL = 0.1
@@ -198,8 +196,8 @@
         self._pick_hub(at)
         self._send_update(at, self._make_heartbeat(at))
         if self._is_hub() and self._may_act_alone(at):
-            used_tags = self._shared.tags_used_since(at - REMOTE_UPDATE_INTERVAL)
-            self._remote.send_update(at, used_tags, self._own_gateways(at))
+            gateways = self._own_gateways(at)
+            self._remote.send_update(at, is_periodic=True, gateways=gateways)
         else:
             # The hub sends the evidence on behalf of the data centre.
             self._shared.evidence.next_batch()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/remote_sender.py
@@ -86,24 +86,27 @@
             update.is_forwarded = True
             self._send(encode(update), address)
 
-    def send_update(self, at, used_tags=None, gateways=()):
+    def send_update(self, at, is_periodic=False, gateways=()):
         """
-        Send pending evidence, run records and notices, and the tags in use.
+        Send pending evidence, run records and notices, and when targets were used.
 
         Args:
           at: The current time, in seconds.
-          used_tags: In the periodic update, the tags of targets in use.
+          is_periodic: Whether to send what is repeated once a second: all targets in
+            use rather than those of the evidence, and the results of all services.
           gateways: In the periodic update, the gateways of this data centre.
         """
         settings = self._settings
         self._sent_record_count = self._shared.suspects.local_record_count
+        shared = self._shared
         evidence = [
             (e.number, e.target, round(e.ratio, 3))
-            for e in self._shared.evidence.next_batch()
+            for e in shared.evidence.next_batch()
         ]
         if Feature.REMOTE_EVIDENCE in settings.disabled_features:
             evidence = []
-        shared, is_periodic = self._shared, used_tags is not None
+        targets = None if is_periodic else [target for _, target, _ in evidence]
+        ages = shared.local_use_ages(at, targets)
         limits = self._notice_rows(shared.limits.advertised, is_periodic)
         draining = self._notice_rows(shared.availability, is_periodic)
         update = self._make_update(at)
@@ -111,8 +114,9 @@
         update.gateways = self._rng.sample(list(gateways), count)
         update.results = shared.results(at, are_all=is_periodic)
         has_notices = update.run_records or limits or draining or update.results
-        if evidence or used_tags or has_notices or update.gateways:
-            update.evidence, update.used_tags = evidence, used_tags or []
+        if evidence or ages or has_notices or update.gateways:
+            update.evidence, update.used_tags = evidence, list(ages)
+            update.use_ages = [round(1000 * age) for age in ages.values()]
             update.limits, update.draining = [tuple(row) for row in limits], draining
             self._send_to_data_centres(encode(update), at)
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_model.py
@@ -214,17 +214,19 @@
         shared.note_outcome(worker.target.id, SERVICE, ROUTE, sign, work, at)
         shared.note_request_end(SERVICE, is_whole, at)
         if shared.evidence.has_unsent and self._is_shared:
-            self._push(at + FAR_SECONDS, self._tell_far, centre, ())
+            self._push(at + FAR_SECONDS, self._tell_far, centre)
         self._work(at, worker)
 
     def _beat(self, at, centre):
         """Tell the other data centres which targets had work in the last second."""
         self._push(at + 1.0, self._beat, centre)
-        used = tuple(self.shared_states[centre].tags_used_since(at - 1.0))
-        self._push(at + FAR_SECONDS, self._tell_far, centre, used)
+        self._push(at + FAR_SECONDS, self._tell_far, centre, True)
 
-    def _tell_far(self, at, centre, used):
-        evidence = self.shared_states[centre].evidence.next_batch()
+    def _tell_far(self, at, centre, is_periodic=False):
+        shared = self.shared_states[centre]
+        evidence = shared.evidence.next_batch()
+        targets = None if is_periodic else [e.target for e in evidence]
+        used = tuple(shared.local_use_ages(at, targets).items())
         for other, shared in enumerate(self.shared_states):
             if other != centre and (evidence or used):
                 shared.apply_remote_update(
--- a/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/floor_moments.py
@@ -282,11 +282,11 @@
 
     # Requests.
 
-    def _tell_far(self, at, centre, used):
-        super()._tell_far(at, centre, used)
+    def _tell_far(self, at, centre, is_periodic=False):
+        super()._tell_far(at, centre, is_periodic)
         if not self.shares_results:
             return
-        results = self.shared_states[centre].results(at, are_all=bool(used))
+        results = self.shared_states[centre].results(at, are_all=is_periodic)
         for other, shared in enumerate(self.shared_states):
             if other != centre:
                 shared.apply_remote_results(str(centre), results, at)
--- a/packages/plumsaddle-standins/plumsaddle_standins/spell_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/spell_model.py
@@ -265,7 +265,7 @@
         is_served = signal is HealthSignal.SUCCEEDED
         shared.note_request_end(SERVICE, is_served, at)
         if shared.evidence.has_unsent:
-            self._push(at + FAILURE_AGE, self._tell_far, centre, ())
+            self._push(at + FAILURE_AGE, self._tell_far, centre)
 
 
 WAYS = {
