--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -382,7 +382,8 @@
     """Return the time limit of a request in seconds, or None if it is malformed."""
     if text is None:
         return maximum
-    if not text.isdigit() or len(text) > 9:
+    # Digits outside ASCII pass `isdigit`, and `int` rejects some of them.
+    if not (text.isascii() and text.isdigit()) or len(text) > 9:
         return None
     return min(int(text) / 1000, maximum)
 
