End a response by its deadline whatever length it states

Cause: only responses without a stated length had limits after their deadline. A stated length is believed, but a failing target's is no evidence.

Why it works: after its deadline a response has 0.25 s of waiting for its target in total, and 16 MB if it states a length, which is more than a connection's buffers hold. What the target has sent by then is still delivered, however slow the caller reads.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -21,9 +21,10 @@
 log = logging.getLogger("front")
 # Seconds in which more of a response must arrive once its caller's time is up.
 LATE_READ_TIME = 0.25
-# Bytes that a response without a stated length may still bring then. Its target has
-# sent them, and this host has not read them yet.
-MAX_LATE_BYTES = 1_000_000
+# Bytes of a response that are still read then: what the buffers of a connection hold,
+# and less if the response states no length, since it may have no end.
+MAX_LATE_BYTES = 16_000_000
+MAX_LATE_UNSTATED_BYTES = 1_000_000
 # Seconds without an acknowledgement after which a caller is cut.
 STALL_TIME = 15.0
 
@@ -98,14 +99,14 @@
     """
     Write a reply as it comes, and return why it was cut, or None.
 
-    Beyond the deadline it goes on as long as the target sends: a slow caller receives
-    what is there, but nobody waits for a target that has stopped. A response that
-    states no length may have no end, so it gets limits for what comes beyond it.
+    Beyond the deadline a slow caller receives what the target has sent by then, but
+    nobody waits for more. A response may have no end, whatever length it states.
     """
     await response.prepare(request)
     part = reply.body
-    limit = _LateLimit(reply.rest.deadline)
-    is_limited = response.content_length is None
+    is_stated = response.content_length is not None
+    max_bytes = MAX_LATE_BYTES if is_stated else MAX_LATE_UNSTATED_BYTES
+    limit = _LateLimit(reply.rest.deadline, max_bytes)
     while True:
         if not await write_while_taken(request, response, part, STALL_TIME):
             return CutCause.CALLER
@@ -117,28 +118,27 @@
             return CutCause.DEADLINE
         if not part:
             return CutCause.TARGET if part is None else None
-        if is_limited:
-            limit.note_read(len(part), began, now())
-            if limit.is_reached:
-                return CutCause.DEADLINE
+        limit.note_read(len(part), began, now())
+        if limit.is_reached:
+            return CutCause.DEADLINE
 
 
 class _LateLimit:
     """
-    What a response without a stated length may bring after its deadline.
+    The time and the bytes that a response has left after its deadline.
 
     `wait` is the number of seconds that is left to wait for its target. The time that
     the caller takes to read does not count.
     """
 
-    def __init__(self, deadline):
+    def __init__(self, deadline, max_bytes):
         self.wait = LATE_READ_TIME
-        self._bytes = MAX_LATE_BYTES
+        self._bytes = max_bytes
         self._deadline = deadline
 
     @property
     def is_reached(self):
-        """Whether the response has had all that it may bring."""
+        """Whether nothing is left."""
         return self.wait <= 0.0 or self._bytes < 0
 
     def note_read(self, count, began, ended):
