--- a/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/floor_test.py
@@ -102,7 +102,7 @@
             degraded_since = at
         if step >= 300 and sum(recent) > 0.1 * len(recent):
             break
-    # Each idle target is tried within about that time.
+    # Half of the mean time until an idle target is tried.
     assert degraded_since is not None
     assert at - degraded_since >= 0.5 / TRIALS_PER_SECOND
 
