--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -19,10 +19,10 @@
 from .downloads import DownloadRest
 
 log = logging.getLogger("front")
-# Seconds in which more of a response must arrive once its caller's time is up.
+# Seconds in total that a host waits for more of a response after its deadline.
 LATE_READ_TIME = 0.25
-# Bytes of a response that are still read then: what the buffers of a connection hold,
-# and less if the response states no length, since it may have no end.
+# Bytes of a response that are read after its deadline: more than the buffers of a
+# connection hold, and fewer if it states no length.
 MAX_LATE_BYTES = 16_000_000
 MAX_LATE_UNSTATED_BYTES = 1_000_000
 # Seconds without an acknowledgement after which a caller is cut.
