Log how a host's process starts, its memory, and why it ends

Its hypotheses can't be told apart by the logs: an exception at the start and invalid settings went to standard error alone, without a time or the host, a process that is killed for its memory leaves no line, and a signal in the first milliseconds none either.

Each process now logs that it starts, with its versions and limits; an exception that ends it and invalid settings are lines of the log; peaks of memory from half of the limit on are logged with what holds it, and buffered lines are written at the exit.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -220,7 +220,8 @@
 
     `link_rate` is the capacity of the host's network link in bytes per second, or None
     if unknown. `buffered_bytes` is the most that it holds of large responses for
-    callers that read slower than targets send.
+    callers that read slower than targets send. `memory_limit` is the bytes that the
+    process may take, or None if unknown.
     With `request_queue`, requests wait on the host while scheduling is on.
     """
 
@@ -239,6 +240,7 @@
     request_queue: bool = False
     pipeline_limits: PipelineLimits = PipelineLimits()
     buffered_bytes: int = DEFAULT_BUFFERED_BYTES
+    memory_limit: int | None = None
 
     @property
     def has_seeds(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/events.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/events.py
@@ -12,6 +12,8 @@
 import json
 import logging
 import os
+import select
+import time
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -19,6 +21,8 @@
 MAX_BUFFERED_LINES = 2000
 # Seconds before writing to a full pipe is retried.
 RETRY_DELAY = 0.05
+# Seconds for which the last lines are written when the process exits.
+FLUSH_TIME = 0.1
 
 
 class LineWriter(logging.Handler):
@@ -54,6 +58,15 @@
         self._is_write_scheduled = True
         loop.call_soon(self._write)
 
+    def flush(self):
+        """Write what is buffered before the process exits, if it is read in time."""
+        deadline = time.monotonic() + FLUSH_TIME
+        while self._unwritten or self._lines:
+            left = max(0.0, deadline - time.monotonic())
+            if not select.select([], [self._fd], [], left)[1]:
+                return
+            self._write()
+
     def _write(self):
         """Write a batch of buffered lines; the next one starts when it is complete."""
         self._is_write_scheduled = False
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/events_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/events_test.py
@@ -35,3 +35,16 @@
     os.close(writer)
     reports = [json.loads(line) for line in text.splitlines() if b"dropped" in line]
     assert [report["lines"] for report in reports] == [dropped]
+
+
+def test_lines_before_an_exit_are_written():
+    """Guards against a process whose last lines are still buffered when it ends."""
+    reader, writer = os.pipe()
+    handler = LineWriter(writer)
+    handler._lines.append("last")
+    handler.flush()
+    assert os.read(reader, 100) == b"last\n"
+    os.close(reader)
+    handler._lines.append("unread")
+    handler.flush()
+    os.close(writer)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -57,7 +57,10 @@
 
 class Front:
     """
-    The HTTP handler for callers; `in_flight` counts the requests that it handles.
+    The HTTP handler for callers.
+
+    `in_flight` counts the requests that it handles, and `buffered_bytes` the bytes of
+    their bodies that it holds.
 
     Args:
       knowledge: The `HostState`.
@@ -69,7 +72,7 @@
         self._knowledge = knowledge
         self._relay = relay
         self._metrics = metrics
-        self._buffered_bytes = 0
+        self.buffered_bytes = 0
         self._order_tasks = set()
         self.in_flight = 0
         self._bodies = BodyReader()
@@ -219,12 +222,12 @@
         times = self._knowledge.shared.times
         typical_duration = times.typical_duration(service, route.name)
         try:
-            room = MAX_BUFFERED_BYTES - self._buffered_bytes
+            room = MAX_BUFFERED_BYTES - self.buffered_bytes
             expected = min(MAX_WHOLE_BODY, request.content_length or 0)
             if expected > room:
                 return self._refuse(request, RefusalCause.MEMORY_FULL, 0.5)
             reserved = expected
-            self._buffered_bytes += reserved
+            self.buffered_bytes += reserved
             body, is_whole = b"", True
             if request.can_read_body:
                 if self._bodies.may_begin(typical_duration, now()):
@@ -237,7 +240,7 @@
                 body, is_whole = result.unwrap()
             if not self._bodies.may_begin(typical_duration, now()):
                 return self._refuse(request, RefusalCause.DRAINING, 0.0)
-            self._buffered_bytes += len(body) - reserved
+            self.buffered_bytes += len(body) - reserved
             reserved = len(body)
             if len(body) > self._knowledge.cfg.limits.body_bytes:
                 return self._refuse(request, RefusalCause.BODY_TOO_LARGE)
@@ -256,7 +259,7 @@
         except web.RequestPayloadError:
             return self._refuse(request, RefusalCause.BODY_BROKEN)
         finally:
-            self._buffered_bytes -= reserved
+            self.buffered_bytes -= reserved
 
     def _make_proxy_request(
         self,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -44,6 +44,7 @@
 from .metrics import EdgeMetrics
 from .path_prober import PathProber
 from .peers import PeerProtocol
+from .process_report import MemoryReport, read_memory, report_start
 from .relay import Relay
 from .sender import Sender
 from .store_access import StoreAccess
@@ -52,6 +53,8 @@
 log = logging.getLogger("host")
 SETTINGS_VARIABLE = "PLUMSADDLE_CONFIG"
 EXIT_INVALID_SETTINGS = 2
+# The host's id in log lines until its settings are read.
+UNKNOWN_HOST = "unknown"
 HOUSEKEEPING_INTERVAL = 1.0
 LISTEN_BACKLOG = 512
 # Seconds for which callers may still connect after the host has become unready: the
@@ -135,6 +138,7 @@
         self._servers = []
         self._tasks = []
         self._front_server = None
+        self._memory_report = MemoryReport(settings.memory_limit)
         self.stop = asyncio.Event()
 
     def _make_feeds(self, rng):
@@ -193,7 +197,7 @@
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self._on_stop)
+            loop.add_signal_handler(signal_number, self._on_stop, signal_number.name)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "SIGHUP")
         await self.start()
         # Objects created at startup live as long as the process.
@@ -237,8 +241,9 @@
         self.crash_detector.note_restarted(incarnation)
         self.pool.close_incarnation(incarnation)
 
-    def _on_stop(self):
-        log.info("shutdown requested", extra={"in_flight": self.front.in_flight})
+    def _on_stop(self, cause):
+        extra = {"cause": cause, "in_flight": self.front.in_flight}
+        log.info("shutdown requested", extra=extra)
         self.stop.set()
 
     async def drain(self):
@@ -310,8 +315,25 @@
             self.metrics.in_flight.set({}, self.front.in_flight)
             self.metrics.callers.note(self._front_server)
             self.metrics.note_downloads(self.knowledge.downloads)
+            self._note_memory()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL)
 
+    def _note_memory(self):
+        """Report the memory of the process, and what holds it."""
+        self.metrics.body_bytes.set({}, self.front.buffered_bytes)
+        memory = read_memory()
+        if memory is None:
+            return
+        resident, peak = memory
+        self.metrics.resident_bytes.set({}, resident)
+        fields = {
+            "bodies": self.front.buffered_bytes,
+            "downloads": self.knowledge.downloads.budget.held,
+            "in_flight": self.front.in_flight,
+            "connections": len(self._front_server.connections),
+        }
+        self._memory_report.note(peak, fields)
+
     async def _run_peer_updates(self):
         """Exchange updates with other hosts."""
         while True:
@@ -373,13 +395,25 @@
 def main():
     """Run one host with the settings file named by the argument or environment."""
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
+    configure_logging(UNKNOWN_HOST)
+    try:
+        _run(path)
+    except Exception:
+        log.critical("host failed", exc_info=True)
+        raise
+
+
+def _run(path):
     result = read_settings(path)
     if isinstance(result, Failure):
-        for message in result.failure():
+        mistakes = result.failure()
+        log.error("invalid settings", extra={"path": path, "mistakes": mistakes})
+        for message in mistakes:
             print(message, file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
     settings = result.unwrap()
     configure_logging(settings.id)
+    report_start(settings)
     asyncio.run(_run_host(settings, path))
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/metrics.py
@@ -65,6 +65,12 @@
         self.downloads = make(
             Gauge, "downloads", "Large responses that targets have not yet sent."
         )
+        self.body_bytes = make(
+            Gauge, "body_bytes", "Bytes of request bodies that the host holds."
+        )
+        self.resident_bytes = make(
+            Gauge, "resident_bytes", "Bytes of memory that the process takes."
+        )
         self.reading_pauses = make(
             Gauge, "reading_pauses", "Times a target was not read for lack of room."
         )
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -95,6 +95,7 @@
         _check_buffered_bytes(
             fields.get("callers", {}), fields.get("memory_mb"), errors
         ),
+        _memory_limit(fields.get("memory_mb")),
     )
     return Failure(errors) if errors else Success(settings)
 
@@ -127,6 +128,12 @@
     return int(memory * BYTES_PER_MEGABYTE) // BUFFERED_MEMORY_DIVISOR
 
 
+def _memory_limit(value):
+    """Return a memory limit in bytes, or None if the settings name none."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return int(value * BYTES_PER_MEGABYTE) if is_number else None
+
+
 def _check_experiments(table, errors):
     """Return the features that a table disables."""
     disabled = table.get("off", []) if isinstance(table, dict) else None
