Wait for listeners whose port or address is not free yet

What callers saw: a host didn't come up, and ended with EADDRINUSE or EADDRNOTAVAIL, as its former process or an outgoing connection of another one had its port for a moment, or its address was not configured yet.

Cause: a start took each port once, and the exception ended the process. Class: a start depends on one look at what other processes change. The same in our own interface, which SIGHUP ended besides, and for the port for tunnels, which was never tried again.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
@@ -24,6 +24,7 @@
 from ..front.server import make_server
 from ..peers.exchange import ExchangeServer
 from ..platform.store import Store, make_session
+from ..utils.listening import complete_unless_stopped, open_when_free
 from .admin import make_admin
 from .host import Host
 from .logs import set_up_logs
@@ -59,13 +60,27 @@
     return result.unwrap()
 
 
-async def _listen(runner, address):
-    """Start a runner's listener and return its site."""
+async def _listen(name, runner, address):
+    """Start a runner's listener once its address is free."""
     ip, _, port = address.rpartition(":")
     await runner.setup()
-    site = web.TCPSite(runner, ip.strip("[]"), int(port), backlog=1024)
-    await site.start()
-    return site
+
+    async def start():
+        site = web.TCPSite(runner, ip.strip("[]"), int(port), backlog=1024)
+        try:
+            await site.start()
+        except OSError:
+            await site.stop()
+            raise
+
+    await open_when_free(start, _report_wait(name))
+
+
+def _report_wait(name):
+    def report(exc):
+        log.warning("daemon: The listener for %s has to wait, %s.", name, exc)
+
+    return report
 
 
 async def run_host(settings):
@@ -79,39 +94,78 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    # By default it ends a process, also when the terminal that started it is closed.
+    loop.add_signal_handler(signal.SIGHUP, _ignore_hang_up)
     cfg = settings.platform
     async with make_session() as session:
         host = Host(settings, Store(session, cfg.url, cfg.append_timeout))
-        ip, _, port = settings.listen.hosts.rpartition(":")
         peers = Server([ExchangeServer(host, settings.peers.secret)])
-        await peers.start(ip.strip("[]"), int(port))
         admin = web.AppRunner(make_admin(host), access_log=None, shutdown_timeout=NEVER)
-        await _listen(admin, settings.listen.operators)
         limits = PipelineLimits(
             *(getattr(settings.callers, name) for name in PipelineLimits._fields)
         )
         host.caller_server = make_server(host, limits)
         callers = web.ServerRunner(host.caller_server, shutdown_timeout=NEVER)
-        site = await _listen(callers, settings.listen.callers)
-        host.start()
-        log.info("daemon: %s listens on %s.", settings.id, settings.listen.callers)
-        await stop.wait()
-        await _drain(host, site)
-        peers.close()
-        await peers.wait_closed()
+        listeners = _Listeners(settings.listen, peers, admin, callers)
+        if await complete_unless_stopped(listeners.open(), stop):
+            host.start()
+            log.info("daemon: %s listens on %s.", settings.id, settings.listen.callers)
+            await stop.wait()
+            await _drain(host, callers)
+        await listeners.close_peers()
         await host.close()
         await callers.cleanup()
         await admin.cleanup()
     log.info("daemon: %s has left.", settings.id)
 
 
-async def _drain(host, site):
+class _Listeners:
+    """
+    The listeners of a host, for other hosts, operators and callers.
+
+    Args:
+      listen: The addresses.
+      peers: The gRPC server.
+      admin: The aiohttp runner for operators.
+      callers: The aiohttp runner for callers.
+    """
+
+    def __init__(self, listen, peers, admin, callers):
+        self._listen = listen
+        self._peers = peers
+        self._admin = admin
+        self._callers = callers
+        self._has_peers = False
+
+    async def open(self):
+        """Open all of them, each once its address is free."""
+        ip, _, port = self._listen.hosts.rpartition(":")
+        await open_when_free(
+            lambda: self._peers.start(ip.strip("[]"), int(port)), _report_wait("hosts")
+        )
+        self._has_peers = True
+        await _listen("operators", self._admin, self._listen.operators)
+        await _listen("callers", self._callers, self._listen.callers)
+
+    async def close_peers(self):
+        """Close the one for other hosts, if it is open."""
+        if self._has_peers:
+            self._peers.close()
+            await self._peers.wait_closed()
+
+
+def _ignore_hang_up():
+    log.info("daemon: SIGHUP is ignored. Settings are read at a start.")
+
+
+async def _drain(host, callers):
     """Stop taking requests and wait for those in flight."""
     host.is_leaving = True
     log.info("daemon: Leaving. New requests are still taken for a while.")
     await asyncio.sleep(host.settings.leave_wait)
     host.is_stopping = True
-    await site.stop()
+    for site in list(callers.sites):
+        await site.stop()
     log.info("daemon: Not listening any more. %d are in flight.", host.in_flight)
     while host.has_callers or any(s.claims.open_claims() for s in host.shards):
         host.caller_server.close_idle()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/gateway.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/gateway.py
@@ -61,15 +61,12 @@
         self._tunnels = set()
 
     async def open(self):
-        """Listen for tunnels; without the port, the host only helps no others."""
+        """Listen for tunnels, or raise `OSError`."""
         ip, port = split_address(self._knowledge.settings.peer_address)
         loop = asyncio.get_running_loop()
-        try:
-            self._server = await loop.create_server(
-                lambda: _HostEnd(self), ip, port, backlog=BACKLOG
-            )
-        except OSError as exc:
-            log.warning("cannot listen for tunnels", extra={"cause": str(exc)})
+        self._server = await loop.create_server(
+            lambda: _HostEnd(self), ip, port, backlog=BACKLOG
+        )
 
     def drain(self):
         """Accept no more tunnels."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -31,6 +31,7 @@
 from ..platform.nodefile import check_host_settings
 from ..platform.store import Store, make_session
 from ..utils.addresses import split_address
+from ..utils.listening import complete_unless_stopped, open_when_free
 from .callers import FrontServer
 from .clock import now
 from .connection_pool import ConnectionPool
@@ -57,6 +58,8 @@
 UNKNOWN_HOST = "unknown"
 HOUSEKEEPING_INTERVAL = 1.0
 LISTEN_BACKLOG = 512
+# Seconds for which a start waits for the port for tunnels.
+GATEWAY_START_TIME = 0.1
 # Seconds for which callers may still connect after the host has become unready: the
 # load balancer checks every second and removes a host after two failed checks.
 DRAIN_LISTEN_TIME = 3.2
@@ -135,7 +138,7 @@
         self.knowledge.subscribe(
             self.peers.send_update_soon, self._on_target_restart, operator_feed.age
         )
-        self._servers = []
+        self._servers = {}
         self._tasks = []
         self._front_server = None
         self._memory_report = MemoryReport(settings.memory_limit)
@@ -199,22 +202,27 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._on_stop, signal_number.name)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "SIGHUP")
-        await self.start()
+        if not await complete_unless_stopped(self.start(), self.stop):
+            await self.close()
+            log.info("host stopped before it listened")
+            return
         # Objects created at startup live as long as the process.
         gc.freeze()
         await self.stop.wait()
         await self.drain()
 
     async def start(self):
-        """Open the listeners and start the background tasks."""
-        await self.peers.open()
-        await self.gateway.open()
-        self._front_server = FrontServer(self.front, self.knowledge)
+        """
+        Open the listeners and start the background tasks.
+
+        Readiness checks are answered first, since the others may have to wait.
+        """
         operator_server = web.Server(self._handle_operator_request, access_log=None)
-        self._servers = [
-            await _listen(self._front_server, self.settings.caller_address),
-            await _listen(operator_server, self.settings.readiness_address),
-        ]
+        await self._listen("ready", operator_server)
+        await self._open("hosts", self.peers.open)
+        await self._open_gateway()
+        self._front_server = FrontServer(self.front, self.knowledge)
+        await self._listen("callers", self._front_server)
         loop = asyncio.get_running_loop()
         for coroutine in (
             *(feed.run() for feed in self._feeds),
@@ -236,6 +244,35 @@
             },
         )
 
+    async def _open(self, name, open_once):
+        def report(exc):
+            extra = {"listener": name, "cause": str(exc)}
+            log.warning("cannot listen", extra=extra)
+
+        return await open_when_free(open_once, report, self._reload_if_changed)
+
+    async def _open_gateway(self):
+        """Listen for tunnels; without the port, the host only helps no others."""
+        opening = asyncio.ensure_future(self._open("tunnels", self.gateway.open))
+        opening.add_done_callback(_log_task_failure)
+        self._tasks.append(opening)
+        await asyncio.wait({opening}, timeout=GATEWAY_START_TIME)
+
+    async def _listen(self, name, server):
+        """Open a listener where the settings of the moment say."""
+
+        async def listen():
+            settings = self.settings
+            addresses = {
+                "callers": settings.caller_address,
+                "ready": settings.readiness_address,
+            }
+            ip, port = split_address(addresses[name])
+            loop = asyncio.get_running_loop()
+            return await loop.create_server(server, ip, port, backlog=LISTEN_BACKLOG)
+
+        self._servers[name] = await self._open(name, listen)
+
     def _on_target_restart(self, incarnation):
         """Handle the end of a target's incarnation after the target has restarted."""
         self.crash_detector.note_restarted(incarnation)
@@ -253,7 +290,7 @@
         self.gateway.drain()
         self.peers.announce_paths()
         await asyncio.sleep(min(DRAIN_LISTEN_TIME, max(0.0, deadline - now())))
-        self._servers[0].close()
+        self._servers["callers"].close()
         if not await self._wait_until_done(deadline):
             self._relay.refuse_in_flight()
             await self._wait_until_done(deadline + FINAL_ANSWER_TIME)
@@ -284,9 +321,10 @@
         """Cancel all tasks and close all listeners and connections."""
         for task in self._tasks:
             task.cancel()
-        for server in self._servers:
+        for server in self._servers.values():
             server.close()
-        self._front_server.close_idle()
+        if self._front_server is not None:
+            self._front_server.close_idle()
         self.peers.close()
         self._prober.close()
         self.gateway.close()
@@ -369,12 +407,6 @@
         return web.Response(status=200 if is_ready else 503)
 
 
-async def _listen(server, address):
-    ip, port = split_address(address)
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(server, ip, port, backlog=LISTEN_BACKLOG)
-
-
 def _mtime_of(path):
     try:
         return os.stat(path).st_mtime_ns
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
@@ -247,10 +247,14 @@
             for name, port in zip(names, ports, strict=True):
                 self.targets[name] = f"http://127.0.0.1:{port}"
 
-    def start_host(self, leave_wait=0.5, checkpoint_every=3600.0, level="info"):
-        """Start one more entry host."""
+    def start_host(
+        self, leave_wait=0.5, checkpoint_every=3600.0, level="info", ports=None
+    ):
+        """Start one more entry host; `ports` are those of listeners by name."""
         number = len(self.entries) + 1
-        callers, operators, hosts = free_ports(3)
+        names = ("callers", "operators", "hosts")
+        drawn = {**dict(zip(names, free_ports(3), strict=True)), **(ports or {})}
+        callers, operators, hosts = (drawn[name] for name in names)
         seeds = ", ".join(f'"{entry.hosts}"' for entry in self.entries[:3])
         path = self.folder / f"entry-{number}.toml"
         path.write_text(
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_start_test.py
@@ -0,0 +1,57 @@
+"""
+Starts of a host with our own interface, on a machine that is not ready yet.
+"""
+
+import signal
+import socket
+
+import pytest
+
+from .fleet import TRIAL, Fleet, is_up, wait_for
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    fleet = Fleet(tmp_path, TRIAL)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def _start_beside(fleet, sock, name):
+    """Start a host with the port of a socket, and wait until it waits for it."""
+    port = sock.getsockname()[1]
+    entry = fleet.start_host(ports={name: port})
+    log = fleet.folder / f"{entry.id}.log"
+    wait_for(lambda: "has to wait" in log.read_text(), "the host to wait")
+    assert entry.process.poll() is None
+    return entry
+
+
+@pytest.mark.parametrize("name", ["callers", "operators", "hosts"])
+def test_a_host_waits_for_a_port_that_another_process_has(fleet, name):
+    """Guards against a start that fails as the process before has not ended yet."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        entry = _start_beside(fleet, sock, name)
+    log = fleet.folder / f"{entry.id}.log"
+    wait_for(lambda: f"{entry.id} listens on" in log.read_text(), "the host to listen")
+    assert is_up(f"{entry.operators}/metrics")
+
+
+def test_a_host_that_waits_for_its_port_ends_when_it_is_stopped(fleet):
+    """Guards against a host that can only be killed while it waits."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        entry = _start_beside(fleet, sock, "callers")
+        entry.process.send_signal(signal.SIGTERM)
+        assert entry.process.wait(5.0) == 0
+
+
+def test_sighup_does_not_end_a_host(fleet):
+    """Guards against a host that ends with the terminal that started it."""
+    entry = fleet.start_host()
+    log = fleet.folder / f"{entry.id}.log"
+    wait_for(lambda: f"{entry.id} listens on" in log.read_text(), "the host to listen")
+    entry.process.send_signal(signal.SIGHUP)
+    wait_for(lambda: "SIGHUP" in log.read_text(), "the signal to be logged")
+    assert entry.process.poll() is None
