Read settings again that are incomplete at a start

What callers saw: a host didn't come up, and ended with exit code 2, as the platform was still writing its settings file. And settings that changed in the first tenths of a second were never read, since the file's time was taken after it was read.

Cause: one read at the start decided; a reload has always gone on. Same class as a taken port: a start depends on one look at what other processes change.

Why this works: a file that can't be used is read again at each change, and is final once it has not changed for 3 s. The signature is from before the read, and has the size and the inode too, as two writes may fall within one tick of the file system's clock. The same for our own interface.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
@@ -25,6 +25,7 @@
 from ..peers.exchange import ExchangeServer
 from ..platform.store import Store, make_session
 from ..utils.listening import complete_unless_stopped, open_when_free
+from ..utils.settings_file import read_when_complete
 from .admin import make_admin
 from .host import Host
 from .logs import set_up_logs
@@ -40,26 +41,33 @@
 
 def read_settings(path):
     """
-    Read a settings file, or tell all mistakes and exit.
+    Read a settings file, or report all mistakes and exit.
 
     Args:
       path: The file's path.
     Returns:
       The `Settings`.
     """
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        print(f"{path}: {exc}", file=sys.stderr)
-        sys.exit(EXIT_MISTAKE)
-    result = check_settings(text, str(path))
+    _, result = read_when_complete(path, _check_file, _print_mistakes)
     if isinstance(result, Failure):
-        for error in result.failure():
-            print(error, file=sys.stderr)
         sys.exit(EXIT_MISTAKE)
     return result.unwrap()
 
 
+def _check_file(path):
+    """Return a `Success` of `Settings`, or a `Failure` of a list of mistakes."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        return Failure([f"{path}: {exc}"])
+    return check_settings(text, str(path))
+
+
+def _print_mistakes(mistakes):
+    for mistake in mistakes:
+        print(mistake, file=sys.stderr, flush=True)
+
+
 async def _listen(name, runner, address):
     """Start a runner's listener once its address is free."""
     ip, _, port = address.rpartition(":")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main_test.py
@@ -4,11 +4,17 @@
 
 import pytest
 
+from ..utils import settings_file
 from .main import EXIT_MISTAKE, read_settings
 
 EXAMPLE = Path(__file__).parents[4] / "examples" / "host.toml"
 
 
+@pytest.fixture(autouse=True)
+def _no_wait(monkeypatch):
+    monkeypatch.setattr(settings_file, "SETTLING_TIME", 0.01)
+
+
 def test_example_settings_are_good():
     assert read_settings(EXAMPLE).id == "entry-1"
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -32,6 +32,7 @@
 from ..platform.store import Store, make_session
 from ..utils.addresses import split_address
 from ..utils.listening import complete_unless_stopped, open_when_free
+from ..utils.settings_file import read_when_complete, signature_of
 from .callers import FrontServer
 from .clock import now
 from .connection_pool import ConnectionPool
@@ -93,12 +94,13 @@
     Args:
       settings: The `HostSettings`.
       path: The path of the settings file.
+      signature: The file's signature when it was read; that of now if None.
     """
 
-    def __init__(self, settings, path):
+    def __init__(self, settings, path, signature=None):
         self.settings = settings
         self._path = path
-        self._mtime = _mtime_of(path)
+        self._signature = signature_of(path) if signature is None else signature
         rng = random.Random(os.urandom(16))
         self.metrics = EdgeMetrics(settings.id)
         self.knowledge = HostState(settings, rng)
@@ -379,13 +381,12 @@
 
     def _reload_if_changed(self):
         """Reload the settings if their file has changed without a SIGHUP."""
-        mtime = _mtime_of(self._path)
-        if mtime != self._mtime:
+        if signature_of(self._path) != self._signature:
             self._reload("changed file")
 
     def _reload(self, cause):
         """Reload the settings; listeners keep their addresses."""
-        self._mtime = _mtime_of(self._path)
+        self._signature = signature_of(self._path)
         result = read_settings(self._path)
         if isinstance(result, Failure):
             log.error("reload", extra={"cause": cause, "mistakes": result.failure()})
@@ -407,21 +408,14 @@
         return web.Response(status=200 if is_ready else 503)
 
 
-def _mtime_of(path):
-    try:
-        return os.stat(path).st_mtime_ns
-    except OSError:
-        return None
-
-
 def _log_task_failure(task):
     """Log the exception of a background task, which nothing awaits."""
     if not task.cancelled() and task.exception() is not None:
         log.error("task failed", exc_info=task.exception())
 
 
-async def _run_host(settings, path):
-    await Host(settings, path).run()
+async def _run_host(settings, path, signature):
+    await Host(settings, path, signature).run()
 
 
 def main():
@@ -436,17 +430,18 @@
 
 
 def _run(path):
-    result = read_settings(path)
-    if isinstance(result, Failure):
-        mistakes = result.failure()
+    def report(mistakes):
         log.error("invalid settings", extra={"path": path, "mistakes": mistakes})
-        for message in mistakes:
+
+    signature, result = read_when_complete(path, read_settings, report)
+    if isinstance(result, Failure):
+        for message in result.failure():
             print(message, file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
     settings = result.unwrap()
     configure_logging(settings.id)
     report_start(settings)
-    asyncio.run(_run_host(settings, path))
+    asyncio.run(_run_host(settings, path, signature))
 
 
 if __name__ == "__main__":
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_start_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_start_test.py
@@ -47,6 +47,21 @@
         assert entry.process.wait(5.0) == 0
 
 
+def test_settings_that_are_written_after_the_start_are_used(fleet):
+    """Guards against a start that fails as the settings are still being written."""
+    entry = fleet.start_host()
+    entry.process.kill()
+    path = fleet.folder / f"{entry.id}.toml"
+    text = path.read_text()
+    path.write_text(text[: len(text) // 2])
+    process = fleet.spawn("late", "plumsaddle_hosts.daemon.main", path)
+    log = fleet.folder / "late.log"
+    wait_for(lambda: log.read_text(), "the host to find its settings incomplete")
+    path.write_text(text)
+    wait_for(lambda: f"{entry.id} listens on" in log.read_text(), "the host to listen")
+    assert process.poll() is None
+
+
 def test_sighup_does_not_end_a_host(fleet):
     """Guards against a host that ends with the terminal that started it."""
     entry = fleet.start_host()
