Start with defaults for optional settings that can't be used

What callers saw: a host didn't come up, with exit code 2, or with a traceback of the check itself (inf, nan, a number in place of a list).

Cause: the platform fills in limits, bounds, seeds and data centres, and one of them that is 0 or no number ended the start, though a host serves well without it.

Two ways were weighed: ignoring every mistake hides an operator's typing error (the tests of `callers` and `request_queue` forbid it); ending for every mistake takes the whole fleet down for one odd value. Kept: values that the platform fills in have defaults at a start, logged as `settings ignored`; a reload with a mistake that is new is refused as before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -71,12 +71,13 @@
 DRAIN_POLL_INTERVAL = 0.05
 
 
-def read_settings(path):
+def read_settings(path, ignored=None):
     """
     Read a settings file.
 
     Args:
       path: The file's path.
+      ignored: As for `check_host_settings`.
     Returns:
       A `Success` of `HostSettings`, or a `Failure` of a list of error messages.
     """
@@ -84,7 +85,7 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         return Failure([f"{path}: {exc}"])
-    return check_host_settings(text)
+    return check_host_settings(text, ignored)
 
 
 class Host:
@@ -95,12 +96,14 @@
       settings: The `HostSettings`.
       path: The path of the settings file.
       signature: The file's signature when it was read; that of now if None.
+      ignored: The mistakes in its optional values.
     """
 
-    def __init__(self, settings, path, signature=None):
+    def __init__(self, settings, path, signature=None, ignored=()):
         self.settings = settings
         self._path = path
         self._signature = signature_of(path) if signature is None else signature
+        self._ignored = ignored
         rng = random.Random(os.urandom(16))
         self.metrics = EdgeMetrics(settings.id)
         self.knowledge = HostState(settings, rng)
@@ -387,9 +390,14 @@
     def _reload(self, cause):
         """Reload the settings; listeners keep their addresses."""
         self._signature = signature_of(self._path)
-        result = read_settings(self._path)
+        ignored = []
+        result = read_settings(self._path, ignored)
+        # Mistakes that the host has started with must not hide other changes.
+        mistakes = [mistake for mistake in ignored if mistake not in self._ignored]
         if isinstance(result, Failure):
-            log.error("reload", extra={"cause": cause, "mistakes": result.failure()})
+            mistakes = result.failure()
+        if mistakes:
+            log.error("reload", extra={"cause": cause, "mistakes": mistakes})
             return
         self.settings = result.unwrap()
         self.knowledge.settings = self.settings
@@ -414,8 +422,8 @@
         log.error("task failed", exc_info=task.exception())
 
 
-async def _run_host(settings, path, signature):
-    await Host(settings, path, signature).run()
+async def _run_host(settings, path, signature, ignored):
+    await Host(settings, path, signature, ignored).run()
 
 
 def main():
@@ -433,7 +441,13 @@
     def report(mistakes):
         log.error("invalid settings", extra={"path": path, "mistakes": mistakes})
 
-    signature, result = read_when_complete(path, read_settings, report)
+    ignored = []
+
+    def read(path):
+        ignored.clear()
+        return read_settings(path, ignored)
+
+    signature, result = read_when_complete(path, read, report)
     if isinstance(result, Failure):
         for message in result.failure():
             print(message, file=sys.stderr)
@@ -441,7 +455,10 @@
     settings = result.unwrap()
     configure_logging(settings.id)
     report_start(settings)
-    asyncio.run(_run_host(settings, path, signature))
+    if ignored:
+        # A host without a limit serves; one that doesn't start does not.
+        log.error("settings ignored", extra={"path": path, "mistakes": ignored})
+    asyncio.run(_run_host(settings, path, signature, ignored))
 
 
 if __name__ == "__main__":
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile_test.py
@@ -42,3 +42,42 @@
     assert check_host_settings("request_queue = true\n" + TEXT).unwrap().request_queue
     result = check_host_settings("request_queue = 1\n" + TEXT)
     assert result.failure()[0].startswith("request_queue")
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "link_mbps = 0",
+        "link_mbps = -1",
+        "link_mbps = inf",
+        "memory_mb = nan",
+        "memory_mb = inf",
+        "memory_mb = 0",
+        "memory_mb = true",
+        "memory_mb = 0.5",
+        'data_centres = "x"',
+        "data_centres = 4",
+        "seeds = 4",
+        'seeds = ["entry-1:8544", "127.0.0.1:5"]',
+        "bounds = 4",
+        "bounds = {grace_s = nan}",
+        "bounds = {retry_extra = -1}",
+        "bounds = {floor_share = true}",
+    ],
+)
+def test_an_optional_value_that_means_nothing_is_an_error_or_is_ignored(line):
+    """Guards against a start that fails for what a host can serve without."""
+    text = f"{line}\n{TEXT}"
+    name = line.partition(" ")[0]
+    errors = check_host_settings(text).failure()
+    ignored = []
+    settings = check_host_settings(text, ignored).unwrap()
+    assert ignored == errors and errors[0].startswith(name)
+    usual = check_host_settings(TEXT).unwrap()
+    seeds = ("127.0.0.1:5",) if "127" in line else ()
+    assert settings == usual._replace(seeds=seeds)
+
+
+def test_all_mistakes_are_reported_if_one_is_no_optional_value():
+    errors = check_host_settings("link_mbps = -1\n", []).failure()
+    assert errors[-1].startswith("link_mbps") and len(errors) == 7
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_start_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_start_test.py
@@ -145,7 +145,13 @@
         lines.insert(position, more)
         host.path.write_text("\n".join(lines))
         await host.start()
+        line = await host.wait_for_line("settings ignored")
+        name = more.rpartition("\n")[2].partition(" ")[0]
+        assert all(m.partition(":")[0].endswith(name) for m in line["mistakes"])
         await _until_ready(host, trial)
+        # Changed settings with the same value are used, too.
+        host.path.write_text(host.path.read_text() + "\n")
+        assert "mistakes" not in await host.wait_for_line("reload")
         await host.kill()
 
 
