Open the standard streams that a host is started without

What callers saw: a host that is started without descriptor 1 ended with OSError. With another stream missing, its first socket gets that descriptor.

Cause: the log takes descriptor 1 for granted. Missing streams lead nowhere now, in both interfaces (in ours by reading, no test).

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
@@ -26,6 +26,7 @@
 from ..platform.store import Store, make_session
 from ..utils.listening import complete_unless_stopped, open_when_free
 from ..utils.settings_file import read_when_complete
+from ..utils.standard_streams import open_missing_streams
 from .admin import make_admin
 from .host import Host
 from .logs import set_up_logs
@@ -197,6 +198,7 @@
 
 def main():
     """Run the command line of the daemon."""
+    open_missing_streams()
     fire.Fire(start, name="plumsaddled")
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -33,6 +33,7 @@
 from ..utils.addresses import split_address
 from ..utils.listening import complete_unless_stopped, open_when_free
 from ..utils.settings_file import read_when_complete, signature_of
+from ..utils.standard_streams import open_missing_streams
 from .callers import FrontServer
 from .clock import now
 from .connection_pool import ConnectionPool
@@ -429,6 +430,7 @@
 def main():
     """Run one host with the settings file named by the argument or environment."""
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
+    open_missing_streams()
     configure_logging(UNKNOWN_HOST)
     try:
         _run(path)
