--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_start_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_start_test.py
@@ -15,16 +15,19 @@
 from .host_process import HostProcess
 from .trial import Trial, in_loop
 
-SIGNAL_WHILE_IMPORTING = """
-import os, runpy, signal, sys
+# Without the module of signals, which would count as imported.
+SIGNAL_WHILE_IMPORTING = f"""
+import os, sys
+
+program = open(sys.argv[1]).read()
 
 class HangUp:
     def find_spec(self, name, *args):
-        os.kill(os.getpid(), signal.SIGHUP)
+        os.kill(os.getpid(), {int(signal.SIGHUP)})
         os._exit(0)
 
 sys.meta_path.insert(0, HangUp())
-runpy.run_path(sys.argv[1], run_name="__main__")
+exec(program)
 """
 ENTRY_POINT = Path(__file__).parents[3] / "deploy" / "start_host.py"
 
