Refuse what can't end before the grace period does

What callers saw: in a planned stop, orders that came late in the grace period were taken and passed on, and got 502 at its end while a target worked on them.

Cause: a route with fewer than five samples counted as 0.3 s of work, and the time for one more request was reckoned from that. Nothing was asked again before retries, hedges, and sends after waits in a queue or for a rate limit. Known routes had the opposite fault: twice the median refused every order of 3.6 s from SIGTERM on, though 2.1 s were left for them.

Why this works: every send asks whether the request ends in time: by its deadline, by 1.2 times the longest of the last 48 durations, or without enough samples, in seven tenths of its time left. What can't is refused with 503 at once, which is true, as it is not sent.

The shutdown tests are unchanged.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/route_times.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/route_times.py
@@ -11,6 +11,8 @@
 import statistics
 from collections import deque
 
+from .draining import Durations
+
 # Samples per median and per rate. Few enough to follow a change within seconds.
 MAX_SAMPLES = 48
 # A median of fewer samples could be decided by a single outlier.
@@ -52,6 +54,14 @@
             return None
         return self._median(service, route)
 
+    def durations(self, service, route):
+        """Return the `Durations` of a route."""
+        return Durations(
+            self.typical_duration(service, route),
+            max(self._times.get((service, route), ()), default=0.0),
+            self.known_duration(service, route) is not None,
+        )
+
     def _median(self, service, route):
         """Return the median of a route with enough samples, computing it if needed."""
         medians = self._medians[service]
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/active_request.py
@@ -43,6 +43,7 @@
 
     profile: Callable
     choose: Callable
+    may_end: Callable
     tried_targets: Callable
     may_spend_retry: Callable
     retry_wait: Callable
@@ -73,6 +74,7 @@
             Sends(
                 self._profile,
                 self._choose,
+                self._may_end,
                 self._tried_targets,
                 self._may_spend_retry,
                 self._retry_wait,
@@ -373,10 +375,14 @@
             else max_token_wait(profile, request.urgency)
         )
         choice = self._choose(profile, self._tried_targets(), at, max_wait)
-        if retry_cause == RETRY_CAUSE_SLOW and not _is_worth_hedging(choice):
+        if retry_cause == RETRY_CAUSE_SLOW and not (
+            _is_worth_hedging(choice) and self._may_end(choice, at)
+        ):
             return None
         if choice is None:
             return self._refuse_without_target(at)
+        if not self._may_end(choice, at):
+            return self._refuse_late(retry_cause)
         if (
             _would_miss_deadline(choice, profile, request.urgency)
             and self._attempt.is_known_not_run()
@@ -407,6 +413,18 @@
             self._request.service, profile, excluded, self._has_connection, at, max_wait
         )
 
+    def _may_end(self, choice, at):
+        """Return whether a send to the target of a `Choice` ends before the host."""
+        return self._knowledge.grace.may_send(
+            self._request, at + choice.candidate.wait, choice.slowdown
+        )
+
+    def _refuse_late(self, retry_cause):
+        """Return the refusal of a send that would not end before the host."""
+        if retry_cause is not None:
+            return self._refusal_of_retry(RefusalCause.DRAINING)
+        return self._refuse(RefusalCause.DRAINING, 0.0)
+
     def _start_send(self, choice, retry_cause, at, reason=None):
         """Start a send to the target of a `Choice`, for the `Reason` of its turn."""
         request = self._request
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import logging
 
 from aiohttp import web
@@ -86,7 +87,8 @@
           end: When the remaining requests are refused, in seconds on the host's clock.
         """
         self._draining_since = now()
-        self._bodies.drain(end)
+        self._knowledge.grace.begin(end)
+        self._bodies.drain()
 
     @property
     def is_draining(self):
@@ -219,8 +221,9 @@
         reserved = 0
         deadline = started_at + time_limit
         service = choose_service(route, self._knowledge.rng)
-        times = self._knowledge.shared.times
-        typical_duration = times.typical_duration(service, route.name)
+        latest_send = functools.partial(
+            self._knowledge.grace.latest_send, service, route, deadline
+        )
         try:
             room = MAX_BUFFERED_BYTES - self.buffered_bytes
             expected = min(MAX_WHOLE_BODY, request.content_length or 0)
@@ -230,15 +233,15 @@
             self.buffered_bytes += reserved
             body, is_whole = b"", True
             if request.can_read_body:
-                if self._bodies.may_begin(typical_duration, now()):
+                if self._may_send(latest_send):
                     _invite_body(request)
                 result = await self._bodies.read_start(
-                    request.content, request.content_length, deadline, typical_duration
+                    request.content, request.content_length, deadline, latest_send
                 )
                 if isinstance(result, Failure):
                     return self._refuse(request, result.failure(), 0.0)
                 body, is_whole = result.unwrap()
-            if not self._bodies.may_begin(typical_duration, now()):
+            if not self._may_send(latest_send):
                 return self._refuse(request, RefusalCause.DRAINING, 0.0)
             self.buffered_bytes += len(body) - reserved
             reserved = len(body)
@@ -261,6 +264,10 @@
         finally:
             self.buffered_bytes -= reserved
 
+    def _may_send(self, latest_send):
+        """Return whether a request that is sent now ends before the host does."""
+        return not self._knowledge.grace.has_begun or now() <= latest_send()
+
     def _make_proxy_request(
         self,
         request,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -39,6 +39,7 @@
 from ..platform import wire
 from .clock import now
 from .downloads import Downloads
+from .grace import GracePeriod
 from .limits import RateLimits
 from .notices import NoticeRecorder
 from .target_selection import TargetSelection
@@ -111,6 +112,7 @@
             availability=Availability(bounds.leaving),
         )
         self.availability = self.shared.availability
+        self.grace = GracePeriod(self.shared.times)
         self.paths = HostPaths()
         self._response_bytes = {}
         self.downloads = Downloads(lambda: self.settings, self.typical_response_bytes)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
-from plumsaddle_core.ops.draining import BodyProgress, latest_start, may_stream
+from plumsaddle_core.ops.draining import BodyProgress, may_stream
 from plumsaddle_core.ops.fingerprint import MAX_HASHED_BODY
 
 from .clock import now
@@ -23,17 +23,14 @@
 class _Read:
     """A body that is being read, and the timeout of its reading."""
 
-    def __init__(self, deadline, typical_duration, scope):
-        self.deadline = deadline
-        self.start_by = deadline
-        self._typical_duration = typical_duration
+    def __init__(self, latest_send, scope):
+        self.start_by = latest_send()
+        self._latest_send = latest_send
         self._scope = scope
 
-    def drain(self, end):
-        self.start_by = min(self.deadline, latest_start(end, self._typical_duration))
-
     def schedule(self):
         """Let the reading end when the request can't be sent any more."""
+        self.start_by = self._latest_send()
         if not self._scope.expired():
             loop = asyncio.get_running_loop()
             self._scope.reschedule(loop.time() + self.start_by - now())
@@ -44,20 +41,15 @@
 
     def __init__(self):
         self._reads = set()
-        self._end = None
+        self._is_draining = False
 
-    def drain(self, end):
-        """Read no longer than a request may still be sent before a time."""
-        self._end = end
+    def drain(self):
+        """Read no longer than a request may still be sent, after that has changed."""
+        self._is_draining = True
         for read in self._reads:
-            read.drain(end)
             read.schedule()
 
-    def may_begin(self, typical_duration, at):
-        """Return whether a request may be sent to a target now."""
-        return self._end is None or at <= latest_start(self._end, typical_duration)
-
-    async def read_start(self, content, length, deadline, typical_duration):
+    async def read_start(self, content, length, deadline, latest_send):
         """
         Read a body, or the first part of a long one.
 
@@ -65,7 +57,7 @@
           content: The stream of the body.
           length: Its bytes, or None if that is unknown.
           deadline: When its caller's time is up, in seconds on the host's clock.
-          typical_duration: That of its route, in seconds.
+          latest_send: Returns the latest time at which the request may be sent.
         Returns:
           A `Success` of the bytes and whether they are the whole body, or a `Failure`
           of the `RefusalCause` of the request.
@@ -73,9 +65,7 @@
         read = None
         try:
             async with asyncio.timeout(None) as scope:
-                read = _Read(deadline, typical_duration, scope)
-                if self._end is not None:
-                    read.drain(self._end)
+                read = _Read(latest_send, scope)
                 read.schedule()
                 self._reads.add(read)
                 return await self._read_parts(content, length, read)
@@ -95,7 +85,7 @@
             if not part:
                 return Success((bytes(body), True))
             body += part
-        if self._end is not None:
+        if self._is_draining:
             at = now()
             progress = BodyProgress(len(body), length, at - began_at)
             if not may_stream(progress, read.start_by, at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -74,7 +74,9 @@
         may_send = False
         try:
             await asyncio.sleep(choice.candidate.wait)
-            may_send = self._knowledge.may_send(target, now())
+            may_send = self._knowledge.may_send(
+                target, now()
+            ) and self._knowledge.grace.may_send(self._request, now(), choice.slowdown)
         finally:
             if not may_send:
                 self._knowledge.note_send_end(target)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/turns.py
@@ -124,6 +124,7 @@
         waiter = Waiter(
             lambda: self._take(retry_cause, is_queued=True),
             request.caller.is_gone,
+            lambda: not self._knowledge.grace.may_send(request, now()),
             asyncio.get_running_loop().create_future(),
             {
                 "request": request.id.decode("latin-1"),
@@ -175,6 +176,8 @@
         self._count += 1
         if choice is None:
             return self._postpone_without_target(need, at)
+        if not self._sends.may_end(choice, at):
+            return RefusalCause.DRAINING
         decision = self._decide(choice, need, urgency, at)
         if decision.verdict is Verdict.REFUSE:
             is_first = self._count == 1
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting.py
@@ -53,11 +53,13 @@
     The payload of a ticket.
 
     `take_turn` sends the request if this is a good moment; it returns None if it did, a
-    `RefusalCause`, or `Postponed`. `fields` are those of its log lines.
+    `RefusalCause`, or `Postponed`. `is_too_late` tells whether the request could not
+    end before the host does. `fields` are those of its log lines.
     """
 
     take_turn: Callable
     is_gone: Callable
+    is_too_late: Callable
     result: asyncio.Future
     fields: dict[str, Any]
 
@@ -237,6 +239,9 @@
             for ticket in [t for t in queue if t.payload.is_gone()]:
                 queue.remove(ticket)
                 self._settle(service, ticket, RefusalCause.CALLER_GONE)
+            for ticket in [t for t in queue if t.payload.is_too_late()]:
+                queue.remove(ticket)
+                self._settle(service, ticket, RefusalCause.DRAINING)
             self._serve(service, at)
         self._report()
         if any(len(queue) for queue in self._queues.values()):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/waiting_test.py
@@ -95,6 +95,9 @@
     def has_connection(self, request, incarnation):
         return False
 
+    def may_send_twice(self, request):
+        return True
+
     async def send(self, request, target, suspect_check, *callbacks):
         self.sent.append((clock.now(), request, target.id))
         self.running += 1
@@ -411,3 +414,53 @@
     text = site.metrics.render()[0].decode()
     assert 'plumsaddle_waiting{host="h",rank="2.2",service="s"} 0' in text
     assert "plumsaddle_wait_seconds_count" in text
+
+
+def _stop_in(site, seconds):
+    """Begin the grace period, and return its end."""
+    end = clock.now() + seconds
+    site.state.grace.begin(end)
+    return end
+
+
+@pytest.mark.parametrize("mode", [SchedulingMode.ON, SchedulingMode.OFF])
+@in_virtual_time
+async def test_a_request_is_not_sent_again_shortly_before_the_end(mode):
+    """Guards against a repeat that is cut as its host ends."""
+    site = _Site(mode=mode)
+    site.targets.behave = lambda request, target: (SendOutcome.NOT_RUN, 0.2)
+    _stop_in(site, 0.6)
+    (refusal,) = await asyncio.gather(*site.start(ORDER))
+    assert http_status(refusal) == 503
+    assert len(site.targets.sent) == 1
+
+
+@in_virtual_time
+async def test_a_request_is_not_hedged_shortly_before_the_end():
+    """Guards against a second send that can't end before the host."""
+    site = _Site(mode=SchedulingMode.OFF)
+    site.state.settings = site.state.settings._replace(disabled_features=frozenset())
+    site.targets.behave = lambda request, target: (SendOutcome.SUCCEEDED, 0.5)
+    _stop_in(site, 0.6)
+    (reply,) = await asyncio.gather(*site.start(LOOKUP))
+    assert reply.status == 200
+    assert len(site.targets.sent) == 1
+
+
+@in_virtual_time
+async def test_waiting_requests_that_can_not_end_in_time_are_refused_at_once():
+    """Guards against waiting requests that are cut, or held until the end."""
+    site = _Site(targets=1)
+    site.targets.behave = lambda request, target: (SendOutcome.SUCCEEDED, 0.5)
+    tasks = site.start(ORDER, 12)
+    end = _stop_in(site, 0.8)
+    refused = 0
+    for task in asyncio.as_completed(tasks):
+        result = await task
+        if isinstance(result, Reply):
+            continue
+        refused += 1
+        assert (result.cause, http_status(result)) == (RefusalCause.DRAINING, 503)
+        assert clock.now() <= end - 0.4
+    assert refused == 12 - len(site.targets.sent) > 0
+    assert all(at <= end - 0.5 for at, _, _ in site.targets.sent)
