Exit with 0 on SIGTERM while settings are awaited

What callers saw: nothing, no listener is open then. Operators saw a host that ended by signal 15 without a line that says it was asked to.

Cause: SIGTERM has its default action until the event loop has handlers; a host that waits for its settings may be there for seconds.

Now incomplete settings give 0 and a line.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -31,6 +31,7 @@
 from ..platform.nodefile import check_host_settings
 from ..platform.store import Store, make_session
 from ..utils.addresses import split_address
+from ..utils.early_stop import exit_on_sigterm
 from ..utils.listening import complete_unless_stopped, open_when_free
 from ..utils.settings_file import read_when_complete, signature_of
 from ..utils.standard_streams import open_missing_streams
@@ -210,7 +211,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload, "SIGHUP")
         if not await complete_unless_stopped(self.start(), self.stop):
             await self.close()
-            log.info("host stopped before it listened")
+            _log_early_stop()
             return
         # Objects created at startup live as long as the process.
         gc.freeze()
@@ -423,6 +424,10 @@
         log.error("task failed", exc_info=task.exception())
 
 
+def _log_early_stop():
+    log.info("host stopped before it listened")
+
+
 async def _run_host(settings, path, signature, ignored):
     await Host(settings, path, signature, ignored).run()
 
@@ -432,6 +437,7 @@
     path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(SETTINGS_VARIABLE, "")
     open_missing_streams()
     configure_logging(UNKNOWN_HOST)
+    exit_on_sigterm(_log_early_stop)
     try:
         _run(path)
     except Exception:
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_start_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_start_test.py
@@ -180,3 +180,15 @@
         sys.executable, "-S", "-c", SIGNAL_WHILE_IMPORTING, ENTRY_POINT
     )
     assert await process.wait() == 0
+
+
+@in_loop
+async def test_a_host_that_waits_for_its_settings_can_be_stopped(tmp_path):
+    """Guards against a planned stop that looks like a crash without a cause."""
+    host = HostProcess(tmp_path, "127.0.0.1:9")
+    host.path.write_text("")
+    await host.start()
+    await host.wait_for_line("invalid settings")
+    host.signal(signal.SIGTERM)
+    await host.wait_for_line("host stopped before it listened")
+    assert await host.process.wait() == 0
