Let no signal replace the exit code of a planned stop

What callers saw: nothing; the platform saw hosts that ended by a signal of their own accord.

Cause: the event loop resets its handlers when it is closed, some milliseconds before the process ends, and SIGHUP, SIGTERM or SIGINT then end it by default. Settings that change while hosts are replaced bring that about. Class: a signal meets the process outside of the time in which it is handled. The same in our own interface, which SIGHUP also ended during its imports.

Why this works: the last step of a host blocks these signals, and no thread is left that could receive them.

Our own interface was not run with it by a test.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
@@ -27,6 +27,7 @@
 from ..utils.listening import complete_unless_stopped, open_when_free
 from ..utils.settings_file import read_when_complete
 from ..utils.standard_streams import open_missing_streams
+from ..utils.stop_signals import block_signals
 from .admin import make_admin
 from .host import Host
 from .logs import set_up_logs
@@ -103,7 +104,6 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    # By default it ends a process, also when the terminal that started it is closed.
     loop.add_signal_handler(signal.SIGHUP, _ignore_hang_up)
     cfg = settings.platform
     async with make_session() as session:
@@ -126,6 +126,7 @@
         await callers.cleanup()
         await admin.cleanup()
     log.info("daemon: %s has left.", settings.id)
+    block_signals()
 
 
 class _Listeners:
@@ -198,6 +199,8 @@
 
 def main():
     """Run the command line of the daemon."""
+    # By default it ends a process, also when the terminal that started it is closed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     open_missing_streams()
     fire.Fire(start, name="plumsaddled")
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -31,10 +31,10 @@
 from ..platform.nodefile import check_host_settings
 from ..platform.store import Store, make_session
 from ..utils.addresses import split_address
-from ..utils.early_stop import exit_on_sigterm
 from ..utils.listening import complete_unless_stopped, open_when_free
 from ..utils.settings_file import read_when_complete, signature_of
 from ..utils.standard_streams import open_missing_streams
+from ..utils.stop_signals import block_signals, exit_on_sigterm
 from .callers import FrontServer
 from .clock import now
 from .connection_pool import ConnectionPool
@@ -209,14 +209,15 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._on_stop, signal_number.name)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "SIGHUP")
-        if not await complete_unless_stopped(self.start(), self.stop):
+        if await complete_unless_stopped(self.start(), self.stop):
+            # Objects created at startup live as long as the process.
+            gc.freeze()
+            await self.stop.wait()
+            await self.drain()
+        else:
             await self.close()
             _log_early_stop()
-            return
-        # Objects created at startup live as long as the process.
-        gc.freeze()
-        await self.stop.wait()
-        await self.drain()
+        block_signals()
 
     async def start(self):
         """
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_process_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_process_test.py
@@ -7,6 +7,8 @@
 import signal
 import sys
 
+import pytest
+
 from .host_process import HostProcess
 from .trial import Trial, in_loop
 
@@ -142,3 +144,21 @@
             async with _ask(trial, host, "/up/a", f"id-{number:0900}") as resp:
                 assert resp.status == 200
         await host.kill()
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+@in_loop
+async def test_signals_at_the_end_of_a_stop_do_not_replace_its_exit_code(
+    tmp_path, number
+):
+    """Guards against planned stops that look like crashes."""
+    host = HostProcess(tmp_path, "127.0.0.1:9")
+    host.write_settings(grace=1)
+    await host.start()
+    await host.wait_for_line("host started")
+    host.signal(signal.SIGTERM)
+    await host.wait_for_line("host stopped")
+    while host.is_running:
+        host.process.send_signal(number)
+        await asyncio.sleep(0.001)
+    assert host.process.returncode == 0
