Start parts of a host again that end by an exception

What callers saw: a host went on without a part of it: no newer version was applied, or no settings, heartbeats and expiries any more, while it said that it was ready. One odd record of the operators' (a host or name that is no string, a version beyond 64 bits), an odd number in the settings, or an odd name of the process brought that about, on every host that read it; callers of such a route got 500.

Cause: a background task that failed was logged once and never started again, a version was in force in part before the rest of it was built, and fields were not checked beyond their conversion. Class: an exception that nobody expects ends a part for good.

Why this works: each part is started again after a second, with a log line; a version is built before any of it is in force, and its texts and numbers are checked; a listing that can't be applied is listed again. In our own interface the timers are kept running. Its readers of the log are not: going on behind a record of orders that was applied in part could run one twice, so they stay ended, as before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -36,6 +36,7 @@
 from ..peers.messages import News
 from ..platform.batch import Batcher
 from ..platform.tail import Tail
+from ..utils.supervision import keep_running
 from .checkpoints import Checkpoints
 from .metrics import Metrics
 from .probes import start_probes
@@ -180,7 +181,7 @@
         self.timers.subscribe(PROBE_EVERY, self._probe)
         self.timers.subscribe(self.settings.platform.hosts_every, self._read_hosts)
         self.timers.subscribe(CHECKPOINT_LOOK_EVERY, self.checkpoints.look)
-        self.spawn(self._run_timers())
+        self.spawn(keep_running("timers", self._run_timers))
 
     async def _run_timers(self):
         while True:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -377,7 +377,12 @@
         self._is_listing_scheduled = False
         self._behind_since = None
         self.confirmed_at = self.answered_at
-        self._on_listing(page)
+        try:
+            self._on_listing(page)
+        except Exception:
+            # Without it, what it lists would be missing for good.
+            self._position.require_listing()
+            raise
         self._reported_at = max(
             self._reported_at,
             self.answered_at + FIRST_LISTING_TTL - self._timing.reader_status_ttl,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -221,20 +221,25 @@
                 extra={"version": cfg.version, "in_force": former},
             )
             return
+        # All of it is built before any of it is in force.
+        route_table = build_route_table(cfg.routes)
+        workspaces_by_key, ambiguous = index_keys(cfg.workspaces)
+        priorities = priorities_by_service(cfg.routes, cfg.workspaces)
+        ranks = ranks_by_service(cfg.routes, cfg.workspaces)
         self.cfg = cfg
         self.cfg_data = data
         self._first, self._first_data = None, b""
         self._has_downloads = cfg.has_downloads
         self.shared.health.set_scheduling(self.scores_outcomes)
-        self.route_table = build_route_table(cfg.routes)
-        self.workspaces_by_key, ambiguous = index_keys(cfg.workspaces)
+        self.route_table = route_table
+        self.workspaces_by_key = workspaces_by_key
         for digest in ambiguous:
             log.error(
                 "key belongs to several workspaces", extra={"key": short_digest(digest)}
             )
         self.shared.quotas.configure(cfg.workspaces, now())
-        self._priorities = priorities_by_service(cfg.routes, cfg.workspaces)
-        self._ranks = ranks_by_service(cfg.routes, cfg.workspaces)
+        self._priorities = priorities
+        self._ranks = ranks
         self._route_ranks = route_ranks(cfg.routes)
         names = {route.name for route in cfg.routes}
         self.shared.times.retain_routes(names)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -35,6 +35,7 @@
 from ..utils.settings_file import read_when_complete, signature_of
 from ..utils.standard_streams import open_missing_streams
 from ..utils.stop_signals import block_signals, exit_on_sigterm
+from ..utils.supervision import keep_running
 from .callers import FrontServer
 from .clock import now
 from .connection_pool import ConnectionPool
@@ -232,15 +233,12 @@
         self._front_server = FrontServer(self.front, self.knowledge)
         await self._listen("callers", self._front_server)
         loop = asyncio.get_running_loop()
-        for coroutine in (
-            *(feed.run() for feed in self._feeds),
-            self._run_housekeeping(),
-            self._run_peer_updates(),
-            self._prober.run(),
-        ):
-            task = loop.create_task(coroutine)
-            task.add_done_callback(_log_task_failure)
-            self._tasks.append(task)
+        parts = {f"feed of {feed.topic}": feed.run for feed in self._feeds}
+        parts["housekeeping"] = self._run_housekeeping
+        parts["peer updates"] = self._run_peer_updates
+        parts["path prober"] = self._prober.run
+        for name, run in parts.items():
+            self._tasks.append(loop.create_task(keep_running(name, run)))
         log.info(
             "host started",
             extra={
@@ -261,8 +259,9 @@
 
     async def _open_gateway(self):
         """Listen for tunnels; without the port, the host only helps no others."""
-        opening = asyncio.ensure_future(self._open("tunnels", self.gateway.open))
-        opening.add_done_callback(_log_task_failure)
+        opening = asyncio.ensure_future(
+            keep_running("tunnels", lambda: self._open("tunnels", self.gateway.open))
+        )
         self._tasks.append(opening)
         await asyncio.wait({opening}, timeout=GATEWAY_START_TIME)
 
@@ -402,6 +401,7 @@
         if mistakes:
             log.error("reload", extra={"cause": cause, "mistakes": mistakes})
             return
+        self._ignored = ignored
         self.settings = result.unwrap()
         self.knowledge.settings = self.settings
         self.knowledge.downloads.apply_settings()
@@ -419,12 +419,6 @@
         return web.Response(status=200 if is_ready else 503)
 
 
-def _log_task_failure(task):
-    """Log the exception of a background task, which nothing awaits."""
-    if not task.cancelled() and task.exception() is not None:
-        log.error("task failed", exc_info=task.exception())
-
-
 def _log_early_stop():
     log.info("host stopped before it listened")
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/process_report.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/process_report.py
@@ -51,7 +51,7 @@
     """
     if text is None:
         try:
-            text = STATUS_FILE.read_text(encoding="ascii")
+            text = STATUS_FILE.read_text(encoding="ascii", errors="replace")
         except OSError as exc:
             log.debug("memory unknown", extra={"cause": str(exc)})
             return None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile.py
@@ -6,7 +6,6 @@
 can serve without it.
 """
 
-import math
 import tomllib
 
 from returns.result import Failure, Success
@@ -24,6 +23,8 @@
 
 BYTES_PER_MEGABIT = 125_000.0
 BYTES_PER_MEGABYTE = 1_000_000
+# Above any limit or bound, and exact as a float.
+MAX_NUMBER = 2**53
 # The fraction of a host's memory limit that responses for slow callers may take. The
 # process itself, bodies of uploads and buffers of the kernel need the rest.
 BUFFERED_MEMORY_DIVISOR = 4
@@ -58,7 +59,8 @@
     """
     try:
         fields = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError) as exc:
+    except (ValueError, RecursionError) as exc:
+        # Numbers of thousands of digits raise a plain `ValueError`.
         return Failure([f"the file is not valid TOML: {exc}"])
     errors = []
     mistakes = errors if ignored is None else ignored
@@ -125,7 +127,7 @@
 
 def _is_number(value):
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return is_number and math.isfinite(value)
+    return is_number and abs(value) <= MAX_NUMBER
 
 
 def _check_positive(table, name, errors, least=0):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/nodefile_test.py
@@ -54,6 +54,7 @@
         "memory_mb = inf",
         "memory_mb = 0",
         "memory_mb = true",
+        "memory_mb = 1" + "0" * 310,
         "memory_mb = 0.5",
         'data_centres = "x"',
         "data_centres = 4",
@@ -81,3 +82,9 @@
 def test_all_mistakes_are_reported_if_one_is_no_optional_value():
     errors = check_host_settings("link_mbps = -1\n", []).failure()
     assert errors[-1].startswith("link_mbps") and len(errors) == 7
+
+
+def test_a_number_of_thousands_of_digits_is_an_error():
+    """Guards against a reload that ends the part of a host that does it."""
+    errors = check_host_settings("memory_mb = 1" + "0" * 5000).failure()
+    assert errors[0].startswith("the file is not valid TOML")
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -68,6 +68,9 @@
 MAX_SLOTS = 100_000
 MAX_WARMUP_MS = 86_400_000
 MAX_STARTED_AT_MS = 2**53
+# Larger numbers in a configuration are errors. Hosts exchange versions as integers of
+# 64 bits, and JSON's numbers are exact up to this one.
+MAX_NUMBER = 2**53
 # Bytes of a malformed header that are logged.
 MAX_LOGGED_VALUE = 40
 STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
@@ -291,7 +294,7 @@
             entry = entries.get(digest) or self._entries.get(digest)
             entries[digest] = entry = entry or _decode_resource(raw)
             decoded.append(entry)
-        cfg = _assemble(int(version.version), decoded)
+        cfg = _assemble(_integer(version.version), decoded)
         self._entries = entries
         return cfg
 
@@ -336,31 +339,55 @@
     )
 
 
+def _text(value):
+    if not isinstance(value, str):
+        raise TypeError(f"expected a string, not {type(value).__name__}")
+    return value
+
+
+def _integer(value, least=0):
+    """Return a whole number, or raise `ValueError` if it is out of range."""
+    number = int(value)
+    if not least <= number <= MAX_NUMBER:
+        raise ValueError("a number is out of range")
+    return number
+
+
+def _number(value):
+    """Return a number as a float, or raise `ValueError` if it is out of range."""
+    number = float(value)
+    if not 0.0 <= number <= MAX_NUMBER:
+        raise ValueError("a number is out of range")
+    return number
+
+
 def _decode_service(name, spec):
     """Return the limit of one target's connections, from all its callers together."""
-    return int(spec.get("max_conns", 0))
+    return _integer(spec.get("max_conns", 0))
 
 
 def _decode_route(name, spec):
     if "traffic_split" in spec:
         shares = tuple(
-            Share(part["service"], float(part["weight"]))
+            Share(_text(part["service"]), _number(part["weight"]))
             for part in spec["traffic_split"]
         )
     else:
-        shares = (Share(spec["service"], 1.0),)
+        shares = (Share(_text(spec["service"]), 1.0),)
+    if not any(share.weight for share in shares):
+        raise ValueError("a route has no service")
     return Route(
-        name,
-        spec["host"],
-        spec["path_prefix"],
+        _text(name),
+        _text(spec["host"]),
+        _text(spec["path_prefix"]),
         KINDS[spec["route_type"]],
         shares,
         # Includes the first attempt.
-        int(spec.get("max_attempts", 1)),
-        int(spec["timeout_ms"]) / 1000,
+        _integer(spec.get("max_attempts", 1)),
+        _integer(spec["timeout_ms"]) / 1000,
         # The objective for a response's latency, not a measured latency.
-        int(spec["target_latency_ms"]) / 1000,
-        int(spec.get("priority", 0)),
+        _integer(spec["target_latency_ms"]) / 1000,
+        _integer(spec.get("priority", 0), -MAX_NUMBER),
         # Whether requests without a key are allowed; only a JSON `true` counts.
         spec.get("public", False) is True,
     )
@@ -373,24 +400,22 @@
             "the name of a workspace is empty, padded or not printable ASCII"
         )
     # The limits of all hosts together, not of each host.
-    rate, burst = (float(spec.get(field) or 0.0) for field in ("rate_per_s", "burst"))
-    if rate < 0 or burst < 0:
-        raise ValueError("a limit of a workspace is negative")
+    rate, burst = (_number(spec.get(field) or 0.0) for field in ("rate_per_s", "burst"))
     return Workspace(
         name,
         tuple(key_digest(key.encode()) for key in spec.get("api_keys", ())),
         rate,
         burst,
-        int(spec.get("priority") or 0),
+        _integer(spec.get("priority") or 0, -MAX_NUMBER),
     )
 
 
 def _decode_limits(spec):
     return Limits(
-        int(spec["max_header_bytes"]),
-        int(spec["max_body_bytes"]),
-        int(spec["header_timeout_ms"]) / 1000,
-        int(spec["idle_timeout_ms"]) / 1000,
+        _integer(spec["max_header_bytes"]),
+        _integer(spec["max_body_bytes"]),
+        _integer(spec["header_timeout_ms"]) / 1000,
+        _integer(spec["idle_timeout_ms"]) / 1000,
     )
 
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_odd_input_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_odd_input_test.py
@@ -10,7 +10,7 @@
 from plumsaddle_hosts.edge.stored import TOPIC as SUSPECTS_TOPIC
 from plumsaddle_hosts.platform.store import HOSTS_TOPIC
 
-from .trial import TARGETS, Trial, in_loop, until
+from .trial import OPERATOR, TARGETS, Trial, configuration, in_loop, until
 from .worker import WorkerStandin
 
 DEEP = b"[" * 5000 + b"]" * 5000
@@ -75,3 +75,43 @@
             for number in range(12)
         ]
         assert {status for status, _, _ in await asyncio.gather(*asked)} == {200}
+
+
+def _odd_configuration(version, field, value):
+    cfg = json.loads(configuration(version))
+    if field == "version":
+        cfg["version"] = value
+    elif field == "name":
+        cfg["resources"][0]["metadata"]["name"] = value
+    else:
+        cfg["resources"][0]["spec"][field] = value
+    return json.dumps(cfg).encode()
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("host", 5),
+        ("name", ["act"]),
+        ("service", ["act"]),
+        ("path_prefix", {}),
+        ("traffic_split", []),
+        ("traffic_split", [{"service": "act", "weight": -1}]),
+        ("max_attempts", -1),
+        ("timeout_ms", 10**400),
+        ("version", -1),
+        ("version", 2**70),
+    ],
+)
+@in_loop
+async def test_an_odd_configuration_does_not_stop_the_ones_after_it(field, value):
+    """A host that had read it never applied another one, and said it was ready."""
+    async with Trial(services=("act",), targets=1) as trial:
+        host = trial.hosts[0]
+        trial.store.put(OPERATOR, "config", _odd_configuration(2, field, value))
+        await asyncio.sleep(0.3)
+        assert host.knowledge.cfg.version == 1
+        assert (await trial.ask("/act/a", "id-1", "POST"))[0] == 200
+        trial.store.put(OPERATOR, "config", configuration(3))
+        await until(lambda: host.knowledge.cfg.version == 3)
+        assert (await trial.ask("/act/a", "id-2", "POST"))[0] == 200
