Begin nothing in our own interface that a kill may cut

What callers saw: on a platform that kills a host some time after SIGTERM, orders that were taken after the SIGTERM ended with a closed connection and no answer.

Cause: plumsaddled waits for all that is in flight, however long, takes further requests for `leave_wait`, and doesn't know when it is killed.

Why this works: with the new setting `grace`, a request whose deadline is later than the kill is refused at once with 503, not run. A deadline is a bound that holds, other than an estimate. Without the setting nothing changes. Requests taken before SIGTERM that last longer are still cut.

Test: test_a_host_that_is_killed_soon_begins_nothing_that_outlasts_it, 200 in place of the 503 without the check.

--- a/packages/plumsaddle-core/plumsaddle_core/core/data.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/data.py
@@ -215,7 +215,12 @@
 
 
 class Settings(NamedTuple):
-    """The content of a host's settings file."""
+    """
+    The content of a host's settings file.
+
+    `leave_wait` is the seconds for which a host still accepts requests after SIGTERM.
+    `grace` is the seconds until the platform then kills it, None if it does not.
+    """
 
     id: Name
     data_centre: Name
@@ -225,6 +230,7 @@
     logs: Logs = Logs()
     leave_wait: Annotated[float, Field(ge=0, le=3600)] = 5.0
     callers: CallerBounds = CallerBounds()
+    grace: Annotated[float, Field(gt=0, le=3600)] | None = None
 
 
 class Refusal(NamedTuple):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
 import uuid
@@ -97,6 +98,8 @@
         self.caller_server = None
         self.is_leaving = False
         self.is_stopping = False
+        # When the platform kills the host, in seconds on the loop's clock.
+        self.killed_at = math.inf
         self.is_suspect_itself = False
         self.marks = DrainMarks()
         self.listed_leaving = set()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
@@ -38,6 +38,8 @@
 NEVER = 10 * 365 * 86400.0
 FLUSH_FOR = 30.0
 LOOK_EVERY = 0.05
+# Seconds at the end of the grace period for the last responses and outcomes.
+STOP_MARGIN = 0.3
 
 
 def read_settings(path):
@@ -170,6 +172,10 @@
 async def _drain(host, callers):
     """Stop taking requests and wait for those in flight."""
     host.is_leaving = True
+    grace = host.settings.grace
+    if grace is not None:
+        loop = asyncio.get_running_loop()
+        host.killed_at = loop.time() + grace - STOP_MARGIN
     log.info("daemon: Leaving. New requests are still taken for a while.")
     await asyncio.sleep(host.settings.leave_wait)
     host.is_stopping = True
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/server.py
@@ -101,6 +101,9 @@
     if incoming.place is not None and asyncio.get_running_loop().time() >= deadline:
         # Its time has passed while it was behind others.
         return await _respond(host, incoming, Failure(refuse(Reason.DEADLINE)))
+    if deadline > host.killed_at:
+        # It might still be at work then, and its caller would get no response.
+        return await _respond(host, incoming, Failure(refuse(Reason.STOPPING)))
     refusal = _check_expectation(incoming)
     if refusal is not None:
         return await _respond(host, incoming, Failure(refusal))
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet.py
@@ -29,6 +29,7 @@
 id = "{id}"
 data_centre = "{data_centre}"
 leave_wait = {leave_wait}
+grace = {grace}
 
 [listen]
 callers = "127.0.0.1:{callers}"
@@ -248,7 +249,12 @@
                 self.targets[name] = f"http://127.0.0.1:{port}"
 
     def start_host(
-        self, leave_wait=0.5, checkpoint_every=3600.0, level="info", ports=None
+        self,
+        leave_wait=0.5,
+        checkpoint_every=3600.0,
+        level="info",
+        ports=None,
+        grace=3600.0,
     ):
         """Start one more entry host; `ports` are those of listeners by name."""
         number = len(self.entries) + 1
@@ -262,6 +268,7 @@
                 id=f"entry-{number}",
                 data_centre=("heverlee", "kessel", "wilsele")[number % 3],
                 leave_wait=leave_wait,
+                grace=grace,
                 callers=callers,
                 operators=operators,
                 hosts=hosts,
--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_start_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_start_test.py
@@ -2,11 +2,15 @@
 Starts of a host with our own interface, on a machine that is not ready yet.
 """
 
+import random
 import signal
 import socket
+import urllib.error
+import urllib.request
 
 import pytest
 
+from .demo import make_key
 from .fleet import TRIAL, Fleet, is_up, wait_for
 
 
@@ -70,3 +74,33 @@
     entry.process.send_signal(signal.SIGHUP)
     wait_for(lambda: "SIGHUP" in log.read_text(), "the signal to be logged")
     assert entry.process.poll() is None
+
+
+def _ask(entry, method, path, left):
+    """Send a request with some milliseconds left; return its status and headers."""
+    headers = {
+        "Idempotency-Key": make_key(random.Random()),
+        "X-Request-Timeout-Ms": str(left),
+    }
+    req = urllib.request.Request(entry.callers + path, headers=headers, method=method)
+    try:
+        with urllib.request.urlopen(req, timeout=10.0) as resp:
+            return resp.status, resp.headers
+    except urllib.error.HTTPError as exc:
+        return exc.code, exc.headers
+
+
+def test_a_host_that_is_killed_soon_begins_nothing_that_outlasts_it(fleet):
+    """Guards against orders that are taken after SIGTERM and cut by the kill."""
+    fleet.start(hosts=0)
+    entry = fleet.start_host(leave_wait=1.5, grace=3.0)
+    fleet.wait_ready(entry)
+    entry.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: not is_up(f"{entry.operators}/ready"), "the host to leave")
+    assert _ask(entry, "GET", "/look/x", 2000)[0] == 200
+    for method, path in (("GET", "/look/x"), ("POST", "/act/x")):
+        status, headers = _ask(entry, method, path, 6000)
+        assert (status, headers["Plumsaddle-Reason"]) == (503, "stopping")
+        assert headers["Plumsaddle-Outcome"] == "not-run"
+        assert int(headers["Retry-After"]) > 0
+    assert entry.process.wait(5.0) == 0
