Load one build in a host, and keep libraries until others are installed

A build also failed for PIP_USER and for an editor's dangling link, removed the former build below a linked `target`, and left folders of interrupted ones.

Cause: the link `target/deps` is followed anew at each import, and libraries were removed before others were there. Class: what works is taken away before its successor is known to work.

Why this works: a host resolves its paths before its first import; libraries are replaced once the new ones are complete.

Tests: two new ones of deploy_build_test.py, both failed before; the others pass.

--- a/deploy/build_host.py
+++ b/deploy/build_host.py
@@ -22,18 +22,19 @@
 import tempfile
 from pathlib import Path
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 REQUIREMENTS = ROOT / "deploy" / "requirements.txt"
 PACKAGES = (
     ROOT / "packages" / "plumsaddle-core" / "plumsaddle_core",
     ROOT / "packages" / "plumsaddle-hosts" / "plumsaddle_hosts",
 )
-TARGET = ROOT / "target"
+TARGET = (ROOT / "target").resolve()
 DEPS = TARGET / "deps"
 LIBRARIES = TARGET / "libraries"
 BUILDS = TARGET / "builds"
 OLDEST_PYTHON = (3, 11)
 LOAD_HOST = "import plumsaddle_hosts.edge.main"
+INCOMPLETE = "incomplete-"
 UNWANTED = shutil.ignore_patterns("__pycache__")
 
 
@@ -43,13 +44,14 @@
         sys.exit(f"Python {sys.version.split()[0]} is too old for plumsaddle.")
     TARGET.mkdir(exist_ok=True)
     with _locked():
+        _remove_incomplete()
         libraries = LIBRARIES / _digest_of_libraries()
         build = BUILDS / _digest_of_build(libraries.name)
         if not _is_loadable(build):
             _assemble(build, libraries)
         if not _is_loadable(build):
             # Its libraries may be damaged.
-            shutil.rmtree(libraries)
+            _install(libraries)
             _assemble(build, libraries)
         if not _is_loadable(build, sys.stderr):
             sys.exit("A host can't be loaded from the build.")
@@ -96,12 +98,16 @@
 def _assemble(build, libraries):
     """Copy the libraries and the packages into a folder, which then gets its name."""
     if not libraries.is_dir():
-        with _new_folder(libraries) as folder:
-            _install(folder)
+        _install(libraries)
     with _new_folder(build) as folder:
         shutil.copytree(libraries, folder, dirs_exist_ok=True)
         for package in PACKAGES:
-            shutil.copytree(package, folder / package.name, ignore=UNWANTED)
+            shutil.copytree(
+                package,
+                folder / package.name,
+                ignore=UNWANTED,
+                ignore_dangling_symlinks=True,
+            )
             _compile(folder / package.name, folder)
 
 
@@ -109,7 +115,7 @@
 def _new_folder(path):
     """Give a folder its name once it is complete; one of that name is replaced."""
     path.parent.mkdir(exist_ok=True)
-    folder = Path(tempfile.mkdtemp(prefix="incomplete-", dir=path.parent))
+    folder = Path(tempfile.mkdtemp(prefix=INCOMPLETE, dir=path.parent))
     try:
         folder.chmod(0o755)
         yield folder
@@ -119,12 +125,23 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
-def _install(folder):
-    options = ["--quiet", "--no-compile", "--target", str(folder)]
-    command = [sys.executable, "-m", "pip", "install", *options, "-r", REQUIREMENTS]
-    if subprocess.run(command).returncode:
-        sys.exit("The libraries can't be installed.")
-    _compile(folder, folder)
+def _remove_incomplete():
+    """Remove what builds have left behind that were interrupted."""
+    for path in (LIBRARIES, BUILDS):
+        for folder in path.glob(f"{INCOMPLETE}*"):
+            shutil.rmtree(folder)
+
+
+def _install(libraries):
+    """Install the libraries, in place of those that are there if it succeeds."""
+    with _new_folder(libraries) as folder:
+        options = ["--quiet", "--no-compile", "--target", str(folder)]
+        command = [sys.executable, "-m", "pip", "install", *options, "-r", REQUIREMENTS]
+        # An installation for one user can't have a target of its own.
+        env = {**os.environ, "PIP_USER": "0"}
+        if subprocess.run(command, env=env).returncode:
+            sys.exit("The libraries can't be installed.")
+        _compile(folder, folder)
 
 
 def _compile(path, root):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/gateway.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/gateway.py
@@ -54,6 +54,7 @@
 
     def __init__(self, knowledge, connector, metrics):
         self._knowledge = knowledge
+        self._address = knowledge.settings.peer_address
         self._connector = connector
         self._metrics = metrics
         self._is_draining = False
@@ -62,7 +63,7 @@
 
     async def open(self):
         """Listen for tunnels, or raise `OSError`."""
-        ip, port = split_address(self._knowledge.settings.peer_address)
+        ip, port = split_address(self._address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: _HostEnd(self), ip, port, backlog=BACKLOG
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -100,6 +100,8 @@
         # Returns whether this host opens connections to targets for others.
         self.is_gateway = lambda: False
         self._settings = settings
+        # Other hosts know this one by its address, so a reload doesn't change it.
+        self._address = settings.peer_address
         self._shared = shared
         self._rng = rng
         self._call_later = call_later or _call_later
@@ -153,7 +155,7 @@
 
     async def open(self):
         """Open the socket."""
-        address = split_address(self._settings.peer_address)
+        address = split_address(self._address)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=address)
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/deploy_build_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/deploy_build_test.py
@@ -32,6 +32,25 @@
         wheel.writestr(f"{info}/RECORD", "")
 
 
+# A host that a build overtakes between two imports.
+SLOW_HOST = """
+import os, sys, time
+from . import first
+
+if not os.path.exists(BUILT):
+    print("first", file=sys.stderr, flush=True)
+    while not os.path.exists(GO_ON):
+        time.sleep(0.02)
+
+from . import second
+
+assert first.NUMBER == second.NUMBER
+
+def main():
+    pass
+"""
+
+
 class Checkout:
     """
     A small checkout with our deploy folder, and packages that need some libraries.
@@ -43,10 +62,10 @@
     def __init__(self, folder):
         self.root = folder / "checkout"
         self.deps = self.root / "target" / "deps"
-        self._wheels = folder / "wheels"
-        self._wheels.mkdir()
+        self.wheels = folder / "wheels"
+        self.wheels.mkdir()
         for name in LIBRARIES:
-            _write_wheel(self._wheels, name)
+            _write_wheel(self.wheels, name)
         shutil.copytree(ROOT / "deploy", self.root / "deploy")
         text = (ROOT / "deploy" / "system.toml").read_text()
         self.command = tomllib.loads(text)["build"]
@@ -75,7 +94,7 @@
             "PATH": f"{Path(sys.executable).parent}:{os.environ['PATH']}",
             "HOME": os.environ.get("HOME", "/"),
             "PIP_NO_INDEX": "1",
-            "PIP_FIND_LINKS": str(self._wheels),
+            "PIP_FIND_LINKS": str(self.wheels),
         }
         return subprocess.Popen(
             self.command,
@@ -187,6 +206,43 @@
     assert set(ended) == {0}
 
 
+def test_a_host_that_starts_during_a_build_loads_modules_of_one_build(checkout):
+    """Guards against a host that is a mixture of two releases."""
+    edge = checkout.root / "packages/plumsaddle-hosts/plumsaddle_hosts/edge"
+    built, go_on = (checkout.root.parent / name for name in ("built", "go-on"))
+    (edge / "main.py").write_text(
+        SLOW_HOST.replace("BUILT", repr(str(built))).replace("GO_ON", repr(str(go_on)))
+    )
+    for number in (1, 2):
+        for name in ("first", "second"):
+            (edge / f"{name}.py").write_text(f"NUMBER = {number}\n")
+        if number == 1:
+            # A build loads the host, too.
+            built.touch()
+            assert checkout.build() == 0
+            built.unlink()
+            code = (checkout.root / "deploy" / "start_host.py").read_text()
+            host = checkout.start_host(code)
+            assert host.stderr.readline() == b"first\n"
+            built.touch()
+    assert checkout.build() == 0
+    go_on.touch()
+    assert _wait(host) == 0
+
+
+def test_a_failed_installation_leaves_the_former_libraries(checkout):
+    """Guards against hosts that do not start while the registry is away."""
+    assert checkout.build() == 0
+    main = checkout.root / "packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py"
+    text = main.read_text()
+    main.write_text("import missing_library\n")
+    shutil.rmtree(checkout.wheels)
+    assert checkout.build() != 0
+    main.write_text(text + "# Another release.\n")
+    assert checkout.build() == 0
+    assert checkout.is_runnable()
+
+
 def _wait(process):
     process.communicate(timeout=60)
     return process.returncode
