Limit what responses of the store may take

What callers saw: hosts ended by themselves, all of a fleet at about the same moment, and again after each start, as the store sent a response without end.

Cause: the client of the store read each response whole, limited by its timeout alone. Class: a peer decides how many bytes a process keeps. A listing kept all of its pages, and nothing ended one that goes round in circles; small records, or fields of JSON that nobody needs, took many times the bytes of their response.

Why this works: all reads of a process share a budget of an eighth of its memory limit (128 MB without one), a response may take half of it, and a listing holds what its pages took until its end. A response beyond that counts as an unavailable store: a log line, growing pauses, and the host goes on with what it knows. 12,000 small records fit into the budget of a host of 200 MB; by reckoning, one record with 120,000 workspaces needs 600 MB or more.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -29,6 +29,7 @@
 
 from ..platform import wire
 from ..platform.nodefile import check_host_settings
+from ..platform.read_budget import ReadBudget, compute_limit
 from ..platform.store import Store, make_session
 from ..utils.addresses import split_address
 from ..utils.listening import complete_unless_stopped, open_when_free
@@ -109,7 +110,11 @@
         self.metrics = EdgeMetrics(settings.id)
         self.knowledge = HostState(settings, rng)
         self._store_session = make_session()
-        self.store = Store(self._store_session, f"http://{settings.store_address}")
+        self.store = Store(
+            self._store_session,
+            f"http://{settings.store_address}",
+            budget=ReadBudget(compute_limit(settings.memory_limit)),
+        )
         registry = self.knowledge.registry
         self.store_access = store_access = StoreAccess(
             registry.note_store_unavailable,
@@ -373,6 +378,7 @@
         fields = {
             "bodies": self.front.buffered_bytes,
             "downloads": self.knowledge.downloads.budget.held,
+            "store": self.store.budget.held,
             "in_flight": self.front.in_flight,
             "connections": len(self._front_server.connections),
         }
@@ -403,6 +409,7 @@
         self.settings = result.unwrap()
         self.knowledge.settings = self.settings
         self.knowledge.downloads.apply_settings()
+        self.store.budget.limit = compute_limit(self.settings.memory_limit)
         self.peers.apply_settings(self.settings)
         log.info("reload", extra={"cause": cause})
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -6,7 +6,8 @@
 began. Plumsaddle's own interface keeps its streams in plain topics, one partition each.
 
 Each call has a timeout, and the sockets send keep-alive probes, because a long poll
-would otherwise hang on a connection that was lost without a reset.
+would otherwise hang on a connection that was lost without a reset. What all calls hold
+of responses has a bound, as a faulty response may have no end.
 """
 
 import base64
@@ -23,6 +24,7 @@
 from plumsaddle_core.core.traffic import TargetState
 
 from . import wire
+from .read_budget import ReadBudget
 
 log = logging.getLogger("store")
 # In seconds; long enough for one retransmission of a lost packet.
@@ -37,6 +39,11 @@
 KEEP_ALIVE_COUNT = 2
 PAGE_PREFIX = struct.Struct(">QQ")
 RECORD_PREFIX = struct.Struct(">I")
+# Bytes that a record takes besides its value, and the most records of one read.
+RECORD_OVERHEAD = 300
+MAX_RECORDS = 65536
+# The most pages of a listing.
+MAX_PAGES = 1000
 # Lists the entry hosts of plumsaddle's own interface, encoded as targets are.
 HOSTS_TOPIC = "keyed.hosts"
 
@@ -49,6 +56,7 @@
     UNAVAILABLE = "away"
     TRIMMED = "trimmed"
     UNREADABLE = "unreadable"
+    OVERSIZED = "oversized"
 
     @property
     def is_undone(self):
@@ -130,6 +138,26 @@
     era: int
 
 
+class _Item(msgspec.Struct):
+    """An item of a listing, with a value in base64."""
+
+    key: str
+    value: str
+    offset: int
+
+
+class _Listing(msgspec.Struct):
+    """A page of a listing."""
+
+    items: list[_Item]
+    end: int
+    has_more: bool
+
+
+# Decodes no fields that it does not know, which could take many times their text.
+_decode_json_page = msgspec.json.Decoder(_Listing, strict=False).decode
+
+
 class Store:
     """
     A client of the platform's store.
@@ -138,10 +166,12 @@
       session: An `aiohttp.ClientSession`, preferably from `make_session`.
       url: The store's URL.
       append_timeout: The timeout of an append, in seconds.
+      budget: The `ReadBudget` of its responses.
     """
 
-    def __init__(self, session, url, append_timeout=CALL_TIMEOUT):
+    def __init__(self, session, url, append_timeout=CALL_TIMEOUT, budget=None):
         self._session = session
+        self.budget = budget or ReadBudget()
         self._url = url.rstrip("/")
         self._append_timeout = append_timeout
         # The latest era that a response has named, or None.
@@ -211,7 +241,7 @@
         try:
             end, first = PAGE_PREFIX.unpack_from(data)
             records = [LogRecord(*row) for row in _split_records(data, offset)]
-        except struct.error:
+        except (struct.error, ValueError):
             return Failure(StoreError.UNREADABLE)
         return Success(LogPage(first, end, records, era))
 
@@ -241,17 +271,23 @@
           listing are no consistent snapshot, so the next read starts at the end of
           the log as of the first page. All pages are of one era.
         """
+        with self.budget.open() as held:
+            return await self._list_pages({"topic": topic, "part": "0"}, held)
+
+    async def _list_pages(self, query, held):
+        """List the pages of a query; what they take is added to a `Holding`."""
         pages = []
-        query = {"topic": topic, "part": "0"}
-        while True:
+        for _ in range(MAX_PAGES):
             result = await self._call("GET", "/log-newest", query, CALL_TIMEOUT)
             if isinstance(result, Failure):
                 return result
             data, era = result.unwrap()
             try:
                 page, has_more = _decode_listing(data, era)
-            except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+            except (msgspec.DecodeError, ValueError):
                 return Failure(StoreError.UNREADABLE)
+            if not held.add(len(data) + RECORD_OVERHEAD * len(page.records)):
+                break
             if pages and pages[0].era != era:
                 pages = []
                 del query["after"]
@@ -261,6 +297,7 @@
                 records = [record for page in pages for record in page.records]
                 return Success(pages[0]._replace(records=records))
             query["after"] = page.records[-1].key
+        return self._reject_oversized("/log-newest", query, held.size)
 
     async def read(self, topic, offset, wait):
         """
@@ -306,7 +343,12 @@
                 method, self._url + path, params=query, timeout=limits, data=body
             ) as resp:
                 era = self._note_era(wire.decode_era(resp.headers), path, query)
-                data = await resp.read()
+                with self.budget.open() as held:
+                    data = await _read_body(resp, held, self.budget.response_limit)
+                if data is None:
+                    # The rest is not read, so the connection can't be used again.
+                    resp.close()
+                    return self._reject_oversized(path, query, held.size)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Failure(StoreError.UNREACHABLE)
         except (TimeoutError, aiohttp.ClientError, OSError):
@@ -319,6 +361,12 @@
         is_undone = resp.status in (429, 503, 507)
         return Failure(StoreError.BUSY if is_undone else StoreError.UNAVAILABLE)
 
+    def _reject_oversized(self, path, query, size):
+        """Log a response that is too large, and return the `Failure`."""
+        extra = {"call": path, "topic": query["topic"], "bytes": size}
+        log.error("store response too large", extra=extra)
+        return Failure(StoreError.OVERSIZED)
+
     def _note_era(self, era, path, query):
         """
         Log that the store has come back from a copy, and what was asked of it.
@@ -362,17 +410,35 @@
     return sock
 
 
+async def _read_body(resp, held, limit):
+    """
+    Return the body of a response, or None if it is too large.
+
+    Args:
+      resp: The response.
+      held: The `Holding` to which its bytes are added.
+      limit: The most bytes of it.
+    """
+    if (resp.content_length or 0) > limit:
+        return None
+    parts = []
+    async for part in resp.content.iter_any():
+        if held.size + len(part) > limit or not held.add(len(part)):
+            return None
+        parts.append(part)
+    return b"".join(parts)
+
+
 def _decode_listing(data, era):
     """Decode one page of a listing, and whether more follow."""
-    page = msgspec.json.decode(data)
-    records = [_decode_item(item) for item in page["items"]]
-    return Page(records, int(page["end"]), era), page["has_more"]
+    page = _decode_json_page(data)
+    records = [_decode_item(item) for item in page.items]
+    return Page(records, page.end, era), page.has_more
 
 
 def _decode_item(item):
     """Decode one item of a listing."""
-    value = base64.b64decode(item["value"])
-    return KeyedRecord(int(item["offset"]), item["key"], value or None)
+    return KeyedRecord(item.offset, item.key, base64.b64decode(item.value) or None)
 
 
 def _as_store_error(failed):
@@ -393,7 +459,10 @@
     """Yield the offset and the bytes of each record of a read's response."""
     PAGE_PREFIX.unpack_from(data)
     position = PAGE_PREFIX.size
+    end = offset + MAX_RECORDS
     while position < len(data):
+        if offset == end:
+            raise ValueError("more records than a read may return")
         (length,) = RECORD_PREFIX.unpack_from(data, position)
         position += RECORD_PREFIX.size
         yield offset, data[position : position + length]
--- a/packages/plumsaddle-standins/plumsaddle_standins/store.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/store.py
@@ -30,6 +30,7 @@
 from plumsaddle_hosts.platform.wire import TARGETS_TOPIC
 
 FOREVER = 3600.0
+PIECE = b"x" * 65536
 
 
 class Fault(enum.Enum):
@@ -37,7 +38,8 @@
     What the store does to each call.
 
     `OUT` answers nothing while it lasts and cuts the connections when it ends; `LOST`
-    does what an append asks for and cuts the connection instead of answering.
+    does what an append asks for and cuts the connection instead of answering; `ENDLESS`
+    sends a response without end.
     """
 
     NONE = "none"
@@ -47,6 +49,7 @@
     SILENT = "silent"
     OUT = "out"
     LOST = "lost"
+    ENDLESS = "endless"
 
 
 class Stored(NamedTuple):
@@ -236,8 +239,19 @@
             await asyncio.sleep(FOREVER)
         if self.fault is Fault.OUT:
             return await self._hold(request)
+        if self.fault is Fault.ENDLESS:
+            return await self._send_without_end(request)
         return None
 
+    async def _send_without_end(self, request):
+        """Send bytes until the caller closes or the fault changes."""
+        resp = self._in_era(web.StreamResponse(), self.era)
+        await resp.prepare(request)
+        while self.fault is Fault.ENDLESS:
+            await resp.write(PIECE)
+        request.transport.abort()
+        return resp
+
     async def _hold(self, request):
         """Answer nothing until the fault changes, then cut the connection."""
         await self._changed.wait()
