Pause between listings of a topic that stays unreadable

What callers saw: nothing was reported; a host would answer late, as its one thread called the store without a pause and wrote a log line for each call.

Cause: after a definite but unusable response the topic is listed at once, and nothing asked whether the listing before had helped. With a store that answers each call at once, 53,099 listings in one second with unusable listings, 25,843 with unusable reads.

Why this works: a listing within 0.8 s of another one in place of a read waits as for an unavailable store, 0.2 to 0.8 s. The first one is as soon as before.

Test: test_a_store_that_stays_unreadable_is_asked_with_pauses, 2 of 2 cases failed before. A first form of the fix still listed 22,603 times a second in the second case, since a success of another feed takes the delay away; that holds for an unavailable store only now.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -125,6 +125,8 @@
         self._list_at = -math.inf
         # Whether the current or latest call is a listing.
         self._is_listing = False
+        # When the topic was last listed in place of an unusable read.
+        self._relisted_at = -math.inf
         self._read_task = None
         self._behind_since = None
         self._logged_position = None
@@ -477,7 +479,7 @@
         """
         delay = MIN_RETRY_DELAY
         async with self.store_access.retry_turn(self._topic, error):
-            if self.store_access.has_answered:
+            if error.is_unavailable and self.store_access.has_answered:
                 # Another feed has just reached the store, so retry at once.
                 delay = 0.0
             while True:
@@ -489,6 +491,10 @@
                     self._position.require_listing()
                 else:
                     self.store_access.note_failure(now())
+                # A listing in place of an unusable read needs no delay, unless the one
+                # before it did not help.
+                age = now() - self._relisted_at
+                if error.is_unavailable or age < MAX_RETRY_DELAY:
                     jitter = self._rng.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
                     await asyncio.sleep(delay * jitter)
                     max_delay = (
@@ -497,6 +503,8 @@
                         else MAX_FOLLOWER_RETRY_DELAY
                     )
                     delay = min(max_delay, max(MIN_RETRY_DELAY, delay * 2))
+                if not error.is_unavailable:
+                    self._relisted_at = now()
                 if self._follows_readers(now()):
                     return None
                 result = await self._fetch(0.0)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -518,3 +518,30 @@
         task.cancel()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_a_store_that_stays_unreadable_is_asked_with_pauses(is_listed):
+    """Guards against a host that does nothing but list an unreadable topic."""
+
+    async def run():
+        store = ScriptedStore()
+        list_empty = store.list_newest
+
+        async def list_newest(topic):
+            await asyncio.sleep(0)
+            page = await list_empty(topic)
+            return page if is_listed else Failure(StoreError.UNREADABLE)
+
+        async def read(topic, offset, wait):
+            await asyncio.sleep(0)
+            return Failure(StoreError.UNREADABLE)
+
+        store.list_newest, store.read = list_newest, read
+        topic_feed, _ = _make_feed(store)
+        task = asyncio.ensure_future(topic_feed.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+        return store.listings
+
+    assert 3 <= asyncio.run(run()) <= 9
