Bound what bodies of requests take by the memory limit

What callers saw: a host of 200 MB was ended for its memory by 300 or 400 callers that sent bodies at once; the requests of all other callers on it ended, too.

Cause: 64 MB of bodies were allowed on any host, counted once, though connections read 256 KB at once, and a target's connection copies the head with the body and what the socket does not take. A body without a length counted only when it was read. Refused callers were all told to return after 0.5 s.

Why this works: bodies take a quarter of the memory limit (64 MB without one), charged with what is read ahead and being written, and as they arrive if they state no length. Callers' connections read 64 KiB at once, and targets are sent parts of 64 KiB, so that a body is held once. `Retry-After` follows from the pace at which bodies leave, one caller after the other.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -14,6 +14,7 @@
 from plumsaddle_core.core.traffic import Reply
 from plumsaddle_core.ops.route_table import choose_service, find_route
 from plumsaddle_core.ops.workspaces import key_digest, read_key, short_digest
+from plumsaddle_core.transfers.body_budget import BodyBudget, compute_limit
 
 from ..front.headers import HOP_BY_HOP
 from ..front.pipelining import arrival_of, position_of, wait_for_turn
@@ -30,9 +31,6 @@
 from .response_stream import wait_to_write, write_long
 
 log = logging.getLogger("front")
-# Total bytes of bodies that a host buffers; further requests are refused. It is a third
-# of the memory of the smallest hosts.
-MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 MIN_RETRY_AFTER = 0.05
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Retry delay in seconds while the configuration is too old to reject an unknown key.
@@ -59,8 +57,8 @@
     """
     The HTTP handler for callers.
 
-    `in_flight` counts the requests that it handles, and `buffered_bytes` the bytes of
-    their bodies that it holds.
+    `in_flight` counts the requests that it handles, and `body_budget` bounds the bytes
+    that their bodies take.
 
     Args:
       knowledge: The `HostState`.
@@ -72,12 +70,21 @@
         self._knowledge = knowledge
         self._relay = relay
         self._metrics = metrics
-        self.buffered_bytes = 0
+        self.body_budget = BodyBudget(compute_limit(knowledge.settings.memory_limit))
         self._order_tasks = set()
         self.in_flight = 0
         self._bodies = BodyReader()
         self._draining_since = None
 
+    @property
+    def buffered_bytes(self):
+        """The bytes that bodies of requests take."""
+        return self.body_budget.held
+
+    def apply_settings(self):
+        """Apply changed settings to requests that arrive from now on."""
+        self.body_budget.limit = compute_limit(self._knowledge.settings.memory_limit)
+
     def drain(self, end):
         """
         Close connections after their responses; soon refuse further requests.
@@ -216,32 +223,34 @@
         self, request, route, owner, request_id, started_at, time_limit
     ):
         """Read the body or its first part within the limits, and run the request."""
-        reserved = 0
+        holding = self.body_budget.open(now())
         deadline = started_at + time_limit
         service = choose_service(route, self._knowledge.rng)
         times = self._knowledge.shared.times
         typical_duration = times.typical_duration(service, route.name)
         try:
-            room = MAX_BUFFERED_BYTES - self.buffered_bytes
             expected = min(MAX_WHOLE_BODY, request.content_length or 0)
-            if expected > room:
-                return self._refuse(request, RefusalCause.MEMORY_FULL, 0.5)
-            reserved = expected
-            self.buffered_bytes += reserved
+            if not holding.resize(expected):
+                return self._refuse_memory_full(request, expected)
             body, is_whole = b"", True
             if request.can_read_body:
                 if self._bodies.may_begin(typical_duration, now()):
                     _invite_body(request)
                 result = await self._bodies.read_start(
-                    request.content, request.content_length, deadline, typical_duration
+                    request.content,
+                    request.content_length,
+                    deadline,
+                    typical_duration,
+                    lambda size: size <= expected or holding.resize(size),
                 )
+                if result == Failure(RefusalCause.MEMORY_FULL):
+                    return self._refuse_memory_full(request, MAX_WHOLE_BODY)
                 if isinstance(result, Failure):
                     return self._refuse(request, result.failure(), 0.0)
                 body, is_whole = result.unwrap()
             if not self._bodies.may_begin(typical_duration, now()):
                 return self._refuse(request, RefusalCause.DRAINING, 0.0)
-            self.buffered_bytes += len(body) - reserved
-            reserved = len(body)
+            holding.resize(len(body))
             if len(body) > self._knowledge.cfg.limits.body_bytes:
                 return self._refuse(request, RefusalCause.BODY_TOO_LARGE)
             proxy_request = self._make_proxy_request(
@@ -259,7 +268,12 @@
         except web.RequestPayloadError:
             return self._refuse(request, RefusalCause.BODY_BROKEN)
         finally:
-            self.buffered_bytes -= reserved
+            holding.close(now())
+
+    def _refuse_memory_full(self, request, size):
+        """Refuse a request; `size` is what would be held of its body, in bytes."""
+        retry_after = self.body_budget.retry_after(size, now())
+        return self._refuse(request, RefusalCause.MEMORY_FULL, retry_after)
 
     def _make_proxy_request(
         self,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -409,6 +409,7 @@
         self.settings = result.unwrap()
         self.knowledge.settings = self.settings
         self.knowledge.downloads.apply_settings()
+        self.front.apply_settings()
         self.store.budget.limit = compute_limit(self.settings.memory_limit)
         self.peers.apply_settings(self.settings)
         log.info("reload", extra={"cause": cause})
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -4,12 +4,14 @@
 
 from typing import Any, NamedTuple
 
-from plumsaddle_core.core.traffic import Route, Workspace
+from plumsaddle_core.core.traffic import RequestKind, Route, Workspace
 from plumsaddle_core.ops.fingerprint import request_key
 
 from ..front.headers import END_TO_END, HOP_BY_HOP
 from ..platform import wire
 
+# Bytes of a body that are sent at once.
+SLICE_SIZE = 65536
 # Headers that a host sets itself.
 OWN_HEADERS = {
     wire.TIME_LEFT.lower().encode(),
@@ -109,8 +111,8 @@
 
 def make_head(request, target, time_left):
     """
-    Return the encoded head of a request, with the body or its first part if its length
-    is known.
+    Return the encoded head of a request, with the start of the body if its length is
+    known; `frame_body` yields the rest.
 
     Args:
       request: The `ProxyRequest`.
@@ -128,7 +130,26 @@
     elif request.length or request.method not in ("GET", "HEAD"):
         lines.append(b"Content-Length: %d" % request.length)
     head = b"\r\n".join(lines) + b"\r\n\r\n"
-    return head if request.length is None else head + request.body
+    if request.length is None:
+        return head
+    return head + request.body[: _joined_size(request)]
+
+
+def is_sent_in_parts(request):
+    """Return whether a request goes on after what `make_head` returns."""
+    return request.rest is not None or _joined_size(request) < len(request.body)
+
+
+def _joined_size(request):
+    """Return how many bytes of the body are sent with the head."""
+    if request.length is None:
+        return 0
+    size = len(request.body)
+    if size <= SLICE_SIZE:
+        return size
+    # Of a response that is received in parts, the whole request is sent at once.
+    is_download = request.route.kind is RequestKind.DOWNLOAD and request.rest is None
+    return size if is_download else SLICE_SIZE
 
 
 def connection_header_names(headers):
@@ -142,13 +163,18 @@
 
 async def frame_body(request, parts):
     """
-    Yield what follows the head of a streamed request, framed as the head announced.
+    Yield what follows `make_head`, framed as the head announced.
 
     Args:
       request: The `ProxyRequest`.
-      parts: The parts of its `rest`.
+      parts: The parts of its `rest`, or None if it has none.
     """
+    parts = _nothing() if parts is None else parts
     if request.length is not None:
+        # Small parts, as each is copied if the target does not take it at once.
+        body = memoryview(request.body)
+        for at in range(_joined_size(request), len(body), SLICE_SIZE):
+            yield body[at : at + SLICE_SIZE]
         async for part in parts:
             yield part
         return
@@ -159,5 +185,11 @@
     yield b"0\r\n\r\n"
 
 
+async def _nothing():
+    """Yield no parts."""
+    for part in ():
+        yield part
+
+
 def _chunk(data):
     return b"%x\r\n%b\r\n" % (len(data), data)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
@@ -57,7 +57,9 @@
         """Return whether a request may be sent to a target now."""
         return self._end is None or at <= latest_start(self._end, typical_duration)
 
-    async def read_start(self, content, length, deadline, typical_duration):
+    async def read_start(
+        self, content, length, deadline, typical_duration, hold=lambda size: True
+    ):
         """
         Read a body, or the first part of a long one.
 
@@ -66,6 +68,8 @@
           length: Its bytes, or None if that is unknown.
           deadline: When its caller's time is up, in seconds on the host's clock.
           typical_duration: That of its route, in seconds.
+          hold: Called with the bytes that were read so far; returns whether there is
+            memory for them.
         Returns:
           A `Success` of the bytes and whether they are the whole body, or a `Failure`
           of the `RefusalCause` of the request.
@@ -78,7 +82,7 @@
                     read.drain(self._end)
                 read.schedule()
                 self._reads.add(read)
-                return await self._read_parts(content, length, read)
+                return await self._read_parts(content, length, read, hold)
         except TimeoutError:
             is_draining = read.start_by < deadline
             return Failure(
@@ -87,13 +91,15 @@
         finally:
             self._reads.discard(read)
 
-    async def _read_parts(self, content, length, read):
+    async def _read_parts(self, content, length, read, hold):
         began_at = now()
         body = bytearray()
         while len(body) <= MAX_WHOLE_BODY:
             part = await content.readany()
             if not part:
                 return Success((bytes(body), True))
+            if not hold(len(body) + len(part)):
+                return Failure(RefusalCause.MEMORY_FULL)
             body += part
         if self._end is not None:
             at = now()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -12,7 +12,7 @@
 
 from .clock import now
 from .downloads import DownloadRest
-from .outgoing import frame_body, make_head
+from .outgoing import frame_body, is_sent_in_parts, make_head
 from .target_connection import ConnectFailure
 from .verdict import ReplyRest, classify, classify_head, outcome_of_head
 
@@ -141,6 +141,7 @@
         downloads = self._knowledge.downloads
         buffer = downloads.open_buffer(request, connection)
         parts = None if request.rest is None else request.rest.take()
+        is_in_parts = is_sent_in_parts(request)
 
         def handle_head(head):
             on_head()
@@ -155,7 +156,7 @@
         outcome = None
         is_streaming = False
         try:
-            if parts is not None:
+            if is_in_parts:
                 sending = asyncio.ensure_future(_send_body(connection, request, parts))
                 await exchange.wait_for_body(MAX_BUFFERED_BODY)
                 sending.cancel()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -32,6 +32,8 @@
 from .caller_transport import CallerTransport
 
 HEAD_END = b"\r\n\r\n"
+# Bytes that are read from a connection at once.
+READ_SIZE = 65536
 # Seconds between two checks whether a caller has left whose connection is not read.
 HANGUP_INTERVAL = 0.2
 HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -213,6 +215,7 @@
     # Reading.
 
     def connection_made(self, transport):
+        transport.max_size = READ_SIZE
         self._open_transport = CallerTransport(
             transport, self._must_linger, self._stall_time
         )
