Limit the fields of a target's head and trailers

What callers saw: with many targets that send header lines or trailers without end at the same time, a host of 200 MB was ended for its memory, and all of its requests with it.

Cause: a head has a limit of 64 KiB, but its fields are kept as objects, and short fields take thirty times their bytes. One target at a time did not show it.

Why this works: the parser's callback refuses the 501st field of a message, which breaks the exchange as any malformed head does.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -32,6 +32,8 @@
 # Bytes beyond which a head, the trailers behind a body or the line before a chunk are
 # no part of a response. The parser holds them until they are complete.
 MAX_HEAD_BYTES = 65536
+# The most fields of a head and its trailers. A short one takes many times its bytes.
+MAX_FIELDS = 500
 # Bytes of interim responses, and of responses to other requests, beyond which a target
 # is not going to send the response that is waited for.
 MAX_IGNORED_BYTES = 4_000_000
@@ -333,6 +335,9 @@
             self._must_close = True
 
     def on_header(self, name, value):
+        if len(self._headers) >= MAX_FIELDS:
+            # Seen by the caller of the parser as a malformed response.
+            raise ValueError("too many header fields")
         self._headers.append((name, value))
 
     def on_headers_complete(self):
