Limit what a host keeps of long answers to orders

What callers saw: with our own interface, a target that answered an order without end filled the memory of the host; the requests of all other callers on it ended, too.

Cause: an order's answer is read whole before it is passed on, so that its outcome is in the log first, and nothing limited its size, nor its time once it had begun: only a pause of the target did.

Why this works: long answers share 64 MB, one may have half of it, and they end by the order's deadline. What lies beyond counts as an answer that broke off: a log line, and the claim's outcome is unknown, as for every broken answer.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/host.py
@@ -35,6 +35,7 @@
 from ..peers.keeping import KeeperClient, Keeping
 from ..peers.messages import News
 from ..platform.batch import Batcher
+from ..platform.read_budget import ReadBudget
 from ..platform.tail import Tail
 from .checkpoints import Checkpoints
 from .metrics import Metrics
@@ -44,6 +45,8 @@
 log = logging.getLogger("host")
 CONFIG_STREAM = "config"
 BYTES_PER_MEGABYTE = 1_000_000
+# Bytes of all long answers to orders that are being read; one may have half of it.
+MAX_ANSWER_BYTES = 64_000_000
 REVIEW_EVERY = 0.25
 WATCH_EVERY = 0.1
 KEEP_EVERY = 0.02
@@ -88,6 +91,8 @@
         self.metrics = Metrics(settings.id)
         self.session = make_session()
         self.budget = ByteBudget(int(settings.callers.buffered_mb * BYTES_PER_MEGABYTE))
+        # For long answers to orders, which are read whole before they are passed on.
+        self.answer_budget = ReadBudget(MAX_ANSWER_BYTES)
         self.timers = Timers(loop.time, self.rng)
         self.applied = None
         self.unusable = None
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/orders.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/orders.py
@@ -20,7 +20,7 @@
 from plumsaddle_core.ops.pool import may_send
 from plumsaddle_core.utils.keys import fingerprint, parse_key
 
-from ..back.sender import Answer, Outgoing
+from ..back.sender import Answer, FailedTry, Outgoing
 from ..back.tries import run_try
 from .headers import KEY
 from .plain import (
@@ -145,7 +145,14 @@
         )
         result = await run_try(host, state, member, RequestKind.ORDER, outgoing)
         if isinstance(result, Success):
-            return await _record(shard, state.service, claim, result.unwrap())
+            return await _record(
+                shard,
+                state.service,
+                claim,
+                result.unwrap(),
+                host.answer_budget,
+                deadline,
+            )
         trouble = result.failure()
         if not trouble.is_unsent:
             shard.deliver(shard.claims.finish_unknown(claim.claim_id, trouble.detail))
@@ -165,7 +172,7 @@
         member = slot.unwrap()
 
 
-async def _record(shard, service, claim, answer):
+async def _record(shard, service, claim, answer, budget, deadline):
     """
     Write an answer to the log and return it whole.
 
@@ -173,11 +180,13 @@
     so whoever repeats the order meanwhile is told that it is running.
     """
     if answer.rest is not None:
-        answer = await _read_rest(answer)
-    if answer is None:
-        events = shard.claims.finish_unknown(claim.claim_id, "the answer broke off")
-        shard.deliver(events)
-        return Failure(refuse(Reason.TARGET_FAILED, outcome=Outcome.UNKNOWN))
+        result = await _read_rest(answer, budget, deadline)
+        if isinstance(result, Failure):
+            detail = f"the answer broke off, {result.failure().detail}"
+            log.warning("orders: A long answer was given up: %s.", detail)
+            shard.deliver(shard.claims.finish_unknown(claim.claim_id, detail))
+            return Failure(refuse(Reason.TARGET_FAILED, detail, Outcome.UNKNOWN))
+        answer = result.unwrap()
     is_kept = service.record_answers and len(answer.body) <= RECORDED_MOST
     shard.deliver(
         shard.claims.finish(
@@ -190,15 +199,45 @@
     return Success(answer)
 
 
-async def _read_rest(answer):
-    """Return a long answer whole, or None if it broke off."""
-    body = bytearray(answer.body)
+async def _read_rest(answer, budget, deadline):
+    """
+    Read a long answer whole.
+
+    Args:
+      answer: The `Answer`.
+      budget: The `ReadBudget` of long answers.
+      deadline: On the loop's clock.
+    Returns:
+      A `Success` of the whole `Answer`, or a `Failure` of a `FailedTry`.
+    """
+    failure = None
+    try:
+        with budget.open() as held:
+            async with asyncio.timeout_at(deadline):
+                result = await _read_parts(answer, held, budget.response_limit)
+    except TimeoutError:
+        result = Failure(FailedTry(FailureKind.DEADLINE, "the answer took too long"))
+    except BaseException:
+        answer.rest.close(FailureKind.CALLER)
+        raise
+    if isinstance(result, Failure):
+        failure = result.failure().kind
+    answer.rest.close(failure)
+    return result
+
+
+async def _read_parts(answer, held, limit):
+    """Read the parts of an answer up to a limit in bytes, as `_read_rest`."""
+    parts = [answer.body]
+    size = len(answer.body)
     while True:
-        part = await answer.rest.read()
-        if isinstance(part, Failure):
-            answer.rest.close(part.failure().kind)
-            return None
-        if not part.unwrap():
-            answer.rest.close(None)
-            return Answer(answer.status, answer.headers, bytes(body))
-        body += part.unwrap()
+        result = await answer.rest.read()
+        if isinstance(result, Failure):
+            return result
+        part = result.unwrap()
+        if not part:
+            return Success(Answer(answer.status, answer.headers, b"".join(parts)))
+        size += len(part)
+        if size > limit or not held.add(len(part)):
+            return Failure(FailedTry(FailureKind.BROKEN, "the answer is too long"))
+        parts.append(part)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/read_budget.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/read_budget.py
@@ -1,9 +1,9 @@
 """
-A bound on the bytes of the store's responses that a process holds at the same time.
+A bound on the bytes of responses that a process reads whole, at the same time.
 
-All processes of a fleet read the same store. Without a bound, one response without end
-would end all of them. No response may take more than half of the bound, so that topics
-with sound responses are read on.
+It is used for the store, which all processes of a fleet read: without a bound, one
+response without end would end all of them. No response may take more than half of the
+bound, so that sound ones are read on.
 """
 
 DEFAULT_LIMIT = 128_000_000
--- a/packages/plumsaddle-standins/plumsaddle_standins/target.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/target.py
@@ -11,8 +11,9 @@
 
 where MODE is `good`, `errors`, `slow`, `stall` (half an answer, then nothing),
 `silent`, `half` (cut half way), `unframed` (cut, without a length), `late` (a second
-answer after the first one) or `flap` (good and failing in turn). Health stays good
-in all of them. A target is cold, ten times slower, for its first `cold` seconds.
+answer after the first one), `endless` (chunks without end) or `flap` (good and failing
+in turn). Health stays good in all of them. A target is cold, ten times slower, for its
+first `cold` seconds.
 """
 
 import asyncio
@@ -30,6 +31,7 @@
 FOREVER = 10 * 365 * 86400.0
 COLD_FACTOR = 10
 LATE_BY = 0.05
+PIECE = b"x" * 65536
 
 
 class TargetStandin:
@@ -158,6 +160,8 @@
             "padding": "x" * int(req.query.get("padding", 0)),
         }
     ).encode()
+    if mode == "endless":
+        return await _answer_without_end(req)
     if mode in ("half", "stall", "unframed", "late"):
         return await _misanswer(req, mode, body)
     status = 500 if mode == "errors" else 200
@@ -167,6 +171,14 @@
     )
 
 
+async def _answer_without_end(req):
+    """Write chunks until the caller closes."""
+    resp = web.StreamResponse()
+    await resp.prepare(req)
+    while True:
+        await resp.write(PIECE)
+
+
 async def _misanswer(req, mode, body):
     """Write an answer that no library would."""
     length = "" if mode == "unframed" else f"Content-Length: {len(body)}\r\n"
