Break a target's interim responses without end, in our own interface

What callers saw: 504 at their deadline, while the host kept parsed heads that nobody had read.

Cause: aiohttp queues each head until it is read, and reads 256 KB at once, which are 9,000 of the shortest heads. Nothing limits the queue.

Why this works: more than 100 heads that wait on one connection break the try, and connections to targets read 64 KiB at once, so one read can't hold many more.

Tests: test_interim_answers_without_end_are_broken failed before ("the deadline passed"); test_a_few_interim_answers_are_skipped passed before. back/ passes.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
@@ -12,9 +12,11 @@
 """
 
 import asyncio
+import functools
 from typing import Any, NamedTuple
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from returns.result import Failure, Success
 from yarl import URL
 
@@ -65,14 +67,38 @@
 
 CONNECT_TIMEOUT = 1.0
 CHUNK = 65536
+# The most heads that may wait to be read on a connection. Each request has one of its
+# own, and the library skips interim ones as it reads them.
+MAX_WAITING_HEADS = 100
 # Whole large answers up to this many bytes are passed on as others are.
 WHOLE_DOWNLOAD_MOST = 16384
 BODILESS = {204, 304}
 
 
+class TargetHandler(ResponseHandler):
+    """A connection to a target, with a limit on heads that were not read yet."""
+
+    def connection_made(self, transport):
+        """Read no more at once than one try needs."""
+        transport.max_size = CHUNK
+        super().connection_made(transport)
+
+    def data_received(self, data):
+        """Parse data, and close the connection beyond the limit."""
+        super().data_received(data)
+        if len(self._buffer) > MAX_WAITING_HEADS:
+            self._buffer.clear()
+            if self.transport is not None:
+                self.transport.abort()
+            self.set_exception(aiohttp.ClientPayloadError("too many interim answers"))
+
+
 def make_session():
     """Return the client session for targets, with its guards set."""
     connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    # There is no public switch for this either; sender_test.py fails without it.
+    loop = asyncio.get_running_loop()
+    connector._factory = functools.partial(TargetHandler, loop=loop)
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender_test.py
@@ -299,3 +299,28 @@
             await asyncio.sleep(0)
 
     assert ask(answer).failure().kind is FailureKind.BROKEN
+
+
+def test_interim_answers_without_end_are_broken():
+    """Guards against a host that keeps what a target sends until its deadline."""
+
+    async def answer(reader, writer):
+        await read_head(reader)
+        while True:
+            writer.write(b"HTTP/1.1 103 Early Hints\r\n\r\n" * 5000)
+            await writer.drain()
+
+    began = time.monotonic()
+    assert ask(answer).failure().kind is FailureKind.BROKEN
+    assert time.monotonic() - began < 1.0
+
+
+def test_a_few_interim_answers_are_skipped():
+    """Guards against a limit that breaks sound answers."""
+
+    async def answer(reader, writer):
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20 + WHOLE + b"ok")
+        await writer.drain()
+
+    assert ask(answer).unwrap().body == b"ok"
