--- a/packages/plumsaddle-standins/plumsaddle_standins/fleet_memory_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/fleet_memory_test.py
@@ -61,3 +61,16 @@
             pytest.fail("the host was ended for its memory")
         time.sleep(0.02)
     assert statuses == [502] * 4
+
+
+def test_a_store_without_end_does_not_end_a_host(fleet):
+    """Guards against hosts that are ended, or do not serve, for their log."""
+    fleet.start(hosts=1)
+    entry = fleet.entries[0]
+    fleet.switch(fault="endless")
+    end = time.monotonic() + 2.0
+    while (peak := read_peak(entry.process.pid)) < MAX_BYTES and time.monotonic() < end:
+        time.sleep(0.02)
+    assert peak < MAX_BYTES
+    with urllib.request.urlopen(f"{entry.callers}/look/a", timeout=5.0) as resp:
+        assert resp.status == 200
