--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/request_body.py
@@ -49,7 +49,9 @@
         for read in self._reads:
             read.schedule()
 
-    async def read_start(self, content, length, deadline, latest_send):
+    async def read_start(
+        self, content, length, deadline, latest_send, hold=lambda size: True
+    ):
         """
         Read a body, or the first part of a long one.
 
@@ -58,6 +60,8 @@
           length: Its bytes, or None if that is unknown.
           deadline: When its caller's time is up, in seconds on the host's clock.
           latest_send: Returns the latest time at which the request may be sent.
+          hold: Called with the bytes that were read so far; returns whether there is
+            memory for them.
         Returns:
           A `Success` of the bytes and whether they are the whole body, or a `Failure`
           of the `RefusalCause` of the request.
@@ -68,7 +72,7 @@
                 read = _Read(latest_send, scope)
                 read.schedule()
                 self._reads.add(read)
-                return await self._read_parts(content, length, read)
+                return await self._read_parts(content, length, read, hold)
         except TimeoutError:
             is_draining = read.start_by < deadline
             return Failure(
@@ -77,13 +81,15 @@
         finally:
             self._reads.discard(read)
 
-    async def _read_parts(self, content, length, read):
+    async def _read_parts(self, content, length, read, hold):
         began_at = now()
         body = bytearray()
         while len(body) <= MAX_WHOLE_BODY:
             part = await content.readany()
             if not part:
                 return Success((bytes(body), True))
+            if not hold(len(body) + len(part)):
+                return Failure(RefusalCause.MEMORY_FULL)
             body += part
         if self._is_draining:
             at = now()
