Take odd responses of the store for unreadable

What callers saw: a host whose configuration and targets did not change any more, as all its readers of the store had ended; found by the review with 200,000 opening brackets.

Cause: RecursionError and OverflowError are no errors of the decoder, and were not expected.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -37,6 +37,15 @@
 KEEP_ALIVE_IDLE = 1
 KEEP_ALIVE_INTERVAL = 1
 KEEP_ALIVE_COUNT = 2
+# What decoding raises: deep nesting and large numbers are no `DecodeError`.
+UNREADABLE_ERRORS = (
+    msgspec.DecodeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 PAGE_PREFIX = struct.Struct(">QQ")
 RECORD_PREFIX = struct.Struct(">I")
 # Bytes that a record takes besides its value, and the most records of one read.
@@ -217,7 +226,7 @@
         data, era = result.unwrap()
         try:
             return Success(Appended(int(msgspec.json.decode(data)["offset"]), era))
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        except UNREADABLE_ERRORS:
             return Failure(StoreError.UNREADABLE)
 
     async def read_log(self, topic, offset, wait):
@@ -284,7 +293,7 @@
             data, era = result.unwrap()
             try:
                 page, has_more = _decode_listing(data, era)
-            except (msgspec.DecodeError, ValueError):
+            except UNREADABLE_ERRORS:
                 return Failure(StoreError.UNREADABLE)
             if not held.add(len(data) + RECORD_OVERHEAD * len(page.records)):
                 break
@@ -451,7 +460,7 @@
     """Decode the response to a read of deleted records."""
     try:
         return Trimmed(int(msgspec.json.decode(data)["first"]))
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except UNREADABLE_ERRORS:
         return StoreError.UNREADABLE
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store_test.py
@@ -16,6 +16,7 @@
     Store,
     StoreError,
     _decode_page,
+    _decode_trimmed,
     make_session,
 )
 from .wire import decode_era
@@ -134,3 +135,36 @@
     with pytest.raises(ValueError):
         _decode_page(bytes(16 + 4 * (MAX_RECORDS + 1)), 0)
     assert len(_decode_page(bytes(16 + 4 * MAX_RECORDS), 0).records) == MAX_RECORDS
+
+
+class _RawStore(Store):
+    """A client whose calls all return the same bytes."""
+
+    def __init__(self, data):
+        super().__init__(None, "http://127.0.0.1:1")
+        self._data = data
+
+    async def _call(self, method, path, query, timeout, body=None):
+        return Success(Response(self._data, 0))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"[" * 200_000,
+        b'{"items": ' + b"[" * 200_000,
+        b'{"items": [], "has_more": false, "end": 1e308}',
+        b'{"items": [], "has_more": false, "end": 1' + b"0" * 5000 + b"}",
+        b'{"items": [{"key": ["a"], "value": "eA==", "offset": 1}], "end": 1}',
+        b'{"items": [{"key": "a", "value": "x", "offset": 1}], "end": 1}',
+        b"null",
+    ],
+)
+def test_an_odd_response_is_unreadable(data):
+    """Guards against one response that ends a reader of the store by an exception."""
+    store = _RawStore(data)
+    listing = asyncio.run(store.list_newest("t"))
+    assert listing.failure() is StoreError.UNREADABLE
+    appended = asyncio.run(store.append("t", b""))
+    assert appended.failure() is StoreError.UNREADABLE
+    assert _decode_trimmed(data) is StoreError.UNREADABLE
