Report processes that end by themselves in soaks, and disturb starts

What callers saw: nothing that a soak could see. A host whose process ended by itself was a host that refused connections, and no run said so; nothing kept a start from being easy.

Cause: the soak looked at requests alone, and drew stops, kills and changes of hosts whose machine is always ready.

The soak now watches the processes: ends that nobody asked for, failures and lateness at a stop, hosts that are not ready in time, peaks above the memory limit and logged exceptions are broken promises, with the last log lines, and such hosts are started again. A process that SIGHUP ends before it ignores it (its signal mask tells) is counted apart. Drawn are taken ports, incomplete settings, early signals, values without limits, short grace periods, disturbances of many hosts at once, targets and a store without end, and targets that always take long; the address space of each process is limited. `--hosts most` starts as many as half of the free memory bears, 200 at most.

--- a/Makefile
+++ b/Makefile
@@ -43,11 +43,13 @@
 		$(if $(PIPELINING),--pipelining $(PIPELINING)) $(if $(PACED),--paced)
 
 # make soak SEED=1 RUNS=50 SECONDS=20 SOAK_HOSTS=3 CALLERS=24
+# make soak SOAK_HOSTS=most CALLERS=120 SOAK_OFF=store,targets
 SOAK_HOSTS ?= 3
 CALLERS ?= 24
+SOAK_OFF ?=
 soak: setup
 	$(BIN)/python -m plumsaddle_standins.soak --seed $(SEED) --runs $(RUNS) \
-		--seconds $(SECONDS) --hosts $(SOAK_HOSTS) --callers $(CALLERS)
+		--seconds $(SECONDS) --hosts $(SOAK_HOSTS) --callers $(CALLERS) --off "$(SOAK_OFF)"
 
 # make crashes HOSTS=40 SEED=1 RUNS=50
 HOSTS ?= 40
--- a/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import json
+import resource
 import signal
 import sys
+from pathlib import Path
+from typing import NamedTuple
 
 import aiohttp
 
@@ -26,6 +29,34 @@
 [bounds]
 grace_s = {grace}
 """
+GRACE = 6
+
+
+class Exit(NamedTuple):
+    """
+    The end of a process.
+
+    `at` is on the loop's clock and `after` the seconds since the start. `is_requested`
+    tells whether it was killed or sent SIGTERM, `has_missed` whether it ended by a
+    signal that came before the process could handle it.
+    """
+
+    code: int
+    at: float
+    after: float
+    is_requested: bool
+    has_missed: bool
+
+
+def handles_signal(pid, number):
+    """Return whether a process ignores or catches a signal."""
+    try:
+        text = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    except OSError:
+        return False
+    fields = dict(line.split(":\t", 1) for line in text.splitlines() if ":\t" in line)
+    bit = 1 << (number - 1)
+    return any(int(fields.get(name, "0"), 16) & bit for name in ("SigIgn", "SigCgt"))
 
 
 class HostProcess:
@@ -39,14 +70,30 @@
       seeds: The hosts' addresses that it asks for others.
       log: An open file for its log; a pipe that `wait_for_line` reads if None.
       link: The address of the `HostLink` through which it reaches targets, if any.
+      program: The interpreter's arguments that start a host; the package's if None.
+      address_space: The bytes that its process may map, or None for no limit.
     """
 
-    def __init__(self, folder, store, name="host-9", seeds=(), log=None, link=None):
+    def __init__(
+        self,
+        folder,
+        store,
+        name="host-9",
+        seeds=(),
+        log=None,
+        link=None,
+        program=None,
+        address_space=None,
+    ):
         self.name = name
         self.path = folder / f"{name}.toml"
         self.callers, self.ready = free_port(), free_port()
         self.peers = f"127.0.0.1:{free_port()}"
-        self._link = link
+        self._program = program or ["-m", "plumsaddle_hosts.edge"]
+        if link is not None:
+            self._program = ["-m", "plumsaddle_standins.linked_host"]
+        self._more_words = [] if link is None else [link]
+        self._address_space = address_space
         self._log = asyncio.subprocess.PIPE if log is None else log
         self._values = {
             "name": name,
@@ -58,18 +105,29 @@
         }
         self.write_settings()
         self.process = None
+        # How the processes ended, and when the last one was started.
+        self.exits = []
+        self.started_at = 0.0
+        # The bytes that its machine leaves it, or None if unknown.
+        self.memory_limit = None
+        self._is_stopped = False
+        self._missed = set()
+        self._watching = None
         # Times on the loop's clock: when the process was started or sent a signal, when
-        # it was asked to end, and when it was disturbed without a plan.
+        # it was first asked to end, and when it was disturbed without a plan.
         self.disturbed_at = []
         self.stopped_at = []
+        # The grace period in force at each of `stopped_at`.
+        self.graces = []
         self.killed_at = []
         self._starting = asyncio.Lock()
         self.is_wanted = False
 
-    def write_settings(self, grace=6, more=""):
-        """Write the settings file."""
-        text = SETTINGS.format(grace=grace, **self._values) + more
-        self.path.write_text(text, encoding="utf-8")
+    def write_settings(self, grace=GRACE, more="", head=""):
+        """Write the settings file; `head` has lines for its top level."""
+        self.grace = grace
+        self.text = head + SETTINGS.format(grace=grace, **self._values) + more
+        self.path.write_text(self.text, encoding="utf-8")
 
     async def start(self):
         """Start the process, unless it runs; two faults may want it at once."""
@@ -78,16 +136,42 @@
             if self.is_running:
                 return
             self._note_disturbance()
-            words = ["plumsaddle_hosts.edge", str(self.path)]
-            if self._link is not None:
-                words = ["plumsaddle_standins.linked_host", str(self.path), self._link]
+            self._is_stopped = False
+            self._missed.clear()
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                *words,
+                *self._program,
+                str(self.path),
+                *self._more_words,
                 stdout=self._log,
                 stderr=self._log,
             )
+            self.started_at = asyncio.get_running_loop().time()
+            self._limit_address_space()
+            self._watching = asyncio.create_task(self._watch(self.process))
+
+    def _limit_address_space(self):
+        if self._address_space is None:
+            return
+        limits = self._address_space, self._address_space
+        try:
+            resource.prlimit(self.process.pid, resource.RLIMIT_AS, limits)
+        except ProcessLookupError:
+            # It has ended; `exits` tells how.
+            return
+
+    async def _watch(self, process):
+        """Note how a process ends."""
+        began = self.started_at
+        code = await process.wait()
+        at = asyncio.get_running_loop().time()
+        has_missed = -code in self._missed
+        self.exits.append(Exit(code, at, at - began, self._is_stopped, has_missed))
+
+    @property
+    def is_stopped(self):
+        """Whether the last process was killed or sent SIGTERM."""
+        return self._is_stopped
 
     @property
     def is_running(self):
@@ -99,6 +183,7 @@
         self.is_wanted = False
         if self.is_running:
             self.note_kill()
+            self._is_stopped = True
             self.process.kill()
         await self.process.communicate()
 
@@ -108,11 +193,21 @@
             return
         self._note_disturbance()
         if number is signal.SIGTERM:
-            self.stopped_at.append(self.disturbed_at[-1])
+            self._note_stop()
         elif number is not signal.SIGHUP:
             self.note_kill()
+            self._is_stopped |= number is signal.SIGKILL
+        if not handles_signal(self.process.pid, number):
+            self._missed.add(number)
         self.process.send_signal(number)
 
+    def _note_stop(self):
+        """Note the first SIGTERM of a process, from which its grace period counts."""
+        if not self._is_stopped:
+            self.stopped_at.append(self.disturbed_at[-1])
+            self.graces.append(self.grace)
+        self._is_stopped = True
+
     def note_kill(self):
         """Note that the host is disturbed without a plan."""
         self.killed_at.append(asyncio.get_running_loop().time())
--- a/packages/plumsaddle-standins/plumsaddle_standins/paced_callers.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/paced_callers.py
@@ -20,6 +20,8 @@
 NOTES = b"a note " * 3000
 ROUTES = {"/note/": ("safe", "note")}
 TIME_LEFT_MS = 3000
+# Seconds of the routes' timeout and of the grace period.
+TIMEOUT, GRACE = 2.0, 6.0
 # Seconds after its last byte in which a request may end without having been read.
 LOSS_SLACK = 0.2
 # Seconds after SIGTERM until which a request may begin that outlasts its host.
@@ -69,12 +71,14 @@
       hosts: The `HostProcess` objects.
       rng: A `random.Random`.
       count: The number of callers.
+      time_left: The milliseconds that they give a request.
     """
 
-    def __init__(self, hosts, rng, count=24):
+    def __init__(self, hosts, rng, count=24, time_left=TIME_LEFT_MS):
         self._hosts = hosts
         self._rng = rng
         self._count = count
+        self._time_left = time_left
         self._numbers = iter(range(10**9))
         self._is_over = False
         self._began = 0.0
@@ -148,7 +152,7 @@
         length = None if is_chunked else len(body)
         key = f"Authorization: Bearer {ASKERS[0].key}"
         try:
-            pipe.send(upload_head(path, request_id, length, TIME_LEFT_MS, [key]))
+            pipe.send(upload_head(path, request_id, length, self._time_left, [key]))
             sending = asyncio.create_task(
                 send_in_pieces(pipe, body, seconds, is_chunked)
             )
@@ -159,7 +163,7 @@
             if sending.done() and sending.exception() is None:
                 sent_at = loop.time()
             sending.cancel()
-            left = began_at + TIME_LEFT_MS / 1000 - loop.time()
+            left = began_at + self._time_left / 1000 - loop.time()
             answer = await asyncio.wait_for(receiving, max(0.1, left))
         except TimeoutError:
             has_left = True
@@ -198,14 +202,14 @@
             for _ in range(count):
                 request_id = self._next_id()
                 waiting[request_id] = (loop.time(), bool(waiting))
-                more = [key]
-                pipe.send(request_bytes("/note/a", request_id, "GET", b"", 3000, more))
+                left = self._time_left
+                pipe.send(request_bytes("/note/a", request_id, "GET", b"", left, [key]))
                 await asyncio.sleep(interval)
 
         sending = asyncio.create_task(send(self._rng.randint(1, 6)))
         is_closed = has_left = False
         try:
-            async with asyncio.timeout(TIME_LEFT_MS / 1000):
+            async with asyncio.timeout(self._time_left / 1000):
                 while waiting or not sending.done():
                     if not waiting:
                         await asyncio.sleep(0.01)
@@ -251,12 +255,12 @@
         )
 
 
-def find_all_broken(exchanged, workers, hosts):
+def find_all_broken(exchanged, workers, hosts, timeout=TIMEOUT, graces=None):
     """Return what breaks a promise, as texts; arguments as for `find_lost`."""
     return [
         *find_changed(exchanged, workers),
         *find_broken_promises(exchanged, workers),
-        *find_lost(exchanged, workers, hosts),
+        *find_lost(exchanged, workers, hosts, timeout, graces),
     ]
 
 
@@ -272,7 +276,7 @@
     return lines
 
 
-def find_lost(exchanged, workers, hosts, timeout=2.0, grace=6.0):
+def find_lost(exchanged, workers, hosts, timeout=TIMEOUT, graces=None):
     """
     Return requests that ended without a response around a planned shutdown, as texts.
 
@@ -281,31 +285,70 @@
       workers: The `WorkerStandin` objects.
       hosts: The `HostProcess` objects.
       timeout: That of the routes, in seconds.
-      grace: The grace period in seconds.
+      graces: By host the grace periods at its shutdowns, `GRACE` if None.
     """
-    runs, done = Counter(), Counter()
+    runs, done, flooded = Counter(), Counter(), set()
     for worker in workers:
         runs.update(worker.runs)
         done.update(worker.done)
+        flooded |= worker.flooded
     by_name = {host.name: host for host in hosts}
     lines = []
     for e in exchanged:
         host = by_name[e.host]
-        stops = [at for at in host.stopped_at if at <= e.ended_at]
-        if not stops or e.ended_at > stops[-1] + grace + 1.0:
+        stopped_at, grace = _find_shutdown(host, e.ended_at, graces)
+        if stopped_at is None or e.ended_at > stopped_at + grace + 1.0:
             continue
         has_run = runs[e.id] > 0
         is_at_work = has_run and not done[e.id]
-        is_outlasting = is_at_work and e.began_at <= stops[-1] + EXCUSED_START
-        if is_outlasting and e.ended_at >= stops[-1] + grace * 5 / 6:
+        is_outlasting = is_at_work and e.began_at <= stopped_at + EXCUSED_START
+        if is_outlasting and e.ended_at >= stopped_at + grace * 5 / 6:
+            continue
+        # A response without end is cut by whoever ends first.
+        if e.id in flooded:
             continue
         if _is_unanswered(e, host.killed_at, timeout, has_run):
-            after = e.ended_at - stops[-1]
+            after = e.ended_at - stopped_at
             what = "run" if has_run else "not run"
             lines.append(f"{e.id}: {e.path} lost {after:.2f} s after SIGTERM, {what}")
     return lines
 
 
+def _find_shutdown(host, until, graces):
+    """Return when the last shutdown of a host began, and its grace period."""
+    count = sum(1 for at in host.stopped_at if at <= until)
+    if not count:
+        return None, GRACE
+    grace = GRACE if graces is None else graces[host.name][count - 1]
+    return host.stopped_at[count - 1], grace
+
+
+def count_cut_orders(exchanged, workers, hosts, timeout=TIMEOUT, graces=None):
+    """
+    Return how many orders hosts took after SIGTERM and cut while they ran.
+
+    Arguments as for `find_lost`.
+    """
+    runs, ended = Counter(), set()
+    for worker in workers:
+        runs.update(worker.runs)
+        ended |= worker.flooded | set(worker.done)
+    by_name = {host.name: host for host in hosts}
+    count = 0
+    for e in exchanged:
+        host = by_name[e.host]
+        stopped_at, grace = _find_shutdown(host, e.began_at - CLOCK_SLACK, graces)
+        if stopped_at is None or e.ended_at > stopped_at + grace + 1.0:
+            continue
+        has_time = e.ended_at - e.began_at < timeout - CLOCK_SLACK
+        is_cut = e.status in (None, 502, 504) and not e.has_left
+        is_killed = any(stopped_at <= at <= e.ended_at for at in host.killed_at)
+        is_running = runs[e.id] > 0 and e.id not in ended
+        is_order = not e.path.startswith("/note/")
+        count += is_order and is_running and has_time and is_cut and not is_killed
+    return count
+
+
 def _is_unanswered(e, killed_at, timeout, has_run):
     """Return whether a request that was read had no response without an excuse."""
     if e.status is not None or e.has_left or e.sent_at is None:
--- a/packages/plumsaddle-standins/plumsaddle_standins/soak_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/soak_test.py
@@ -8,7 +8,7 @@
 import pytest
 
 from .paced_callers import Exchanged, digest, find_all_broken
-from .soak import play
+from .soak import Fault, play
 from .worker import Seen, WorkerStandin
 
 
@@ -20,6 +20,24 @@
     assert sum(end.is_whole for end in ended) > 0.6 * len(ended)
 
 
+START_FAULTS = set(Fault) - {Fault.STORE}
+
+
+@pytest.mark.parametrize("seed", [3, 4])
+def test_no_promise_breaks_beside_starts_on_machines_that_are_not_ready(seed, tmp_path):
+    """Guards against hosts that do not start, or end by themselves."""
+    ended, broken = asyncio.run(play(10.0, seed, tmp_path, faults=START_FAULTS))
+    assert not broken
+    assert any(end.is_whole for end in ended)
+
+
+@pytest.mark.parametrize("seed", [5])
+def test_no_host_ends_while_the_store_answers_without_end(seed, tmp_path):
+    """Guards against hosts that end all at once for their memory."""
+    _, broken = asyncio.run(play(10.0, seed, tmp_path, faults={Fault.STORE}))
+    assert not broken
+
+
 def _exchanged(request_id, **fields):
     """Return an upload that was sent from 101.0 to 101.5 and ended unanswered."""
     times, body = (101.0, 101.5, 102.5), digest(b"body")
--- a/packages/plumsaddle-standins/plumsaddle_standins/store.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/store.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import base64
+import contextlib
 import enum
 import json
 import struct
@@ -30,6 +31,9 @@
 from plumsaddle_hosts.platform.wire import TARGETS_TOPIC
 
 FOREVER = 3600.0
+# A piece of an answer without end, and the length that such an answer may state.
+ENDLESS_PIECE = b"x" * 65536
+ENDLESS_LENGTH = 10**10
 
 
 class Fault(enum.Enum):
@@ -38,6 +42,7 @@
 
     `OUT` answers nothing while it lasts and cuts the connections when it ends; `LOST`
     does what an append asks for and cuts the connection instead of answering.
+    `ENDLESS` answers with bytes without end until the fault changes.
     """
 
     NONE = "none"
@@ -47,6 +52,7 @@
     SILENT = "silent"
     OUT = "out"
     LOST = "lost"
+    ENDLESS = "endless"
 
 
 class Stored(NamedTuple):
@@ -114,6 +120,8 @@
         self._fault = Fault.NONE
         self._changed = asyncio.Event()
         self.delay = 0.0
+        # Whether an answer without end states a length.
+        self.states_length = False
         self.keep = 0
         self.appends = 0
         self.calls = []
@@ -236,8 +244,25 @@
             await asyncio.sleep(FOREVER)
         if self.fault is Fault.OUT:
             return await self._hold(request)
+        if self.fault is Fault.ENDLESS:
+            return await self._write_without_end(request)
         return None
 
+    async def _write_without_end(self, request):
+        """Write bytes until the fault changes, then cut the connection."""
+        resp = self._in_era(web.StreamResponse(), self.era)
+        if self.states_length:
+            resp.content_length = ENDLESS_LENGTH
+        await resp.prepare(request)
+        with contextlib.suppress(ConnectionError):
+            while self.fault is Fault.ENDLESS:
+                await resp.write(ENDLESS_PIECE)
+                # The other answers go on between two pieces.
+                await asyncio.sleep(0)
+        if request.transport is not None:
+            request.transport.abort()
+        return resp
+
     async def _hold(self, request):
         """Answer nothing until the fault changes, then cut the connection."""
         await self._changed.wait()
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -121,8 +121,12 @@
         self.mode = Mode.GOOD
         # The body of its good answers.
         self.body = BODY
-        # How an answer without end begins, and the bytes that it repeats.
+        # How an answer without end begins, the bytes that it repeats, and the seconds
+        # between two of them.
         self.endless = b"", b""
+        self.endless_pause = 0.0
+        # Requests that were answered without end.
+        self.flooded = set()
         self.idle_limit = 5
         # Requests that hold a slot, and long answers that were cut since unread.
         self.busy = 0
@@ -348,6 +352,7 @@
 
     async def _write_without_end(self, request_id, writer):
         """Write bytes until the caller closes, and return whether it stayed."""
+        self.flooded.add(request_id)
         begin, piece = self.endless
         writer.write(begin.replace(b"REQUEST-ID", request_id.encode()))
         with contextlib.suppress(ConnectionError, TimeoutError):
@@ -356,7 +361,7 @@
                     writer.write(piece)
                     await writer.drain()
                     # Other tasks of the test run between two pieces.
-                    await asyncio.sleep(0)
+                    await asyncio.sleep(self.endless_pause)
         return False
 
     def _answer(
