--- a/packages/plumsaddle-standins/plumsaddle_standins/paced_callers.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/paced_callers.py
@@ -129,6 +129,15 @@
                 await asyncio.sleep(self._rng.uniform(*PAUSE))
             pipe.close()
 
+    async def order(self, host):
+        """Send an order on a connection of its own, if the host accepts one."""
+        try:
+            pipe = await Pipe.open("127.0.0.1", host.callers)
+        except OSError:
+            return
+        await self._send_body(pipe, host, "/act/a", SIZES[0])
+        pipe.close()
+
     def _next_id(self):
         return f"p-{next(self._numbers)}"
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/soak.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/soak.py
@@ -48,6 +48,8 @@
 TARGET_PAUSE = 2.0
 FLEET_PAUSE = 3.0
 STORE_PAUSE = 4.0
+# The orders that are sent to a host from its SIGTERM on, and the seconds between two.
+ORDERS, ORDER_PAUSE = 40, 0.1
 # The seconds that a slow target works on a request, and those for which it is slow.
 SLOW_WORKS, SLOW_FOR = (0.3, 0.8, 1.5, 3.0), (0.5, 2.0)
 # Seconds of the routes' timeout, and milliseconds that callers give a request.
@@ -134,6 +136,7 @@
         for name, worker in workers.items():
             worker.work = self._works[name]
         self.watch = HostWatch(hosts, trial.session, self._start, log_of)
+        self.callers = None
         self.drawn = Counter()
 
     def publish(self):
@@ -164,7 +167,9 @@
         if Fault.STORE in self._faults:
             works.append(self._repeat(end, STORE_PAUSE, self._disturb_store))
         await asyncio.gather(*works)
-        await asyncio.gather(*self._tasks)
+        # Tasks may begin others.
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
 
     async def _repeat(self, end, pause, step):
         while True:
@@ -187,17 +192,29 @@
             await step(host)
 
     async def _stop(self, host):
-        host.signal(signal.SIGTERM)
+        self._begin_stop(host)
         await host.process.communicate()
         await self._start(host)
 
     async def _stop_twice(self, host):
         """Stop a host with two signals, and change the configuration between them."""
-        host.signal(signal.SIGTERM)
+        self._begin_stop(host)
         await asyncio.sleep(self._rngs[host.name].uniform(0.0, 4.0))
         self.publish()
         await self._stop(host)
 
+    def _begin_stop(self, host):
+        """Send SIGTERM, and orders on new connections for as long as they are taken."""
+        has_orders = Fault.WORKS in self._faults and not host.is_stopped
+        host.signal(signal.SIGTERM)
+        if has_orders:
+            self._spawn(self._send_orders(host))
+
+    async def _send_orders(self, host):
+        for _ in range(ORDERS):
+            self._spawn(self.callers.order(host))
+            await asyncio.sleep(ORDER_PAUSE)
+
     async def _hang_up(self, host):
         host.signal(signal.SIGHUP)
         self.publish()
@@ -333,6 +350,7 @@
                 await soak.start()
                 rng = random.Random(seed + 1)
                 paced = PacedCallers(processes, rng, callers, TIME_LEFT_MS)
+                soak.callers = paced
                 await asyncio.gather(paced.run(seconds), soak.run(seconds))
                 watching.cancel()
                 await soak.watch.finish()
