Leave the local ports of outgoing connections free for listeners

What callers saw: a host that starts waits for its port, while an outgoing connection of any process has it as its local port. Where the process closed that connection itself, the port stays taken in TIME_WAIT, by the kernel's rules for a minute (that end was not timed).

Cause: sockets of outgoing connections do not allow reuse, so nobody can listen on their local ports, though no packet of the one could be taken for the other's. Same class as the taken ports: our own hosts take each other's.

Why this works: with SO_REUSEADDR on the connection's socket the kernel lets a listener bind, also in TIME_WAIT. It holds for targets, tunnels, the store and our own interface's sends (that one by reading, no test). Connections of other programs still make hosts wait.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
@@ -20,6 +20,7 @@
 
 from plumsaddle_core.core.data import FailureKind
 
+from ..utils.outgoing import make_socket
 from ..utils.polled_timeout import polled_timeout_at
 
 
@@ -72,7 +73,9 @@
 
 def make_session():
     """Return the client session for targets, with its guards set."""
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=True, socket_factory=make_socket
+    )
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connector.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connector.py
@@ -41,7 +41,7 @@
 
     `on_failed` is called with the `PathVerdict` when no direct connection was opened,
     and `on_change` with the `PathState` when it has changed. `create_connection` is as
-    the method of the event loop, which is used if None.
+    that of utils/outgoing.py, which is used if None.
 
     Args:
       host: The host's id.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -14,13 +14,13 @@
 import asyncio
 import enum
 import math
-import socket
 
 import httptools
 
 from plumsaddle_core.core.traffic import SendOutcome, TargetNotices
 
 from ..platform import wire
+from ..utils import outgoing
 from ..utils.addresses import split_address
 from ..utils.polled_timeout import polled_timeout_at
 from .clock import now
@@ -383,18 +383,16 @@
       address: The target's address.
       timeout: The timeout, in seconds.
       make_connection: Returns the `TargetConnection` of a new transport.
-      create_connection: As the method of the event loop, which is used if None.
+      create_connection: As the function of utils/outgoing.py, which is used if None.
     Returns:
       A `TargetConnection`, or a `ConnectFailure` if none was opened in time.
     """
     ip, port = split_address(address)
     loop = asyncio.get_running_loop()
-    create_connection = create_connection or loop.create_connection
+    create_connection = create_connection or outgoing.create_connection
     try:
         async with polled_timeout_at(loop.time() + timeout):
-            _, connection = await create_connection(
-                make_connection, ip, port, family=socket.AF_INET
-            )
+            _, connection = await create_connection(make_connection, ip, port)
     except ConnectionRefusedError:
         return ConnectFailure.REFUSED
     except (TimeoutError, OSError):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/tunnel.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/tunnel.py
@@ -10,12 +10,12 @@
 
 import asyncio
 import enum
-import socket
 import struct
 
 import msgspec
 
 from ..utils.addresses import split_address
+from ..utils.outgoing import create_connection
 from ..utils.polled_timeout import polled_timeout_at
 from .target_connection import TargetConnection
 
@@ -143,8 +143,8 @@
     status = TunnelStatus.UNAVAILABLE
     try:
         async with polled_timeout_at(loop.time() + timeout):
-            transport, handshake = await loop.create_connection(
-                lambda: _Handshake(request), ip, port, family=socket.AF_INET
+            transport, handshake = await create_connection(
+                lambda: _Handshake(request), ip, port
             )
             status = await handshake.status
     except (TimeoutError, OSError):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -22,6 +22,7 @@
 
 from plumsaddle_core.core.traffic import TargetState
 
+from ..utils.outgoing import make_socket
 from . import wire
 
 log = logging.getLogger("store")
@@ -353,8 +354,7 @@
 
 def _make_socket(addr_info):
     """Return a socket with TCP keep-alive."""
-    family, kind, proto, _, _ = addr_info
-    sock = socket.socket(family, kind, proto)
+    sock = make_socket(addr_info)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL)
--- /dev/null
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/utils/outgoing.py
@@ -0,0 +1,31 @@
+"""
+Opens outgoing connections whose local ports remain free for listeners.
+
+The system picks a local port that some process may have to listen on. Unless its socket
+allows reuse, nobody can until the connection has ended, and a minute more if this side
+closed it.
+"""
+
+import asyncio
+import socket
+
+
+def make_socket(addr_info):
+    """Return a socket for an outgoing connection; the argument is as for aiohttp."""
+    family, kind, proto, _, _ = addr_info
+    sock = socket.socket(family, kind, proto)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return sock
+
+
+async def create_connection(make_protocol, ip, port, **_):
+    """Open a connection, as the event loop's method does for an IPv4 address."""
+    loop = asyncio.get_running_loop()
+    sock = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0, "", None))
+    try:
+        sock.setblocking(False)
+        await loop.sock_connect(sock, (ip, port))
+        return await loop.create_connection(make_protocol, sock=sock)
+    except BaseException:
+        sock.close()
+        raise
