--- a/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/back/sender.py
@@ -22,6 +22,7 @@
 
 from plumsaddle_core.core.data import FailureKind
 
+from ..utils.outgoing import make_socket
 from ..utils.polled_timeout import polled_timeout_at
 
 
@@ -95,7 +96,9 @@
 
 def make_session():
     """Return the client session for targets, with its guards set."""
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    connector = aiohttp.TCPConnector(
+        limit=0, force_close=True, socket_factory=make_socket
+    )
     # There is no public switch for this either; sender_test.py fails without it.
     loop = asyncio.get_running_loop()
     connector._factory = functools.partial(TargetHandler, loop=loop)
