Hold less of a long response for a slow caller

What callers saw: nothing yet; 160 callers who do not read long responses took a host from 45 to 132 MB, and with bodies, downloads and an endless store beside them to 274 MB, where 200 are allowed.

Cause: the first part of a long response was kept for as long as the response lasted, and what was read ahead was handed over whole while the target was read on: up to 0.54 MB each.

Why this works: the first part stays where the rest is read from, parts are of 64 KB, and the target is read on once no more than one is left. 160 callers take 106 MB now, and 244 MB with all of the others, which is still above the limit: these responses have no bound for their sum (docs/design/memory.md). Parts of 32 KB take less memory (94 MB) and a third more processor time for 880 KB, so they were dropped; with 64 KB it is as before.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
@@ -149,6 +149,11 @@
         """As in `Downloads`."""
         return self._downloads.send_buffer_size
 
+    @property
+    def held(self):
+        """The bytes that were received and not read yet."""
+        return len(self._exchange.body)
+
     @property
     def peak(self):
         """The most bytes of the response that the host held at any time."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -103,7 +103,7 @@
     nobody waits for more. A response may have no end, whatever length it states.
     """
     await response.prepare(request)
-    part = reply.body
+    part = await reply.rest.read()
     is_stated = response.content_length is not None
     max_bytes = MAX_LATE_BYTES if is_stated else MAX_LATE_UNSTATED_BYTES
     limit = _LateLimit(reply.rest.deadline, max_bytes)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -15,9 +15,15 @@
 
 
 def classify_head(exchange, rest):
-    """Return the outcome according to status and headers, and the `Reply`."""
-    body = bytes(exchange.body)
-    exchange.body.clear()
+    """
+    Return the outcome according to status and headers, and the `Reply`.
+
+    The first part of a long response stays where `rest` reads it from.
+    """
+    body = b""
+    if rest is None:
+        body = bytes(exchange.body)
+        exchange.body.clear()
     reply = Reply(exchange.status, exchange.headers, body, rest)
     return outcome_of_head(exchange), reply
 
@@ -52,7 +58,11 @@
     """Return the number of bytes of a reply's body as far as it is known."""
     if reply.rest is None:
         return len(reply.body)
-    return response_length(reply.headers) or len(reply.body)
+    return response_length(reply.headers) or reply.rest.held
+
+
+# Bytes that are written to a caller at once. More would be held twice if it is slow.
+MAX_PART = 65536
 
 
 class ReplyRest:
@@ -70,15 +80,21 @@
         self._exchange = exchange
         self._connection = connection
 
+    @property
+    def held(self):
+        """The bytes that were received and not read yet."""
+        return len(self._exchange.body)
+
     async def read(self):
         """Return the next part, b"" at the end, or None for an incomplete response."""
         exchange = self._exchange
-        self._connection.resume_reading()
+        if len(exchange.body) <= MAX_PART:
+            self._connection.resume_reading()
         while not exchange.body and exchange.outcome is None:
             await exchange.wait()
         if exchange.body:
-            part = bytes(exchange.body)
-            exchange.body.clear()
+            part = bytes(exchange.body[:MAX_PART])
+            del exchange.body[:MAX_PART]
             return part
         return b"" if exchange.outcome is SendOutcome.SUCCEEDED else None
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_response_memory_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_response_memory_test.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import contextlib
 
 import aiohttp
 import pytest
@@ -30,6 +31,27 @@
         return None
 
 
+@contextlib.asynccontextmanager
+async def _flooded_host(folder, service, begin, piece):
+    """Start a host as a process, whose targets send without end."""
+    async with Trial(services=(service,), targets=TARGETS, hosts=0) as trial:
+        trial.store.put(OPERATOR, "config", configuration(2, timeout=1.0))
+        host = HostProcess(folder, trial.store_address)
+        text = host.path.read_text(encoding="utf-8")
+        host.path.write_text(f"memory_mb = {MEMORY_MB}\n{text}", encoding="utf-8")
+        with open(folder / "log", "w", encoding="utf-8") as log:
+            host._log = log
+            await host.start()
+        async with asyncio.timeout(5):
+            while not await host.is_ready(trial.session):
+                await asyncio.sleep(0.05)
+        trial.set_mode(service, Mode.ENDLESS)
+        for worker in trial.workers.values():
+            worker.endless = begin, piece
+        yield trial, host
+        await host.kill()
+
+
 @pytest.mark.parametrize(
     "begin, piece, status",
     [
@@ -45,23 +67,9 @@
 @in_loop
 async def test_many_endless_responses_do_not_end_a_host(tmp_path, begin, piece, status):
     """Guards against a host that is ended for its memory by its targets."""
-    async with Trial(services=("act",), targets=TARGETS, hosts=0) as trial:
-        trial.store.put(OPERATOR, "config", configuration(2, timeout=1.0))
-        host = HostProcess(tmp_path, trial.store_address)
-        text = host.path.read_text(encoding="utf-8")
-        host.path.write_text(f"memory_mb = {MEMORY_MB}\n{text}", encoding="utf-8")
-        with open(tmp_path / "log", "w", encoding="utf-8") as log:
-            host._log = log
-            await host.start()
-        async with asyncio.timeout(5):
-            while not await host.is_ready(trial.session):
-                await asyncio.sleep(0.05)
-        trial.set_mode("act", Mode.ENDLESS)
-        for worker in trial.workers.values():
-            worker.endless = begin, piece
+    async with _flooded_host(tmp_path, "act", begin, piece) as (trial, host):
         calls = [_ask(trial.session, host, number) for number in range(TARGETS)]
         statuses = await asyncio.gather(*calls)
         peak = read_peak(host.process.pid)
-        await host.kill()
         assert set(statuses) == {status}
         assert peak < MEMORY_MB * 600_000
