--- a/packages/plumsaddle-standins/plumsaddle_standins/soak_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/soak_test.py
@@ -8,7 +8,7 @@
 import pytest
 
 from .paced_callers import Exchanged, digest, find_all_broken
-from .soak import Fault, play
+from .soak import Fault, count_hosts, play
 from .worker import Seen, WorkerStandin
 
 
@@ -38,6 +38,12 @@
     assert not broken
 
 
+@pytest.mark.parametrize("kilobytes, count", [(1_200_000, 10), (10**9, 200)])
+def test_a_soak_takes_at_most_half_of_the_memory(kilobytes, count):
+    """Guards against soaks that disturb all other work of the machine."""
+    assert count_hosts(f"MemAvailable: {kilobytes} kB\n") == count
+
+
 def _exchanged(request_id, **fields):
     """Return an upload that was sent from 101.0 to 101.5 and ended unanswered."""
     times, body = (101.0, 101.5, 102.5), digest(b"body")
