Send a body to its end while its response is passed on

What callers saw: a response that broke off at the deadline, from a sound target that answers while it still reads.

Cause: the body's task was cancelled once the response began to be passed on.

Why this works: the task ends with the response. A send also asks once more, after it has connected, whether it can end before the host does (by reading, no test).

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -120,7 +120,11 @@
         if connection.is_closed:
             # It was lost before anything was sent, which may be the fault of the path.
             return SendResult(SendOutcome.UNSENT, None, info)
-        is_too_late = request.deadline <= at or request.caller.is_gone()
+        is_too_late = (
+            request.deadline <= at
+            or request.caller.is_gone()
+            or not self._knowledge.grace.may_send(request, at)
+        )
         may_send = self._knowledge.may_send(target, at) and not request.is_body_taken
         if is_too_late or not may_send:
             self._pool.release_unused(target.incarnation, connection)
@@ -153,13 +157,12 @@
             handle_head,
             buffer,
         )
-        outcome = None
+        outcome = sending = None
         is_streaming = False
         try:
             if is_in_parts:
                 sending = asyncio.ensure_future(_send_body(connection, request, parts))
                 await exchange.wait_for_body(MAX_BUFFERED_BODY)
-                sending.cancel()
             elif buffer is not None:
                 await downloads.receive(request, exchange, MAX_BUFFERED_BODY)
                 if _is_large_success(exchange):
@@ -171,7 +174,8 @@
             else:
                 await exchange.wait_for_body(MAX_BUFFERED_BODY)
             if exchange.outcome is None and exchange.has_head:
-                rest = ReplyRest(exchange, connection, request.deadline)
+                # A target may need the rest of the body for that of its response.
+                rest = ReplyRest(exchange, connection, request.deadline, sending)
                 outcome, reply = classify_head(exchange, rest)
                 is_streaming = outcome is SendOutcome.SUCCEEDED
                 # The rest of a long error response is not read.
@@ -183,6 +187,8 @@
         finally:
             suspect_check.note_outcome(target, exchange, outcome)
             if not is_streaming:
+                if sending is not None:
+                    sending.cancel()
                 self._pool.release(target.incarnation, connection)
                 if buffer is not None:
                     buffer.close()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -6,6 +6,9 @@
 
 from ..platform import wire
 
+# Bytes that are written to a caller at once. More would be held twice if it is slow.
+MAX_PART = 65536
+
 
 def classify(exchange):
     """Return the outcome and the `Reply` of an exchange that has ended."""
@@ -61,10 +64,6 @@
     return response_length(reply.headers) or reply.rest.held
 
 
-# Bytes that are written to a caller at once. More would be held twice if it is slow.
-MAX_PART = 65536
-
-
 class ReplyRest:
     """
     The rest of a long response, which is streamed.
@@ -73,10 +72,12 @@
       exchange: The `Exchange`.
       connection: Its `TargetConnection`, which `close` closes.
       deadline: When the caller's time is up, in seconds on the host's clock.
+      sending: The task that still sends the request's body, or None; `close` ends it.
     """
 
-    def __init__(self, exchange, connection, deadline):
+    def __init__(self, exchange, connection, deadline, sending=None):
         self.deadline = deadline
+        self._sending = sending
         self._exchange = exchange
         self._connection = connection
 
@@ -100,4 +101,6 @@
 
     def close(self):
         """Close the connection."""
+        if self._sending is not None:
+            self._sending.cancel()
         self._connection.close()
