Count the bytes of a body from their arrival until its request ends

And callers that only announce long bodies took the whole budget, so that others got 503 for as long as they stayed, with 47 MB in use and a Retry-After that was not true.

Cause: the handler released the bytes, while an order goes on without it; and the stated length was charged before any of it had come.

Why this works: an order's task releases its body when it ends, and what has arrived is charged. A machine of a few MB has room for some bodies.

Tests: test_bodies_of_orders_are_counted_until_the_orders_end and test_bodies_that_are_only_announced_take_no_room, both failed before.

--- a/packages/plumsaddle-core/plumsaddle_core/transfers/body_budget.py
+++ b/packages/plumsaddle-core/plumsaddle_core/transfers/body_budget.py
@@ -9,6 +9,8 @@
 
 DEFAULT_LIMIT = 64 * 1024 * 1024
 MEMORY_DIVISOR = 4
+# Room for some of the longest bodies that are held.
+MIN_LIMIT = 4 * 1024 * 1024
 # Bytes that a connection reads ahead of a longer body, and that are being written.
 IN_TRANSIT = 262144
 # Bounds of the retry delay, in seconds.
@@ -28,7 +30,7 @@
     """
     if memory_limit is None:
         return DEFAULT_LIMIT
-    return memory_limit // MEMORY_DIVISOR
+    return max(MIN_LIMIT, memory_limit // MEMORY_DIVISOR)
 
 
 def body_cost(size):
@@ -55,6 +57,10 @@
         """Return the `BodyHolding` of a request that arrives at a time in seconds."""
         return BodyHolding(self, at)
 
+    def has_room(self, size):
+        """Return whether `size` bytes of a body could be held now."""
+        return self.held + body_cost(size) <= self.limit
+
     def note_held(self, seconds):
         """Note for how long a body was held."""
         self._hold_time += HOLD_TIME_WEIGHT * (seconds - self._hold_time)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -226,6 +226,7 @@
     ):
         """Read the body or its first part within the limits, and run the request."""
         holding = self.body_budget.open(now())
+        is_running = False
         deadline = started_at + time_limit
         service = choose_service(route, self._knowledge.rng)
         latest_send = functools.partial(
@@ -233,7 +234,7 @@
         )
         try:
             expected = min(MAX_WHOLE_BODY, request.content_length or 0)
-            if not holding.resize(expected):
+            if not self.body_budget.has_room(expected):
                 return self._refuse_memory_full(request, expected)
             body, is_whole = b"", True
             if request.can_read_body:
@@ -244,7 +245,7 @@
                     request.content_length,
                     deadline,
                     latest_send,
-                    lambda size: size <= expected or holding.resize(size),
+                    holding.resize,
                 )
                 if result == Failure(RefusalCause.MEMORY_FULL):
                     return self._refuse_memory_full(request, MAX_WHOLE_BODY)
@@ -267,11 +268,13 @@
                 body,
                 is_whole,
             )
-            return await self._run(proxy_request)
+            is_running = True
+            return await self._run(proxy_request, holding)
         except web.RequestPayloadError:
             return self._refuse(request, RefusalCause.BODY_BROKEN)
         finally:
-            holding.close(now())
+            if not is_running:
+                holding.close(now())
 
     def _refuse_memory_full(self, request, size):
         """Refuse a request; `size` is what would be held of its body, in bytes."""
@@ -313,18 +316,22 @@
             position_of(request),
         )
 
-    async def _run(self, proxy_request):
+    async def _run(self, proxy_request, holding):
         """
-        Run a request.
+        Run a request, and close the `BodyHolding` of its body when it has ended.
 
         aiohttp cancels the handler if the caller disconnects. This cancels idempotent
         requests, while orders and uploads continue, so that their outcome is logged.
         """
         if proxy_request.route.kind.is_idempotent:
-            return await self._relay.run(proxy_request)
+            try:
+                return await self._relay.run(proxy_request)
+            finally:
+                holding.close(now())
         task = asyncio.get_running_loop().create_task(self._relay.run(proxy_request))
         self._order_tasks.add(task)
         task.add_done_callback(self._order_tasks.discard)
+        task.add_done_callback(lambda _: holding.close(now()))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_body_memory_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_body_memory_test.py
@@ -9,9 +9,13 @@
 
 import pytest
 
+from plumsaddle_hosts.utils.addresses import split_address
+
 from .host_process import HostProcess
+from .pacing import upload_head
+from .pipelining import Pipe
 from .process_memory import watch_memory
-from .trial import OPERATOR, Trial, configuration, in_loop
+from .trial import OPERATOR, Trial, configuration, in_loop, until
 
 MEMORY_MB = 200
 TARGETS = 30
@@ -100,3 +104,41 @@
     assert set(result.statuses) == {200, 503}
     assert result.statuses[200] >= 40
     assert all(0 < float(wait) <= 2.0 for wait in result.waits)
+
+
+UPLOAD = bytes(100_000)
+
+
+@in_loop
+async def test_bodies_of_orders_are_counted_until_the_orders_end():
+    """Guards against a host that holds ever more bodies of callers that have left."""
+    async with Trial(services=("act",), targets=2) as trial:
+        for worker in trial.workers.values():
+            worker.work = 1.0
+        budget = trial.hosts[0].front.body_budget
+        address = split_address(trial.hosts[0].settings.caller_address)
+        pipe = await Pipe.open(*address)
+        pipe.send(upload_head("/act/a", "id-1", len(UPLOAD)) + UPLOAD)
+        await until(lambda: any(w.runs["id-1"] for w in trial.workers.values()))
+        pipe.close()
+        await asyncio.sleep(0.3)
+        assert budget.held >= len(UPLOAD)
+        await until(lambda: any(w.done["id-1"] for w in trial.workers.values()))
+        await until(lambda: budget.held == 0)
+
+
+@in_loop
+async def test_bodies_that_are_only_announced_take_no_room():
+    """Guards against callers that are refused since others announce long bodies."""
+    async with Trial(services=("act",)) as trial:
+        host = trial.hosts[0]
+        host.front.body_budget.limit = 800_000
+        address = split_address(host.settings.caller_address)
+        pipes = [await Pipe.open(*address) for _ in range(4)]
+        for number, pipe in enumerate(pipes):
+            pipe.send(upload_head("/act/a", f"announced-{number}", 3_500_000))
+        await asyncio.sleep(0.1)
+        status, _, _ = await trial.ask("/act/a", "id-1", "POST", UPLOAD)
+        assert status == 200
+        for pipe in pipes:
+            pipe.close()
