List a topic again if changes can't be applied

What callers saw: nothing yet; no input is known that brings it about. Found by the second review: a page of changes whose handler failed was passed over when its feed was started again, and a part that waited for something that was cancelled ended without a line.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed.py
@@ -268,7 +268,7 @@
                 self._behind_since = self._behind_since or at
             self.wake()
         elif relation is Relation.RESTORED:
-            self._on_changes(Page(records, next_offset, era))
+            self._hand_over(self._on_changes, Page(records, next_offset, era))
             self._note_other_era(relation, era, next_offset, at)
         elif relation is not Relation.UP_TO_DATE:
             self._note_other_era(relation, era, next_offset, at)
@@ -323,7 +323,16 @@
         self._position.advance(page.next_offset)
         self._behind_since = None
         if new_records:
-            self._on_changes(Page(new_records, self.next_offset, page.era))
+            changes = Page(new_records, self.next_offset, page.era)
+            self._hand_over(self._on_changes, changes)
+
+    def _hand_over(self, handle, page):
+        """Hand a page over; if that fails, what it holds is listed again."""
+        try:
+            handle(page)
+        except Exception:
+            self._position.require_listing()
+            raise
 
     def _follows_readers(self, at):
         """Return whether readers follow the store for this host."""
@@ -379,12 +388,7 @@
         self._is_listing_scheduled = False
         self._behind_since = None
         self.confirmed_at = self.answered_at
-        try:
-            self._on_listing(page)
-        except Exception:
-            # Without it, what it lists would be missing for good.
-            self._position.require_listing()
-            raise
+        self._hand_over(self._on_listing, page)
         self._reported_at = max(
             self._reported_at,
             self.answered_at + FIRST_LISTING_TTL - self._timing.reader_status_ttl,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/feed_test.py
@@ -12,6 +12,8 @@
 from plumsaddle_core.ops.peer_table import StoreStatus
 
 from ..platform.store import KeyedRecord, Page, StoreError
+from ..utils import supervision
+from ..utils.supervision import keep_running
 from . import feed
 from .clock import now as clock
 from .feed import Feed
@@ -545,3 +547,25 @@
         return store.listings
 
     assert 3 <= asyncio.run(run()) <= 9
+
+
+def test_changes_that_cannot_be_applied_are_listed_again(monkeypatch):
+    """Guards against changes that are lost for good as their handler failed."""
+    monkeypatch.setattr(supervision, "RESTART_DELAY", 0.0)
+
+    async def play():
+        store = ScriptedStore()
+        topic_feed, _ = _make_feed(store)
+
+        def fail(page):
+            raise ValueError("odd record")
+
+        topic_feed._on_changes = fail
+        task = asyncio.ensure_future(keep_running("feed", topic_feed.run))
+        store.answers.put_nowait(Success(Page([KeyedRecord(10, "a", b"1")], 11)))
+        for _ in range(20):
+            await _run_ready_tasks()
+        task.cancel()
+        return store.listings
+
+    assert asyncio.run(play()) > 1
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/utils/supervision.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/utils/supervision.py
@@ -23,4 +23,9 @@
             return await run()
         except Exception:
             log.error("part failed", extra={"part": name}, exc_info=True)
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            # Something that the part waited for was cancelled, not the part.
+            log.error("part failed", extra={"part": name}, exc_info=True)
         await asyncio.sleep(RESTART_DELAY)
