Take an event without a tag for unreadable

What callers saw: our own interface's readers of the log would end on all hosts at once, by the record [[]], and orders wait.

Test: test_an_event_without_a_tag_is_unreadable, failed before (ValueError).

--- a/packages/plumsaddle-core/plumsaddle_core/utils/codec.py
+++ b/packages/plumsaddle-core/plumsaddle_core/utils/codec.py
@@ -67,7 +67,7 @@
     try:
         items = msgspec.msgpack.decode(data)
         return tuple(_decode_event(item) for item in items)
-    except (msgspec.DecodeError, IndexError, RecursionError, TypeError):
+    except (msgspec.DecodeError, IndexError, RecursionError, TypeError, ValueError):
         return (UnreadableEvent("record", None),)
 
 
--- a/packages/plumsaddle-core/plumsaddle_core/utils/codec_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/utils/codec_test.py
@@ -33,3 +33,8 @@
     odd, ping = decode_events(record)
     assert isinstance(odd, UnreadableEvent)
     assert ping == Ping("h", 1)
+
+
+def test_an_event_without_a_tag_is_unreadable():
+    """Guards against a record that ends the readers of the log on all hosts."""
+    assert decode_events(b"\x91\x90") == (UnreadableEvent("record", None),)
