--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -467,7 +467,7 @@
     configure_logging(settings.id)
     report_start(settings)
     if ignored:
-        # A host without a limit serves; one that doesn't start does not.
+        # A host can serve without these values.
         log.error("settings ignored", extra={"path": path, "mistakes": ignored})
     asyncio.run(_run_host(settings, path, signature, ignored))
 
