Log the sequence of targets' entries, and what a restart closes

The logs name an entry's start (`born`) but not its `sequence`, so an entry that arrives late can't be told from one that is written anew, and nothing tells how many connections the host itself closes when it takes an entry for a restart.

--- a/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/traffic.py
@@ -69,7 +69,8 @@
     `id` distinguishes targets that are given the same address in turn. A target that
     restarts keeps its id but no state; `started_at` is the time of its start in Unix
     milliseconds, or 0 if its entry has none. `warmup` is the number of seconds after
-    `read_at` for which the target announced that it would be slow.
+    `read_at` for which the target announced that it would be slow. `sequence` numbers
+    the entries that it has written since its start; None if it is unknown.
     """
 
     id: TargetId
@@ -81,6 +82,7 @@
     warmup: float
     read_at: float
     started_at: int = 0
+    sequence: int | None = None
 
     @property
     def incarnation(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
@@ -171,10 +171,19 @@
         A target that lost its network or power sends no reset before it restarts.
         Without this, requests in flight there would wait until their deadline.
         """
-        for connection in (
-            *self._idle.pop(incarnation, ()),
-            *self._busy.pop(incarnation, ()),
-        ):
+        idle = self._idle.pop(incarnation, ())
+        busy = self._busy.pop(incarnation, ())
+        responding = [c for c in busy if c.exchange is not None and c.exchange.has_head]
+        log.info(
+            "connections of a former incarnation closed",
+            extra={
+                "target": incarnation,
+                "idle": len(idle),
+                "busy": len(busy),
+                "responding": len(responding),
+            },
+        )
+        for connection in (*idle, *busy):
             connection.close()
 
     def close_idle(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -306,6 +306,7 @@
             extra={
                 "target": target.id,
                 "born": target.started_at,
+                "sequence": target.sequence,
                 "service": target.service,
                 "address": target.address,
                 "state": target.state.value,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/wire.py
@@ -129,6 +129,7 @@
             entry.warmup_left_ms / 1000,
             now,
             entry.born,
+            entry.sequence,
         )
     )
 
