Ignore late entries of a target's former start

Two targets of ten start again behind a partition.

Cause: entries were taken in the order of the log. A write that was held up may be executed seconds later, so an entry of the former start counted as a restart, and so did the next entry of the present one. A restart closes all connections of the incarnation before.

Why the fix works: of two starts of a target, the one with the later start time is newer, whatever their order in the log. An entry of an earlier one changes nothing. Since the start time is the target's claim, outdated entries count again once their writer renews them as a running target does while the newer one is silent.

Stand-ins of targets now count their entries, as the platform's targets do.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -1,12 +1,13 @@
 """
 The platform's list of targets as one host knows it.
 
-Changes are applied as they arrive, with one exception. Entries of live targets may
-lapse while the store is unavailable, since they cannot be renewed; they are written
-again within two seconds of its recovery. So if a large share of the ready targets is
-removed around a recovery, they stay usable for a grace period and are removed if they
-are not listed again by its end. If only a few are missing, this host alone was
-disconnected and those targets have left: they are removed at once.
+Changes are applied as they arrive, with two exceptions. An entry is ignored if its
+target has written a newer one (`entry_order`). And entries of live targets may lapse
+while the store is unavailable, since they cannot be renewed; they are written again
+within two seconds of its recovery. So if a large share of the ready targets is removed
+around a recovery, they stay usable for a grace period and are removed if they are not
+listed again by its end. If only a few are missing, this host alone was disconnected and
+those targets have left: they are removed at once.
 
 The store may also come back from an older copy. Entries that are missing there are
 written again, so those targets stay usable for the grace period. Entries that are there
@@ -19,6 +20,7 @@
 from typing import NamedTuple
 
 from ..core.traffic import Target, TargetState
+from .entry_order import EntryOrder
 from .topic_position import Position
 
 # Seconds for which lapsed entries stay usable after the store's recovery. The entries
@@ -56,6 +58,7 @@
         # Incremented with each change of the listed targets.
         self.revision = 0
         self._positions = {}
+        self._order = EntryOrder()
         self._lapsing = {}
         self._unavailable_since = None
         self._recovered_at = -math.inf
@@ -105,7 +108,7 @@
         Returns:
           The target's previous entry if the target has restarted, else None.
         """
-        if self._is_old(target.id, position):
+        if self._is_old(target.id, position) or self._order.is_outdated(target, now):
             return None
         if self._has_left(target, position, now):
             self._relisted[target.id] = RelistedTarget(target, position)
@@ -185,6 +188,8 @@
             self._relisted.pop(target_id, None)
             if target_id in self.targets:
                 ids.append(target_id)
+            else:
+                self._order.note_removed(target_id, now)
         end = max(self._recovered_at, self._restored_at) + LAPSE_GRACE
         is_lost = is_listing and now < self._restored_at + LAPSE_GRACE
         is_lapse = is_lost or self._is_lapse(ids, now)
@@ -219,6 +224,7 @@
             for relisted in self._relisted.values():
                 self._put(relisted.target)
             self._relisted = {}
+        self._order.evict(now)
         self._removed_at = {
             incarnation: at
             for incarnation, at in self._removed_at.items()
@@ -245,6 +251,7 @@
     def _remove(self, target, now):
         self.revision += 1
         self._removed_at[target.incarnation] = now
+        self._order.note_removed(target.id, now)
         del self.targets[target.id]
         self._unlist(target)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -299,10 +299,10 @@
             )
             return
         target = result.unwrap()
+        revision = self.registry.revision
         former = self.registry.put(target, position, at)
-        is_relisted = self.registry.is_relisted(target.id)
         log.info(
-            "relisted" if is_relisted else "listed",
+            self._name_of_change(target, revision),
             extra={
                 "target": target.id,
                 "born": target.started_at,
@@ -319,6 +319,12 @@
             if self._on_restart is not None:
                 self._on_restart(former.incarnation)
 
+    def _name_of_change(self, target, revision):
+        """Return the name of what an entry has changed since a registry's revision."""
+        if self.registry.is_relisted(target.id):
+            return "relisted"
+        return "listed" if self.registry.revision != revision else "outdated entry"
+
     def expire(self, at):
         """Drop targets whose entries have expired."""
         for target_id in self.registry.expire(at):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/scripts/trace.py
@@ -17,7 +17,7 @@
 # What hosts tell each other, and what each one believes by itself: of the latter only
 # the request's own host had it.
 TOLD = {"send failed", "stuck"}
-OWN = {"listed", "unlisted", "lapsed"}
+OWN = {"listed", "outdated entry", "unlisted", "lapsed"}
 
 
 def trace_request(events, request_id):
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_lives_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_lives_test.py
@@ -13,6 +13,7 @@
 from .worker import Mode
 
 BORN_AGAIN = 1796256009000
+BORN_BEFORE = 1796255009000
 
 
 @in_loop
@@ -50,6 +51,27 @@
         assert status == 200
 
 
+@in_loop
+async def test_a_late_entry_of_a_former_start_ends_no_order():
+    """Guards against cutting what a sound target runs as its old entry arrives."""
+    async with Trial(services=("act",), targets=1) as trial:
+        worker = trial.of("act")[0]
+        worker.work = 1.5
+        registry = trial.hosts[0].knowledge.registry
+        former = worker.entry(born=BORN_BEFORE)
+        trial.register(worker)
+        order = asyncio.create_task(trial.ask("/act/a", "id-1", "POST"))
+        await until(lambda: worker.seen)
+        revision = registry.revision
+        trial.store.put(TARGETS, worker.id, former)
+        trial.register(worker)
+        await until(lambda: registry.revision > revision)
+        assert not order.done()
+        status, _, _ = await order
+        assert status == 200
+        assert registry.targets[worker.id].started_at == worker.born
+
+
 @in_loop
 async def test_a_restart_while_the_store_is_away_is_learnt_at_its_return():
     """
--- a/packages/plumsaddle-standins/plumsaddle_standins/store.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/store.py
@@ -301,7 +301,7 @@
             "version": "",
             "slots": 1,
             "warmup_left_ms": 0,
-            "sequence": 1,
+            "sequence": self.topic(topic).end + 1,
             "state": "draining" if row["state"] == "leaving" else "ready",
         }
         self.put(topic, row["id"], json.dumps(entry).encode())
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -131,8 +131,10 @@
         # Requests that hold a slot, and long answers that were cut since unread.
         self.busy = 0
         self.unread = 0
-        # The start of this incarnation as a Unix time in milliseconds.
+        # The start of this incarnation as a Unix time in milliseconds, and the number
+        # of entries that it has written.
         self.born = 1796256000000
+        self.sequence = 0
         # The text of `Server-Limit` in each answer, None for no such header.
         self.rate_limit = None
         # Whether each answer says that it is draining, and the text of `Retry-After`
@@ -172,7 +174,8 @@
         return record
 
     def entry(self, state="ready", warm_up=0, born=None):
-        """Return the bytes of the registry's entry."""
+        """Return the bytes of the next entry in the registry."""
+        self.sequence += 1
         return json.dumps(
             {
                 "service": self.service,
@@ -182,7 +185,7 @@
                 "slots": SLOTS,
                 "state": state,
                 "warmup_left_ms": warm_up,
-                "sequence": 1,
+                "sequence": self.sequence,
                 "born": self.born if born is None else born,
             }
         ).encode()
