Ignore late entries of a target that drains or has left

Three targets of fifteen are cut off from the store and leave after it. 3 and 6 orders reach them later than leaving_ms after the store has acknowledged that they drain, 1 and 3 are cut by the exits and get 502; none is allowed.

Cause: of one start's entries, too, the order of the log was taken for the order in which they were written; sequence was decoded and dropped.

Evidence, by the sequences that the hosts now log: 5 ready, removed, 7 and 8 draining, then 6 ready, and the late orders until 9 draining is read.

Why the fix works: a lower sequence of the same start is outdated, and after a removal an equal one too. A higher one after a removal may be a write that nobody had read; it is used with the target's next entry. It is used at once if the removal follows an outage of the store, in which running targets expire, or if its service has no other target.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/entry_order.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/entry_order.py
@@ -2,12 +2,13 @@
 The order in which targets wrote their entries in the platform's list.
 
 The log has another order: a write whose response was lost may be executed seconds
-later. An entry of an earlier start of a target is outdated, wherever it stands in the
-log.
+later. The start times of two entries tell which one is newer, and within one start
+their sequences. A removal has neither, so it counts from when it is read: a removed
+target is listed again by an entry that it has written since.
 
-The start time is the target's own claim. It may be forged, or lie before that of the
-former start because a clock was set. So an outdated entry replaces a newer one if its
-writer renews it as a running target does while the other writer is silent.
+Both are the target's own claims. They may be forged, and a start time may lie before
+that of the former start because a clock was set. So an outdated entry replaces a newer
+one if its writer renews it as a running target does while the other writer is silent.
 """
 
 from typing import NamedTuple
@@ -85,7 +86,12 @@
 
 
 def _is_older(target, newest):
-    return target.started_at < newest.started_at
+    """Return whether an entry says nothing that a newer one has not replaced."""
+    if target.started_at != newest.started_at:
+        return target.started_at < newest.started_at
+    if newest.removed_at is not None:
+        return target.sequence <= newest.sequence
+    return target.sequence < newest.sequence
 
 
 def _count_renewal(renewals, target, now):
--- a/packages/plumsaddle-core/plumsaddle_core/ops/entry_order_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/entry_order_test.py
@@ -27,6 +27,12 @@
         )
         return self.registry.put(entry, self._offset, now)
 
+    def put_other(self, now, target_id="s"):
+        """Append an entry of another target of the service."""
+        self._offset += 1
+        entry = Target(target_id, "look", "10.0.0.3:80", "x", 4, READY, 0.0, now, 1, 1)
+        self.registry.put(entry, self._offset, now)
+
     def remove(self, now):
         """Append a removal."""
         self._offset += 1
@@ -34,8 +40,9 @@
 
     @property
     def usable(self):
-        """The start times of the usable targets."""
-        return [target.started_at for target in self.registry.usable("look")]
+        """The start time of the target, if it is usable."""
+        usable = self.registry.usable("look")
+        return [target.started_at for target in usable if target.id == "t"]
 
 
 def test_a_late_entry_of_a_former_start_is_no_restart():
@@ -127,3 +134,134 @@
     log.remove(1.0)
     log.registry.expire(1.0 + REMOVED_ENTRY_TTL)
     assert not log.registry._order._newest
+
+
+@pytest.mark.parametrize("started_at", [0, 1000])
+def test_a_late_entry_undoes_no_draining(started_at):
+    """Guards against requests to a target that has announced that it leaves."""
+    log = _Log()
+    log.put(started_at, 5, 0.0)
+    log.put(started_at, 7, 6.0, DRAINING)
+    log.put(started_at, 6, 8.0)
+    assert not log.usable
+    log.remove(9.0)
+    log.put(started_at, 6, 10.0)
+    assert not log.usable
+
+
+@pytest.mark.parametrize("started_at", [0, 1000])
+@pytest.mark.parametrize("sequence", [4, 5])
+def test_a_late_entry_lists_no_target_that_has_left(started_at, sequence):
+    """Guards against requests to a target that left without announcing it."""
+    log = _Log()
+    log.put(started_at, 5, 0.0)
+    log.remove(1.0)
+    log.put(started_at, sequence, 2.0)
+    assert not log.usable
+    # Its executor may repeat it.
+    log.put(started_at, sequence, 3.0)
+    assert not log.usable
+
+
+def test_a_delayed_entry_lists_no_target_that_has_left():
+    """Guards against the write of a target that never announced that it leaves."""
+    log = _Log()
+    log.put_other(0.0)
+    log.put(0, 5, 0.0)
+    log.remove(4.5)
+    log.put(0, 6, 8.0)
+    log.registry.expire(9.0)
+    assert not log.usable
+    # The store removes it once more, since nobody renews it.
+    log.remove(12.5)
+    log.registry.expire(20.0)
+    assert not log.usable
+
+
+@pytest.mark.parametrize("started_at", [0, 1000])
+def test_a_target_whose_entry_had_expired_is_used_once_it_renews_it(started_at):
+    """Guards against leaving out a running target that reaches the store again."""
+    log = _Log()
+    log.put_other(0.0)
+    log.put(started_at, 5, 0.0)
+    log.remove(4.5)
+    log.put(started_at, 6, 5.0)
+    log.put(started_at, 7, 5.0 + HEARTBEAT)
+    assert log.usable == [started_at]
+
+
+def test_the_only_target_of_a_service_is_used_at_once():
+    """Guards against a service without targets while entries are confirmed."""
+    log = _Log()
+    log.put(1000, 5, 0.0)
+    log.remove(4.5)
+    log.put(1000, 6, 5.0)
+    assert log.usable == [1000]
+
+
+def test_an_entry_that_expired_in_an_outage_is_used_at_once():
+    """Guards against taking all targets for delayed after the store was away."""
+    log = _Log()
+    log.put_other(0.0)
+    log.put_other(0.0, "u")
+    log.put(1000, 5, 0.0)
+    log.registry.note_store_unavailable(1.0)
+    log.registry.note_store_available(9.0)
+    log.remove(9.1)
+    assert not log.usable
+    log.put(1000, 6, 10.0)
+    assert log.usable == [1000]
+
+
+def test_a_repeated_entry_changes_nothing():
+    """Guards against taking the repetition of a write for a sign of a restart."""
+    log = _Log()
+    log.put(1000, 5, 0.0, DRAINING)
+    assert log.put(1000, 5, 1.0, DRAINING) is None
+    assert not log.usable
+
+
+@pytest.mark.parametrize("sequence", [10**6, 9 * 10**15])
+def test_a_forged_sequence_keeps_no_running_target_out(sequence):
+    """Guards against an entry of another writer that outlives the target's own."""
+    log = _Log()
+    log.put(1000, 1, 0.0)
+    log.put(1000, sequence, 1.0, DRAINING)
+    for number in range(3):
+        assert not log.usable
+        log.put(1000, 2 + number, 1.5 + number * HEARTBEAT)
+    assert log.usable == [1000]
+
+
+def test_a_sequence_that_starts_anew_is_taken_up():
+    """Guards against leaving out a target without a start time that has restarted."""
+    log = _Log()
+    log.put(0, 40, 0.0)
+    log.remove(5.0)
+    for sequence in (1, 2, 3):
+        assert not log.usable
+        log.put(0, sequence, 5.0 + sequence * HEARTBEAT)
+    assert log.usable == [0]
+
+
+def test_a_restored_copy_undoes_no_draining():
+    """Guards against the older entry that a restored store lists for a target."""
+    log = _Log()
+    log.put(1000, 5, 0.0)
+    log.put(1000, 7, 1.0, DRAINING)
+    log.registry.note_store_restored(2.0)
+    log.put(1000, 5, 2.1)
+    assert not log.usable
+
+
+def test_a_running_target_is_used_after_a_restoration():
+    """Guards against taking what a target writes after a restoration for old."""
+    log = _Log()
+    log.put(1000, 5, 0.0)
+    log.remove(1.0)
+    log.registry.note_store_restored(2.0)
+    log.put(1000, 4, 2.1)
+    assert not log.usable
+    log.put(1000, 6, 3.0)
+    log.put(1000, 7, 4.5)
+    assert log.usable == [1000]
--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -13,7 +13,8 @@
 written again, so those targets stay usable for the grace period. Entries that are there
 again although their targets had left or were draining say nothing new: a target that
 had left is used only if its entry is written again, or outlasts the time in which the
-store removes silent targets, and one that was draining is not used.
+store removes silent targets, and one that was draining is not used. It is the same
+after a removal that no outage explains: what follows may be a write that was delayed.
 """
 
 import math
@@ -34,8 +35,8 @@
 # Seconds for which a removed target is remembered, in case the store comes back from a
 # copy that lists it.
 REMOVAL_MEMORY = 60.0
-# Seconds after a restoration within which the store has removed the entry of a target
-# that doesn't renew it.
+# Seconds after a listing or a write within which the store has removed the entry of a
+# target that doesn't renew it.
 RELISTED_GRACE = 6.0
 # Seconds after a restoration for which a target that was draining counts as such. By
 # then it has exited.
@@ -43,10 +44,11 @@
 
 
 class RelistedTarget(NamedTuple):
-    """A target that had left, as a restored store lists it."""
+    """A target that had left, as it is listed again; it is used after some time."""
 
     target: Target
     position: Position
+    used_at: float
 
 
 class Registry:
@@ -111,7 +113,9 @@
         if self._is_old(target.id, position) or self._order.is_outdated(target, now):
             return None
         if self._has_left(target, position, now):
-            self._relisted[target.id] = RelistedTarget(target, position)
+            is_restored = target.incarnation in self._left_before
+            used_at = (self._restored_at if is_restored else now) + RELISTED_GRACE
+            self._relisted[target.id] = RelistedTarget(target, position, used_at)
             return None
         self._relisted.pop(target.id, None)
         if (
@@ -128,11 +132,24 @@
         An entry that was written since the listing is a new one.
         """
         relisted = self._relisted.get(target.id)
-        return (
-            target.incarnation in self._left_before
-            and now < self._restored_at + RELISTED_GRACE
-            and (relisted is None or position <= relisted.position)
-        )
+        if relisted is not None and position > relisted.position:
+            return False
+        is_restored = now < self._restored_at + RELISTED_GRACE
+        if is_restored and target.incarnation in self._left_before:
+            return True
+        return self._may_be_delayed(target)
+
+    def _may_be_delayed(self, target):
+        """
+        Return whether the first entry after a removal may be a delayed write.
+
+        A service without other targets is better served by one that may have left.
+        """
+        removed_at = self._removed_at.get(target.incarnation)
+        if removed_at is None or target.sequence is None:
+            return False
+        follows_outage = 0.0 <= removed_at - self._recovered_at < LAPSE_GRACE
+        return not follows_outage and bool(self.usable(target.service))
 
     def is_relisted(self, target_id):
         """Return whether a target that had left is listed again, and isn't used yet."""
@@ -220,10 +237,10 @@
 
     def expire(self, now):
         """Remove targets whose grace period has ended, and return their ids."""
-        if now >= self._restored_at + RELISTED_GRACE:
-            for relisted in self._relisted.values():
+        for target_id, relisted in list(self._relisted.items()):
+            if now >= relisted.used_at:
+                del self._relisted[target_id]
                 self._put(relisted.target)
-            self._relisted = {}
         self._order.evict(now)
         self._removed_at = {
             incarnation: at
