Probe responses at a restart instead of cutting them

What callers would see: a target starts again, and hosts read of it seconds later, since its entry was held up or the store was away. Requests that they have sent to its address since are served by the new process, and were broken off in their responses when the entry came.

Why the fix works: a response whose head has arrived is left to the kernel, which probes the connection: a system that has restarted answers with a reset, an unreachable one is given up after four seconds. Connections without a response are closed as before, as a target that lost its power sends no reset.

Test: edge_lives_test.py::test_a_restart_that_is_learnt_late_cuts_no_response fails before (the response ends at the entry).

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
@@ -166,25 +166,31 @@
 
     def close_incarnation(self, incarnation):
         """
-        Close all connections to an incarnation of a target that has ended.
+        Close the connections to an incarnation of a target that has ended.
 
         A target that lost its network or power sends no reset before it restarts.
         Without this, requests in flight there would wait until their deadline.
+
+        A response that is arriving may be one of the new process, if this host has
+        learnt of the restart late. The target's system tells, when it is probed.
         """
         idle = self._idle.pop(incarnation, ())
-        busy = self._busy.pop(incarnation, ())
-        responding = [c for c in busy if c.exchange is not None and c.exchange.has_head]
+        busy = self._busy.get(incarnation, ())
+        responding = [c for c in busy if c.is_responding]
+        unanswered = [c for c in busy if not c.is_responding]
         log.info(
             "connections of a former incarnation closed",
             extra={
                 "target": incarnation,
                 "idle": len(idle),
-                "busy": len(busy),
+                "busy": len(unanswered),
                 "responding": len(responding),
             },
         )
-        for connection in (*idle, *busy):
+        for connection in (*idle, *unanswered):
             connection.close()
+        for connection in responding:
+            connection.probe()
 
     def close_idle(self):
         """Close all idle connections."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -40,6 +40,8 @@
 # Seconds for which an idle connection is reused if the target sends no `Keep-Alive`
 # timeout.
 DEFAULT_IDLE_TIMEOUT = 3.0
+# Unanswered probes of a connection whose target has restarted, after which it is lost.
+PROBE_COUNT = 3
 # Subtracted from the timeout that a target sends, in seconds: it counts from when the
 # target sent its response, and the next request takes time to arrive.
 IDLE_TIMEOUT_MARGIN = 1.0
@@ -215,6 +217,17 @@
         self.transport.write(head)
         return self.exchange
 
+    @property
+    def is_responding(self):
+        """Whether the head of a response has arrived."""
+        return self.exchange is not None and self.exchange.has_head
+
+    def probe(self):
+        """Let the connection end if its peer doesn't know it any more."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and not self.is_closed:
+            outgoing.keep_alive(sock, PROBE_COUNT)
+
     async def send_body(self, chunks):
         """
         Send a body chunk by chunk, at the rate at which the target reads it.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/platform/store.py
@@ -13,7 +13,6 @@
 import base64
 import enum
 import logging
-import socket
 import struct
 from typing import NamedTuple
 
@@ -23,7 +22,7 @@
 
 from plumsaddle_core.core.traffic import TargetState
 
-from ..utils.outgoing import make_socket
+from ..utils.outgoing import keep_alive, make_socket
 from . import wire
 from .read_budget import ReadBudget
 
@@ -33,10 +32,8 @@
 # In seconds, without the time that a read waits for records. Calls take a few
 # milliseconds, and some tens of times as long while the store is slow.
 CALL_TIMEOUT = 1.5
-# In seconds. A dead connection is closed after three seconds: the bounds on how soon a
-# host applies a change count only for hosts that reached the store for that long.
-KEEP_ALIVE_IDLE = 1
-KEEP_ALIVE_INTERVAL = 1
+# Unanswered probes. A dead connection is closed after three seconds: the bounds on how
+# soon a host applies a change count only for hosts that reached the store that long.
 KEEP_ALIVE_COUNT = 2
 # What decoding raises: deep nesting and large numbers are no `DecodeError`.
 UNREADABLE_ERRORS = (
@@ -412,10 +409,7 @@
 def _make_socket(addr_info):
     """Return a socket with TCP keep-alive."""
     sock = make_socket(addr_info)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
+    keep_alive(sock, KEEP_ALIVE_COUNT)
     return sock
 
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/utils/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/utils/outgoing.py
@@ -9,6 +9,9 @@
 import asyncio
 import socket
 
+# Seconds without data before a keep-alive probe, and between two probes.
+PROBE_INTERVAL = 1
+
 
 def make_socket(addr_info):
     """Return a socket for an outgoing connection; the argument is as for aiohttp."""
@@ -18,6 +21,20 @@
     return sock
 
 
+def keep_alive(sock, count):
+    """
+    Let a connection end once its peer doesn't know it any more, or is unreachable.
+
+    Args:
+      sock: The socket.
+      count: The unanswered probes, one a second, after which the peer is unreachable.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, count)
+
+
 async def create_connection(make_protocol, ip, port, **_):
     """Open a connection, as the event loop's method does for an IPv4 address."""
     loop = asyncio.get_running_loop()
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_lives_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_lives_test.py
@@ -72,6 +72,29 @@
         assert registry.targets[worker.id].started_at == worker.born
 
 
+@in_loop
+async def test_a_restart_that_is_learnt_late_cuts_no_response():
+    """Guards against cutting responses of the process that is at work by then."""
+    async with Trial(services=("look",), targets=1) as trial:
+        worker = trial.of("look")[0]
+        worker.mode = Mode.ENDLESS
+        head = (
+            "HTTP/1.1 200 OK\r\nRequest-Id: REQUEST-ID\r\n"
+            f"Response-Signature: {worker.id}.1\r\nContent-Length: 320000\r\n\r\n"
+        )
+        # It takes 1.6 s.
+        worker.endless, worker.endless_pause = (head.encode(), b"x" * 20000), 0.1
+        look_up = asyncio.create_task(trial.ask("/look/a", "id-1"))
+        await until(lambda: worker.flooded)
+        trial.store.put(TARGETS, worker.id, worker.entry(born=BORN_AGAIN))
+        registry = trial.hosts[0].knowledge.registry
+        await until(lambda: registry.targets[worker.id].started_at == BORN_AGAIN)
+        assert not look_up.done()
+        status, _, body = await look_up
+        assert status == 200
+        assert len(body) == 320000
+
+
 @in_loop
 async def test_a_restart_while_the_store_is_away_is_learnt_at_its_return():
     """
