Let a stand-in renew its entry after it was removed

edge_notices_test.py::test_only_a_new_incarnation_ends_a_draining_notice listed a target again by one entry and waited for its use. Since late entries are ignored, the first entry after a removal may be a delayed write, so hosts wait for the next one. Running targets write one with each check-in (PROTOCOL.md), and the stand-in now does so too. All checks are as they were: the notice must hold after the entry was removed and listed again.

--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_notices_test.py
@@ -144,6 +144,8 @@
         trial.register(leaving)
         trial.unregister(leaving)
         await until(lambda: len(registry.usable("act")) == 1)
+        # A running target renews its entry.
+        trial.register(leaving)
         trial.register(leaving)
         await until(lambda: len(registry.usable("act")) == 2)
         await press(trial, "/act/a", 0.5)
