Share a limit at hosts that know nobody, and let them find each other

Cause: a host divides a limit among the hosts that it has heard of. One that has heard of nobody since its start assumed a high demand for 0.3 s and then took the whole limit, until the settings named live seeds three seconds later.

Evidence: no host logs another hub before the settings change; each admits up to the rate.

Why the fix works: each host writes its address into a keyed topic of the store. One that has heard of nobody 0.2 s after its start reads it, asks the hosts listed there and tells them its state, so hosts find each other as soon as two are up. Until four seconds after its start, by when settings name live seeds, it takes the share of the hosts that it has heard of among those listed, of a hundred if the list can't be read. Counts for hosts that may exist are scaled down when these are found, and expire if not.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/meter.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/meter.py
@@ -231,6 +231,15 @@
         }
         self._used = used
 
+    def scale_since(self, since, factor):
+        """Multiply the counts since a time by a factor."""
+        first = self._slot_number(since)
+        self._slots = {
+            number: count * factor if number >= first else count
+            for number, count in self._slots.items()
+        }
+        self._used = sum(self._slots.values())
+
     def admitted_since(self, seconds, now):
         """Return the requests counted in the last seconds, in whole slots."""
         first = self._slot_number(now - seconds)
--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -10,7 +10,9 @@
 (`liveness`), so its share of each limit stays reserved. The share is proportional to
 the requests that it received before the partition, plus a small equal part. The
 unreachable host computes the same shares from the last messages that it received, so
-they add up to the limit. Shares do not follow the demand during a partition: otherwise
+they add up to the limit. A host that has just started knows no shares: it takes that of
+the hosts that it has heard of, among those that may exist, until they must have found
+each other. Shares do not follow the demand during a partition: otherwise
 a workspace whose demand rises would be given most of its limit on both sides.
 Unreachable hosts are assumed to admit requests in proportion to their share, and
 requests that they report after the partition are not counted again.
@@ -72,6 +74,12 @@
 START_DEMAND = 3.0
 # Seconds after the start until which samples may lack sources that have not reported.
 FIRST_REPORTS_TIME = 2.0
+# Seconds after the start by which hosts have found each other, also if all seeds in
+# their settings were lost: the platform names live ones three seconds after a loss.
+DISCOVERY_TIME = 4.0
+# The hosts that one with seeds assumes while it has heard of none and doesn't know how
+# many there were.
+ASSUMED_HOSTS = 100
 # Maximum rows per message; the others are sent in later messages.
 MAX_ROWS = 200
 # Seconds without requests after which the state of a workspace is evicted. By then its
@@ -106,6 +114,7 @@
 
     __slots__ = (
         "is_isolated",
+        "known_share",
         "liveness_revision",
         "local",
         "meter",
@@ -132,6 +141,8 @@
         self.reachable_share = 1.0
         self.liveness_revision = 0
         self.is_isolated = False
+        # The share of the hosts that are known, while others may exist.
+        self.known_share = 1.0
         # The requests that this host has admitted since it last received a message,
         # and when that was.
         self.unheard = (0.0, -math.inf)
@@ -162,6 +173,8 @@
       rng: A `random.Random`.
       assumes_bursts: Whether bursts are assumed to have been used before the start, as
         when all hosts of a fleet restart together. Else only the rates are.
+      assumed_hosts: How many hosts are assumed to exist while none was heard of and
+        `expect_hosts` wasn't called.
     """
 
     def __init__(
@@ -170,12 +183,16 @@
         data_centre_count=1,
         rng=random,
         assumes_bursts=False,
+        assumed_hosts=1,
     ):
         self._tolerance = tolerance or Tolerance()
         self._data_centre_count = max(1, data_centre_count)
         self._rng = rng
         self._assumes_bursts = assumes_bursts
         self._started_at = None
+        # The number of hosts that may exist, this one included; None if unknown.
+        self._expected_hosts = None
+        self._assumed_hosts = assumed_hosts
         self._limits = {}
         self._states = {}
         self._last_used_at = {}
@@ -207,6 +224,17 @@
         for tag, state in self._states.items():
             state.meter.set_limit(*self._get_limit(tag))
 
+    def expect_hosts(self, count):
+        """
+        Set how many hosts may exist, as a list says that outlasts them.
+
+        Args:
+          count: Their number, this host included.
+        """
+        self._expected_hosts = count
+        if count > 1:
+            self._assumes_bursts = True
+
     def _get_limit(self, tag):
         workspace = self._limits[tag]
         rate, burst = workspace.rate, workspace.burst
@@ -309,7 +337,11 @@
         if self._assumes_bursts and now - self._started_at < START_TIME:
             return max(meter.demand(now), START_DEMAND * meter.rate)
         if self._liveness.is_isolated:
-            return state.own.requested(now) / DECAY_TIME
+            demand = state.own.requested(now) / DECAY_TIME
+            if state.known_share < 1.0:
+                # The sum has been growing since the start.
+                demand /= 1.0 - decay(1.0, now - self._started_at)
+            return demand
         return meter.demand(now)
 
     def release(self, workspace, now):
@@ -485,7 +517,34 @@
                 self._compute_reachable_share(tag, state),
             )
             self._count_unreported(state, previous, state.reachable_share, now)
-        return state.reachable_share
+        return state.reachable_share * self._update_known_share(state, now)
+
+    def _update_known_share(self, state, now):
+        """
+        Return the share of the known hosts, and adjust what it was assumed for.
+
+        Each request of a known host was counted for those that others may have
+        admitted. Hosts that are found report their own. If none is found in time, the
+        counts expire in their turn, as the limit would be used in a burst otherwise.
+        """
+        share = self._known_share(now)
+        if share != state.known_share:
+            if now - self._started_at < DISCOVERY_TIME:
+                since = self._started_at + START_TIME
+                state.meter.scale_since(since, state.known_share / share)
+            state.known_share = share
+        return share
+
+    def _known_share(self, now):
+        """Return the share of the hosts that are known among those that may exist."""
+        age = now - self._started_at
+        if not START_TIME <= age < DISCOVERY_TIME:
+            return 1.0
+        expected = self._expected_hosts
+        if expected is None:
+            has_contact = self._liveness.last_message_at > -math.inf
+            expected = 1 if has_contact else self._assumed_hosts
+        return min(1.0, self._liveness.host_count() / expected)
 
     def _note_isolation(self, state, now):
         """
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/host_state.py
@@ -15,7 +15,7 @@
 from plumsaddle_core.core.traffic import SchedulingMode, SendOutcome, TargetState
 from plumsaddle_core.limits.membership import Membership
 from plumsaddle_core.limits.meter import Tolerance
-from plumsaddle_core.limits.quotas import Quotas
+from plumsaddle_core.limits.quotas import ASSUMED_HOSTS, Quotas
 from plumsaddle_core.limits.targets import TargetLimits
 from plumsaddle_core.ops.availability import Availability
 from plumsaddle_core.ops.choice import RequestProfile
@@ -105,6 +105,7 @@
                 len(settings.data_centres),
                 rng,
                 assumes_bursts=settings.has_seeds,
+                assumed_hosts=ASSUMED_HOSTS if settings.has_seeds else 1,
             ),
             limits=TargetLimits(
                 Membership(settings.id, now(), settings.has_seeds), rng
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -55,6 +55,7 @@
 from .sender import Sender
 from .store_access import StoreAccess
 from .stored import TOPIC as SUSPECTS_TOPIC, StoredSuspects
+from .stored_hosts import StoredHosts
 
 log = logging.getLogger("host")
 SETTINGS_VARIABLE = "PLUMSADDLE_CONFIG"
@@ -135,6 +136,9 @@
             rng,
             knowledge=self.knowledge,
         )
+        self._stored_hosts = StoredHosts(
+            settings, self.store, self.peers.is_alone, self.peers.find, rng
+        )
         if settings.has_seeds:
             self.knowledge.may_begin_with = self.peers.versions.may_begin_with
         self._set_up_paths(rng)
@@ -242,6 +246,8 @@
         parts["housekeeping"] = self._run_housekeeping
         parts["peer updates"] = self._run_peer_updates
         parts["path prober"] = self._prober.run
+        parts["record of this host"] = self._stored_hosts.write_own
+        parts["search for hosts"] = self._stored_hosts.find_others
         for name, run in parts.items():
             self._tasks.append(loop.create_task(keep_running(name, run)))
         log.info(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -67,6 +67,8 @@
 # A host with seeds does not act on behalf of its data centre for this long (seconds)
 # after its start.
 DISCOVERY_PERIOD = 1.5
+# Listed hosts of each other data centre that a host without peers asks.
+HELLOS_PER_DATA_CENTRE = 8
 # Notices of targets, of each kind, that a heartbeat to the hub repeats, as the hub may
 # have restarted.
 ANTI_ENTROPY_ROWS = 2
@@ -151,6 +153,8 @@
         self._send_call = None
         self._send_due_at = 0.0
         self._has_unsent_update = False
+        # The hosts that the store lists, a few of each other data centre.
+        self._listed = set()
         self._started_at = now()
 
     async def open(self):
@@ -166,7 +170,35 @@
 
     def apply_settings(self, settings):
         """Replace the settings after a reload; the seeds may have changed."""
+        has_other_seeds = settings.seeds != self._settings.seeds
         self._settings = settings
+        if has_other_seeds and self.is_alone():
+            self._send_hello(now())
+
+    def is_alone(self):
+        """Return whether no other host of the data centre is known."""
+        return not len(self._peer_table)
+
+    def find(self, others):
+        """
+        Look for hosts that the store lists.
+
+        Args:
+          others: Their addresses by data centre.
+        """
+        local = others.get(self._settings.data_centre, ())
+        is_first = not self._listed
+        self._listed = set(local)
+        for data_centre, addresses in others.items():
+            if data_centre != self._settings.data_centre:
+                count = min(HELLOS_PER_DATA_CENTRE, len(addresses))
+                self._listed.update(self._rng.sample(addresses, count))
+        self._shared.quotas.expect_hosts(1 + sum(map(len, others.values())))
+        at = now()
+        self._send_hello(at)
+        if is_first and local:
+            # Hosts that start together know by this that they are not alone.
+            self._send_state(at, local)
 
     def send_update_soon(self, is_urgent):
         """
@@ -203,7 +235,7 @@
         else:
             # The hub sends the evidence on behalf of the data centre.
             self._shared.evidence.next_batch()
-        if not len(self._peer_table) or self._remote.remote_hosts.needs_more(at):
+        if self.is_alone() or self._remote.remote_hosts.needs_more(at):
             self._send_hello(at)
 
     def _own_gateways(self, at):
@@ -239,7 +271,7 @@
         )
 
     def _send_hello(self, at):
-        """Ask the seeds and known hosts of other data centres for addresses."""
+        """Ask seeds, listed hosts and those of other data centres for addresses."""
         settings = self._settings
         hello = encode(
             Hello(
@@ -250,6 +282,8 @@
             )
         )
         addresses = set(settings.seeds)
+        if self.is_alone():
+            addresses |= self._listed
         for sample in self._remote.remote_hosts.sample(at).values():
             addresses.update(sample)
         for address in addresses - {settings.peer_address}:
--- a/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model.py
@@ -15,6 +15,7 @@
 refused, and how many were although the workspace kept to its limit.
 """
 
+import enum
 import heapq
 import itertools
 import random
@@ -24,7 +25,7 @@
 
 from plumsaddle_core.core.traffic import Workspace
 from plumsaddle_core.limits.meter import Meter, Tolerance, window_capacity
-from plumsaddle_core.limits.quotas import Quotas
+from plumsaddle_core.limits.quotas import ASSUMED_HOSTS, Quotas
 from plumsaddle_core.limits.sums import workspace_tag
 
 NAME = "one"
@@ -49,6 +50,26 @@
 TROUBLE_AT = 4.0
 
 
+class Start(enum.Enum):
+    """
+    What a host admits that has heard of no other one since its start.
+
+    The whole limit; nothing; the share of one of many hosts; or that of one of the
+    hosts which the store lists.
+    """
+
+    WHOLE = "whole"
+    WAIT = "wait"
+    ASSUMED = "assumed"
+    LISTED = "listed"
+
+
+# The hosts that one assumes to exist.
+ASSUMED = {Start.WAIT: 1_000_000, Start.ASSUMED: ASSUMED_HOSTS}
+# Seconds after its start at which a host has read the list.
+LISTED_AFTER = 0.25
+
+
 class Case(NamedTuple):
     """
     What happens to a fleet.
@@ -57,6 +78,8 @@
     seconds on. Four seconds after the warm-up, `cut` of the hosts hear nobody for
     `cut_for` seconds, `killed` of them end together, `killed_after` seconds later, the
     callers of a data centre move, and `lowered` is the part of the limit that is left.
+    `gone` is the part of the killed hosts that stay away, `found_after` the seconds in
+    which those that are back reach nobody, and `start` how they start meanwhile.
     `unevenness` is how far hosts differ in what they are asked. `mix` has the part of
     each rank of request, the most urgent first; if it is empty, none has a rank.
     """
@@ -72,6 +95,9 @@
     killed: float = 0.0
     killed_after: float = 0.0
     down: float = 2.0
+    gone: float = 0.0
+    found_after: float = 0.0
+    start: Start = Start.WHOLE
     loss: float = 0.02
     unevenness: float = 1.0
     lowered: float | None = None
@@ -105,7 +131,8 @@
     """A host that goes by `Quotas`."""
 
     def __init__(self, model, rng):
-        self.quotas = Quotas(TOLERANCE, len(CENTRES), rng, True)
+        assumed = ASSUMED.get(model.case.start, 1)
+        self.quotas = Quotas(TOLERANCE, len(CENTRES), rng, True, assumed)
         self.quotas.configure([model.workspace], model.at)
 
     def ask(self, model):
@@ -185,6 +212,8 @@
         self._lives = [0] * case.hosts
         self._is_up = [True] * case.hosts
         self._cut = set()
+        # When hosts that started again reach others.
+        self._found_at = [0.0] * case.hosts
         self._hub_until = dict.fromkeys(CENTRES, 0.0)
         self.hosts = [WAYS[way](self, self._rng) for _ in range(case.hosts)]
         self._weights = [
@@ -334,12 +363,17 @@
         count = int(self.case.killed * self.case.hosts)
         for number in self._rng.sample(range(self.case.hosts), count):
             self._is_up[number] = False
-            self._push(self.case.down, self._revive, number)
+            if self._rng.random() >= self.case.gone:
+                self._push(self.case.down, self._revive, number)
 
     def _revive(self, number):
         self._is_up[number] = True
         self._lives[number] += 1
+        self._found_at[number] = self.at + self.case.found_after
         self.hosts[number] = WAYS[self.way](self, self._rng)
+        if self.case.start is Start.LISTED:
+            quotas = self.hosts[number].quotas
+            self._push(LISTED_AFTER, quotas.expect_hosts, self.case.hosts)
 
     def _lower(self):
         self.workspace = self.workspace._replace(
@@ -363,6 +397,8 @@
 
     def _is_lost(self, sender, taker):
         is_cut = sender in self._cut or taker in self._cut
+        if self.at < max(self._found_at[sender], self._found_at[taker]):
+            is_cut = True
         is_up = self._is_up[sender] and self._is_up[taker]
         return is_cut or not is_up or self._rng.random() < self.case.loss
 
@@ -469,6 +505,41 @@
 SIZES = (40, 133, 293)
 
 
+# Hosts that list each other find each other soon; the others wait for live seeds.
+STARTS = {
+    Start.WHOLE: 3.0,
+    Start.WAIT: 3.0,
+    Start.ASSUMED: 3.0,
+    Start.LISTED: 0.6,
+}
+LOST_SEEDS = {
+    "6 times": Case(load=6.0, killed=1.0, down=0.9, gone=0.4),
+    "half of the limit": Case(load=0.5, killed=1.0, down=0.9, gone=0.4),
+    "6 times, the list unread": Case(load=6.0, killed=1.0, down=0.9, gone=0.4),
+    "6 times, one host is left": Case(load=6.0, killed=1.0, down=0.9, gone=0.99),
+}
+
+
+def compare_starts(seeds=4, sizes=(8, 40, 133)):
+    """Print the table of ways to start where all hosts were lost with their seeds."""
+    print("| case | hosts | " + " | ".join(start.value for start in Start) + " |")
+    print("| --- " * (len(Start) + 2) + "|")
+    for name, hosts in itertools.product(LOST_SEEDS, sizes):
+        cells = []
+        for start, found_after in STARTS.items():
+            case = LOST_SEEDS[name]._replace(
+                hosts=hosts, start=start, found_after=found_after
+            )
+            if "unread" in name and start is Start.LISTED:
+                case = case._replace(start=Start.ASSUMED, found_after=3.0)
+            outcomes = [QuotaModel(case, "thinned", s).run() for s in range(seeds)]
+            worst = max(outcome.overshoot for outcome in outcomes)
+            used = sum(outcome.used for outcome in outcomes) / seeds
+            wrongly = sum(outcome.wrongly for outcome in outcomes)
+            cells.append(f"{worst:.2f}, {used:.2f}, {wrongly}")
+        print(f"| {name} | {hosts} | {' | '.join(cells)} |", flush=True)
+
+
 def main(seeds=3, sizes=SIZES):
     """Print the table."""
     print("| case | hosts | " + " | ".join(f"{way}" for way in WAYS) + " | rows/s |")
@@ -489,3 +560,4 @@
 
 if __name__ == "__main__":
     main()
+    compare_starts()
