Draw late entries and restarts without seeds in lab and soak

make lab PATTERN=late-entries and PATTERN=lost-seeds, and two more faults of make soak: writes of targets that the store executes late, while the target starts again, drains or goes on; and hosts whose settings name no live seed at a start. Targets of both now renew their entries as the platform's do. In the lab's release, a target that is back has started again, and after a restoration running targets write by themselves.

--- a/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/host_process.py
@@ -123,10 +123,21 @@
         self._starting = asyncio.Lock()
         self.is_wanted = False
 
-    def write_settings(self, grace=GRACE, more="", head=""):
-        """Write the settings file; `head` has lines for its top level."""
+    def write_settings(self, grace=GRACE, more="", head="", seeds=None):
+        """
+        Write the settings file.
+
+        Args:
+          grace: The grace period, in seconds.
+          more: Further text at its end.
+          head: Lines for its top level.
+          seeds: The addresses of other hosts, if not those of the first start.
+        """
         self.grace = grace
-        self.text = head + SETTINGS.format(grace=grace, **self._values) + more
+        values = dict(self._values)
+        if seeds is not None:
+            values["seeds"] = json.dumps(list(seeds))
+        self.text = head + SETTINGS.format(grace=grace, **values) + more
         self.path.write_text(self.text, encoding="utf-8")
 
     async def start(self):
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -26,6 +26,7 @@
 import fire
 
 from .callers import HOT, PROMISES, WORKSPACES, Callers, find_broken
+from .check_ins import CheckIns
 from .downloading import DownloadCallers, cut_at_times
 from .host_link import CUTS, HostLink
 from .host_process import HostProcess
@@ -53,6 +54,9 @@
 # Mean seconds between two notices of targets, and how long a target drains.
 NOTICE_PAUSE = 1.0
 DRAIN_SECONDS = (2.5, 5.0)
+# Settings whose seeds are lost, and the mean seconds between two late entries.
+LOST_SEEDS = ((), ("127.0.0.1:1",))
+ENTRY_PAUSE = 1.0
 # Mean seconds between two restorations of the store, and bounds of how old its copy is
 # and how long it is away.
 RESTORE_PAUSE = 3.0
@@ -160,6 +164,9 @@
     store.fault = Fault.NONE
     await asyncio.sleep(REWRITTEN_AFTER)
     store.rewrite()
+    for worker in lab.trial.workers.values():
+        if worker.id in lab.trial.listed:
+            lab.trial.register(worker, lab.trial.listed[worker.id])
     lab.publish()
 
 
@@ -178,6 +185,7 @@
         await asyncio.sleep(seconds / TARGETS / 2)
         lab.trial.unregister(worker)
         await asyncio.sleep(seconds / TARGETS / 2)
+        worker.start_again()
         lab.trial.register(worker)
 
 
@@ -210,6 +218,30 @@
     lab.callers.more = 0.0
 
 
+async def lost_seeds(lab, seconds):
+    """Kill all hosts while one workspace asks ten times its usual; lose their seeds."""
+    lab.callers.more = 9 * HOT.share * RATE
+    await asyncio.gather(*(host.kill() for host in lab.hosts))
+    for host in lab.hosts:
+        host.write_settings(seeds=lab.rng.choice(LOST_SEEDS))
+    await asyncio.gather(*(host.start() for host in lab.hosts))
+    await asyncio.sleep(seconds)
+    lab.callers.more = 0.0
+
+
+async def late_entries(lab, seconds):
+    """Let targets start again and drain while writes of theirs are executed late."""
+    check_ins = CheckIns(lab.trial, lab.rng, Counter())
+    renewing = asyncio.create_task(check_ins.run())
+    end = asyncio.get_running_loop().time() + seconds
+    delays = []
+    while asyncio.get_running_loop().time() < end:
+        delays.append(asyncio.create_task(check_ins.delay_one()))
+        await asyncio.sleep(lab.rng.expovariate(1 / ENTRY_PAUSE))
+    await asyncio.gather(*delays)
+    renewing.cancel()
+
+
 async def partition(lab, seconds):
     """Partition some hosts from all targets, in any form, and let them back."""
     links = lab.rng.sample(lab.links, lab.rng.randint(1, len(lab.links) - 1))
@@ -238,10 +270,11 @@
     for f in (
         *(calm, gray, hang, reset, shed, store_away),
         *(release, roll, kill, freeze, storm, hot, partition, restore),
+        *(lost_seeds, late_entries),
     )
 }
 # With these, each seed would draw other faults; they are played by themselves.
-NOT_AT_RANDOM = {hot.__name__, restore.__name__}
+NOT_AT_RANDOM = {"hot", "restore", "lost-seeds", "late-entries"}
 
 
 async def at_random(lab, seconds):
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -46,6 +46,24 @@
     assert field[200] >= 6 * 0.3 * 40 * 0.8
 
 
+def test_hosts_that_lost_their_seeds_keep_a_limit(tmp_path):
+    """Guards against hosts that each admit the whole limit after all were killed."""
+    ended, broken = asyncio.run(play("lost-seeds", 9.0, SEED, 40.0, tmp_path))
+    assert not broken
+    served = [e.started for e in ended if e.workspace == "field" and e.status == 200]
+    assert most_in_window(served, 5.0) <= (5.0 * HOT_LIMIT + HOT_LIMIT) * 1.1 + 20
+    last = [e for e in ended if e.workspace == "archive" and e.started > 7.0]
+    assert sum(e.status == 200 for e in last) > 0.9 * len(last)
+
+
+def test_no_promise_breaks_while_entries_arrive_late(tmp_path):
+    """Guards against hosts that act by entries which newer ones have replaced."""
+    ended, broken = asyncio.run(play("late-entries", 9.0, SEED, 40.0, tmp_path))
+    assert not broken
+    whole = sum(1 for end in ended if end.status == 200)
+    assert whole > 0.95 * len(ended)
+
+
 def test_rate_limits_of_targets_hold_while_faults_overlap(tmp_path):
     """Guards against hosts that exceed a target's limit when some of them restart."""
     playing = play("random", 9.0, SEED, 40.0, tmp_path, limit=3.0)
--- a/packages/plumsaddle-standins/plumsaddle_standins/soak.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/soak.py
@@ -25,6 +25,7 @@
 import fire
 
 from .callers import WORKSPACES
+from .check_ins import CheckIns
 from .host_process import GRACE, HostProcess
 from .host_watch import MEGABYTE, HostWatch
 from .lab import tell
@@ -48,10 +49,13 @@
 TARGET_PAUSE = 2.0
 FLEET_PAUSE = 3.0
 STORE_PAUSE = 4.0
+ENTRY_PAUSE = 2.0
 # The orders that are sent to a host from its SIGTERM on, and the seconds between two.
 ORDERS, ORDER_PAUSE = 40, 0.1
 # The seconds that a slow target works on a request, and those for which it is slow.
 SLOW_WORKS, SLOW_FOR = (0.3, 0.8, 1.5, 3.0), (0.5, 2.0)
+# Settings whose seeds are lost.
+LOST_SEEDS = ((), ("127.0.0.1:1",))
 # Seconds of the routes' timeout, and milliseconds that callers give a request.
 TIMEOUT, TIME_LEFT_MS = 4.0, 5000
 START_WITHIN = 30.0
@@ -94,8 +98,9 @@
     What is drawn beside stops, kills and changes.
 
     At a start a port is taken, settings are incomplete, signals come early, limits are
-    not named and the grace period is short; several hosts are disturbed at once; the
-    store answers and targets respond without end; targets always take their time.
+    not named, the grace period is short and no seed is alive; several hosts are
+    disturbed at once; the store answers and targets respond without end; targets always
+    take their time; the store executes writes of targets late.
     """
 
     PORTS = "ports"
@@ -107,6 +112,8 @@
     TARGETS = "targets"
     STORE = "store"
     WORKS = "works"
+    SEEDS = "seeds"
+    ENTRIES = "entries"
 
 
 class Soak:
@@ -138,6 +145,8 @@
         self.watch = HostWatch(hosts, trial.session, self._start, log_of)
         self.callers = None
         self.drawn = Counter()
+        entry_rng = random.Random(f"{seed} entries")
+        self.check_ins = CheckIns(trial, entry_rng, self.drawn)
 
     def publish(self):
         """Publish one more version of the same routes."""
@@ -166,6 +175,8 @@
             works.append(self._repeat(end, FLEET_PAUSE, self._disturb_fleet))
         if Fault.STORE in self._faults:
             works.append(self._repeat(end, STORE_PAUSE, self._disturb_store))
+        if Fault.ENTRIES in self._faults:
+            works.append(self._repeat(end, ENTRY_PAUSE, self._delay_entry))
         await asyncio.gather(*works)
         # Tasks may begin others.
         while self._tasks:
@@ -251,7 +262,8 @@
         if self._draws(Fault.GRACES, rng):
             grace = rng.choice(GRACES)
         host.memory_limit = MEMORY_MB * MEGABYTE if head == LIMITED else None
-        host.write_settings(grace, head=head)
+        seeds = rng.choice(LOST_SEEDS) if self._draws(Fault.SEEDS, rng) else None
+        host.write_settings(grace, head=head, seeds=seeds)
 
     def _obstruct(self, host, rng):
         """Begin what keeps a host from starting at once."""
@@ -303,6 +315,9 @@
         for host in self._hosts:
             self.watch.expect_delay(host, asyncio.get_running_loop().time())
 
+    async def _delay_entry(self):
+        self._spawn(self.check_ins.delay_one())
+
     async def _disturb_targets(self, end):
         loop = asyncio.get_running_loop()
         modes = [Mode.GOOD, Mode.SHED, Mode.GOOD]
@@ -346,6 +361,7 @@
             soak = Soak(trial, processes, seed, faults, log_of)
             soak.publish()
             watching = asyncio.create_task(soak.watch.run())
+            checking_in = asyncio.create_task(soak.check_ins.run())
             try:
                 await soak.start()
                 rng = random.Random(seed + 1)
@@ -356,6 +372,7 @@
                 await soak.watch.finish()
             finally:
                 watching.cancel()
+                checking_in.cancel()
                 for host in processes:
                     if host.is_running:
                         await host.kill()
--- a/packages/plumsaddle-standins/plumsaddle_standins/trial.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/trial.py
@@ -125,6 +125,8 @@
             for service in services
             for number in range(targets)
         }
+        # The states of the entries that targets have written, by id.
+        self.listed = {}
         # These and all that took the place of one.
         self.every_worker = list(self.workers.values())
         self.crashes = []
@@ -203,6 +205,7 @@
 
     def register(self, worker, state="ready"):
         """Write a target's entry."""
+        self.listed[worker.id] = state
         self.store.put(TARGETS, worker.id, worker.entry(state))
 
     def make_deadly(self, service, deadly, down_for=0.5):
@@ -240,6 +243,7 @@
 
     def unregister(self, worker):
         """Remove a target's entry."""
+        self.listed.pop(worker.id, None)
         self.store.put(TARGETS, worker.id, b"")
 
     def of(self, service):
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -167,6 +167,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def start_again(self):
+        """Begin a new start under the same id; open connections are kept."""
+        self.born += 1000
+        self.sequence = 0
+
     def take_record(self):
         """Return what was received and said, as a `Record`, and forget it."""
         record = Record(self.id, self.notices, self.seen)
