Read the list of hosts wherever no seed answers

Cause: a host that was found by another one before it had read the list knew one other host, stopped its search, and divided the limit by two. The find by datagram came with a message, and any message counted as contact with the fleet.

Why the fix works: how many hosts may exist is known only from a seed that runs or from the list. A host that hears from no seed of its data centre reads the list, whoever has found it, and until then assumes a hundred hosts.

Test: edge_discovery_test.py::test_a_host_that_another_one_found_knows_how_many_may_exist.

--- a/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
+++ b/packages/plumsaddle-core/plumsaddle_core/limits/quotas.py
@@ -77,8 +77,8 @@
 # Seconds after the start by which hosts have found each other, also if all seeds in
 # their settings were lost: the platform names live ones three seconds after a loss.
 DISCOVERY_TIME = 4.0
-# The hosts that one with seeds assumes while it has heard of none and doesn't know how
-# many there were.
+# The hosts that one with seeds assumes while it has heard of none of these, and has not
+# read how many hosts there were.
 ASSUMED_HOSTS = 100
 # Maximum rows per message; the others are sent in later messages.
 MAX_ROWS = 200
@@ -173,8 +173,7 @@
       rng: A `random.Random`.
       assumes_bursts: Whether bursts are assumed to have been used before the start, as
         when all hosts of a fleet restart together. Else only the rates are.
-      assumed_hosts: How many hosts are assumed to exist while none was heard of and
-        `expect_hosts` wasn't called.
+      assumed_hosts: How many hosts may exist, until `expect_hosts` tells.
     """
 
     def __init__(
@@ -190,9 +189,8 @@
         self._rng = rng
         self._assumes_bursts = assumes_bursts
         self._started_at = None
-        # The number of hosts that may exist, this one included; None if unknown.
-        self._expected_hosts = None
-        self._assumed_hosts = assumed_hosts
+        # The number of hosts that may exist, this one included.
+        self._expected_hosts = assumed_hosts
         self._limits = {}
         self._states = {}
         self._last_used_at = {}
@@ -229,7 +227,8 @@
         Set how many hosts may exist, as a list says that outlasts them.
 
         Args:
-          count: Their number, this host included.
+          count: Their number, this host included; 1 if only those count that this host
+            hears of.
         """
         self._expected_hosts = count
         if count > 1:
@@ -540,11 +539,7 @@
         age = now - self._started_at
         if not START_TIME <= age < DISCOVERY_TIME:
             return 1.0
-        expected = self._expected_hosts
-        if expected is None:
-            has_contact = self._liveness.last_message_at > -math.inf
-            expected = 1 if has_contact else self._assumed_hosts
-        return min(1.0, self._liveness.host_count() / expected)
+        return min(1.0, self._liveness.host_count() / self._expected_hosts)
 
     def _note_isolation(self, state, now):
         """
--- a/packages/plumsaddle-core/plumsaddle_core/ops/peer_table.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/peer_table.py
@@ -106,6 +106,11 @@
         """Return the addresses of all known hosts."""
         return list(self._known)
 
+    def has_heard(self, addresses):
+        """Return whether any of some hosts has sent an update."""
+        known = filter(None, map(self._known.get, addresses))
+        return any(host.incarnation is not None for host in known)
+
     def live_addresses(self, now):
         """Return the addresses of the live hosts."""
         known = self._known.items()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -136,9 +136,7 @@
             rng,
             knowledge=self.knowledge,
         )
-        self._stored_hosts = StoredHosts(
-            settings, self.store, self.peers.is_alone, self.peers.find, rng
-        )
+        self._stored_hosts = StoredHosts(settings, self.store, self.peers, rng)
         if settings.has_seeds:
             self.knowledge.may_begin_with = self.peers.versions.may_begin_with
         self._set_up_paths(rng)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/peers.py
@@ -179,6 +179,14 @@
         """Return whether no other host of the data centre is known."""
         return not len(self._peer_table)
 
+    def has_heard_seed(self):
+        """Return whether a seed of the data centre has sent an update."""
+        return self._peer_table.has_heard(self._settings.seeds)
+
+    def note_seed_heard(self):
+        """Divide limits among the hosts that are heard of, as a seed knows them all."""
+        self._shared.quotas.expect_hosts(1)
+
     def find(self, others):
         """
         Look for hosts that the store lists.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored_hosts.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/stored_hosts.py
@@ -3,8 +3,9 @@
 
 Hosts find each other through the seeds in their settings. These may all be down when
 other hosts start, as after the loss of the whole fleet. So each host writes its address
-into a keyed topic, and one that knows no other host reads it. A record is no sign of
-life: only its number counts, until the hosts themselves answer.
+into a keyed topic, and one that hears from no seed reads it, also if another host has
+found it meanwhile. A record is no sign of life: it counts for the number of hosts that
+may exist, and is an address to ask.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 from returns.result import Failure
 
 from ..utils.addresses import is_address
+from .clock import now
 
 log = logging.getLogger("hosts")
 TOPIC = "keyed.entry-hosts"
@@ -53,16 +55,14 @@
     Args:
       settings: The `HostSettings`.
       store: The `Store`.
-      is_alone: Returns whether no other host is known.
-      on_listing: Called with the addresses of the other hosts, by data centre.
+      peers: The `PeerProtocol`.
       rng: A `random.Random`.
     """
 
-    def __init__(self, settings, store, is_alone, on_listing, rng):
+    def __init__(self, settings, store, peers, rng):
         self._settings = settings
         self._store = store
-        self._is_alone = is_alone
-        self._on_listing = on_listing
+        self._peers = peers
         self._rng = rng
 
     async def write_own(self):
@@ -91,18 +91,23 @@
             log.info("expired records removed", extra={"count": len(expired)})
 
     async def find_others(self):
-        """Read the list while no other host is known, until cancelled."""
+        """Read the list unless a seed answers, and while no other host is known."""
         if self._settings.has_seeds:
             await asyncio.sleep(SEED_ANSWER_TIME)
-        interval = MIN_READ_INTERVAL
+        is_fleet_known = False
+        interval, read_at = MIN_READ_INTERVAL, now()
         while True:
-            if not self._is_alone():
-                interval = MIN_READ_INTERVAL
-                await asyncio.sleep(CHECK_INTERVAL)
-                continue
-            if await self._read():
+            if not is_fleet_known and self._peers.has_heard_seed():
+                is_fleet_known = True
+                self._peers.note_seed_heard()
+            if is_fleet_known and not self._peers.is_alone():
+                interval, read_at = MIN_READ_INTERVAL, now()
+            elif now() >= read_at:
+                if await self._read():
+                    is_fleet_known = True
+                read_at = now() + interval
                 interval = min(MAX_READ_INTERVAL, 2.0 * interval)
-            await asyncio.sleep(interval)
+            await asyncio.sleep(CHECK_INTERVAL)
 
     async def _read(self):
         """Read the list, and return whether it could be read."""
@@ -117,7 +122,7 @@
                 others.setdefault(decoded.data_centre, []).append(record.key)
         count = sum(map(len, others.values()))
         log.info("hosts listed", extra={"count": count})
-        self._on_listing(others)
+        self._peers.find(others)
         return True
 
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_discovery_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_discovery_test.py
@@ -2,6 +2,7 @@
 Hosts that find each other in the store's list, on real sockets.
 """
 
+import asyncio
 import json
 import time
 
@@ -41,6 +42,32 @@
         assert now() - started < 2.0
 
 
+@in_loop
+async def test_a_host_that_another_one_found_knows_how_many_may_exist():
+    """Guards against a host that takes the one which found it for the whole fleet."""
+    async with Trial(services=("look",), hosts=0) as trial:
+        ports = [free_port() for _ in range(8)]
+        for port in ports:
+            _put(trial, f"127.0.0.1:{port}")
+        for number in range(2):
+            await trial.add_host(number, peers_port=ports[number], seeds=(NOBODY,))
+            await asyncio.sleep(0.1)
+        for host in trial.hosts:
+            quotas = host.knowledge.shared.quotas
+            await until(lambda quotas=quotas: quotas._expected_hosts == 8, 1.0)
+
+
+@in_loop
+async def test_a_host_whose_seed_answers_reads_no_list():
+    """Guards against a share of a limit, and a call, where a fleet is running."""
+    async with Trial(services=("look",), hosts=1) as trial:
+        _put(trial, NOBODY)
+        await asyncio.sleep(stored_hosts.SEED_ANSWER_TIME)
+        await trial.add_host(1)
+        quotas = trial.hosts[1].knowledge.shared.quotas
+        await until(lambda: quotas._expected_hosts == 1, 1.0)
+
+
 @pytest.mark.parametrize("data", [b"{", b"\xff", b"[]", b'{"data_centre": 1, "at": 2}'])
 @in_loop
 async def test_odd_records_name_no_host(data):
@@ -54,7 +81,7 @@
         for number, port in enumerate(ports):
             await trial.add_host(number, peers_port=port, seeds=(NOBODY,))
         await until(lambda: _live_counts(trial) == {2}, 4.0)
-        assert trial.hosts[0].knowledge.shared.quotas._expected_hosts in (None, 2)
+        assert trial.hosts[0].knowledge.shared.quotas._expected_hosts == 2
 
 
 @in_loop
