Drop a relisted target whose next entry is invalid

A target that is listed again waits for its next entry. If that was invalid, which names no target to use, the valid one before it was still used six seconds later. Found by reading. Test: entry_order_test.py::test_an_invalid_entry_ends_the_wait_for_a_renewal fails before.

--- a/packages/plumsaddle-core/plumsaddle_core/ops/entry_order_test.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/entry_order_test.py
@@ -178,6 +178,18 @@
     assert not log.usable
 
 
+def test_an_invalid_entry_ends_the_wait_for_a_renewal():
+    """Guards against the use of a target whose latest entry names none."""
+    log = _Log()
+    log.put_other(0.0)
+    log.put(1000, 5, 0.0)
+    log.remove(4.5)
+    log.put(1000, 6, 5.0)
+    log.registry.reject("t", 100)
+    log.registry.expire(20.0)
+    assert not log.usable
+
+
 @pytest.mark.parametrize("started_at", [0, 1000])
 def test_a_target_whose_entry_had_expired_is_used_once_it_renews_it(started_at):
     """Guards against leaving out a running target that reaches the store again."""
--- a/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/registry.py
@@ -173,7 +173,10 @@
         """
         Remove a target whose latest entry is invalid, until the next valid entry.
         """
-        if self._is_old(target_id, position) or target_id not in self.targets:
+        if self._is_old(target_id, position):
+            return
+        self._relisted.pop(target_id, None)
+        if target_id not in self.targets:
             return
         self._lapsing.pop(target_id, None)
         self._unlist(self.targets.pop(target_id))
