Name the new fields of a case where cases are drawn, and list a case that fails

It names them now, with the values of before, and draws the cases that it drew before; nothing else is changed.

--- a/packages/plumsaddle-standins/plumsaddle_standins/quota_model_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/quota_model_test.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import HealthCheck, Phase, example, given, settings, strategies as st
 
-from .quota_model import CASES, Case, QuotaModel
+from .quota_model import CASES, Case, QuotaModel, Start
 
 # Hosts, so that a play takes a second or two.
 HOSTS = 18
@@ -30,6 +30,9 @@
         killed_after=st.just(0.0),
         killed=st.sampled_from([0.0, 0.3, 1.0]),
         down=st.sampled_from([1.0, 2.0]),
+        gone=st.just(0.0),
+        found_after=st.just(0.0),
+        start=st.just(Start.WHOLE),
         loss=st.sampled_from([0.0, 0.02, 0.1]),
         unevenness=st.sampled_from([0.0, 1.0, 2.0]),
         lowered=st.sampled_from([None, 0.2]),
@@ -79,6 +82,23 @@
     assert QuotaModel(case, seed=seed).run().overshoot <= 1.0
 
 
+@pytest.mark.parametrize("start", [Start.WHOLE, Start.LISTED])
+def test_hosts_that_start_while_they_are_cut_off_keep_the_limit(start):
+    """Guards against hosts that find nobody since they are cut off, and go on alone."""
+    case = Case(
+        load=0.9,
+        jump=1.5,
+        jump_at=0.0,
+        hosts=HOSTS,
+        cut=0.35,
+        killed=1.0,
+        start=start,
+        loss=0.1,
+        lowered=0.2,
+    )
+    assert QuotaModel(case, seed=374).run().overshoot <= 1.0
+
+
 @pytest.mark.parametrize("rate", [3.0, 10.0, 50.0])
 def test_a_workspace_that_keeps_to_its_limit_is_not_refused(rate):
     """A workspace is told that it asks too much when it does not."""
