--- a/packages/plumsaddle-core/plumsaddle_core/ops/entry_order.py
+++ b/packages/plumsaddle-core/plumsaddle_core/ops/entry_order.py
@@ -6,9 +6,10 @@
 their sequences. A removal has neither, so it counts from when it is read: a removed
 target is listed again by an entry that it has written since.
 
-Both are the target's own claims. They may be forged, and a start time may lie before
-that of the former start because a clock was set. So an outdated entry replaces a newer
-one if its writer renews it as a running target does while the other writer is silent.
+Start times and sequences are claims of whoever wrote the entry. They may be forged, and
+a start time may lie before that of the former start because a clock was set. So an
+outdated entry replaces a newer one if its writer renews it as a running target does
+while the other writer is silent.
 """
 
 from typing import NamedTuple
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
@@ -171,8 +171,9 @@
         A target that lost its network or power sends no reset before it restarts.
         Without this, requests in flight there would wait until their deadline.
 
-        A response that is arriving may be one of the new process, if this host has
-        learnt of the restart late. The target's system tells, when it is probed.
+        A response that is arriving may come from the new process, if this host has
+        learnt of the restart late. Keep-alive probes tell: the system of a target that
+        has restarted resets a connection that it doesn't know.
         """
         idle = self._idle.pop(incarnation, ())
         busy = self._busy.get(incarnation, ())
