Log who breaks off a response, and whether its caller left

Callers of review/5 lost answers in the middle, and the logs told neither which end had broken them off nor for which request. 'response incomplete' now has the target, what ended its side (closed, reset, unreachable, malformed, or by this host: a restart, a partition) and the seconds that were left; 'send failed' has the same; 'caller left' names the request of a caller that closed.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/connection_pool.py
@@ -12,7 +12,7 @@
 from plumsaddle_core.ops.paths import PathState
 
 from .clock import now
-from .target_connection import TargetConnection
+from .target_connection import EndCause, TargetConnection
 
 log = logging.getLogger("paths")
 
@@ -189,7 +189,7 @@
             },
         )
         for connection in (*idle, *unanswered):
-            connection.close()
+            connection.close(EndCause.RESTARTED)
         for connection in responding:
             connection.probe()
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
@@ -22,7 +22,7 @@
 
 from ..transfers.response_buffer import ResponseBuffer
 from .clock import now
-from .verdict import outcome_of_head, response_length
+from .verdict import exchange_fields, outcome_of_head, response_length
 
 
 class Downloads:
@@ -131,10 +131,12 @@
       downloads: The `Downloads`.
       deadline: When the caller's time is up, in seconds on the host's clock.
       release: Called once, as soon as nothing more comes from the target.
+      target: The id of the target.
     """
 
-    def __init__(self, exchange, downloads, deadline, release):
+    def __init__(self, exchange, downloads, deadline, release, target=None):
         self.deadline = deadline
+        self._target = target
         self.bytes_sent = 0
         self._exchange = exchange
         self._downloads = downloads
@@ -159,6 +161,10 @@
         """The most bytes of the response that the host held at any time."""
         return self._exchange.body.peak
 
+    def log_fields(self):
+        """Return what log lines tell of the response."""
+        return exchange_fields(self._exchange, self._target)
+
     def when_received(self, callback):
         """Call a function once the target has no more work with the response."""
         if self._is_received:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -125,10 +125,23 @@
         try:
             result = await self._process(request, started_at)
             return await self._respond(request, result)
+        except asyncio.CancelledError:
+            self._log_caller_left(request, started_at)
+            raise
         finally:
             self.in_flight -= 1
             self._metrics.seconds.observe({}, now() - started_at)
 
+    def _log_caller_left(self, request, started_at):
+        """Log that a caller has closed its connection before its response."""
+        log.info(
+            "caller left",
+            extra={
+                "request": request.headers.get(wire.REQUEST_ID),
+                "seconds": round(now() - started_at, 4),
+            },
+        )
+
     async def _process(self, request, started_at):
         """Validate and run a request; return a `Reply` or a `Refusal`."""
         cfg = self._knowledge.cfg
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -77,22 +77,31 @@
         response.content_length = int(length)
     else:
         response.enable_chunked_encoding()
-    if isinstance(reply.rest, DownloadRest):
-        cause = await _write_download(request, response, reply.rest)
-    else:
-        cause = await _write_parts(request, response, reply)
+    write = _write_download if isinstance(reply.rest, DownloadRest) else _write_parts
+    cause = CutCause.CALLER
+    try:
+        cause = await write(request, response, reply)
+    finally:
+        if cause is not None:
+            _log_cut(request, reply.rest, cause)
     if cause is None:
         await response.write_eof()
         return
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _log_cut(request, rest, cause):
+    """Log who has broken off a response, and how it stood."""
     log.warning(
         "response incomplete",
         extra={
             "request": request.headers.get(wire.REQUEST_ID),
             "cause": cause.value,
+            "left": round(rest.deadline - now(), 3),
+            **rest.log_fields(),
         },
     )
-    if request.transport is not None:
-        request.transport.abort()
 
 
 async def _write_parts(request, response, reply):
@@ -148,9 +157,9 @@
             self._bytes -= count
 
 
-async def _write_download(request, response, rest):
+async def _write_download(request, response, reply):
     """Write a large response by its deadline, and return why it was cut, or None."""
-    transport = request.transport
+    rest, transport = reply.rest, request.transport
     if transport is None:
         return CutCause.CALLER
     cause = CutCause.CALLER
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -212,6 +212,7 @@
                 else None,
                 # Distinguishes a stale connection from a failing target.
                 "connection": sent.connection.kind,
+                "end": sent.connection.end.value if sent.connection.end else None,
                 "age": sent.connection.age,
                 "idle": sent.connection.idle,
                 "gateway": sent.connection.gateway,
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -13,7 +13,7 @@
 from .clock import now
 from .downloads import DownloadRest
 from .outgoing import frame_body, is_sent_in_parts, make_head
-from .target_connection import ConnectFailure
+from .target_connection import ConnectFailure, EndCause
 from .verdict import ReplyRest, classify, classify_head, outcome_of_head
 
 log = logging.getLogger("relay")
@@ -35,12 +35,14 @@
 
     `kind` is `new`, `kept`, or the reason why there was no connection. `age` and `idle`
     are in seconds. `gateway` is the address of the host through which it goes, if any.
+    `end` is the `EndCause` of a response that is not whole.
     """
 
     kind: str
     age: float | None = None
     idle: float | None = None
     gateway: str | None = None
+    end: EndCause | None = None
 
 
 class SendResult(NamedTuple):
@@ -134,13 +136,18 @@
             log.info("tunnelled", extra={**extra, "gateway": connection.gateway})
         on_connected(connection)
         connection.is_repeatable = request.route.kind.is_idempotent
-        outcome, reply = await self._exchange(
+        outcome, reply, end = await self._exchange(
             request, target, connection, suspect_check, on_head
         )
-        return SendResult(outcome, reply, info)
+        return SendResult(outcome, reply, info._replace(end=end))
 
     async def _exchange(self, request, target, connection, suspect_check, on_head):
-        """Send on a connection and return the outcome and the `Reply` or None."""
+        """
+        Send on a connection.
+
+        Returns:
+          The outcome, the `Reply` or None, and the `EndCause` or None.
+        """
         sent_at = now()
         downloads = self._knowledge.downloads
         buffer = downloads.open_buffer(request, connection)
@@ -168,22 +175,23 @@
                 if _is_large_success(exchange):
                     is_streaming = True
                     outcome = SendOutcome.SUCCEEDED
-                    return outcome, self._download_reply(
-                        request, target, connection, exchange
-                    )
+                    reply = self._download_reply(request, target, connection, exchange)
+                    return outcome, reply, None
             else:
                 await exchange.wait_for_body(MAX_BUFFERED_BODY)
             if exchange.outcome is None and exchange.has_head:
                 # A target may need the rest of the body for that of its response.
-                rest = ReplyRest(exchange, connection, request.deadline, sending)
+                rest = ReplyRest(
+                    exchange, connection, request.deadline, sending, target.id
+                )
                 outcome, reply = classify_head(exchange, rest)
                 is_streaming = outcome is SendOutcome.SUCCEEDED
                 # The rest of a long error response is not read.
-                return outcome, reply if is_streaming else None
+                return outcome, reply if is_streaming else None, None
             outcome, reply = classify(exchange)
             if outcome is SendOutcome.BROKEN and connection.was_cut:
                 outcome = SendOutcome.PATH_LOST
-            return outcome, reply
+            return outcome, reply, exchange.end_cause
         finally:
             suspect_check.note_outcome(target, exchange, outcome)
             if not is_streaming:
@@ -204,7 +212,11 @@
                 )
 
         rest = DownloadRest(
-            exchange, self._knowledge.downloads, request.deadline, release
+            exchange,
+            self._knowledge.downloads,
+            request.deadline,
+            release,
+            target.id,
         )
         return Reply(exchange.status, exchange.headers, b"", rest)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -65,6 +65,19 @@
     NO_PATH = "no-path"
 
 
+class EndCause(enum.Enum):
+    """Why an exchange ended without a whole response."""
+
+    MALFORMED = "malformed response"
+    CLOSED = "closed by target"
+    RESET = "reset by target"
+    UNREACHABLE = "target unreachable"
+    # Ended by this host.
+    RESTARTED = "target has restarted"
+    PARTITIONED = "host is partitioned"
+    ABANDONED = "abandoned"
+
+
 class Exchange:
     """
     One request on a connection, and as much of its response as has arrived.
@@ -91,6 +104,8 @@
         # Whether it was not read for a while, which may make the target cut it.
         self.was_paused = False
         self.outcome = None
+        # The `EndCause` of a response that is not whole.
+        self.end_cause = None
         self.on_end = None
         self._waiter = None
 
@@ -128,10 +143,11 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    def finish(self, outcome):
+    def finish(self, outcome, end_cause=None):
         """Set the outcome, unless it is already set."""
         if self.outcome is None:
             self.outcome = outcome
+            self.end_cause = end_cause
             self.wake()
             if self.on_end is not None:
                 asyncio.get_running_loop().call_soon(self.on_end)
@@ -172,6 +188,8 @@
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
         self.opened_at = self.last_used_at = now()
         self.is_closed = False
+        # The `EndCause` if this host has closed it.
+        self._close_cause = None
         self._must_close = False
         self._on_closed = on_closed
         self._on_contact = on_contact
@@ -261,11 +279,12 @@
     def cut(self):
         """End a request for which another connection is to be used."""
         self.was_cut = True
-        self.close()
+        self.close(EndCause.PARTITIONED)
 
-    def close(self):
-        """Close the connection without sending what is buffered."""
+    def close(self, cause=EndCause.ABANDONED):
+        """Close the connection without sending what is buffered, for an `EndCause`."""
         self.is_closed = True
+        self._close_cause = self._close_cause or cause
         if self.transport is not None:
             self.transport.abort()
 
@@ -308,7 +327,7 @@
         if not self._parse(data):
             self._must_close = True
             exchange.report_head()
-            exchange.finish(SendOutcome.BROKEN)
+            exchange.finish(SendOutcome.BROKEN, EndCause.MALFORMED)
             return
         exchange.report_head()
         if exchange.outcome is None and not exchange.may_read_on():
@@ -337,7 +356,8 @@
         self.is_closed = True
         self.resume_writing()
         if self.exchange is not None:
-            self.exchange.finish(SendOutcome.BROKEN)
+            cause = self._close_cause or _end_cause_of(exc)
+            self.exchange.finish(SendOutcome.BROKEN, cause)
         self._on_closed(self, exc)
 
     # Called by the parser.
@@ -418,6 +438,14 @@
     return connection
 
 
+def _end_cause_of(exc):
+    """Return the `EndCause` of a connection that this host has not closed."""
+    if exc is None:
+        return EndCause.CLOSED
+    is_reset = isinstance(exc, ConnectionError)
+    return EndCause.RESET if is_reset else EndCause.UNREACHABLE
+
+
 def _find_header(headers, name):
     """Return the value of a header, or None."""
     for key, value in headers:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -64,6 +64,12 @@
     return response_length(reply.headers) or reply.rest.held
 
 
+def exchange_fields(exchange, target):
+    """Return what log lines tell of an `Exchange` with the target of an id."""
+    cause = exchange.end_cause
+    return {"target": target, "end": None if cause is None else cause.value}
+
+
 class ReplyRest:
     """
     The rest of a long response, which is streamed.
@@ -73,10 +79,12 @@
       connection: Its `TargetConnection`, which `close` closes.
       deadline: When the caller's time is up, in seconds on the host's clock.
       sending: The task that still sends the request's body, or None; `close` ends it.
+      target: The id of the target.
     """
 
-    def __init__(self, exchange, connection, deadline, sending=None):
+    def __init__(self, exchange, connection, deadline, sending=None, target=None):
         self.deadline = deadline
+        self._target = target
         self._sending = sending
         self._exchange = exchange
         self._connection = connection
@@ -86,6 +94,10 @@
         """The bytes that were received and not read yet."""
         return len(self._exchange.body)
 
+    def log_fields(self):
+        """Return what log lines tell of the response."""
+        return exchange_fields(self._exchange, self._target)
+
     async def read(self):
         """Return the next part, b"" at the end, or None for an incomplete response."""
         exchange = self._exchange
