Count a target as busy until a long response has been received

Cause: a response of over 64 KB that is no download counted as ended with its first 64 KB. Its target's slot looked free while it was still sending, and the typical duration of the route was that of the first part: the host sent more than the target could end in time, and refused nobody.

Fix: the send counts as in flight until the rest has been received, as for downloads; its outcome and duration are noted then, without the time for which its caller did not read. A target that breaks off such a response is blamed now, unless its caller was slow.

edge_arriving_responses_test.py failed before: [1, 3] requests at two equal targets, and a duration of 0.10 s for answers of 0.6 s.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
@@ -22,6 +22,7 @@
 
 from ..transfers.response_buffer import ResponseBuffer
 from .clock import now
+from .receipt import Receipt
 from .verdict import exchange_fields, outcome_of_head, response_length
 
 
@@ -140,11 +141,12 @@
         self.bytes_sent = 0
         self._exchange = exchange
         self._downloads = downloads
-        self._callbacks = [release]
-        self._is_received = False
-        exchange.on_end = self._note_received
+        self._receipt = Receipt()
+        self.when_received = self._receipt.when_received
+        self.when_received(release)
+        exchange.on_end = self._receipt.note
         if exchange.outcome is not None:
-            self._note_received()
+            self._receipt.note()
 
     @property
     def send_buffer_size(self):
@@ -165,13 +167,6 @@
         """Return what log lines tell of the response."""
         return exchange_fields(self._exchange, self._target)
 
-    def when_received(self, callback):
-        """Call a function once the target has no more work with the response."""
-        if self._is_received:
-            callback()
-        else:
-            self._callbacks.append(callback)
-
     async def read(self):
         """Return the next chunk, b"" at the end, or None for an incomplete response."""
         exchange = self._exchange
@@ -194,14 +189,7 @@
     def close(self):
         """Drop what is held, and end the exchange with the target."""
         self._exchange.body.close()
-        self._note_received()
-
-    def _note_received(self):
-        if self._is_received:
-            return
-        self._is_received = True
-        for callback in self._callbacks:
-            callback()
+        self._receipt.note()
 
 
 async def _wait_while_room(exchange, max_bytes=math.inf):
@@ -211,12 +199,3 @@
         if body and not body.has_room:
             return
         await exchange.wait()
-
-
-def when_received(reply, callback):
-    """Call a function once a target has no more work with its response."""
-    rest = None if reply is None else reply.rest
-    if isinstance(rest, DownloadRest):
-        rest.when_received(callback)
-    else:
-        callback()
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads_test.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads_test.py
@@ -12,7 +12,8 @@
 
 from ..transfers.response_buffer import ResponseBuffer
 from .clock import now
-from .downloads import DownloadRest, Downloads, when_received
+from .downloads import DownloadRest, Downloads
+from .receipt import when_received
 from .target_connection import Exchange
 
 LIMIT = 400_000
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_runner.py
@@ -15,9 +15,10 @@
 from plumsaddle_core.ops.attempt import NOT_SENT
 
 from .clock import now
-from .downloads import when_received
+from .receipt import when_received
 from .send_timing import SendTiming
 from .sender import SendResult
+from .verdict import ReplyRest
 
 log = logging.getLogger("relay")
 # The multiple of its expected duration, including queueing at the target, after which
@@ -32,6 +33,9 @@
 # Minimum seconds before a send counts as slow. Shorter delays may come from a busy
 # processor or a lost packet and say nothing about the target.
 MIN_SLOW_DURATION = 0.1
+# Seconds for which a response was not read, since its caller is slow, from which on a
+# target that cuts it is not to blame.
+MIN_UNREAD_TIME = 0.5
 
 
 class CompletedSend(NamedTuple):
@@ -140,20 +144,51 @@
             has_sent = timing.connection is not None
             if fate is SendOutcome.ABANDONED and has_sent and is_slow:
                 fate = SendOutcome.TIMED_OUT
-            includes_queueing = (
-                Feature.SERVICE_TIMES in self._knowledge.settings.disabled_features
-            )
-            service_time = seconds if includes_queueing else seconds / choice.slowdown
-            if not timing.is_overdue:
-                self._note_outcome(target, fate, service_time, timing)
-            elif fate is SendOutcome.SUCCEEDED:
-                self._knowledge.note_late_response(
-                    target, self._request.route, service_time
+            note = functools.partial(self._note_end, choice, timing)
+            if fate is SendOutcome.SUCCEEDED and isinstance(sent.reply.rest, ReplyRest):
+                when_received(
+                    sent.reply,
+                    functools.partial(self._note_rest, sent.reply, timing, note),
                 )
+            else:
+                note(fate, timing.is_overdue)
         if fate is not SendOutcome.SUCCEEDED:
             self._log_failure(target, sent._replace(outcome=fate), seconds)
         return CompletedSend(target, fate, sent.reply, seconds)
 
+    def _note_end(self, choice, timing, outcome, is_late):
+        """Note the outcome of a send; of a late one, the duration if it succeeded."""
+        target = choice.candidate.target
+        includes_queueing = (
+            Feature.SERVICE_TIMES in self._knowledge.settings.disabled_features
+        )
+        service_time = timing.seconds
+        if not includes_queueing:
+            service_time /= choice.slowdown
+        if not is_late:
+            self._note_outcome(target, outcome, service_time, timing)
+        elif outcome is SendOutcome.SUCCEEDED:
+            self._knowledge.note_late_response(
+                target, self._request.route, service_time
+            )
+
+    def _note_rest(self, reply, timing, note):
+        """
+        Note the end of a response whose rest was forwarded as it came.
+
+        One that was cut at its deadline tells the least time that it takes.
+        """
+        timing.note_received(reply.rest.unread_time)
+        outcome = reply.rest.outcome
+        is_unread = reply.rest.unread_time >= MIN_UNREAD_TIME
+        if outcome is SendOutcome.BROKEN and is_unread:
+            # Targets may cut what is not read.
+            return
+        if outcome is not None:
+            note(outcome, timing.is_overdue)
+        elif now() >= reply.rest.deadline:
+            note(SendOutcome.SUCCEEDED, True)
+
     def _has_no_contact(self, timing):
         """Return whether no target has sent anything since a response was expected."""
         return self._knowledge.paths.contact_at < timing.due_at
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_timing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/send_timing.py
@@ -2,9 +2,10 @@
 The duration of one send, as it is compared between targets.
 
 The target of a large response keeps its slot until the response is received, so the
-duration ends there. It does not depend on the caller: a response for which there is no
-room goes to its caller at once, and the rest of it is not counted. Whether a send is
-overdue is decided at the first byte, since the rest depends on the size.
+duration ends there. It does not depend on the caller: a download for which there is no
+room goes to its caller at once, and the rest of it is not counted; of other responses,
+the time for which a slow caller kept them from being read is not. Whether a send of a
+download is overdue is decided at the first byte, since the rest depends on the size.
 """
 
 from plumsaddle_core.core.traffic import RequestKind
@@ -85,6 +86,10 @@
         self._note_begun()
         self.seconds = now() - self._started_at
 
+    def note_received(self, unread_time):
+        """Note that the rest was received; `unread_time` is not counted."""
+        self.seconds = now() - self._started_at - unread_time
+
     def _note_begun(self):
         if self.waited is None:
             self.waited = now() - self._started_at
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/target_connection.py
@@ -99,6 +99,9 @@
         self._on_head = on_head
         self.body = bytearray() if buffer is None else buffer
         self.has_buffer = buffer is not None
+        # Seconds for which it was not read, and since when it is not.
+        self.unread_time = 0.0
+        self._unread_since = None
         # When the latest bytes arrived; only for an exchange with a buffer.
         self.received_at = 0.0
         # Whether it was not read for a while, which may make the target cut it.
@@ -124,7 +127,9 @@
     def may_read_on(self):
         """Return whether to go on reading; otherwise the buffer reports its room."""
         if not self.has_buffer:
-            return len(self.body) <= MAX_READ_AHEAD
+            has_room = len(self.body) <= MAX_READ_AHEAD
+            self._unread_since = None if has_room else now()
+            return has_room
         self.received_at = now()
         if self.body.has_room:
             return True
@@ -132,6 +137,12 @@
         self.body.wait_for_room()
         return False
 
+    def note_resumed(self):
+        """Note that it is read again."""
+        if self._unread_since is not None:
+            self.unread_time += now() - self._unread_since
+            self._unread_since = None
+
     def report_head(self):
         """Call `on_head` if the head has arrived and was not reported yet."""
         if self.has_head and self._on_head is not None:
@@ -291,6 +302,8 @@
     def resume_reading(self):
         """Resume reading after the buffered body was consumed."""
         if not self.is_closed and not self.transport.is_closing():
+            if self.exchange is not None:
+                self.exchange.note_resumed()
             self.transport.resume_reading()
 
     async def _drain(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -5,6 +5,7 @@
 from plumsaddle_core.core.traffic import Reply, SendOutcome
 
 from ..platform import wire
+from .receipt import Receipt
 
 # Bytes that are written to a caller at once. More would be held twice if it is slow.
 MAX_PART = 65536
@@ -88,6 +89,19 @@
         self._sending = sending
         self._exchange = exchange
         self._connection = connection
+        self._receipt = Receipt()
+        self.when_received = self._receipt.when_received
+        exchange.on_end = self._receipt.note
+
+    @property
+    def outcome(self):
+        """The `SendOutcome` once the response is complete or has failed, or None."""
+        return self._exchange.outcome
+
+    @property
+    def unread_time(self):
+        """The seconds for which the target was not read, as the caller was slow."""
+        return self._exchange.unread_time
 
     @property
     def held(self):
@@ -116,3 +130,4 @@
         if self._sending is not None:
             self._sending.cancel()
         self._connection.close()
+        self._receipt.note()
--- /dev/null
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_arriving_responses_test.py
@@ -0,0 +1,57 @@
+"""
+Long responses that arrive slowly, on real sockets.
+"""
+
+import asyncio
+
+from .trial import Trial, in_loop, until
+from .worker import SLOTS, Mode
+
+PART = b"x" * 80000
+# Seconds between two parts.
+PART_TIME = 0.1
+
+
+def _send_slowly(worker, parts, work=0.0):
+    head = (
+        "HTTP/1.1 200 OK\r\nRequest-Id: REQUEST-ID\r\n"
+        f"Response-Signature: {worker.id}.1\r\n"
+        f"Content-Length: {parts * len(PART)}\r\n\r\n"
+    )
+    worker.mode, worker.work = Mode.PARTS, work
+    worker.endless, worker.endless_pause = (head.encode(), PART), PART_TIME
+    worker.parts = parts
+
+
+@in_loop
+async def test_a_target_is_busy_until_its_response_has_arrived():
+    """Guards against herds at one target whose slots only looked free."""
+    async with Trial(services=("act",), targets=2) as trial:
+        for worker in trial.of("act"):
+            _send_slowly(worker, 10)
+        asking = []
+        for number in range(SLOTS):
+            asking.append(
+                asyncio.ensure_future(
+                    trial.ask("/act/a", f"id-{number}", "POST", left=6000)
+                )
+            )
+            await asyncio.sleep(0.15)
+        assert sorted(len(worker.seen) for worker in trial.of("act")) == [2, 2]
+        shared = trial.hosts[0].knowledge.shared
+        assert sum(shared.own_in_flight().values()) == SLOTS
+        assert {status for status, _, _ in await asyncio.gather(*asking)} == {200}
+        await until(lambda: not shared.own_in_flight())
+
+
+@in_loop
+async def test_the_duration_of_a_response_includes_its_parts():
+    """Guards against admitting requests whose responses can't end in time."""
+    async with Trial(services=("act",), targets=2) as trial:
+        for worker in trial.of("act"):
+            _send_slowly(worker, 6)
+        for number in range(5):
+            status, _, _ = await trial.ask("/act/a", f"id-{number}", "POST")
+            assert status == 200
+        times = trial.hosts[0].knowledge.shared.times
+        assert 0.5 < times.typical_duration("act", "/act/") < 1.0
--- a/packages/plumsaddle-standins/plumsaddle_standins/worker.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/worker.py
@@ -46,6 +46,7 @@
     FALSE_BUSY = "false-busy"
     HEAD_ONLY = "head-only"
     ENDLESS = "endless"
+    PARTS = "parts"
 
 
 # Requests that a stand-in works on at once.
@@ -125,6 +126,8 @@
         # between two of them.
         self.endless = b"", b""
         self.endless_pause = 0.0
+        # How often the bytes are repeated in `Mode.PARTS`.
+        self.parts = 0
         # Requests that were answered without end.
         self.flooded = set()
         self.idle_limit = 5
@@ -334,6 +337,8 @@
             await asyncio.sleep(FOR_EVER)
         if mode is Mode.ENDLESS:
             return await self._write_without_end(request_id, writer)
+        if mode is Mode.PARTS:
+            return await self._write_in_parts(request_id, writer)
         if mode is Mode.CUT:
             writer.write(whole[:-5])
             return False
@@ -372,6 +377,16 @@
                     await asyncio.sleep(self.endless_pause)
         return False
 
+    async def _write_in_parts(self, request_id, writer):
+        """Write an answer in parts, and return whether the connection goes on."""
+        begin, piece = self.endless
+        writer.write(begin.replace(b"REQUEST-ID", request_id.encode()))
+        for _ in range(self.parts):
+            await asyncio.sleep(self.endless_pause)
+            writer.write(piece)
+            await writer.drain()
+        return True
+
     def _answer(
         self, request_id, status, body, more="", is_signed=True, is_framed=True
     ):
