Let a response that arrives in time for its caller outlast the timeout

Cause: the deadline of a forwarded response was the earlier of both times, whatever had arrived.

Evidence: 'response incomplete', cause deadline, 0.0 to 0.25 s after it; see the postmortem.

Fix: a response that states its length goes on while it would be complete, at its pace, within the time that its caller states, at most twice the timeout. A gap of a second, no length or too slow a pace end it as before, so a body without end doesn't keep a slot.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/front.py
@@ -15,6 +15,7 @@
 from plumsaddle_core.core.traffic import Reply
 from plumsaddle_core.ops.route_table import choose_service, find_route
 from plumsaddle_core.ops.workspaces import key_digest, read_key, short_digest
+from plumsaddle_core.transfers.arrival import latest_end
 from plumsaddle_core.transfers.body_budget import BodyBudget, compute_limit
 
 from ..front.headers import HOP_BY_HOP
@@ -327,6 +328,7 @@
             owner,
             self._knowledge.urgency(service, route, owner.workspace),
             position_of(request),
+            latest_end(started_at, _stated_time(request), route.timeout),
         )
 
     async def _run(self, proxy_request, holding):
@@ -422,6 +424,12 @@
         result.rest.close()
 
 
+def _stated_time(request):
+    """Return the seconds that a caller waits as it states, or None."""
+    text = request.headers.get(wire.TIME_LEFT)
+    return None if text is None else int(text) / 1000
+
+
 def _parse_time_limit(text, maximum):
     """Return the time limit of a request in seconds, or None if it is malformed."""
     if text is None:
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/outgoing.py
@@ -57,7 +57,8 @@
     are in seconds on the host's clock; `deadline` is the earlier of the caller's
     deadline and the route's timeout. `urgency` is 1.0 for the most urgent requests of a
     service. `position` is the number of requests before it on its connection that had
-    no response when it arrived.
+    no response when it arrived. `latest_end` is until when its response may go on if it
+    is arriving at the deadline, or None if it may not.
     """
 
     id: bytes
@@ -75,6 +76,7 @@
     owner: Owner = Owner()
     urgency: float = 1.0
     position: int = 0
+    latest_end: float | None = None
 
     @property
     def is_body_taken(self):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -9,6 +9,8 @@
 import enum
 import logging
 
+from plumsaddle_core.transfers.arrival import MAX_GAP, Arrival
+
 from ..platform import wire
 from ..transfers.caller_writes import (
     counted_writes,
@@ -108,20 +110,19 @@
     """
     Write a reply as it comes, and return why it was cut, or None.
 
-    Beyond the deadline a slow caller receives what the target has sent by then, but
-    nobody waits for more. A response may have no end, whatever length it states.
+    A response that arrives in time for its caller goes on beyond the deadline. Of
+    others a slow caller then receives what the target has sent by then, but nobody
+    waits for more. A response may have no end, whatever length it states.
     """
     await response.prepare(request)
     part = await reply.rest.read()
-    is_stated = response.content_length is not None
-    max_bytes = MAX_LATE_BYTES if is_stated else MAX_LATE_UNSTATED_BYTES
-    limit = _LateLimit(reply.rest.deadline, max_bytes)
+    limit = _LateLimit(reply.rest, response.content_length, len(part or b""))
     while True:
         if not await write_while_taken(request, response, part, STALL_TIME):
             return CutCause.CALLER
         began = now()
         try:
-            async with asyncio.timeout(max(limit.wait, reply.rest.deadline - began)):
+            async with asyncio.timeout(limit.read_time(began)):
                 part = await reply.rest.read()
         except TimeoutError:
             return CutCause.DEADLINE
@@ -136,25 +137,43 @@
     """
     The time and the bytes that a response has left after its deadline.
 
-    `wait` is the number of seconds that is left to wait for its target. The time that
-    the caller takes to read does not count.
+    The time that the caller takes to read does not count, unless the response goes on
+    since it is complete in time.
+
+    Args:
+      rest: The `ReplyRest`.
+      length: The length of the response, or None if it states none.
+      count: The bytes of it that were read.
     """
 
-    def __init__(self, deadline, max_bytes):
-        self.wait = LATE_READ_TIME
-        self._bytes = max_bytes
-        self._deadline = deadline
+    def __init__(self, rest, length, count):
+        self._wait = LATE_READ_TIME
+        self._bytes = MAX_LATE_UNSTATED_BYTES if length is None else MAX_LATE_BYTES
+        self._deadline = rest.deadline
+        self._latest_end = rest.latest_end
+        self._arrival = Arrival(length, count, now())
 
     @property
     def is_reached(self):
         """Whether nothing is left."""
-        return self.wait <= 0.0 or self._bytes < 0
+        return self._wait <= 0.0 or self._bytes < 0
+
+    def read_time(self, at):
+        """Return the seconds that a read that begins now may take."""
+        seconds = max(self._wait, self._deadline - at)
+        if self._arrival.is_complete_by(self._latest_end, at):
+            seconds = max(seconds, min(MAX_GAP, self._latest_end - at))
+        return seconds
 
     def note_read(self, count, began, ended):
         """Note a read of some bytes, and when it began and ended."""
-        if ended > self._deadline:
-            self.wait -= ended - max(began, self._deadline)
-            self._bytes -= count
+        self._arrival.note(count)
+        if ended <= self._deadline:
+            return
+        if self._arrival.is_complete_by(self._latest_end, ended):
+            return
+        self._wait -= ended - max(began, self._deadline)
+        self._bytes -= count
 
 
 async def _write_download(request, response, reply):
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -182,7 +182,12 @@
             if exchange.outcome is None and exchange.has_head:
                 # A target may need the rest of the body for that of its response.
                 rest = ReplyRest(
-                    exchange, connection, request.deadline, sending, target.id
+                    exchange,
+                    connection,
+                    request.deadline,
+                    sending,
+                    target.id,
+                    request.latest_end,
                 )
                 outcome, reply = classify_head(exchange, rest)
                 is_streaming = outcome is SendOutcome.SUCCEEDED
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/verdict.py
@@ -81,10 +81,20 @@
       deadline: When the caller's time is up, in seconds on the host's clock.
       sending: The task that still sends the request's body, or None; `close` ends it.
       target: The id of the target.
+      latest_end: Until when it may go on if it arrives; the deadline if None.
     """
 
-    def __init__(self, exchange, connection, deadline, sending=None, target=None):
+    def __init__(
+        self,
+        exchange,
+        connection,
+        deadline,
+        sending=None,
+        target=None,
+        latest_end=None,
+    ):
         self.deadline = deadline
+        self.latest_end = deadline if latest_end is None else latest_end
         self._target = target
         self._sending = sending
         self._exchange = exchange
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_arriving_responses_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_arriving_responses_test.py
@@ -4,12 +4,19 @@
 
 import asyncio
 
+import aiohttp
+import pytest
+
+from plumsaddle_hosts.edge.clock import now
+
 from .trial import Trial, in_loop, until
 from .worker import SLOTS, Mode
 
 PART = b"x" * 80000
 # Seconds between two parts.
 PART_TIME = 0.1
+# Seconds of the routes' timeout.
+TIMEOUT = 2.0
 
 
 def _send_slowly(worker, parts, work=0.0):
@@ -23,6 +30,31 @@
     worker.parts = parts
 
 
+@pytest.mark.parametrize("work", [0.0, 1.8])
+@pytest.mark.parametrize("path, method", [("/look/a", "GET"), ("/act/a", "POST")])
+@in_loop
+async def test_an_arriving_response_outlasts_the_timeout(path, method, work):
+    """Guards against cutting a response that its caller would have received."""
+    async with Trial(services=(path.split("/")[1],), targets=1) as trial:
+        worker = next(iter(trial.workers.values()))
+        _send_slowly(worker, int((2.8 - work) / PART_TIME), work)
+        began = now()
+        status, _, body = await trial.ask(path, "id-1", method, left=6000)
+        assert now() - began > TIMEOUT + 0.5
+        assert (status, len(body)) == (200, worker.parts * len(PART))
+
+
+@in_loop
+async def test_a_response_that_would_end_too_late_is_cut_at_the_timeout():
+    """Guards against slots that are kept for responses which nobody can receive."""
+    async with Trial(services=("look",), targets=1) as trial:
+        _send_slowly(trial.of("look")[0], 40)
+        began = now()
+        with pytest.raises(aiohttp.ClientError):
+            await trial.ask("/look/a", "id-1", left=3000)
+        assert TIMEOUT - 0.1 < now() - began < TIMEOUT + 0.5
+
+
 @in_loop
 async def test_a_target_is_busy_until_its_response_has_arrived():
     """Guards against herds at one target whose slots only looked free."""
