Bound the heads of requests and the empty lines before them

What the users saw: clients with heads over the limit or without end, and with empty lines without end, ended a process for its memory, or kept it from answering others.

Cause: the parser bounds each field (128 KiB) and their number (128), not their sum, so one head may take 16 MB. Empty lines were fed to it four bytes at a time, with a copy of the rest for each.

Fix: an incomplete head ends with 431 beyond max_header_bytes and 64 KiB, and beyond 8 KiB shares a thirty-second of memory_mb with others, so that shorter heads are never refused for them. More than 1,024 bytes of empty lines get 400. The response comes in turn behind those of earlier requests; what follows is dropped, and the connection cut after a megabyte. A malformed request is logged without a traceback. Only a head that is not complete is counted, so a calm request costs the same.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/callers.py
@@ -8,6 +8,12 @@
 import asyncio
 import logging
 
+from plumsaddle_core.connections.head_budget import (
+    DEFAULT_MAX_FIELD_BYTES,
+    HeadBudget,
+    compute_budget,
+)
+
 from ..front.pipelining import CallerConnection, CallerHooks, CallerServer
 from .clock import now
 
@@ -94,11 +100,19 @@
         hooks = CallerHooks(
             front.handle, front.is_repeatable, lambda: front.is_draining, now
         )
+        self._knowledge = knowledge
+        self._note_head_timeout = front.note_head_timeout
+        heads = HeadBudget(
+            lambda: compute_budget(knowledge.settings.memory_limit),
+            self._max_field_bytes,
+        )
         super().__init__(
-            hooks, knowledge.settings.pipeline_limits, DEFAULT_IDLE_TIMEOUT
+            hooks, knowledge.settings.pipeline_limits, DEFAULT_IDLE_TIMEOUT, heads
         )
-        self._note_head_timeout = front.note_head_timeout
-        self._knowledge = knowledge
+
+    def _max_field_bytes(self):
+        cfg = self._knowledge.cfg
+        return cfg.limits.header_bytes if cfg else DEFAULT_MAX_FIELD_BYTES
 
     def log_open(self):
         """Log the connections that are open at the end of the shutdown."""
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/caller_transport.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/caller_transport.py
@@ -19,6 +19,8 @@
 # sends nothing more, and the longest time if it goes on sending.
 LINGER_TIME = 2.0
 MAX_LINGER_TIME = 30.0
+# Bytes that are dropped of a caller that has exceeded a limit before it is cut.
+MAX_DROPPED_BYTES = 1_000_000
 
 
 class CallerTransport:
@@ -37,6 +39,9 @@
         self._transport = transport
         self._must_linger = must_linger
         self._stall_time = stall_time
+        # Whether its caller has sent what no host has to read.
+        self.is_refused = False
+        self._dropped_bytes = 0
         self._is_lingering = False
         self._timer = None
         self._undelivered = 0
@@ -73,8 +78,11 @@
         self._linger_until = self._progress_at + MAX_LINGER_TIME
         self._timer = loop.call_later(LINGER_INTERVAL, self._check)
 
-    def note_ignored(self):
-        """Note that the caller has sent something that was dropped."""
+    def note_ignored(self, count):
+        """Note that the caller has sent some bytes that were dropped."""
+        self._dropped_bytes += count
+        if self.is_refused and self._dropped_bytes > MAX_DROPPED_BYTES:
+            self._transport.abort()
         if not self._undelivered:
             self._progress_at = asyncio.get_running_loop().time()
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -13,15 +13,25 @@
 """
 
 import asyncio
+import enum
+import logging
 import select
+from collections import Counter
 from collections.abc import Callable
 from itertools import islice
 from typing import NamedTuple
 
 from aiohttp import web
-from aiohttp.http import HttpVersion11, RawRequestMessage, StreamWriter
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.http import (
+    HttpProcessingError,
+    HttpVersion11,
+    RawRequestMessage,
+    StreamWriter,
+)
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
+from plumsaddle_core.connections.head_budget import HeadBudget, HeadHolding
 from plumsaddle_core.connections.pipeline import (
     HostPipelines,
     Pipeline,
@@ -31,14 +41,31 @@
 from ..utils.socket_state import undelivered_bytes, unread_bytes
 from .caller_transport import CallerTransport
 
+log = logging.getLogger("front")
 HEAD_END = b"\r\n\r\n"
 # Bytes that are read from a connection at once.
 READ_SIZE = 65536
+# Bytes of empty lines before a request, which are ignored.
+MAX_EMPTY_BYTES = 1024
 # Seconds between two checks whether a caller has left whose connection is not read.
 HANGUP_INTERVAL = 0.2
 HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
+class InputFault(enum.Enum):
+    """Why nothing more is read of a caller."""
+
+    HEAD_TOO_LARGE = "head-too-large"
+    EMPTY_LINES = "empty-lines"
+
+
+STATUSES = {InputFault.HEAD_TOO_LARGE: 431, InputFault.EMPTY_LINES: 400}
+
+
+class RefusedInputError(HttpProcessingError):
+    """A caller has sent what no host has to read."""
+
+
 class CallerHooks(NamedTuple):
     """
     What the connections of callers call.
@@ -146,6 +173,9 @@
     _is_closing = False
     _is_ended_by_caller = False
     _hangup_timer = None
+    # The last bytes of an incomplete head, and the bytes of empty lines before it.
+    _head_tail = b""
+    _empty_bytes = 0
     # Bytes that arrived and were not parsed, because no further request is read.
     _ignored_bytes = 0
     # The `CallerTransport`, also when aiohttp's `transport` is None already.
@@ -158,6 +188,8 @@
         self._stall_time = server.stall_time
         self._handle = server.hooks.handle
         self._host_pipelines = server.pipelines
+        self._note_fault = server.note_fault
+        self._head = HeadHolding(server.heads)
         self._places = []
         self._make_request = self._request_factory
         self._request_factory = self._take_request
@@ -225,8 +257,12 @@
         """Parse data, as far as the connection may have further requests."""
         if self._is_closing or self._force_close or self._open_transport.is_closing():
             self._ignored_bytes += len(data)
-            self._open_transport.note_ignored()
+            self._open_transport.note_ignored(len(data))
             return
+        if data[:1] in (b"\r", b"\n") and not self._unread and self._is_at_head():
+            data = self._skip_empty_lines(data)
+            if not data:
+                return
         if not data or self._is_single(data):
             self._feed(data)
             return
@@ -237,12 +273,52 @@
         """Return whether data is the head of one request, perhaps with its body."""
         if self._unread or self._messages or self._message_in_turn or self._body:
             return False
+        if self._head.size:
+            return False
         end = data.find(HEAD_END) + len(HEAD_END)
         if end == len(data):
             return True
         # With a body it is read in one piece; `P` is the start of all such methods.
         return data[:1] == b"P" and data.find(HEAD_END, end) < 0
 
+    def _is_at_head(self):
+        """Return whether what is read next begins a head."""
+        return not self._head.size and not self._is_in_body()
+
+    def _skip_empty_lines(self, data):
+        """Return data without empty lines at its start."""
+        rest = data.lstrip(b"\r\n")
+        self._empty_bytes += len(data) - len(rest)
+        if self._empty_bytes <= MAX_EMPTY_BYTES:
+            return rest
+        self._refuse_input(InputFault.EMPTY_LINES)
+        return b""
+
+    def _refuse_input(self, fault):
+        """Answer in turn with the status of an `InputFault`, and read nothing more."""
+        log.info("input refused", extra={"cause": fault.value})
+        self._note_fault(fault)
+        self._open_transport.is_refused = True
+        self._drop_unread()
+        known = len(self._messages)
+        status = STATUSES[fault]
+        exc = RefusedInputError(code=status, message=fault.value)
+        error = _ErrInfo(status=status, exc=exc, message=fault.value)
+        self._messages.append((error, EMPTY_PAYLOAD))
+        self._note_messages(known)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Return the response to a request that is malformed or failed."""
+        if not isinstance(exc, HttpProcessingError):
+            return super().handle_error(request, status, exc, message)
+        if not isinstance(exc, RefusedInputError):
+            log.info("malformed request", extra={"cause": type(exc).__name__})
+        response = web.Response(status=status, text=message)
+        response.force_close()
+        return response
+
     def _feed_unread(self):
         """
         Feed aiohttp's parser, with one head at a time.
@@ -252,6 +328,9 @@
         """
         while self._unread and self._may_feed():
             data = self._unread
+            if data[:1] in (b"\r", b"\n") and self._is_at_head():
+                self._unread = self._skip_empty_lines(data)
+                continue
             end = self._find_end(data)
             self._unread = data[end:]
             self._feed(data[:end])
@@ -282,8 +361,10 @@
     def _find_end(self, data):
         """Return the length of the data up to the end of a head or a body."""
         if self._body is None:
-            end = data.find(HEAD_END)
-            return len(data) if end < 0 else end + len(HEAD_END)
+            # The end may have arrived in part before.
+            known = len(self._head_tail)
+            end = (self._head_tail + data).find(HEAD_END)
+            return len(data) if end < 0 else end + len(HEAD_END) - known
         payload, length = self._body
         if length is None:
             return len(data)
@@ -292,9 +373,25 @@
     def _feed(self, data):
         known = len(self._messages)
         super().data_received(data)
+        self._note_messages(known)
+        if len(self._messages) == known and data and self._body is None:
+            self._note_part_of_head(data)
+
+    def _note_part_of_head(self, data):
+        """Note that a head goes on behind some data."""
+        self._head_tail = (self._head_tail + data[-len(HEAD_END) :])[
+            1 - len(HEAD_END) :
+        ]
+        if not self._head.add(len(data)):
+            self._refuse_input(InputFault.HEAD_TOO_LARGE)
+
+    def _note_messages(self, known):
+        """Note the messages behind the first `known` ones."""
         count = len(self._messages)
         if count == known:
             return
+        self._head.clear()
+        self._head_tail, self._empty_bytes = b"", 0
         if count == 1 and self._message_in_turn is None:
             message, payload = self._messages[0]
             self._note_message(message, payload, True)
@@ -487,6 +584,7 @@
         if self._hangup_timer is not None:
             self._hangup_timer.cancel()
         self._unread = b""
+        self._head.clear()
         self._close_pipeline()
         self._open_transport.note_lost()
         super().connection_lost(exc)
@@ -501,10 +599,11 @@
       limits: The `PipelineLimits`.
       stall_time: Seconds without an acknowledgement after which a closed connection
         is not waited for any longer.
+      heads: The `HeadBudget`, or None for one with default limits.
       options: Those of `CallerConnection`.
     """
 
-    def __init__(self, hooks, limits, stall_time, **options):
+    def __init__(self, hooks, limits, stall_time, heads=None, **options):
         super().__init__(
             hooks.handle,
             request_factory=self._make_caller_request,
@@ -513,8 +612,15 @@
         self.hooks = hooks
         self.stall_time = stall_time
         self.pipelines = HostPipelines(limits)
+        self.heads = heads or HeadBudget()
+        # The number of connections by `InputFault` of which nothing more was read.
+        self.faults = Counter()
         self._options = options
 
+    def note_fault(self, fault):
+        """Count a connection of which nothing more is read for an `InputFault`."""
+        self.faults[fault] += 1
+
     def close_idle(self):
         """
         Close the connections that wait for a request.
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/utils/caller_metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/utils/caller_metrics.py
@@ -24,6 +24,9 @@
         self._waited = make(
             Counter, "pipelined_waited_total", "Requests read behind an order."
         )
+        self._faults = make(
+            Counter, "input_refused_total", "Connections that exceeded a limit."
+        )
 
     def note(self, server):
         """Set the metrics from a `CallerServer`."""
@@ -32,3 +35,5 @@
         self._in_flight.set({}, pipelines.requests)
         self._early.set({}, pipelines.early_count)
         self._waited.set({}, pipelines.waited_count)
+        for fault, count in server.faults.items():
+            self._faults.set({"cause": fault.value}, count)
