Decode chunked bodies before the parser, in steps

What the users saw: many chunked bodies at once, in very small chunks, most stopping short of their end, ended a process for its memory and kept it from answering others.

Cause: the parser keeps an object and a position for each chunk, up to 16,384 of them a connection, and a reader takes them one by one; 64 KiB of one-byte chunks took some 50 ms of the loop in one piece. It keeps trailers like a head (16 MB). What had arrived of a body that was refused stayed as long as its connection lingered.

Fix: a decoder passes what a chunked body has as one chunk; it holds an incomplete line at most, and bounds lines and trailers. Behind 256 chunks the rest waits for a step; all steps have a quarter of the loop's time. What waits of a body ends at 128 KiB, and is dropped when its response is ready. Malformed chunks end the body at once (400); the handler had waited until the deadline.

--- a/packages/plumsaddle-core/plumsaddle_core/core/reasons.py
+++ b/packages/plumsaddle-core/plumsaddle_core/core/reasons.py
@@ -25,6 +25,7 @@
     KEY_EXPIRED = "key-expired"
     KEY_REUSED = "key-reused"
     BODY_TOO_LARGE = "body-too-large"
+    BAD_BODY = "bad-body"
     ORDER_RUNNING = "order-running"
     ORDER_UNKNOWN = "order-unknown"
     ORDER_ALREADY_RUN = "order-run"
@@ -69,6 +70,7 @@
     Reason.KEY_EXPIRED: Problem(410, None, "The Idempotency-Key is past its window"),
     Reason.KEY_REUSED: Problem(422, None, "The key was used with another request"),
     Reason.BODY_TOO_LARGE: Problem(413, None, "The request's body is too large"),
+    Reason.BAD_BODY: Problem(400, None, "The request's body is malformed"),
     Reason.ORDER_RUNNING: Problem(409, 1, "The order is still running"),
     Reason.ORDER_UNKNOWN: Problem(409, None, "The order's outcome is unknown"),
     Reason.ORDER_ALREADY_RUN: Problem(
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -31,6 +31,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
+from plumsaddle_core.connections.chunks import ChunkDecoder, ChunkError
 from plumsaddle_core.connections.head_budget import HeadBudget, HeadHolding
 from plumsaddle_core.connections.pipeline import (
     HostPipelines,
@@ -40,11 +41,14 @@
 
 from ..utils.socket_state import undelivered_bytes, unread_bytes
 from .caller_transport import CallerTransport
+from .loop_share import LoopShare
 
 log = logging.getLogger("front")
 HEAD_END = b"\r\n\r\n"
 # Bytes that are read from a connection at once.
 READ_SIZE = 65536
+# Half of the bytes of a body that wait for its reader before reading pauses.
+BODY_BUFFER = 65536
 # Bytes of empty lines before a request, which are ignored.
 MAX_EMPTY_BYTES = 1024
 # Seconds between two checks whether a caller has left whose connection is not read.
@@ -57,6 +61,7 @@
 
     HEAD_TOO_LARGE = "head-too-large"
     EMPTY_LINES = "empty-lines"
+    MALFORMED_BODY = "malformed-body"
 
 
 STATUSES = {InputFault.HEAD_TOO_LARGE: 431, InputFault.EMPTY_LINES: 400}
@@ -173,6 +178,9 @@
     _is_closing = False
     _is_ended_by_caller = False
     _hangup_timer = None
+    # The decoder of the body, if it is chunked, and whether it waits for its turn.
+    _chunks = None
+    _is_waiting_for_step = False
     # The last bytes of an incomplete head, and the bytes of empty lines before it.
     _head_tail = b""
     _empty_bytes = 0
@@ -183,12 +191,14 @@
 
     def __init__(self, server, **options):
         # The transport lingers, also for the rest of a body that is not read.
+        options.setdefault("read_bufsize", BODY_BUFFER)
         super().__init__(server, lingering_time=0, **options)
         self._hooks = server.hooks
         self._stall_time = server.stall_time
         self._handle = server.hooks.handle
         self._host_pipelines = server.pipelines
         self._note_fault = server.note_fault
+        self._loop_share = server.loop_share
         self._head = HeadHolding(server.heads)
         self._places = []
         self._make_request = self._request_factory
@@ -279,7 +289,8 @@
         if end == len(data):
             return True
         # With a body it is read in one piece; `P` is the start of all such methods.
-        return data[:1] == b"P" and data.find(HEAD_END, end) < 0
+        is_whole = data[:1] == b"P" and data.find(HEAD_END, end) < 0
+        return is_whole and b"chunked" not in data[:end].lower()
 
     def _is_at_head(self):
         """Return whether what is read next begins a head."""
@@ -327,6 +338,10 @@
         data and complete, but these must have their responses.
         """
         while self._unread and self._may_feed():
+            if self._is_in_body() and self._chunks is not None:
+                if not self._feed_chunks():
+                    break
+                continue
             data = self._unread
             if data[:1] in (b"\r", b"\n") and self._is_at_head():
                 self._unread = self._skip_empty_lines(data)
@@ -339,6 +354,52 @@
         elif self._buffer_paused:
             self._resume_reading_for_buffer()
 
+    def _feed_chunks(self):
+        """Feed a part of a chunked body, and return whether to go on at once."""
+        chunks = self._chunks
+        if chunks.is_done or self._reading_paused:
+            return False
+        try:
+            body, self._unread = chunks.feed(self._unread)
+        except ChunkError as exc:
+            self._break_body(exc)
+            return False
+        if body:
+            self._feed(b"%x\r\n%b\r\n" % (len(body), body))
+        if chunks.is_done:
+            self._feed(b"0\r\n\r\n")
+            return True
+        if self._unread:
+            self._feed_later()
+        return False
+
+    def _break_body(self, exc):
+        """Let the reader of a malformed body know, and read nothing more."""
+        log.info("malformed body", extra={"cause": str(exc)})
+        payload, self._body, self._chunks = self._body[0], None, None
+        payload.set_exception(web.RequestPayloadError(str(exc)))
+        self._note_fault(InputFault.MALFORMED_BODY)
+        self._open_transport.is_refused = True
+        self.seal()
+        self._drop_unread()
+
+    def _feed_later(self):
+        """Go on with a chunked body when expensive input has its turn."""
+        if not self._is_waiting_for_step:
+            self._is_waiting_for_step = True
+            self._loop_share.add(self._feed_next)
+
+    def _feed_next(self):
+        self._is_waiting_for_step = False
+        if self._unread and self.transport is not None:
+            self._feed_unread()
+
+    def resume_reading(self, resume_parser=True):
+        """Read on after a reader has taken what waits of a body."""
+        super().resume_reading(resume_parser)
+        if self._unread and self._chunks is not None and not self._reading_paused:
+            self._feed_later()
+
     def _may_feed(self):
         if self._is_in_body():
             return True
@@ -355,7 +416,7 @@
 
     def _is_in_body(self):
         if self._body is not None and self._body[0].is_eof():
-            self._body = None
+            self._body = self._chunks = None
         return self._body is not None
 
     def _find_end(self, data):
@@ -408,6 +469,7 @@
         if not payload.is_eof():
             length = message.headers.get("Content-Length")
             self._body = payload, None if length is None else int(length)
+            self._chunks = ChunkDecoder() if message.chunked else None
         if is_first:
             self._message_in_turn = message
         elif type(message) is RawRequestMessage:
@@ -510,6 +572,8 @@
         has_arrived = request.content.is_eof()
         self._is_ended_by_caller = not request.keep_alive and has_arrived
         self._end_turn(response.keep_alive is False or not has_arrived)
+        if not has_arrived:
+            self._drop_body(request.content)
         return response
 
     def _end_turn(self, is_closing):
@@ -526,6 +590,14 @@
         if self._unread:
             self._feed_unread()
 
+    def _drop_body(self, content):
+        """Drop what waits of a body whose rest nobody reads."""
+        try:
+            content.read_nowait()
+        except (RuntimeError, web.RequestPayloadError) as exc:
+            # Its reader has just been cancelled, or the body is malformed.
+            log.debug("the rest of a body is kept for a moment: %s", exc)
+
     def _close_pipeline(self):
         if self._pipeline is not None:
             _cancel(self._pipeline.close())
@@ -613,6 +685,7 @@
         self.stall_time = stall_time
         self.pipelines = HostPipelines(limits)
         self.heads = heads or HeadBudget()
+        self.loop_share = LoopShare()
         # The number of connections by `InputFault` of which nothing more was read.
         self.faults = Counter()
         self._options = options
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/plain.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/plain.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+from aiohttp import web
 from returns.result import Failure, Success
 
 from plumsaddle_core.core.data import FailureKind, Outcome, RequestKind
@@ -153,6 +154,8 @@
                     return Failure(refuse(Reason.BODY_TOO_LARGE))
     except TimeoutError:
         return Failure(refuse(Reason.DEADLINE, "the request's body took too long"))
+    except web.RequestPayloadError as exc:
+        return Failure(refuse(Reason.BAD_BODY, str(exc)))
     return Success(bytes(body))
 
 
