Leave descriptors to everything but callers, and let new callers in

What the users saw: many connections that stay open with a half-sent request; ordinary callers got no answer.

Cause: callers could take all descriptors of the process. Half a head ends after 3 s and a silent connection after 15 s, but none made room for a new one, and asyncio accepts up to 512 (our own interface: 1,024) in one turn.

Evidence: hostile_callers_test.py on, 300 callers and 256 descriptors: all 256 in use, 503 or no answer for ordinary callers, on both interfaces.

Fix: callers have two thirds of the descriptors, less 64; the limit is read at each connection. A new one takes the place of one that has its response, else of the one without a request for longest, else of the one whose body has been arriving for longest; none that holds undelivered bytes and no request that has arrived. 32 are accepted in one turn, the rest wait in the kernel. From 512 connections on, 16 KiB are read of each at once.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/daemon/main.py
@@ -10,6 +10,7 @@
 import contextlib
 import logging
 import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -18,13 +19,14 @@
 from grpclib.server import Server
 from returns.result import Failure
 
+from plumsaddle_core.connections.caller_table import ACCEPT_BATCH
 from plumsaddle_core.core.traffic import PipelineLimits
 from plumsaddle_core.parser.settings import check_settings
 
 from ..front.server import make_server
 from ..peers.exchange import ExchangeServer
 from ..platform.store import Store, make_session
-from ..utils.listening import complete_unless_stopped, open_when_free
+from ..utils.listening import complete_unless_stopped, open_when_free, set_backlog
 from ..utils.settings_file import read_when_complete
 from ..utils.standard_streams import open_missing_streams
 from ..utils.stop_signals import block_signals
@@ -34,6 +36,8 @@
 
 log = logging.getLogger("daemon")
 EXIT_MISTAKE = 2
+# Connections that the kernel holds for a listener until they are accepted.
+LISTEN_BACKLOG = 1024
 # The library cuts what is in flight after a minute by default. A host waits itself
 # until nothing is in flight, so the library's own bound must never come first.
 NEVER = 10 * 365 * 86400.0
@@ -77,12 +81,17 @@
     ip, _, port = address.rpartition(":")
     await runner.setup()
 
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+
     async def start():
-        site = web.TCPSite(runner, ip.strip("[]"), int(port), backlog=1024)
+        sock = socket.create_server((ip.strip("[]"), int(port)), family=family)
+        site = web.SockSite(runner, sock, backlog=ACCEPT_BATCH)
         try:
             await site.start()
+            set_backlog(sock, LISTEN_BACKLOG)
         except OSError:
             await site.stop()
+            sock.close()
             raise
 
     await open_when_free(start, _report_wait(name))
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/main.py
@@ -23,6 +23,7 @@
 from aiohttp import web
 from returns.result import Failure
 
+from plumsaddle_core.connections.caller_table import ACCEPT_BATCH
 from plumsaddle_core.core.features import Feature
 from plumsaddle_core.ops.gateways import Gateways
 from plumsaddle_core.ops.paths import PathState
@@ -32,7 +33,7 @@
 from ..platform.read_budget import ReadBudget, compute_limit
 from ..platform.store import Store, make_session
 from ..utils.addresses import split_address
-from ..utils.listening import complete_unless_stopped, open_when_free
+from ..utils.listening import complete_unless_stopped, open_when_free, set_backlog
 from ..utils.settings_file import read_when_complete, signature_of
 from ..utils.standard_streams import open_missing_streams
 from ..utils.stop_signals import block_signals, exit_on_sigterm
@@ -285,7 +286,10 @@
             }
             ip, port = split_address(addresses[name])
             loop = asyncio.get_running_loop()
-            return await loop.create_server(server, ip, port, backlog=LISTEN_BACKLOG)
+            opened = await loop.create_server(server, ip, port, backlog=ACCEPT_BATCH)
+            for sock in opened.sockets:
+                set_backlog(sock, LISTEN_BACKLOG)
+            return opened
 
         self._servers[name] = await self._open(name, listen)
 
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -15,6 +15,8 @@
 import asyncio
 import enum
 import logging
+import math
+import resource
 import select
 from collections import Counter
 from collections.abc import Callable
@@ -31,6 +33,11 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
+from plumsaddle_core.connections.caller_table import (
+    CallerState,
+    CallerTable,
+    max_connections,
+)
 from plumsaddle_core.connections.chunks import ChunkDecoder, ChunkError
 from plumsaddle_core.connections.head_budget import HeadBudget, HeadHolding
 from plumsaddle_core.connections.pipeline import (
@@ -47,10 +54,16 @@
 HEAD_END = b"\r\n\r\n"
 # Bytes that are read from a connection at once.
 READ_SIZE = 65536
+# Bytes that are read at once from each of many connections, since all may be readable
+# in one turn of the event loop.
+SMALL_READ_SIZE = 16384
+MANY_CONNECTIONS = 512
 # Half of the bytes of a body that wait for its reader before reading pauses.
 BODY_BUFFER = 65536
 # Bytes of empty lines before a request, which are ignored.
 MAX_EMPTY_BYTES = 1024
+# Seconds between two log lines on connections that have made room for others.
+EVICTION_LOG_INTERVAL = 1.0
 # Seconds between two checks whether a caller has left whose connection is not read.
 HANGUP_INTERVAL = 0.2
 HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -198,6 +211,8 @@
         self._handle = server.hooks.handle
         self._host_pipelines = server.pipelines
         self._note_fault = server.note_fault
+        self._callers = server.callers
+        self._make_room = server.make_room
         self._loop_share = server.loop_share
         self._head = HeadHolding(server.heads)
         self._places = []
@@ -257,11 +272,26 @@
     # Reading.
 
     def connection_made(self, transport):
-        transport.max_size = READ_SIZE
+        is_one_of_many = len(self._callers) >= MANY_CONNECTIONS
+        transport.max_size = SMALL_READ_SIZE if is_one_of_many else READ_SIZE
         self._open_transport = CallerTransport(
             transport, self._must_linger, self._stall_time
         )
         super().connection_made(self._open_transport)
+        self._callers.add(self)
+        self._make_room(self)
+
+    def evict(self):
+        """Make room for another connection."""
+        self._open_transport.abort()
+
+    def has_arrived(self):
+        """Return whether the request that was read last has arrived completely."""
+        return not self._is_in_body()
+
+    def has_delivered(self):
+        """Return whether the caller has everything that was written."""
+        return not undelivered_bytes(self._open_transport)
 
     def data_received(self, data):
         """Parse data, as far as the connection may have further requests."""
@@ -472,11 +502,17 @@
             self._chunks = ChunkDecoder() if message.chunked else None
         if is_first:
             self._message_in_turn = message
+            self._callers.note(
+                self,
+                CallerState.SERVING if payload.is_eof() else CallerState.RECEIVING,
+            )
         elif type(message) is RawRequestMessage:
             self._add_follower(message, payload)
         if type(message) is not RawRequestMessage:
             # aiohttp answers what is malformed and closes the connection.
             self.seal()
+            if is_first:
+                self._callers.note(self, CallerState.CLOSING)
 
     def _add_follower(self, message, payload):
         """Add a request behind the one in turn."""
@@ -543,6 +579,9 @@
         if not self._places or self._places[0].message is not message:
             return self._make_request(message, payload, protocol, writer, task)
         place = self._places.pop(0)
+        self._callers.note(
+            self, CallerState.SERVING if payload.is_eof() else CallerState.RECEIVING
+        )
         self._pipeline.advance()
         request, place.request = place.request, None
         if request is None:
@@ -580,9 +619,12 @@
         """Let the next request be in turn, once aiohttp has written the response."""
         self._message_in_turn = None
         if is_closing:
+            self._callers.note(self, CallerState.CLOSING)
             self._is_closing = True
             self._drop_unread()
             self._messages.clear()
+        elif not self._messages:
+            self._callers.note(self, CallerState.WAITING)
         if self._pipeline is not None:
             self._note_response(self._pipeline.first, None, is_closing)
             if is_closing or not self._messages:
@@ -656,6 +698,7 @@
         if self._hangup_timer is not None:
             self._hangup_timer.cancel()
         self._unread = b""
+        self._callers.remove(self)
         self._head.clear()
         self._close_pipeline()
         self._open_transport.note_lost()
@@ -686,10 +729,39 @@
         self.pipelines = HostPipelines(limits)
         self.heads = heads or HeadBudget()
         self.loop_share = LoopShare()
+        self.callers = CallerTable(
+            CallerConnection.has_arrived, CallerConnection.has_delivered
+        )
+        # The number of connections that have made room for others, how many of them
+        # the log has, and when it was told last.
+        self.evicted_count = 0
+        self._logged_count = 0
+        self._logged_at = -math.inf
         # The number of connections by `InputFault` of which nothing more was read.
         self.faults = Counter()
         self._options = options
 
+    def make_room(self, new):
+        """Close a connection if a new one is beyond the limit."""
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if descriptors == resource.RLIM_INFINITY:
+            return
+        if len(self.callers) > max_connections(descriptors):
+            evicted = self.callers.pick(new)
+            self.callers.remove(evicted)
+            self.evicted_count += 1
+            evicted.evict()
+            self._log_evicted()
+
+    def _log_evicted(self):
+        """Log at intervals how many connections have made room."""
+        at = self.hooks.now()
+        if at < self._logged_at + EVICTION_LOG_INTERVAL:
+            return
+        count = self.evicted_count - self._logged_count
+        self._logged_at, self._logged_count = at, self.evicted_count
+        log.info("connections evicted", extra={"count": count})
+
     def note_fault(self, fault):
         """Count a connection of which nothing more is read for an `InputFault`."""
         self.faults[fault] += 1
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/utils/caller_metrics.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/utils/caller_metrics.py
@@ -27,6 +27,9 @@
         self._faults = make(
             Counter, "input_refused_total", "Connections that exceeded a limit."
         )
+        self._evicted = make(
+            Counter, "callers_evicted_total", "Connections closed for new ones."
+        )
 
     def note(self, server):
         """Set the metrics from a `CallerServer`."""
@@ -35,5 +38,6 @@
         self._in_flight.set({}, pipelines.requests)
         self._early.set({}, pipelines.early_count)
         self._waited.set({}, pipelines.waited_count)
+        self._evicted.set({}, server.evicted_count)
         for fault, count in server.faults.items():
             self._faults.set({"cause": fault.value}, count)
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/utils/listening.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/utils/listening.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 
 RETRY_INTERVAL = 0.1
 # Seconds between two reports of a listener that can't be opened.
@@ -34,6 +35,24 @@
     return False
 
 
+def set_backlog(sock, backlog):
+    """
+    Let the kernel hold connections until they are accepted.
+
+    asyncio accepts as many in one turn as its own backlog says, and each takes a
+    descriptor before any can be closed.
+
+    Args:
+      sock: The listening socket.
+      backlog: How many.
+    """
+    listener = socket.socket(fileno=sock.fileno())
+    try:
+        listener.listen(backlog)
+    finally:
+        listener.detach()
+
+
 async def open_when_free(open_once, report, before_retry=lambda: None):
     """
     Open a listener, and wait while its address is not free.
