Draw herds and hostile callers in lab and soak

A herd breaks a promise if a host that nothing disturbs breaks off more than three responses that had begun.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 demo: setup
 	$(BIN)/python -m plumsaddle_standins.demo
 
-# make lab PATTERN=gray SECONDS=15 SEED=1 OUT=gray.png LIMIT=3 NOTICES=1 RESTORES=1 PACED=1
+# make lab PATTERN=gray SECONDS=15 SEED=1 OUT=gray.png LIMIT=3 NOTICES=1 RESTORES=1 PACED=1 \
+#	HERDS=1 HOSTILE=1
 PATTERN ?= random
 SECONDS ?= 15
 SEED ?= 1
@@ -40,7 +41,8 @@
 		--seed $(SEED) --out $(OUT) $(if $(LIMIT),--limit $(LIMIT)) \
 		$(if $(NOTICES),--notices) $(if $(DOWNLOADS),--downloads) \
 		$(if $(RESTORES),--restores) \
-		$(if $(PIPELINING),--pipelining $(PIPELINING)) $(if $(PACED),--paced)
+		$(if $(PIPELINING),--pipelining $(PIPELINING)) $(if $(PACED),--paced) \
+		$(if $(HERDS),--herds) $(if $(HOSTILE),--hostile)
 
 # make soak SEED=1 RUNS=50 SECONDS=20 SOAK_HOSTS=3 CALLERS=24
 # make soak SOAK_HOSTS=most CALLERS=120 SOAK_OFF=store,targets
--- a/packages/plumsaddle-standins/plumsaddle_standins/hostile_callers.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/hostile_callers.py
@@ -8,14 +8,22 @@
 import asyncio
 import contextlib
 import enum
+from collections import Counter
 from typing import NamedTuple
 
+from .callers import ASKERS, Ended
+from .trial import HOST_NAME
+
 FIELD_BYTES = 100_000
 PIECE = 65536
 # Seconds before a caller whose connection was closed or refused opens the next one.
 PAUSE = 0.05
 # Seconds after which a caller that sends nothing more looks whether it is connected.
 STALL = 3600.0
+HOSTILE_ID = "hostile"
+UNREAD_PATH = "/look/a"
+# Crowds that are drawn: mean seconds between two, their seconds and their callers.
+CROWD_PAUSE, CROWD_SECONDS, CROWD_SIZE = 1.0, (0.5, 3.0), (5, 25)
 
 
 class Form(enum.Enum):
@@ -48,7 +56,7 @@
     count: int | None
 
 
-def make_way(form, path, host, method="POST", body_bytes=3_900_000):
+def make_way(form, path, host, method="POST", body_bytes=3_900_000, more=""):
     """
     Return the `Way` of a form.
 
@@ -58,8 +66,9 @@
       host: The text of their `Host`.
       method: Their method, where they have a body.
       body_bytes: The bytes of its bodies, which stop short of their end.
+      more: Further lines of its heads.
     """
-    fields = f"HTTP/1.1\r\nHost: {host}\r\nRequest-Id: hostile\r\n"
+    fields = f"HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {HOSTILE_ID}\r\n{more}"
     get = f"GET {path} {fields}".encode()
     post = f"{method} {path} {fields}Deadline-Ms: 9000\r\n".encode()
     chunked = post + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -127,3 +136,52 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class HostileCallers:
+    """
+    Crowds of hostile callers, on one host after the other.
+
+    Args:
+      hosts: The `HostProcess` objects.
+      rng: A `random.Random`.
+    """
+
+    def __init__(self, hosts, rng):
+        self._hosts = hosts
+        self._rng = rng
+        self._drawn = Counter()
+
+    async def run(self, seconds):
+        """Press for some seconds, with crowds that overlap."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        crowds = []
+        while loop.time() < end:
+            crowds.append(asyncio.ensure_future(self._press(end)))
+            await asyncio.sleep(self._rng.expovariate(1 / CROWD_PAUSE))
+        await asyncio.gather(*crowds)
+
+    async def _press(self, end):
+        rng, loop = self._rng, asyncio.get_running_loop()
+        form = rng.choice(list(Form))
+        self._drawn[form.value] += 1
+        path = rng.choice(("/act/a", "/up/a"))
+        if form is Form.UNREAD:
+            # Its requests are whole, and the same again and again.
+            path = UNREAD_PATH
+        key = f"Authorization: Bearer {ASKERS[0].key}\r\n"
+        way = make_way(form, path, HOST_NAME, more=rng.choice((key, "")))
+        seconds = min(rng.uniform(*CROWD_SECONDS), end - loop.time())
+        port = rng.choice(self._hosts).callers
+        async with hostile_crowd(port, way, rng.randint(*CROWD_SIZE)):
+            await asyncio.sleep(max(0.0, seconds))
+
+    @property
+    def ended(self):
+        """What was sent whole, as `Ended`."""
+        return [Ended(HOSTILE_ID, UNREAD_PATH, 0.0, 0.0, None, False)]
+
+    def tell(self):
+        """Return the counts as a text."""
+        return f"hostile crowds: {dict(sorted(self._drawn.items()))}"
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab.py
@@ -9,6 +9,8 @@
     python -m plumsaddle_standins.lab random --pipelining 0.3
     python -m plumsaddle_standins.lab random --restores
     python -m plumsaddle_standins.lab roll --paced
+    python -m plumsaddle_standins.lab random --hostile
+    python -m plumsaddle_standins.lab calm --herds
 
 Hosts are real processes; the store, the targets and the callers are stand-ins in this
 one. The last line counts what callers saw, and the exit code is 1 if a promise was
@@ -28,8 +30,10 @@
 from .callers import HOT, PROMISES, WORKSPACES, Callers, find_broken
 from .check_ins import CheckIns
 from .downloading import DownloadCallers, cut_at_times
+from .herds import ROUTES as HERD_ROUTES, Herds, send_in_parts
 from .host_link import CUTS, HostLink
 from .host_process import HostProcess
+from .hostile_callers import HostileCallers
 from .notices_check import find_ignored_notices
 from .paced_callers import NOTES, ROUTES, PacedCallers, find_all_broken
 from .store import Fault
@@ -383,6 +387,8 @@
     pipelining=0.0,
     has_restores=False,
     is_paced=False,
+    has_herds=False,
+    is_hostile=False,
 ):
     """
     Play one pattern.
@@ -396,6 +402,7 @@
         *SERVICES,
         *(("file",) if has_downloads else ()),
         *(("note",) if is_paced else ()),
+        *(("long",) if has_herds else ()),
     )
     async with Trial(services=services, targets=TARGETS, hosts=0) as trial:
         for worker in trial.workers.values():
@@ -425,6 +432,9 @@
                     lab.routes = {**lab.routes, **DOWNLOADS}
                 if is_paced:
                     lab.routes = {**lab.routes, **ROUTES}
+                if has_herds:
+                    lab.routes = {**lab.routes, **HERD_ROUTES}
+                    send_in_parts(trial.of("long"))
                 # Before the hosts start, so that none ever serves without keys.
                 lab.publish()
                 await asyncio.gather(*(host.start() for host in hosts))
@@ -455,9 +465,23 @@
                 if is_paced:
                     paced = PacedCallers(hosts, random.Random(seed + 5))
                     pacing = asyncio.create_task(paced.run(seconds))
+                if has_herds:
+                    herds = Herds(hosts, random.Random(seed + 6))
+                    herding = asyncio.create_task(herds.run(seconds))
+                if is_hostile:
+                    hostile = HostileCallers(hosts, random.Random(seed + 7))
+                    pressing = asyncio.create_task(hostile.run(seconds))
                 await callers.run(seconds)
                 if is_paced:
                     await pacing
+                if has_herds:
+                    await herding
+                    callers.ended += herds.ended
+                    print(herds.tell())
+                if is_hostile:
+                    await pressing
+                    callers.ended += hostile.ended
+                    print(hostile.tell())
                 if has_downloads:
                     await downloading
                     cutting.cancel()
@@ -484,6 +508,8 @@
         if is_paced:
             broken += find_all_broken(paced.exchanged, workers, hosts)
         broken += watch.find_broken(lab.published)
+        if has_herds:
+            broken += herds.find_broken()
         if limit is not None:
             broken += find_exceeded(limit, *limits)
         if has_notices:
@@ -542,6 +568,8 @@
     pipelining=0.0,
     restores=False,
     paced=False,
+    herds=False,
+    hostile=False,
 ):
     """
     Play a pattern and tell what callers saw.
@@ -561,6 +589,9 @@
       restores: Whether the store also comes back from older copies at random moments.
       paced: Whether callers also keep connections open, send bodies in pieces, and
         several requests at once whose responses they read slowly.
+      herds: Whether callers also come in herds larger than the slots of their targets,
+        for long responses; with patterns that leave paths to targets alone.
+      hostile: Whether callers also send heads, empty lines and bodies without end.
     """
     if pattern not in PATTERNS and pattern != "random":
         print(f"The patterns are: random, {', '.join(PATTERNS)}.", file=sys.stderr)
@@ -578,6 +609,8 @@
             pipelining,
             restores,
             paced,
+            herds,
+            hostile,
         )
         ended, broken = asyncio.run(playing)
     if out is not None:
--- a/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/lab_test.py
@@ -46,6 +46,15 @@
     assert field[200] >= 6 * 0.3 * 40 * 0.8
 
 
+def test_no_response_to_a_herd_is_broken_off(tmp_path):
+    """Guards against responses that are cut while their sound targets send them."""
+    playing = play("calm", 6.0, SEED, 20.0, tmp_path, has_herds=True)
+    ended, broken = asyncio.run(playing)
+    assert not broken
+    herds = [end for end in ended if end.id.startswith("h-")]
+    assert sum(end.status == 200 for end in herds) >= 40
+
+
 def test_hosts_that_lost_their_seeds_keep_a_limit(tmp_path):
     """Guards against hosts that each admit the whole limit after all were killed."""
     ended, broken = asyncio.run(play("lost-seeds", 9.0, SEED, 40.0, tmp_path))
--- a/packages/plumsaddle-standins/plumsaddle_standins/soak.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/soak.py
@@ -26,8 +26,10 @@
 
 from .callers import WORKSPACES
 from .check_ins import CheckIns
+from .herds import ROUTES as HERD_ROUTES, Herds, send_in_parts
 from .host_process import GRACE, HostProcess
 from .host_watch import MEGABYTE, HostWatch
+from .hostile_callers import HostileCallers
 from .lab import tell
 from .paced_callers import (
     NOTES,
@@ -62,6 +64,8 @@
 # Seconds after which a process that was killed starts again.
 DOWN_FOR = 0.3
 SERVICES = ("act", "up", "note")
+# Its targets are disturbed by nothing but their hosts.
+HERD_SERVICE = "long"
 # How likely each fault of a start is.
 START_FAULT_CHANCE = 0.35
 LISTENERS = ("callers", "ready", "hosts")
@@ -100,7 +104,8 @@
     At a start a port is taken, settings are incomplete, signals come early, limits are
     not named, the grace period is short and no seed is alive; several hosts are
     disturbed at once; the store answers and targets respond without end; targets always
-    take their time; the store executes writes of targets late.
+    take their time; the store executes writes of targets late; callers come in herds,
+    or are hostile.
     """
 
     PORTS = "ports"
@@ -114,6 +119,8 @@
     WORKS = "works"
     SEEDS = "seeds"
     ENTRIES = "entries"
+    HERDS = "herds"
+    HOSTILE = "hostile"
 
 
 class Soak:
@@ -151,7 +158,7 @@
     def publish(self):
         """Publish one more version of the same routes."""
         self._version += 1
-        routes = {**KINDS, **ROUTES}
+        routes = {**KINDS, **ROUTES, **HERD_ROUTES}
         text = configuration(
             self._version, TIMEOUT, routes=routes, workspaces=WORKSPACES
         )
@@ -327,7 +334,11 @@
             await asyncio.sleep(self._rng.expovariate(1 / TARGET_PAUSE))
             if loop.time() >= end:
                 return
-            workers = list(self._trial.workers.values())
+            workers = [
+                worker
+                for worker in self._trial.workers.values()
+                if worker.service != HERD_SERVICE
+            ]
             chosen = self._rng.sample(workers, self._rng.randint(1, 3))
             mode = self._rng.choice(modes)
             self.drawn[f"targets {mode.value}"] += 1
@@ -353,7 +364,8 @@
     def log_of(host):
         return folder / f"{host.name}.log"
 
-    async with Trial(services=SERVICES, targets=TARGETS, hosts=0) as trial:
+    services = (*SERVICES, HERD_SERVICE) if Fault.HERDS in faults else SERVICES
+    async with Trial(services=services, targets=TARGETS, hosts=0) as trial:
         for worker in trial.of("note"):
             worker.body = NOTES
         with contextlib.ExitStack() as logs:
@@ -367,7 +379,15 @@
                 rng = random.Random(seed + 1)
                 paced = PacedCallers(processes, rng, callers, TIME_LEFT_MS)
                 soak.callers = paced
-                await asyncio.gather(paced.run(seconds), soak.run(seconds))
+                send_in_parts(trial.of(HERD_SERVICE))
+                herds = Herds(processes, random.Random(f"{seed} herds"))
+                hostile = HostileCallers(processes, random.Random(f"{seed} hostile"))
+                runs = [paced.run(seconds), soak.run(seconds)]
+                if Fault.HERDS in faults:
+                    runs.append(herds.run(seconds))
+                if Fault.HOSTILE in faults:
+                    runs.append(hostile.run(seconds))
+                await asyncio.gather(*runs)
                 watching.cancel()
                 await soak.watch.finish()
             finally:
@@ -382,10 +402,12 @@
             notes.append(f"drawn: {dict(sorted(soak.drawn.items()))}")
             notes.append(f"ended by SIGHUP before they ignore it: {soak.watch.missed}")
             notes.append(f"peak of memory: {soak.watch.peak / MEGABYTE:.0f} MB")
+            notes += [herds.tell(), hostile.tell()]
             notes.append(
                 f"orders taken after SIGTERM and cut: {count_cut_orders(*found)}"
             )
-        return paced.ended, soak.watch.broken + find_all_broken(*found)
+        broken = soak.watch.broken + find_all_broken(*found) + herds.find_broken()
+        return paced.ended, broken
 
 
 def _make_hosts(count, folder, store, logs):
--- a/packages/plumsaddle-standins/plumsaddle_standins/soak_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/soak_test.py
@@ -47,6 +47,15 @@
     assert any(end.is_whole for end in ended)
 
 
+@pytest.mark.parametrize("seed", [7])
+def test_no_promise_breaks_beside_herds_and_hostile_callers(seed, tmp_path):
+    """Guards against hosts that cut herds' responses or end for hostile callers."""
+    faults = {Fault.HERDS, Fault.HOSTILE}
+    ended, broken = asyncio.run(play(10.0, seed, tmp_path, faults=faults))
+    assert not broken
+    assert any(end.is_whole for end in ended)
+
+
 @pytest.mark.parametrize("kilobytes, count", [(1_200_000, 10), (10**9, 200)])
 def test_a_soak_takes_at_most_half_of_the_memory(kilobytes, count):
     """Guards against soaks that disturb all other work of the machine."""
