Let downloads that arrive in time for their callers outlast the timeout

The related path of the cut at the route's timeout: a download that its caller took steadily was cut at the route's timeout, with 1,520,000 of 2,240,000 bytes, though the caller had stated three times that time. It goes on now as other responses do, at the pace at which the caller takes it; a gap of a second, no length, or too slow a pace end it at the timeout.

test_an_arriving_download_outlasts_the_timeout failed before; the tests of endless and slow downloads pass as they were.

--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/downloads.py
@@ -133,10 +133,14 @@
       deadline: When the caller's time is up, in seconds on the host's clock.
       release: Called once, as soon as nothing more comes from the target.
       target: The id of the target.
+      latest_end: Until when it may go on if it arrives; the deadline if None.
     """
 
-    def __init__(self, exchange, downloads, deadline, release, target=None):
+    def __init__(
+        self, exchange, downloads, deadline, release, target=None, latest_end=None
+    ):
         self.deadline = deadline
+        self.latest_end = deadline if latest_end is None else latest_end
         self._target = target
         self.bytes_sent = 0
         self._exchange = exchange
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/response_stream.py
@@ -176,19 +176,36 @@
         self._bytes -= count
 
 
+def _extend(scope, rest, arrival):
+    """Let a large response go on if it is complete in time for its caller."""
+    at = now()
+    end = rest.deadline
+    if at + MAX_GAP > end and arrival.is_complete_by(rest.latest_end, at):
+        end = max(end, min(rest.latest_end, at + MAX_GAP))
+    if end > rest.deadline or at > rest.deadline:
+        scope.reschedule(asyncio.get_running_loop().time() + end - at)
+
+
 async def _write_download(request, response, reply):
-    """Write a large response by its deadline, and return why it was cut, or None."""
+    """
+    Write a large response by its deadline, and return why it was cut, or None.
+
+    One that is complete in time for its caller at its pace goes on beyond it.
+    """
     rest, transport = reply.rest, request.transport
     if transport is None:
         return CutCause.CALLER
     cause = CutCause.CALLER
     try:
         with counted_writes(transport, rest.send_buffer_size):
-            async with asyncio.timeout(rest.deadline - now()):
+            async with asyncio.timeout(rest.deadline - now()) as scope:
                 await response.prepare(request)
+                arrival = Arrival(response.content_length, 0, now())
                 while part := await rest.read():
                     await write_chunk(request, response, part)
                     rest.note_sent(len(part))
+                    arrival.note(len(part))
+                    _extend(scope, rest, arrival)
         cause = CutCause.TARGET if part is None else None
     except TimeoutError:
         cause = CutCause.DEADLINE
--- a/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/edge/sender.py
@@ -222,6 +222,7 @@
             request.deadline,
             release,
             target.id,
+            request.latest_end,
         )
         return Reply(exchange.status, exchange.headers, b"", rest)
 
--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_arriving_responses_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_arriving_responses_test.py
@@ -9,7 +9,7 @@
 
 from plumsaddle_hosts.edge.clock import now
 
-from .trial import Trial, in_loop, until
+from .trial import DOWNLOADS, KINDS, OPERATOR, Trial, configuration, in_loop, until
 from .worker import SLOTS, Mode
 
 PART = b"x" * 80000
@@ -44,6 +44,20 @@
         assert (status, len(body)) == (200, worker.parts * len(PART))
 
 
+@in_loop
+async def test_an_arriving_download_outlasts_the_timeout():
+    """Guards against cutting a download that its caller would have received."""
+    async with Trial(services=("file",), targets=1) as trial:
+        routes = {**KINDS, **DOWNLOADS}
+        trial.store.put(OPERATOR, "config", configuration(2, TIMEOUT, routes))
+        await until(lambda: trial.hosts[0].knowledge.cfg.version == 2)
+        worker = trial.of("file")[0]
+        _send_slowly(worker, 28)
+        status, _, body = await trial.ask("/file/a", "id-1", left=6000)
+        assert (status, len(body)) == (200, worker.parts * len(PART))
+        assert trial.hosts[0].knowledge.downloads.budget.held == 0
+
+
 @in_loop
 async def test_a_response_that_would_end_too_late_is_cut_at_the_timeout():
     """Guards against slots that are kept for responses which nobody can receive."""
