--- a/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
+++ b/packages/plumsaddle-hosts/plumsaddle_hosts/front/pipelining.py
@@ -48,7 +48,7 @@
 
 from ..utils.socket_state import undelivered_bytes, unread_bytes
 from .caller_transport import CallerTransport
-from .loop_share import LoopShare
+from .step_queue import StepQueue
 
 log = logging.getLogger("front")
 HEAD_END = b"\r\n\r\n"
@@ -213,7 +213,7 @@
         self._note_fault = server.note_fault
         self._callers = server.callers
         self._make_room = server.make_room
-        self._loop_share = server.loop_share
+        self._steps = server.steps
         self._head = HeadHolding(server.heads)
         self._places = []
         self._make_request = self._request_factory
@@ -417,7 +417,7 @@
         """Go on with a chunked body when expensive input has its turn."""
         if not self._is_waiting_for_step:
             self._is_waiting_for_step = True
-            self._loop_share.add(self._feed_next)
+            self._steps.add(self._feed_next)
 
     def _feed_next(self):
         self._is_waiting_for_step = False
@@ -728,7 +728,7 @@
         self.stall_time = stall_time
         self.pipelines = HostPipelines(limits)
         self.heads = heads or HeadBudget()
-        self.loop_share = LoopShare()
+        self.steps = StepQueue()
         self.callers = CallerTable(
             CallerConnection.has_arrived, CallerConnection.has_delivered
         )
