--- a/packages/plumsaddle-standins/plumsaddle_standins/herds.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/herds.py
@@ -122,7 +122,7 @@
             for result in self.results
             if result.status == 200
             and not result.is_whole
-            and not result.host.was_disturbed(result.sent_at, result.ended_at)
+            and not _is_disturbed(result)
         ]
         if len(cut) <= MAX_CUT:
             return []
@@ -139,6 +139,13 @@
         return f"herds: {len(self.results)} requests, {whole} whole, {refused} refused"
 
 
+def _is_disturbed(result):
+    """Return whether the host was signalled, started or killed meanwhile."""
+    host, since, until = result.host, result.sent_at, result.ended_at
+    is_killed = any(since <= at <= until for at in host.killed_at)
+    return is_killed or host.was_disturbed(since, until)
+
+
 class _Response:
     """A response as it arrives."""
 
