Signal a stopping process without reaping it

Cause, in the test: send_signal polls the process, and so reaps one that has just ended; asyncio's watcher then finds no child and reports 255.

--- a/packages/plumsaddle-standins/plumsaddle_standins/edge_process_test.py
+++ b/packages/plumsaddle-standins/plumsaddle_standins/edge_process_test.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -159,6 +160,8 @@
     host.signal(signal.SIGTERM)
     await host.wait_for_line("host stopped")
     while host.is_running:
-        host.process.send_signal(number)
+        # `send_signal` would reap an ended process, and its exit code be lost.
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(host.process.pid, number)
         await asyncio.sleep(0.001)
     assert host.process.returncode == 0
